--- /dev/null
+++ b/src/app/accept.rs
@@ -0,0 +1,294 @@
+use {
+    super::{run_model::run_model, run_plain::run_plain, *},
+    crate::{contracts::Contract, engine::count_tokens, names::*, policy::*, requests::*},
+    std::sync::Arc,
+};
+
+/// A request as it came in.
+#[derive(Clone, Debug)]
+pub struct Submission {
+    /// Who sent it.
+    pub account: ClientAccount,
+    /// The service.
+    pub service: ServiceName,
+    /// The work.
+    pub work: Work,
+    /// The caller's key.
+    pub key: Option<RequestId>,
+    /// Whether it may run more than once, if the caller said.
+    pub repeatable: Option<bool>,
+    /// How long the answer is waited for, in milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Whether it must not be accepted without a copy in another failure domain.
+    pub cross_domain_only: bool,
+}
+
+/// A request that was accepted.
+#[derive(Clone, Debug)]
+pub struct Accepted {
+    /// The request.
+    pub id: RequestId,
+    /// What was asked, and by which deadline.
+    pub deadline_ms: u64,
+    /// How safe it is; none if another box accepted it.
+    pub durability: Option<Durability>,
+}
+
+/// A request that was refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The HTTP status.
+    pub status: u16,
+    /// What the caller can rely on.
+    pub failure: Failure,
+}
+
+impl Refusal {
+    /// Makes a refusal of a request that did not run.
+    pub fn not_run(status: u16, detail: impl Into<String>, retry_after_ms: u64) -> Self {
+        Self {
+            status,
+            failure: Failure::new(Outcome::NotRun, detail, retry_after_ms),
+        }
+    }
+
+    /// Makes a refusal of a request that can't be understood.
+    pub fn malformed(status: u16, detail: impl Into<String>) -> Self {
+        Self {
+            status,
+            failure: Failure::new(Outcome::Malformed, detail, 0),
+        }
+    }
+}
+
+/// Accepts a request or refuses it at once.
+///
+/// # Errors
+///
+/// Returns the refusal; the request did not run.
+pub async fn accept(world: &Arc<World>, sub: Submission) -> Result<Accepted, Refusal> {
+    if let Some(accepted) = attach_here(world, &sub)? {
+        return Ok(accepted);
+    }
+    if !world.is_ready() {
+        return Err(Refusal::not_run(
+            503,
+            "this box takes no new requests",
+            1_000,
+        ));
+    }
+    if world.requests.len() >= world.settings.requests.max_requests {
+        return Err(Refusal::not_run(503, "this box is full", 1_000));
+    }
+    let table = world.table_in_force();
+    let row = table.row(&sub.account, &sub.service, world.my_domain());
+    let Some(c) = row else {
+        let detail = format!(
+            "no row for service `{}` in this failure domain",
+            sub.service
+        );
+        return Err(Refusal::malformed(404, detail));
+    };
+    let repeatable = sub.repeatable.unwrap_or(c.repeatable);
+    check_key(world, &sub, repeatable)?;
+    if let Some(accepted) = attach_elsewhere(world, &sub, repeatable).await {
+        return Ok(accepted);
+    }
+    let spec = Arc::new(make_spec(world, &sub, c, repeatable));
+    let naive = spec.policy.as_str() == NaivePlacement::NAME;
+    let tokens = tokens_of(&spec);
+    let deadline_ms = spec.deadline_ms;
+    let admitted = AdmissionDesk::admit(world, c, tokens, deadline_ms, !naive).await;
+    let admitted = admitted.map_err(|r| rejected(&r))?;
+    earn_retry(world, &spec);
+    start(world, spec, admitted, sub.cross_domain_only).await
+}
+
+/// The tokens that a request is charged with.
+pub fn tokens_of(spec: &RequestSpec) -> f64 {
+    match &spec.work {
+        Work::Model(work) => f64::from(count_tokens(&work.prompt) + work.max_tokens),
+        Work::Plain(_) => 0.0,
+    }
+}
+
+/// Runs a request that this box owns.
+pub async fn run(world: Arc<World>, cell: Arc<RequestCell>, right: Option<Claimant>) {
+    let is_model = cell.spec().model().is_some();
+    if is_model && cell.spec().repeatable {
+        run_model(&world, &cell).await;
+    } else {
+        run_plain(&world, &cell, right).await;
+    }
+}
+
+async fn start(
+    world: &Arc<World>,
+    spec: Arc<RequestSpec>,
+    admitted: Admitted,
+    cross_domain_only: bool,
+) -> Result<Accepted, Refusal> {
+    let id = spec.id;
+    let deadline_ms = spec.deadline_ms;
+    let record = Record::new(spec.clone(), Role::Owner, 1, now_ms());
+    let (cell, fresh) = world.requests.insert(record);
+    if !fresh {
+        // The same key came twice at this moment: both get the one answer.
+        let durability = None;
+        return Ok(Accepted {
+            id,
+            deadline_ms,
+            durability,
+        });
+    }
+    let reader = cell.reader();
+    let early = spec.model().is_some() && spec.repeatable && !cross_domain_only;
+    if early {
+        spawn_run(world, &cell, admitted);
+        let durability = Some(hold(world, &cell, None).await);
+        world.replicators.mark(world, &cell);
+        drop(reader);
+        return Ok(Accepted {
+            id,
+            deadline_ms,
+            durability,
+        });
+    }
+    let durability = hold(world, &cell, None).await;
+    if cross_domain_only && durability != Durability::CrossDomain {
+        world.requests.remove(id);
+        return Err(Refusal::not_run(
+            503,
+            "no other failure domain can be reached",
+            2_000,
+        ));
+    }
+    spawn_run(world, &cell, admitted);
+    drop(reader);
+    let durability = Some(durability);
+    Ok(Accepted {
+        id,
+        deadline_ms,
+        durability,
+    })
+}
+
+fn spawn_run(world: &Arc<World>, cell: &Arc<RequestCell>, admitted: Admitted) {
+    let world = world.clone();
+    let cell = cell.clone();
+    tokio::spawn(async move {
+        run(world, cell, None).await;
+        drop(admitted);
+    });
+}
+
+/// A key that this box knows attaches to its request; one that was refused
+/// `not-run` may be sent again and starts afresh.
+fn attach_here(world: &World, sub: &Submission) -> Result<Option<Accepted>, Refusal> {
+    let Some(key) = sub.key else { return Ok(None) };
+    let Some(cell) = world.requests.get(key) else {
+        return Ok(None);
+    };
+    let r = cell.read();
+    if r.spec.account != sub.account {
+        return Err(Refusal::malformed(409, "the key is in use"));
+    }
+    if r.spec.service != sub.service || r.spec.work != sub.work {
+        return Err(Refusal::malformed(
+            422,
+            "the key was sent with another request before",
+        ));
+    }
+    let deadline_ms = r.spec.deadline_ms;
+    let not_run = matches!(&r.ending, Some(Ending::Failed(f)) if f.outcome == Outcome::NotRun);
+    drop(r);
+    if not_run {
+        world.requests.remove(key);
+        return Ok(None);
+    }
+    Ok(Some(Accepted {
+        id: key,
+        deadline_ms,
+        durability: None,
+    }))
+}
+
+/// A repeatable request's key is looked for on the boxes that would hold it;
+/// for others the claim decides.
+async fn attach_elsewhere(world: &World, sub: &Submission, repeatable: bool) -> Option<Accepted> {
+    let key = sub.key.filter(|_| repeatable)?;
+    let found = locate(world, key, 0).await;
+    let Found::At(owner) = found else { return None };
+    if owner == world.me.id {
+        return None;
+    }
+    let wait_ms = sub
+        .deadline_ms
+        .unwrap_or(world.settings.requests.deadline_ms);
+    Some(Accepted {
+        id: key,
+        deadline_ms: now_ms() + wait_ms,
+        durability: None,
+    })
+}
+
+fn check_key(world: &World, sub: &Submission, repeatable: bool) -> Result<(), Refusal> {
+    let Some(key) = sub.key else {
+        if repeatable {
+            return Ok(());
+        }
+        let detail = "a call that may not be repeated needs an `Idempotency-Key` (UUIDv7)";
+        return Err(Refusal::malformed(400, detail));
+    };
+    if is_in_window(world, key) {
+        return Ok(());
+    }
+    Err(Refusal::malformed(
+        400,
+        "the key's time is outside the window",
+    ))
+}
+
+fn make_spec(world: &World, sub: &Submission, c: &Contract, repeatable: bool) -> RequestSpec {
+    let id = sub.key.unwrap_or_else(RequestId::fresh);
+    let now = now_ms();
+    let wait_ms = sub
+        .deadline_ms
+        .unwrap_or(world.settings.requests.deadline_ms);
+    RequestSpec {
+        id,
+        account: sub.account.clone(),
+        service: sub.service.clone(),
+        work: sub.work.clone(),
+        repeatable,
+        deadline_ms: now + wait_ms,
+        accepted_at_ms: now,
+        policy: pick_policy(&c.policies, id),
+        terms: Terms {
+            first_token_ms: c.first_token_ms,
+            between_tokens_ms: c.between_tokens_ms,
+            class: c.class,
+            retry_budget: c.retry_budget,
+            priority: c.priority,
+        },
+        hops: 0,
+    }
+}
+
+fn earn_retry(world: &World, spec: &RequestSpec) {
+    let key = (spec.account.clone(), spec.service.clone());
+    let mut budgets = world.budgets.lock();
+    budgets
+        .entry(key)
+        .or_default()
+        .earn(spec.terms.retry_budget);
+}
+
+fn rejected(r: &Rejection) -> Refusal {
+    let (status, detail) = match r {
+        Rejection::Rate { .. } => (429, "the row's rate is used up"),
+        Rejection::Concurrency { .. } => (429, "the row's concurrency is used up"),
+        Rejection::Deadline { .. } => (503, "the deadline can't be met"),
+    };
+    Refusal::not_run(status, detail, r.retry_after_ms().max(1))
+}
--- /dev/null
+++ b/src/app/attempt.rs
@@ -0,0 +1,177 @@
+use {
+    super::World,
+    crate::{contracts::ClassPreference, engine::*, names::*, policy::*, requests::*},
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
+};
+
+/// Slots of an upstream that has not reported its load yet.
+const DEFAULT_SLOTS: u32 = 32;
+const DEFAULT_PREFILL_TOKENS_PER_S: f64 = 8_000.0;
+const DEFAULT_STEP_MS: f64 = 20.0;
+/// The chance that a reclaimable box is taken back in the next second: one a
+/// day on average, until the boxes' own record says more.
+const RECLAIMABLE_HAZARD_PER_S: f64 = 1.0 / 86_400.0;
+const ROUND_TRIP_MS: f64 = 1.0;
+
+/// A place that was chosen.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The upstream.
+    pub id: BoxId,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Its price in millionths of a currency unit a second.
+    pub price_micros: u64,
+}
+
+impl Place {
+    /// Makes a place of a box.
+    pub fn of(b: &BoxFact) -> Self {
+        Self {
+            id: b.id.clone(),
+            address: b.address,
+            price_micros: b.price_micros,
+        }
+    }
+}
+
+/// Returns what placement asks for a request.
+pub fn ask_of(spec: &RequestSpec, generated: usize, exclude: BTreeSet<BoxId>) -> Ask {
+    let (prompt_tokens, max_tokens) = match &spec.work {
+        Work::Model(work) => (count_tokens(&work.prompt), work.max_tokens),
+        Work::Plain(_) => (0, 1),
+    };
+    let generated_tokens = u32::try_from(generated).unwrap_or(u32::MAX);
+    Ask {
+        prompt_tokens,
+        generated_tokens,
+        expected_tokens: max_tokens.saturating_sub(generated_tokens).max(1),
+        first_token_ms: f64::from(spec.terms.first_token_ms),
+        between_tokens_ms: f64::from(spec.terms.between_tokens_ms),
+        class: spec.terms.class,
+        exclude,
+    }
+}
+
+/// Returns how placement sees the live upstreams of a service in this failure domain.
+pub fn views(world: &World, service: &ServiceName, hashes: &[u64]) -> Vec<(UpstreamView, Place)> {
+    let now = now_ms();
+    let boxes = world.boxes.read();
+    let mut stats = world.stats.lock();
+    let hints = world.hints.lock();
+    boxes
+        .upstreams(service, world.my_domain())
+        .filter_map(|b| {
+            let s = stats.of(&b.id);
+            if s.avoid_until_ms > now {
+                return None;
+            }
+            let cached_tokens = hints.cached_tokens(&b.id, hashes);
+            Some((view_of(b, s, cached_tokens), Place::of(b)))
+        })
+        .collect()
+}
+
+fn view_of(b: &BoxFact, s: &crate::boxes::UpstreamStats, cached_tokens: u32) -> UpstreamView {
+    let load = s.load.as_ref();
+    UpstreamView {
+        id: b.id.clone(),
+        address: b.address,
+        class: b.class,
+        price_micros: b.price_micros,
+        slots: load.map_or(DEFAULT_SLOTS, |l| l.slots),
+        running: load.map_or(0, |l| l.running),
+        waiting: load.map_or(0, |l| l.waiting),
+        unreported: s.unreported(),
+        in_flight: s.in_flight,
+        limit: s.limit.limit(),
+        prefill_tokens_per_s: load.map_or(DEFAULT_PREFILL_TOKENS_PER_S, |l| l.prefill_tokens_per_s),
+        step_ms: load.map_or(DEFAULT_STEP_MS, |l| l.step_ms),
+        step_ms_per_request: load.map_or(0.0, |l| l.step_ms_per_request),
+        round_trip_ms: ROUND_TRIP_MS,
+        hazard_per_s: match b.class {
+            BoxClass::Reclaimable => RECLAIMABLE_HAZARD_PER_S,
+            BoxClass::OnDemand => 0.0,
+        },
+        cached_tokens,
+    }
+}
+
+/// Chooses a place for a request by its policy.
+pub fn choose(
+    world: &World,
+    spec: &RequestSpec,
+    generated: usize,
+    exclude: &BTreeSet<BoxId>,
+    rng: &mut dyn rand::RngCore,
+) -> Option<Place> {
+    let hashes = spec
+        .model()
+        .map_or_else(Vec::new, |w| prefix_hashes(&w.prompt));
+    let (views, places): (Vec<_>, Vec<_>) =
+        views(world, &spec.service, &hashes).into_iter().unzip();
+    let ask = ask_of(spec, generated, exclude.clone());
+    let policy = placement(&spec.policy);
+    let chosen = policy
+        .choose(&ask, &views, rng)
+        .or_else(|| choose_relaxed(&ask, &views, &*policy, rng))?;
+    Some(places[chosen].clone())
+}
+
+/// A class that is preferred but not there gives way: an answer goes before a price.
+fn choose_relaxed(
+    ask: &Ask,
+    views: &[UpstreamView],
+    policy: &dyn Placement,
+    rng: &mut dyn rand::RngCore,
+) -> Option<usize> {
+    if ask.class == ClassPreference::Any {
+        return None;
+    }
+    let relaxed = Ask {
+        class: ClassPreference::Any,
+        ..ask.clone()
+    };
+    policy.choose(&relaxed, views, rng)
+}
+
+/// An attempt in flight at an upstream; it is counted out when dropped.
+pub struct InFlight {
+    world: Arc<World>,
+    place: Place,
+    started_ms: u64,
+}
+
+impl InFlight {
+    /// Counts an attempt in.
+    pub fn start(world: &Arc<World>, place: &Place) -> Self {
+        let now = now_ms();
+        world.stats.lock().of(&place.id).start(now);
+        metrics::counter!("saddlepulley_dispatches_total").increment(1);
+        Self {
+            world: world.clone(),
+            place: place.clone(),
+            started_ms: now,
+        }
+    }
+
+    /// Returns the attempt's part of the upstream's price so far, in millionths
+    /// of a currency unit: its time there, shared with what runs beside it.
+    pub fn cost_micros(&self) -> f64 {
+        let beside = {
+            let stats = self.world.stats.lock();
+            let s = stats.get(&self.place.id);
+            s.map_or(1, |s| {
+                s.load.as_ref().map_or(0, |l| l.running).max(s.in_flight)
+            })
+        };
+        let seconds = now_ms().saturating_sub(self.started_ms) as f64 / 1_000.0;
+        self.place.price_micros as f64 * seconds / f64::from(beside.max(1))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.world.stats.lock().of(&self.place.id).end();
+    }
+}
--- /dev/null
+++ b/src/app/box_watch.rs
@@ -0,0 +1,99 @@
+use {
+    super::*,
+    crate::{names::*, policy::*},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
+};
+
+const LIST_EVERY: Duration = Duration::from_millis(2_000);
+const NOTICE_WAIT_MS: u64 = 4_000;
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Folds the platform's box list, which lags.
+pub async fn watch_box_list(world: Arc<World>) {
+    loop {
+        match world.borders.box_list.list().await {
+            Ok(facts) => {
+                let facts: Vec<BoxFact> =
+                    facts.into_iter().filter(|f| f.id != world.me.id).collect();
+                world.fold_facts(&facts);
+            }
+            Err(e) => log::debug!(target: "boxes", "the box list can't be read. error=\"{e}\""),
+        }
+        mark_left(&world);
+        forget_gone(&world);
+        tokio::time::sleep(LIST_EVERY).await;
+    }
+}
+
+/// Follows the cloud's reclaim notices.
+pub async fn watch_notices(world: Arc<World>) {
+    let mut next = 0;
+    loop {
+        match world.borders.cloud.notices(next, NOTICE_WAIT_MS).await {
+            Ok(notices) => {
+                for n in notices {
+                    next = next.max(n.seq + 1);
+                    take_notice(&world, &n.id, n.incarnation, n.leaves_at_ms);
+                }
+            }
+            Err(_) => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
+fn take_notice(world: &World, id: &BoxId, incarnation: u64, leaves_at_ms: u64) {
+    // The platform counts lives of its own for entry boxes; a notice for this
+    // box that is still to come is for this life.
+    let mine = *id == world.me.id && leaves_at_ms > now_ms();
+    let incarnation = if mine {
+        world.me.incarnation
+    } else {
+        incarnation
+    };
+    let incarnation = entry_incarnation(world, id).unwrap_or(incarnation);
+    if leaves_at_ms + 60_000 < now_ms() {
+        return;
+    }
+    log::info!(target: "boxes", "a reclaim notice. box={id} at_ms={leaves_at_ms}");
+    world.advance_box(id, incarnation, BoxState::Leaving, leaves_at_ms);
+}
+
+/// An entry box tells its own incarnation; a notice that is still to come is
+/// for the life that is known.
+fn entry_incarnation(world: &World, id: &BoxId) -> Option<u64> {
+    let boxes = world.boxes.read();
+    let b = boxes.get(id)?;
+    (b.kind == BoxKind::Entry).then_some(b.incarnation)
+}
+
+/// A box whose time is over is gone, whatever the list says.
+fn mark_left(world: &World) {
+    let now = now_ms();
+    let left: Vec<BoxFact> = {
+        let boxes = world.boxes.read();
+        boxes
+            .iter()
+            .filter(|b| b.state == BoxState::Leaving && b.leaves_at_ms > 0)
+            .filter(|b| b.leaves_at_ms + 2_000 < now && b.id != world.me.id)
+            .cloned()
+            .collect()
+    };
+    for b in left {
+        world.advance_box(&b.id, b.incarnation, BoxState::Gone, b.leaves_at_ms);
+    }
+}
+
+fn forget_gone(world: &World) {
+    let (kept, addrs) = {
+        let boxes = world.boxes.read();
+        let there: Vec<&BoxFact> = boxes.iter().filter(|b| b.state != BoxState::Gone).collect();
+        let kept: BTreeSet<BoxId> = there.iter().map(|b| b.id.clone()).collect();
+        let mut addrs: BTreeSet<_> = there.iter().map(|b| b.address).collect();
+        addrs.extend(world.settings.peers.seeds.iter().copied());
+        (kept, addrs)
+    };
+    world.stats.lock().retain(|id| kept.contains(id));
+    world.hints.lock().retain(|id| kept.contains(id));
+    world.replicators.retain(|id| kept.contains(id));
+    world.links.retain(|addr| addrs.contains(addr));
+}
--- /dev/null
+++ b/src/app/claim_desk.rs
@@ -0,0 +1,303 @@
+use {
+    super::World,
+    crate::{names::*, peer::*, platform::PlatformError, policy::*},
+    parking_lot::Mutex,
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    tokio::sync::{Notify, oneshot, watch},
+    uuid::Uuid,
+};
+
+/// The log's stream of claims.
+pub const CLAIMS_STREAM: &str = "claims";
+
+/// The least time between two appends of one failure domain, for each failure
+/// domain there is: 15 domains together make at most 66 appends a second.
+const APPEND_SPACING_MS: u64 = 15;
+/// How long a claim is tried for before the caller is told `not-run`.
+const CLAIM_PATIENCE: Duration = Duration::from_millis(3_000);
+/// How long a claim whose append's answer was lost is looked for in the log.
+const SETTLE_WAIT: Duration = Duration::from_millis(300);
+/// How long a box waits for its failure domain's batcher.
+const BATCHER_WAIT: Duration = Duration::from_millis(1_500);
+/// Claims remembered as given up.
+const MAX_GIVEN_UP: usize = 10_000;
+/// Records waiting for an append.
+const MAX_OUTBOX: usize = 10_000;
+const READ_WAIT_MS: u64 = 2_000;
+const READ_PAUSE: Duration = Duration::from_millis(250);
+
+/// How an append ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendEnd {
+    /// It is in the log at this offset.
+    At(u64),
+    /// It may or may not be in the log.
+    Unknown,
+    /// It is not in the log.
+    NotTaken,
+}
+
+/// How a claim ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimEnd {
+    /// This box holds the right.
+    Holds(Claimant),
+    /// Another claim holds it.
+    Lost(Claimer),
+    /// This box gave up; the request did not run.
+    GivenUp,
+}
+
+/// Claims of this box, and what the log says of all claims.
+#[derive(Default)]
+pub struct ClaimDesk {
+    fold: Mutex<ClaimFold>,
+    folded_to: watch::Sender<u64>,
+    outbox: Mutex<Vec<Pending>>,
+    wake: Notify,
+    given_up: Mutex<BTreeMap<Uuid, ClaimKey>>,
+    taken: Mutex<Vec<Uuid>>,
+}
+
+struct Pending {
+    records: Vec<ClaimRecord>,
+    tx: oneshot::Sender<AppendEnd>,
+}
+
+impl ClaimDesk {
+    /// Puts records into the next append.
+    pub fn append(&self, records: Vec<ClaimRecord>) -> oneshot::Receiver<AppendEnd> {
+        let (tx, rx) = oneshot::channel();
+        let mut outbox = self.outbox.lock();
+        if outbox.len() >= MAX_OUTBOX {
+            let _ = tx.send(AppendEnd::NotTaken);
+        } else {
+            outbox.push(Pending { records, tx });
+        }
+        drop(outbox);
+        self.wake.notify_one();
+        rx
+    }
+
+    /// Takes over a right that was handed to this life of this box.
+    pub fn take(&self, hand_over: &HandOver, me: &Claimer) -> Option<Claimant> {
+        Claimant::take(hand_over, me, &mut self.taken.lock())
+    }
+
+    /// Gives up a claim and sees to it that its release gets into the log.
+    pub fn give_up(&self, claimant: &mut Claimant) -> bool {
+        let ClaimCommand::Append(release) = claimant.give_up() else {
+            return false;
+        };
+        let mut given_up = self.given_up.lock();
+        if given_up.len() >= MAX_GIVEN_UP {
+            given_up.pop_first();
+        }
+        given_up.insert(claimant.nonce(), release.key().clone());
+        drop(given_up);
+        drop(self.append(vec![release]));
+        true
+    }
+
+    /// Appends the release of a key again, if this box gave its claim up.
+    pub fn release_again(&self, key: &ClaimKey) -> bool {
+        let given_up = self.given_up.lock();
+        let nonces: Vec<Uuid> = given_up
+            .iter()
+            .filter(|(_, k)| *k == key)
+            .map(|(n, _)| *n)
+            .collect();
+        drop(given_up);
+        for nonce in &nonces {
+            let key = key.clone();
+            drop(self.append(vec![ClaimRecord::Release { key, nonce: *nonce }]));
+        }
+        !nonces.is_empty()
+    }
+
+    /// Returns what the log says of a key.
+    pub fn key(&self, key: &ClaimKey) -> Option<KeyClaims> {
+        self.fold.lock().key(key).cloned()
+    }
+
+    /// Returns how many keys are held.
+    pub fn len(&self) -> usize {
+        self.fold.lock().len()
+    }
+
+    /// Returns whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn fold_records(&self, offset: u64, records: &[ClaimRecord]) {
+        self.fold.lock().fold(offset, records);
+        for record in records {
+            let ClaimRecord::Claim { key, nonce, .. } = record else {
+                continue;
+            };
+            // A claim that was given up and turns up late holds its key: release it again.
+            let late = self.given_up.lock().contains_key(nonce);
+            let wins = |k: KeyClaims| k.winner.is_some_and(|w| w.nonce == *nonce);
+            if late && self.key(key).is_some_and(wins) {
+                self.release_again(key);
+            }
+        }
+    }
+}
+
+/// Claims a request for this box.
+pub async fn claim(world: &World, key: &ClaimKey) -> ClaimEnd {
+    let me = world.me.clone();
+    let (mut claimant, record) = Claimant::start(key.clone(), Uuid::new_v4(), me);
+    let patience = tokio::time::sleep(CLAIM_PATIENCE);
+    let settled = tokio::select! {
+        settled = settle(world, &mut claimant, key, &record) => settled,
+        () = patience => false,
+    };
+    if settled {
+        match claimant.state() {
+            ClaimantState::Holds(_) if is_in_window(world, key.request) => {
+                return ClaimEnd::Holds(claimant);
+            }
+            ClaimantState::Lost(by) => return ClaimEnd::Lost(by.clone()),
+            _ => {}
+        }
+    }
+    world.claims.give_up(&mut claimant);
+    ClaimEnd::GivenUp
+}
+
+/// Returns whether a key is young enough to be claimed.
+pub fn is_in_window(world: &World, request: RequestId) -> bool {
+    let s = &world.settings.requests;
+    let now = now_ms();
+    let oldest = now.saturating_sub((s.key_window_s + s.clock_skew_s) * 1_000);
+    let newest = now + s.clock_skew_s * 1_000;
+    (oldest..=newest).contains(&request.unix_ms())
+}
+
+/// Appends a claim until the log shows what became of it.
+async fn settle(
+    world: &World,
+    claimant: &mut Claimant,
+    key: &ClaimKey,
+    record: &ClaimRecord,
+) -> bool {
+    loop {
+        let appended = world.claims.append(vec![record.clone()]).await;
+        let wait = match appended {
+            Ok(AppendEnd::At(offset)) => wait_folded(world, offset + 1).await,
+            Ok(AppendEnd::NotTaken) | Err(_) => {
+                tokio::time::sleep(READ_PAUSE).await;
+                continue;
+            }
+            Ok(AppendEnd::Unknown) => tokio::time::sleep(SETTLE_WAIT).await,
+        };
+        let () = wait;
+        if let Some(claims) = world.claims.key(key) {
+            claimant.observe(&claims);
+        }
+        if *claimant.state() != ClaimantState::Claiming {
+            return true;
+        }
+    }
+}
+
+async fn wait_folded(world: &World, to: u64) {
+    let mut folded_to = world.claims.folded_to.subscribe();
+    let _ = folded_to.wait_for(|n| *n >= to).await;
+}
+
+/// Reads the claims as they are appended.
+pub async fn watch_claims(world: Arc<World>) {
+    loop {
+        let from = world.claims.fold.lock().next();
+        let page = world
+            .borders
+            .log
+            .read(CLAIMS_STREAM, from, READ_WAIT_MS)
+            .await;
+        let Ok(page) = page else {
+            tokio::time::sleep(READ_PAUSE).await;
+            continue;
+        };
+        for entry in page.records {
+            match serde_json::from_str::<Vec<ClaimRecord>>(&entry.data) {
+                Ok(records) => world.claims.fold_records(entry.offset, &records),
+                Err(e) => {
+                    log::warn!(target: "claims", "a record can't be read. offset={} error=\"{e}\"", entry.offset)
+                }
+            }
+        }
+        let mut fold = world.claims.fold.lock();
+        let s = &world.settings.requests;
+        let oldest = now_ms().saturating_sub((s.key_window_s + 2 * s.clock_skew_s) * 1_000);
+        fold.forget_before(oldest);
+        let next = fold.next();
+        drop(fold);
+        world.claims.folded_to.send_replace(next);
+    }
+}
+
+/// Appends what is in the outbox, through the failure domain's batcher.
+pub async fn append_claims(world: Arc<World>) {
+    loop {
+        world.claims.wake.notified().await;
+        loop {
+            let batch: Vec<Pending> = std::mem::take(&mut *world.claims.outbox.lock());
+            if batch.is_empty() {
+                break;
+            }
+            let records: Vec<ClaimRecord> = batch.iter().flat_map(|p| p.records.clone()).collect();
+            let end = append_batch(&world, records).await;
+            for pending in batch {
+                let _ = pending.tx.send(end);
+            }
+        }
+    }
+}
+
+async fn append_batch(world: &World, records: Vec<ClaimRecord>) -> AppendEnd {
+    if let Some(batcher) = batcher(world) {
+        let call = PeerCall::AppendClaims(records.clone());
+        match world.call_box(&batcher, &call, BATCHER_WAIT).await {
+            Ok(PeerReply::Appended(Some(offset))) => return AppendEnd::At(offset),
+            Ok(PeerReply::Appended(None)) => return AppendEnd::Unknown,
+            // Not reached or refused: appending it here too is harmless.
+            _ => {}
+        }
+    }
+    let end = append_here(world, &records).await;
+    let domains = {
+        let boxes = world.boxes.read();
+        let mut domains: Vec<_> = boxes.live_entries().map(|b| &b.failure_domain).collect();
+        domains.sort();
+        domains.dedup();
+        domains.len().max(1) as u64
+    };
+    tokio::time::sleep(Duration::from_millis(APPEND_SPACING_MS * domains)).await;
+    end
+}
+
+async fn append_here(world: &World, records: &[ClaimRecord]) -> AppendEnd {
+    let data = serde_json::to_string(records).unwrap_or_default();
+    match world.borders.log.append(CLAIMS_STREAM, data).await {
+        Ok(offset) => AppendEnd::At(offset),
+        Err(PlatformError::NotTaken(_)) => AppendEnd::NotTaken,
+        Err(_) => AppendEnd::Unknown,
+    }
+}
+
+/// Returns the box that appends for this failure domain, if it is another one:
+/// the first by name of those that answer.
+fn batcher(world: &World) -> Option<BoxId> {
+    let boxes = world.boxes.read();
+    let first = boxes
+        .live_entries()
+        .filter(|b| b.failure_domain == *world.my_domain())
+        .filter(|b| b.id == world.me.id || !world.links.is_failing(&b.id))
+        .map(|b| b.id.clone())
+        .min()?;
+    (first != world.me.id).then_some(first)
+}
--- /dev/null
+++ b/src/app/mod.rs
@@ -0,0 +1,31 @@
+//! The daemon: what connects decisions, tables and borders.
+
+mod accept;
+mod admission_desk;
+mod answer_reader;
+mod app_error;
+mod attempt;
+mod box_watch;
+mod claim_desk;
+mod daemon;
+mod duties;
+mod hand_over;
+mod heartbeat;
+mod hold;
+mod load_watch;
+mod locate;
+mod peer_desk;
+mod reclaim_watch;
+mod replicate;
+mod run_model;
+mod run_plain;
+mod score_board;
+mod sweep;
+mod table_watch;
+mod world;
+
+pub use {
+    accept::*, admission_desk::*, answer_reader::*, app_error::*, box_watch::*, claim_desk::*,
+    daemon::*, hand_over::*, hold::*, locate::*, replicate::*, score_board::*, table_watch::*,
+    world::*,
+};
--- /dev/null
+++ b/src/app/run_plain.rs
@@ -0,0 +1,290 @@
+use {
+    super::{attempt::*, run_model::finish, *},
+    crate::{engine::*, names::*, policy::*, requests::*},
+    http::{HeaderMap, HeaderValue},
+    std::{collections::BTreeSet, sync::Arc, time::Duration},
+};
+
+const BACKOFF_BASE_MS: u64 = 20;
+const BACKOFF_CAP_MS: u64 = 1_000;
+const AVOID_MS: u64 = 1_000;
+/// How often a call that was refused before its start is sent elsewhere.
+const MAX_NOT_RUN: u32 = 8;
+
+/// How one call ended.
+enum CallEnd {
+    Answer(Ending),
+    Failed(EngineError),
+}
+
+/// Runs a call to a plain service, or a model request that may not be repeated.
+pub async fn run_plain(world: &Arc<World>, cell: &Arc<RequestCell>, right: Option<Claimant>) {
+    let spec = cell.spec();
+    if !has_upstream(world, &spec) && move_to_other_domain(world, cell).await {
+        return;
+    }
+    if spec.repeatable {
+        return run_repeatable(world, cell).await;
+    }
+    let claimant = match right {
+        Some(claimant) => claimant,
+        None => match claim_or_end(world, cell).await {
+            Some(claimant) => claimant,
+            None => return,
+        },
+    };
+    run_once(world, cell, claimant).await;
+}
+
+/// A repeatable call: each failure may be tried again within the budget.
+async fn run_repeatable(world: &Arc<World>, cell: &Arc<RequestCell>) {
+    let spec = cell.spec();
+    let mut score = RunScore::new(&spec);
+    let mut rng = world.fork_rng();
+    let mut exclude = BTreeSet::new();
+    let mut may_have_run = cell.read().epoch > 1;
+    let mut retries = 0;
+    let failure = loop {
+        if !cell.read().is_owner() {
+            return;
+        }
+        if now_ms() >= spec.deadline_ms {
+            break expired(may_have_run);
+        }
+        let Some(place) = choose(world, &spec, 0, &exclude, &mut rng) else {
+            if exclude.is_empty() {
+                break Failure::new(not_run_if(!may_have_run), "no upstream", 1_000);
+            }
+            exclude.clear();
+            continue;
+        };
+        let e = match call(world, cell, &place, None, &mut score).await {
+            CallEnd::Answer(ending) => return finish(world, cell, ending, &score),
+            CallEnd::Failed(e) => e,
+        };
+        may_have_run |= !e.is_not_run();
+        note_failure(world, &place, &e);
+        exclude.insert(place.id.clone());
+        let immediate = placement(&spec.policy).retry_style() == RetryStyle::Immediate;
+        if immediate || e.is_not_connected() {
+            continue;
+        }
+        if !spend(world, &spec) {
+            let detail = format!("no retry is left: {e}");
+            break Failure::new(not_run_if(!may_have_run), detail, 1_000);
+        }
+        let ms = full_jitter_ms(retries, BACKOFF_BASE_MS, BACKOFF_CAP_MS, &mut rng);
+        retries += 1;
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+    };
+    finish(world, cell, Ending::Failed(failure), &score);
+}
+
+/// A call that may run once: only a failure that proves it did not start lets
+/// it be sent to another upstream.
+async fn run_once(world: &Arc<World>, cell: &Arc<RequestCell>, mut claimant: Claimant) {
+    let spec = cell.spec();
+    let mut score = RunScore::new(&spec);
+    let mut rng = world.fork_rng();
+    let mut exclude = BTreeSet::new();
+    for _ in 0..MAX_NOT_RUN {
+        let usable = cell.read().is_owner() && now_ms() < spec.deadline_ms;
+        let place = choose(world, &spec, 0, &exclude, &mut rng).filter(|_| usable);
+        let Some(place) = place else { break };
+        let ClaimantState::Holds(right) = claimant.state().clone() else {
+            break;
+        };
+        let ClaimCommand::Dispatch(fence) = claimant.dispatch() else {
+            break;
+        };
+        let e = match call(world, cell, &place, Some(fence), &mut score).await {
+            CallEnd::Answer(ending) => return finish(world, cell, ending, &score),
+            CallEnd::Failed(e) => e,
+        };
+        note_failure(world, &place, &e);
+        if !e.is_not_run() {
+            let failure = Failure::new(Outcome::MayHaveRun, e.to_string(), 0);
+            return finish(world, cell, Ending::Failed(failure), &score);
+        }
+        claimant.not_started(right);
+        exclude.insert(place.id.clone());
+    }
+    world.claims.give_up(&mut claimant);
+    let failure = Failure::new(Outcome::NotRun, "no upstream took the call", 1_000);
+    finish(world, cell, Ending::Failed(failure), &score);
+}
+
+/// Claims the request; ends it here if another box has the right or the log is down.
+async fn claim_or_end(world: &Arc<World>, cell: &Arc<RequestCell>) -> Option<Claimant> {
+    let spec = cell.spec();
+    let key = ClaimKey {
+        account: spec.account.clone(),
+        request: spec.id,
+    };
+    match claim(world, &key).await {
+        ClaimEnd::Holds(claimant) => Some(claimant),
+        ClaimEnd::Lost(by) => {
+            give_to_claimer(world, cell, &key, by).await;
+            None
+        }
+        ClaimEnd::GivenUp => {
+            let failure = Failure::new(
+                Outcome::NotRun,
+                "the right to run it could not be had",
+                2_000,
+            );
+            finish(world, cell, Ending::Failed(failure), &RunScore::new(&spec));
+            None
+        }
+    }
+}
+
+/// The request belongs to the box whose claim was first: its answer is read there.
+async fn give_to_claimer(world: &Arc<World>, cell: &Arc<RequestCell>, key: &ClaimKey, by: Claimer) {
+    let failure = if by.id == world.me.id {
+        // An earlier life of this box claimed it; nobody can tell how far it came.
+        Failure::new(Outcome::MayHaveRun, "the box that had the right is gone", 0)
+    } else if given_up_elsewhere(world, key, &by).await {
+        Failure::new(Outcome::NotRun, "another box gave the request up", 500)
+    } else {
+        cell.change(|r| r.role = Role::Moved { to: by.id });
+        return;
+    };
+    finish(
+        world,
+        cell,
+        Ending::Failed(failure),
+        &RunScore::new(&cell.spec()),
+    );
+}
+
+async fn given_up_elsewhere(world: &World, key: &ClaimKey, by: &Claimer) -> bool {
+    let ask = crate::peer::PeerCall::AskClaim(key.clone());
+    let reply = world
+        .call_box(&by.id, &ask, Duration::from_millis(800))
+        .await;
+    matches!(reply, Ok(crate::peer::PeerReply::Refused(_)))
+}
+
+async fn call(
+    world: &Arc<World>,
+    cell: &Arc<RequestCell>,
+    place: &Place,
+    fence: Option<u64>,
+    score: &mut RunScore,
+) -> CallEnd {
+    let spec = cell.spec();
+    cell.change(|r| r.upstream = Some(place.id.clone()));
+    let in_flight = InFlight::start(world, place);
+    let left = Duration::from_millis(spec.deadline_ms.saturating_sub(now_ms()));
+    let end = match &spec.work {
+        Work::Plain(call) => {
+            let headers = headers_of(&spec, fence);
+            let answer = world
+                .borders
+                .plain
+                .call(place.address, call, headers, left)
+                .await;
+            match answer {
+                Ok(answer) => CallEnd::Answer(Ending::Plain(answer)),
+                Err(e) => CallEnd::Failed(e),
+            }
+        }
+        Work::Model(work) => run_model_once(world, cell, place, work, left).await,
+    };
+    score.cost_micros += in_flight.cost_micros();
+    score.tokens(1, now_ms());
+    end
+}
+
+/// A model request that may not be repeated: one attempt, no resume.
+async fn run_model_once(
+    world: &Arc<World>,
+    cell: &Arc<RequestCell>,
+    place: &Place,
+    work: &ModelWork,
+    left: Duration,
+) -> CallEnd {
+    let mut splice = Splice::default();
+    let attempt = splice.next_attempt();
+    let ask = CompletionAsk {
+        request_id: cell.id().uuid(),
+        attempt,
+        prompt: &work.prompt,
+        generated: &[],
+        max_tokens: work.max_tokens as usize,
+        priority: 0,
+    };
+    let mut frames = match world.borders.engine.complete(place.address, ask).await {
+        Ok(frames) => frames,
+        Err(e) => return CallEnd::Failed(e),
+    };
+    let end = tokio::time::Instant::now() + left;
+    while let Ok(Some(Ok(frame))) = tokio::time::timeout_at(end, frames.recv()).await {
+        let tokens = splice.take(Piece {
+            attempt: frame.attempt,
+            offset: frame.offset,
+            tokens: frame.tokens,
+            total: frame.total,
+        });
+        cell.change(|r| r.commit(tokens));
+        world.replicators.mark(world, cell);
+        if splice.is_whole() {
+            let total = splice.committed();
+            return CallEnd::Answer(Ending::Whole { total });
+        }
+    }
+    CallEnd::Failed(EngineError::CutOff)
+}
+
+fn headers_of(spec: &RequestSpec, fence: Option<u64>) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    let id = spec.id.to_string();
+    if let Ok(v) = HeaderValue::from_str(&id) {
+        headers.insert("idempotency-key", v);
+    }
+    if let Some(fence) = fence {
+        headers.insert("fencing-token", HeaderValue::from(fence));
+    }
+    headers
+}
+
+fn has_upstream(world: &World, spec: &RequestSpec) -> bool {
+    let boxes = world.boxes.read();
+    boxes
+        .upstreams(&spec.service, world.my_domain())
+        .next()
+        .is_some()
+}
+
+fn note_failure(world: &World, place: &Place, e: &EngineError) {
+    let mut stats = world.stats.lock();
+    let s = stats.of(&place.id);
+    if e.is_not_connected() {
+        s.avoid_until_ms = now_ms() + AVOID_MS;
+    } else {
+        s.limit.refused();
+    }
+}
+
+fn spend(world: &World, spec: &RequestSpec) -> bool {
+    let key = (spec.account.clone(), spec.service.clone());
+    world.budgets.lock().entry(key).or_default().spend()
+}
+
+fn not_run_if(not_run: bool) -> Outcome {
+    if not_run {
+        Outcome::NotRun
+    } else {
+        Outcome::MayHaveRun
+    }
+}
+
+fn expired(may_have_run: bool) -> Failure {
+    let outcome = if may_have_run {
+        Outcome::Expired
+    } else {
+        Outcome::NotRun
+    };
+    Failure::new(outcome, "the deadline passed", 0)
+}
--- /dev/null
+++ b/src/app/score_board.rs
@@ -0,0 +1,239 @@
+use {
+    crate::{names::*, requests::*},
+    hdrhistogram::Histogram,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// The share of gaps between tokens that may be over the target.
+const SLOW_GAPS_ALLOWED: f64 = 0.05;
+/// The longest time to a first token that is told apart, in milliseconds.
+const MAX_FIRST_MS: u64 = 600_000;
+
+/// What one run of a request cost and how fast it was.
+#[derive(Clone, Debug)]
+pub struct RunScore {
+    /// When the request was accepted, in Unix milliseconds.
+    accepted_at_ms: u64,
+    first_target_ms: u64,
+    between_target_ms: f64,
+    first_ms: Option<u64>,
+    last_ms: u64,
+    gaps: u64,
+    slow_gaps: u64,
+    /// Prompt and earlier answer tokens that upstreams took in.
+    pub computed: u64,
+    /// Its part of the upstreams' price, in millionths of a currency unit.
+    pub cost_micros: f64,
+}
+
+impl RunScore {
+    /// Starts to score a request.
+    pub fn new(spec: &RequestSpec) -> Self {
+        Self {
+            accepted_at_ms: spec.accepted_at_ms,
+            first_target_ms: u64::from(spec.terms.first_token_ms),
+            between_target_ms: f64::from(spec.terms.between_tokens_ms),
+            first_ms: None,
+            last_ms: 0,
+            gaps: 0,
+            slow_gaps: 0,
+            computed: 0,
+            cost_micros: 0.0,
+        }
+    }
+
+    /// Notes tokens that were committed.
+    pub fn tokens(&mut self, n: usize, now_ms: u64) {
+        if self.first_ms.is_none() {
+            self.first_ms = Some(now_ms.saturating_sub(self.accepted_at_ms));
+        } else {
+            let gap = now_ms.saturating_sub(self.last_ms) as f64 / n.max(1) as f64;
+            self.gaps += n as u64;
+            if gap > self.between_target_ms {
+                self.slow_gaps += n as u64;
+            }
+        }
+        self.last_ms = now_ms;
+    }
+
+    /// Returns whether both targets were met.
+    pub fn on_target(&self) -> bool {
+        let first = self.first_ms.is_some_and(|ms| ms <= self.first_target_ms);
+        first && self.slow_gaps as f64 <= self.gaps as f64 * SLOW_GAPS_ALLOWED
+    }
+}
+
+/// Whose figures they are.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ScoreKey {
+    /// The policy.
+    pub policy: PolicyName,
+    /// The client account.
+    pub account: ClientAccount,
+    /// The service.
+    pub service: ServiceName,
+}
+
+/// How one policy did for one account and service.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Score {
+    /// Requests that ended.
+    pub requests: u64,
+    /// Those answered whole.
+    pub whole: u64,
+    /// Those answered whole and within both targets.
+    pub on_target: u64,
+    /// Those that ended as `not-run`.
+    pub not_run: u64,
+    /// Those that ended as `may-have-run` or `expired`.
+    pub may_have_run: u64,
+    /// Tokens of answers.
+    pub answer_tokens: u64,
+    /// Prompt and earlier answer tokens that upstreams took in.
+    pub computed_tokens: u64,
+    /// Of these, those taken in again because earlier work was lost.
+    pub recomputed_tokens: u64,
+    /// The price, in millionths of a currency unit.
+    pub cost_micros: f64,
+    /// Times to the first token, in milliseconds, with their counts.
+    pub first_ms: Vec<(u64, u64)>,
+}
+
+impl Score {
+    /// Adds other figures to these.
+    pub fn add(&mut self, other: &Self) {
+        self.requests += other.requests;
+        self.whole += other.whole;
+        self.on_target += other.on_target;
+        self.not_run += other.not_run;
+        self.may_have_run += other.may_have_run;
+        self.answer_tokens += other.answer_tokens;
+        self.computed_tokens += other.computed_tokens;
+        self.recomputed_tokens += other.recomputed_tokens;
+        self.cost_micros += other.cost_micros;
+        self.first_ms.extend(&other.first_ms);
+    }
+
+    /// Returns the price of a request that met the targets, in millionths of a
+    /// currency unit; none if no request did.
+    pub fn cost_at_target(&self) -> Option<f64> {
+        (self.on_target > 0).then(|| self.cost_micros / self.on_target as f64)
+    }
+
+    /// Returns a quantile of the time to the first token, in milliseconds.
+    pub fn first_ms_at(&self, quantile: f64) -> u64 {
+        let mut h = new_histogram();
+        for (ms, n) in &self.first_ms {
+            h.saturating_record_n(*ms, *n);
+        }
+        h.value_at_quantile(quantile)
+    }
+}
+
+/// The figures of one stretch of time, as a daemon publishes them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ScorePage {
+    /// The box.
+    pub by: BoxId,
+    /// The box's failure domain.
+    pub failure_domain: FailureDomain,
+    /// The page's number in this life of the box; a missing one shows a gap.
+    pub number: u64,
+    /// The life of the box.
+    pub incarnation: u64,
+    /// The start, in Unix milliseconds.
+    pub from_ms: u64,
+    /// The end, in Unix milliseconds.
+    pub to_ms: u64,
+    /// The figures.
+    pub scores: Vec<(ScoreKey, Score)>,
+}
+
+/// The figures since the last page.
+#[derive(Debug, Default)]
+pub struct ScoreBoard {
+    scores: BTreeMap<ScoreKey, (Score, Option<Histogram<u64>>)>,
+    total: BTreeMap<ScoreKey, Score>,
+}
+
+impl ScoreBoard {
+    /// Notes a request that ended.
+    pub fn note(
+        &mut self,
+        spec: &RequestSpec,
+        ending: &Ending,
+        run: &RunScore,
+        recomputed: u64,
+        _now_ms: u64,
+    ) {
+        let key = ScoreKey {
+            policy: spec.policy.clone(),
+            account: spec.account.clone(),
+            service: spec.service.clone(),
+        };
+        let mut one = Score {
+            requests: 1,
+            computed_tokens: run.computed,
+            recomputed_tokens: recomputed,
+            cost_micros: run.cost_micros,
+            ..Score::default()
+        };
+        match ending {
+            Ending::Whole { total } => {
+                one.whole = 1;
+                one.answer_tokens = *total as u64;
+            }
+            Ending::Plain(answer) => one.whole = u64::from(answer.status < 500),
+            Ending::Failed(f) if f.outcome == Outcome::NotRun => one.not_run = 1,
+            Ending::Failed(_) => one.may_have_run = 1,
+        }
+        one.on_target = u64::from(one.whole == 1 && run.on_target());
+        count(&one);
+        self.total.entry(key.clone()).or_default().add(&one);
+        let (score, histogram) = self.scores.entry(key).or_default();
+        score.add(&one);
+        if let Some(ms) = run.first_ms {
+            histogram
+                .get_or_insert_with(new_histogram)
+                .saturating_record(ms);
+        }
+    }
+
+    /// Takes the figures since the last page.
+    pub fn take(&mut self) -> Vec<(ScoreKey, Score)> {
+        let scores = std::mem::take(&mut self.scores);
+        scores
+            .into_iter()
+            .map(|(key, (mut score, histogram))| {
+                score.first_ms = histogram.map_or_else(Vec::new, |h| {
+                    h.iter_recorded()
+                        .map(|v| (v.value_iterated_to(), v.count_at_value()))
+                        .collect()
+                });
+                (key, score)
+            })
+            .collect()
+    }
+
+    /// Returns the figures since the daemon started.
+    pub fn total(&self) -> Vec<(ScoreKey, Score)> {
+        self.total
+            .iter()
+            .map(|(k, s)| (k.clone(), s.clone()))
+            .collect()
+    }
+}
+
+fn count(one: &Score) {
+    metrics::counter!("saddlepulley_requests_total").increment(one.requests);
+    metrics::counter!("saddlepulley_on_target_total").increment(one.on_target);
+    metrics::counter!("saddlepulley_not_run_total").increment(one.not_run);
+    metrics::counter!("saddlepulley_may_have_run_total").increment(one.may_have_run);
+    metrics::counter!("saddlepulley_answer_tokens_total").increment(one.answer_tokens);
+}
+
+fn new_histogram() -> Histogram<u64> {
+    // The bounds are constants that the library takes; a failure would be a fault of ours.
+    Histogram::new_with_bounds(1, MAX_FIRST_MS, 2).expect("valid histogram bounds")
+}
--- /dev/null
+++ b/src/app/sweep.rs
@@ -0,0 +1,188 @@
+use {
+    super::{peer_desk::own, *},
+    crate::{names::*, peer::*, policy::*, requests::*},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// How long an answer that nobody reads goes on.
+const UNREAD_MS: u64 = 30_000;
+/// How long the record of a moved request stays.
+const MOVED_MS: u64 = 30_000;
+/// The first pause before an owner without a holder looks for one again.
+const SWEEP_EVERY: Duration = Duration::from_millis(500);
+
+/// Goes over the requests: takes over those whose owner is gone, looks for
+/// holders, ends what nobody reads, and forgets what was kept long enough.
+pub async fn sweep_requests(world: Arc<World>) {
+    let mut suspects: BTreeMap<BoxId, u64> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(SWEEP_EVERY).await;
+        let cells = world.requests.all();
+        let gone = gone_owners(&world, &cells, &mut suspects).await;
+        for cell in &cells {
+            sweep_one(&world, cell, &gone);
+        }
+        forget(&world, &cells);
+        world.admission.wake_all(&world);
+        metrics::gauge!("saddlepulley_requests").set(cells.len() as f64);
+    }
+}
+
+/// Asks the owners of held copies for a sign of life; those that gave none for
+/// the allowed silence, or started anew, are gone.
+async fn gone_owners(
+    world: &World,
+    cells: &[Arc<RequestCell>],
+    suspects: &mut BTreeMap<BoxId, u64>,
+) -> BTreeSet<BoxId> {
+    let owners: BTreeSet<BoxId> = cells.iter().filter_map(|c| live_owner(c)).collect();
+    suspects.retain(|id, _| owners.contains(id));
+    let within = Duration::from_millis(world.settings.peers.silence_ms / 2);
+    let pings = owners.iter().map(|id| async move {
+        let reply = world.call_box(id, &PeerCall::Ping, within).await;
+        (id.clone(), reply.is_ok())
+    });
+    let mut gone = BTreeSet::new();
+    for (id, answers) in futures_util::future::join_all(pings).await {
+        if answers {
+            suspects.remove(&id);
+            continue;
+        }
+        let since = *suspects.entry(id.clone()).or_insert_with(now_ms);
+        let silent = now_ms().saturating_sub(since) + SWEEP_EVERY.as_millis() as u64;
+        if silent >= world.settings.peers.silence_ms || is_gone(world, &id) {
+            gone.insert(id);
+        }
+    }
+    gone
+}
+
+fn live_owner(cell: &RequestCell) -> Option<BoxId> {
+    let r = cell.read();
+    match &r.role {
+        Role::Copy { owner } if !r.is_ended() => Some(owner.clone()),
+        _ => None,
+    }
+}
+
+fn is_gone(world: &World, id: &BoxId) -> bool {
+    let boxes = world.boxes.read();
+    boxes.get(id).is_none_or(|b| b.state == BoxState::Gone)
+}
+
+fn sweep_one(world: &Arc<World>, cell: &Arc<RequestCell>, gone: &BTreeSet<BoxId>) {
+    let r = cell.read();
+    let unread_ms = now_ms().saturating_sub(r.unread_since_ms);
+    match &r.role {
+        Role::Copy { owner } if !r.is_ended() && gone.contains(owner) => {
+            drop(r);
+            take_over(world, cell);
+        }
+        Role::Owner if is_leaving(world, &r.holder) => {
+            let lost = match &r.holder {
+                Holder::At(id) => Some(id.clone()),
+                Holder::Searching | Holder::Nowhere => None,
+            };
+            drop(r);
+            hold_again(world, cell, lost);
+        }
+        Role::Owner if r.holder == Holder::Nowhere && !r.is_ended() => {
+            drop(r);
+            hold_again(world, cell, None);
+        }
+        Role::Owner if !r.is_ended() && r.readers == 0 && unread_ms > UNREAD_MS => {
+            drop(r);
+            abandon(world, cell);
+        }
+        _ => {}
+    }
+}
+
+/// A holder that is leaving takes its copies with it.
+fn is_leaving(world: &World, holder: &Holder) -> bool {
+    let Holder::At(id) = holder else { return false };
+    let boxes = world.boxes.read();
+    boxes.get(id).is_some_and(|b| b.state != BoxState::Live)
+}
+
+/// The owner is gone: this box goes on with the request, if it may be repeated.
+fn take_over(world: &Arc<World>, cell: &Arc<RequestCell>) {
+    let repeatable = cell.change(|r| {
+        log::info!(target: "app", "taking a request over. request={} role={:?}", r.spec.id, r.role);
+        r.role = Role::Owner;
+        r.epoch += 1;
+        r.durable = 0;
+        r.holder = Holder::Searching;
+        r.unread_since_ms = now_ms();
+        r.spec.repeatable
+    });
+    metrics::counter!("saddlepulley_takeovers_total").increment(1);
+    if !repeatable {
+        let failure = Failure::new(Outcome::MayHaveRun, "the box that ran it is gone", 0);
+        let score = RunScore::new(&cell.spec());
+        run_model::finish(world, cell, Ending::Failed(failure), &score);
+    }
+    own(world, cell, None);
+}
+
+fn abandon(world: &Arc<World>, cell: &Arc<RequestCell>) {
+    if !cell.spec().repeatable {
+        return;
+    }
+    let failure = Failure::new(Outcome::MayHaveRun, "nobody read the answer", 0);
+    let score = RunScore::new(&cell.spec());
+    run_model::finish(world, cell, Ending::Failed(failure), &score);
+}
+
+/// Forgets ended requests, the oldest first where the kept answers take too much.
+fn forget(world: &World, cells: &[Arc<RequestCell>]) {
+    let s = &world.settings.requests;
+    let now = now_ms();
+    let mut kept = Vec::new();
+    for cell in cells {
+        let r = cell.read();
+        let moved = matches!(r.role, Role::Moved { .. });
+        let since = if r.is_ended() {
+            r.ended_at_ms
+        } else {
+            r.unread_since_ms
+        };
+        let age = now.saturating_sub(since);
+        let over = if moved {
+            age > MOVED_MS && r.readers == 0
+        } else if r.is_ended() {
+            age > s.keep_answers_s * 1_000
+        } else {
+            // A copy whose owner let it go long after its deadline.
+            now > r.spec.deadline_ms + s.keep_answers_s * 1_000
+        };
+        if over {
+            drop(r);
+            world.requests.remove(cell.id());
+        } else if r.is_ended() {
+            kept.push((r.ended_at_ms, r.bytes(), cell.id()));
+        }
+    }
+    kept.sort_unstable();
+    let mut bytes: usize = kept.iter().map(|(_, b, _)| b).sum();
+    for (_, b, id) in kept {
+        if bytes <= s.keep_answers_bytes {
+            return;
+        }
+        world.requests.remove(id);
+        bytes -= b;
+    }
+}
+
+/// Whether any request in flight is this box's to finish.
+pub fn owns_work(world: &World) -> bool {
+    let is_open = |r: &Record| {
+        let unread_end = r.is_ended() && r.readers > 0;
+        r.is_owner() && (!r.is_ended() || unread_end)
+    };
+    world.requests.all().iter().any(|c| is_open(&c.read()))
+}
--- /dev/null
+++ b/src/caller/caller_service.rs
@@ -0,0 +1,413 @@
+use {
+    super::*,
+    crate::{app::*, engine::*, names::*, requests::*},
+    bytes::Bytes,
+    futures_util::future::BoxFuture,
+    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::body::Incoming,
+    serde_json::json as value,
+    sha2::{Digest, Sha256},
+    std::{
+        convert::Infallible,
+        sync::Arc,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    tokio::sync::mpsc,
+    tower::Service,
+};
+
+/// How long a caller may take to send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(20);
+/// The longest deadline that can be asked for, in milliseconds.
+const MAX_DEADLINE_MS: u64 = 3_600_000;
+
+/// Answers callers.
+#[derive(Clone)]
+pub struct CallerService {
+    world: Arc<World>,
+}
+
+impl CallerService {
+    /// Makes the service.
+    pub fn new(world: Arc<World>) -> Self {
+        Self { world }
+    }
+
+    async fn answer(self, req: Request<Incoming>) -> Response<Body> {
+        let path = req.uri().path().to_string();
+        match (req.method(), path.as_str()) {
+            (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
+            (&Method::GET, "/readyz") => self.readiness(),
+            _ => match self.answer_known(req, &path).await {
+                Ok(rep) => rep,
+                Err(refusal) => refused(&refusal, None),
+            },
+        }
+    }
+
+    fn readiness(&self) -> Response<Body> {
+        if self.world.is_ready() {
+            return text(StatusCode::OK, "ready\n");
+        }
+        text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+
+    async fn answer_known(
+        &self,
+        req: Request<Incoming>,
+        path: &str,
+    ) -> Result<Response<Body>, Refusal> {
+        let table = self.world.table_in_force();
+        let account = account_of(&table, req.headers());
+        let Some(account) = account else {
+            return Err(Refusal::malformed(401, "no account has this bearer token"));
+        };
+        if path == "/v1/models" {
+            return Ok(self.models(&account));
+        }
+        if let Some(id) = path.strip_prefix("/v1/requests/") {
+            return self.reattach(&req, id, account).await;
+        }
+        let chat = path == "/v1/chat/completions";
+        if chat || path == "/v1/completions" {
+            return self.model_call(req, account, chat).await;
+        }
+        self.plain_call(req, account).await
+    }
+
+    fn models(&self, account: &ClientAccount) -> Response<Body> {
+        let table = self.world.table_in_force();
+        let mine = |c: &&crate::contracts::Contract| {
+            c.account == *account && c.failure_domain == *self.world.my_domain()
+        };
+        let data: Vec<_> = table
+            .rows()
+            .filter(mine)
+            .map(|c| value!({ "id": c.service.as_str(), "object": "model" }))
+            .collect();
+        json(StatusCode::OK, &value!({ "object": "list", "data": data }))
+    }
+
+    async fn model_call(
+        &self,
+        req: Request<Incoming>,
+        account: ClientAccount,
+        chat: bool,
+    ) -> Result<Response<Body>, Refusal> {
+        if req.method() != Method::POST {
+            return Err(Refusal::malformed(405, "expected POST"));
+        }
+        let headers = req.headers().clone();
+        let body = self.read_body(req).await?;
+        let ask = parse_model_call(chat, &body).map_err(|e| Refusal::malformed(400, e))?;
+        let mut sub = submission(&headers, account.clone())?;
+        sub.service = ask.service;
+        sub.work = Work::Model(ask.work);
+        let accepted = accept(&self.world, sub).await?;
+        let rx = self.follow(&accepted, &account, 0);
+        let mut rep = if ask.stream {
+            stream_answer(accepted.id, 0, rx)
+        } else {
+            whole_answer(accepted.id, rx).await
+        };
+        tell_acceptance(&mut rep, &accepted);
+        Ok(rep)
+    }
+
+    async fn plain_call(
+        &self,
+        req: Request<Incoming>,
+        account: ClientAccount,
+    ) -> Result<Response<Body>, Refusal> {
+        let (service, path) = split_service(req.uri().path());
+        let query = req.uri().query().map_or(String::new(), |q| format!("?{q}"));
+        let path = format!("{path}{query}");
+        let method = req.method().to_string();
+        let headers = req.headers().clone();
+        let body = self.read_body(req).await?;
+        let content_type = headers.get(header::CONTENT_TYPE);
+        let mut sub = submission(&headers, account.clone())?;
+        sub.service = service;
+        sub.work = Work::Plain(PlainCall {
+            method,
+            path,
+            content_type: content_type
+                .and_then(|v| v.to_str().ok())
+                .unwrap_or("")
+                .to_string(),
+            body: body.to_vec(),
+        });
+        let accepted = accept(&self.world, sub).await?;
+        let rx = self.follow(&accepted, &account, 0);
+        let mut rep = whole_answer(accepted.id, rx).await;
+        tell_acceptance(&mut rep, &accepted);
+        Ok(rep)
+    }
+
+    async fn reattach(
+        &self,
+        req: &Request<Incoming>,
+        id: &str,
+        account: ClientAccount,
+    ) -> Result<Response<Body>, Refusal> {
+        if req.method() != Method::GET {
+            return Err(Refusal::malformed(405, "expected GET"));
+        }
+        let malformed = |e: RequestIdError| Refusal::malformed(400, format!("request: {e}"));
+        let id: RequestId = id.parse().map_err(malformed)?;
+        let from = match req.headers().get("last-event-id") {
+            None => 0,
+            Some(v) => v
+                .to_str()
+                .ok()
+                .and_then(|v| parse_event_id(v, id))
+                .ok_or_else(|| {
+                    Refusal::malformed(400, "`Last-Event-ID`: expected `<request>:<offset>`")
+                })?,
+        };
+        let deadline_ms = now_ms() + self.world.settings.requests.deadline_ms;
+        let mut rx = AnswerReader::start(&self.world, id, &account, from, false, deadline_ms);
+        let first = rx.recv().await;
+        let Some(AnswerEvent::Spec(spec)) = first else {
+            let failure = match first {
+                Some(AnswerEvent::Ending(Ending::Failed(f))) => f,
+                _ => return Err(Refusal::malformed(404, "no box knows the request")),
+            };
+            return Ok(problem(status_of(failure.outcome), &failure, Some(id)));
+        };
+        if spec.model().is_none() {
+            return Ok(whole_answer(id, rx).await);
+        }
+        let mut writer = SseWriter::new(id, from);
+        writer.spec(&spec);
+        Ok(sse_response(sse_body(writer, rx)))
+    }
+
+    fn follow(
+        &self,
+        accepted: &Accepted,
+        account: &ClientAccount,
+        from: usize,
+    ) -> mpsc::Receiver<AnswerEvent> {
+        let deadline_ms = accepted.deadline_ms + 1_000;
+        AnswerReader::start(&self.world, accepted.id, account, from, true, deadline_ms)
+    }
+
+    async fn read_body(&self, req: Request<Incoming>) -> Result<Bytes, Refusal> {
+        let most = self.world.settings.requests.max_body_bytes;
+        let limited = Limited::new(req.into_body(), most).collect();
+        match tokio::time::timeout(BODY_TIMEOUT, limited).await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Refusal::malformed(
+                413,
+                format!("expected a body of at most {most} bytes"),
+            )),
+            Ok(Err(e)) => Err(Refusal::malformed(
+                400,
+                format!("the body was cut off: {e}"),
+            )),
+            Err(_) => Err(Refusal::malformed(408, "the body took too long")),
+        }
+    }
+}
+
+impl Service<Request<Incoming>> for CallerService {
+    type Response = Response<Body>;
+    type Error = Infallible;
+    type Future = BoxFuture<'static, Result<Response<Body>, Infallible>>;
+
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, req: Request<Incoming>) -> Self::Future {
+        let service = self.clone();
+        Box::pin(async move { Ok(service.answer(req).await) })
+    }
+}
+
+/// Reads the headers that steer a request.
+fn submission(headers: &HeaderMap, account: ClientAccount) -> Result<Submission, Refusal> {
+    check_headers(headers)?;
+    let key = match header_text(headers, "idempotency-key")? {
+        None => None,
+        Some(text) => {
+            let malformed = |e| Refusal::malformed(400, format!("`Idempotency-Key`: {e}"));
+            Some(
+                text.trim_matches('"')
+                    .parse::<RequestId>()
+                    .map_err(malformed)?,
+            )
+        }
+    };
+    let repeatable = match header_text(headers, "saddlepulley-repeatable")? {
+        None => None,
+        Some("yes") => Some(true),
+        Some("no") => Some(false),
+        Some(_) => return Err(expected("Saddlepulley-Repeatable", "`yes` or `no`")),
+    };
+    let deadline_ms = match header_text(headers, "saddlepulley-deadline-ms")? {
+        None => None,
+        Some(text) => match text.parse::<u64>() {
+            Ok(ms) if (1..=MAX_DEADLINE_MS).contains(&ms) => Some(ms),
+            _ => return Err(expected("Saddlepulley-Deadline-Ms", "1 to 3600000")),
+        },
+    };
+    let cross_domain_only = match header_text(headers, "saddlepulley-durability")? {
+        None => false,
+        Some("cross-domain") => true,
+        Some(_) => return Err(expected("Saddlepulley-Durability", "`cross-domain`")),
+    };
+    Ok(Submission {
+        account,
+        service: ServiceName::from(""),
+        work: Work::Plain(PlainCall {
+            method: String::new(),
+            path: String::new(),
+            content_type: String::new(),
+            body: Vec::new(),
+        }),
+        key,
+        repeatable,
+        deadline_ms,
+        cross_domain_only,
+    })
+}
+
+/// A header of ours that isn't known is a mistake that would else go unseen.
+fn check_headers(headers: &HeaderMap) -> Result<(), Refusal> {
+    const KNOWN: [&str; 3] = ["repeatable", "deadline-ms", "durability"];
+    for name in headers.keys() {
+        let Some(rest) = name.as_str().strip_prefix("saddlepulley-") else {
+            continue;
+        };
+        if !KNOWN.contains(&rest) {
+            return Err(Refusal::malformed(400, format!("unknown header `{name}`")));
+        }
+    }
+    Ok(())
+}
+
+fn header_text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value
+        .to_str()
+        .map_err(|_| expected(name, "printable ASCII"))?;
+    Ok(Some(text))
+}
+
+fn expected(name: &str, what: &str) -> Refusal {
+    Refusal::malformed(400, format!("`{name}`: expected {what}"))
+}
+
+/// Splits a path into the service and what is behind it.
+fn split_service(path: &str) -> (ServiceName, String) {
+    let path = path.trim_start_matches('/');
+    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
+    (ServiceName::from(service), format!("/{rest}"))
+}
+
+fn stream_answer(id: RequestId, from: usize, rx: mpsc::Receiver<AnswerEvent>) -> Response<Body> {
+    sse_response(sse_body(SseWriter::new(id, from), rx))
+}
+
+fn sse_response(body: Body) -> Response<Body> {
+    let mut rep = Response::new(body);
+    let headers = rep.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    rep
+}
+
+/// Waits for the whole of an answer.
+async fn whole_answer(id: RequestId, mut rx: mpsc::Receiver<AnswerEvent>) -> Response<Body> {
+    let mut answer = String::new();
+    let mut spec = None;
+    while let Some(event) = rx.recv().await {
+        match event {
+            AnswerEvent::Spec(s) => spec = Some(s),
+            AnswerEvent::Tokens { tokens, .. } => answer.extend(tokens.iter().map(|t| &**t)),
+            AnswerEvent::Ending(Ending::Whole { total }) => {
+                return whole_model(id, spec.as_deref(), &answer, total);
+            }
+            AnswerEvent::Ending(Ending::Plain(plain)) => return plain_reply(plain),
+            AnswerEvent::Ending(Ending::Failed(f)) => {
+                return problem(status_of(f.outcome), &f, Some(id));
+            }
+            AnswerEvent::Reattach => return see_elsewhere(id),
+            AnswerEvent::NotFound => break,
+        }
+    }
+    let failure = Failure::new(Outcome::MayHaveRun, "the answer was lost", 0);
+    problem(502, &failure, Some(id))
+}
+
+fn whole_model(
+    id: RequestId,
+    spec: Option<&RequestSpec>,
+    answer: &str,
+    total: usize,
+) -> Response<Body> {
+    let chat = spec.and_then(RequestSpec::model).is_some_and(|w| w.chat);
+    let mut choice = value!({ "index": 0, "finish_reason": "stop" });
+    if chat {
+        choice["message"] = value!({ "role": "assistant", "content": answer });
+    } else {
+        choice["text"] = value!(answer);
+    }
+    let object = if chat {
+        "chat.completion"
+    } else {
+        "text_completion"
+    };
+    let doc = value!({
+        "id": id.to_string(),
+        "object": object,
+        "model": spec.map(|s| s.service.to_string()),
+        "choices": [choice],
+        "saddlepulley": {
+            "total_tokens": total,
+            "sha256": hex::encode(Sha256::digest(answer)),
+        },
+    });
+    json(StatusCode::OK, &doc)
+}
+
+fn plain_reply(plain: PlainAnswer) -> Response<Body> {
+    let mut rep = Response::new(full(plain.body));
+    *rep.status_mut() = StatusCode::from_u16(plain.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Ok(kind) = HeaderValue::from_str(&plain.content_type) {
+        rep.headers_mut().insert(header::CONTENT_TYPE, kind);
+    }
+    rep
+}
+
+/// This box leaves: the request goes on elsewhere, and its answer is read there.
+fn see_elsewhere(id: RequestId) -> Response<Body> {
+    let mut rep = text(StatusCode::TEMPORARY_REDIRECT, "go on at another box\n");
+    *rep.status_mut() = StatusCode::SEE_OTHER;
+    if let Ok(at) = HeaderValue::from_str(&format!("/v1/requests/{id}")) {
+        rep.headers_mut().insert(header::LOCATION, at);
+    }
+    rep.headers_mut()
+        .insert(header::CONNECTION, HeaderValue::from_static("close"));
+    rep
+}
+
+fn tell_acceptance(rep: &mut Response<Body>, accepted: &Accepted) {
+    let headers = rep.headers_mut();
+    if let Ok(id) = HeaderValue::from_str(&accepted.id.to_string()) {
+        headers.insert("saddlepulley-request", id);
+    }
+    if let Some(durability) = accepted.durability {
+        let value = HeaderValue::from_static(durability.as_str());
+        headers.insert("saddlepulley-durability", value);
+    }
+}
--- /dev/null
+++ b/src/caller/reply.rs
@@ -0,0 +1,34 @@
+use {
+    bytes::Bytes,
+    http::{HeaderValue, Response, StatusCode, header},
+    http_body_util::{BodyExt, Full, combinators::BoxBody},
+    serde::Serialize,
+    std::convert::Infallible,
+};
+
+/// The body of an answer.
+pub type Body = BoxBody<Bytes, Infallible>;
+
+/// Returns a whole body.
+pub fn full(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into()).boxed()
+}
+
+/// Returns an answer with a JSON body.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let mut rep = Response::new(full(bytes));
+    *rep.status_mut() = status;
+    let kind = HeaderValue::from_static("application/json");
+    rep.headers_mut().insert(header::CONTENT_TYPE, kind);
+    rep
+}
+
+/// Returns an answer with a text body.
+pub fn text(status: StatusCode, text: impl Into<Bytes>) -> Response<Body> {
+    let mut rep = Response::new(full(text));
+    *rep.status_mut() = status;
+    let kind = HeaderValue::from_static("text/plain; charset=utf-8");
+    rep.headers_mut().insert(header::CONTENT_TYPE, kind);
+    rep
+}
--- /dev/null
+++ b/src/caller/server.rs
@@ -0,0 +1,110 @@
+use {
+    super::{Body, CallerService, Problem, full},
+    crate::{app::World, requests::*},
+    http::{Request, Response, StatusCode},
+    hyper::body::Incoming,
+    hyper_util::{
+        rt::{TokioExecutor, TokioIo, TokioTimer},
+        server::conn::auto,
+        service::TowerToHyperService,
+    },
+    std::{convert::Infallible, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Semaphore,
+    },
+    tower::{Service, ServiceBuilder, ServiceExt, service_fn},
+};
+
+/// How long a caller may take to send its headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+/// The largest head of a request, in bytes.
+const MAX_HEAD: usize = 32 * 1024;
+/// The most connections of callers at once.
+const MAX_CONNECTIONS: usize = 16_384;
+/// The most calls being taken in at once on all connections.
+const MAX_INTAKE: usize = 4_096;
+
+/// Serves callers until the listener fails.
+pub async fn serve_callers(listener: TcpListener, world: Arc<World>) {
+    let service = CallerService::new(world);
+    let limited = ServiceBuilder::new()
+        .load_shed()
+        .concurrency_limit(MAX_INTAKE)
+        .service(service);
+    let shed = service_fn(move |req| {
+        let limited = limited.clone();
+        async move { Ok::<_, Infallible>(answer_or_shed(limited, req).await) }
+    });
+    serve_http(listener, shed).await;
+}
+
+/// Serves HTTP/1.1 and HTTP/2 until the listener fails.
+pub async fn serve_http<S>(listener: TcpListener, service: S)
+where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(slot) = slots.clone().acquire_owned().await else {
+            return;
+        };
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            continue;
+        };
+        let service = service.clone();
+        tokio::spawn(async move {
+            serve_conn(stream, service).await;
+            drop(slot);
+        });
+    }
+}
+
+async fn serve_conn<S>(stream: TcpStream, service: S)
+where
+    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
+        + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_HEAD);
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(MAX_HEAD as u32);
+    let service = TowerToHyperService::new(service);
+    if let Err(e) = builder
+        .serve_connection(TokioIo::new(stream), service)
+        .await
+    {
+        log::debug!(target: "caller", "connection ended. error=\"{e}\"");
+    }
+}
+
+async fn answer_or_shed<S>(service: S, req: Request<Incoming>) -> Response<Body>
+where
+    S: Service<Request<Incoming>, Response = Response<Body>>,
+{
+    match service.oneshot(req).await {
+        Ok(rep) => rep,
+        Err(_) => {
+            let failure = Failure::new(Outcome::NotRun, "this box is full", 1_000);
+            let doc = Problem::new(503, &failure, None);
+            let mut rep = Response::new(full(serde_json::to_vec(&doc).unwrap_or_default()));
+            *rep.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            rep
+        }
+    }
+}
--- /dev/null
+++ b/src/caller/sse.rs
@@ -0,0 +1,152 @@
+use {
+    super::{Body, Problem, status_of},
+    crate::{app::AnswerEvent, names::*, requests::*},
+    bytes::Bytes,
+    futures_util::{StreamExt, stream},
+    http_body_util::{BodyExt, StreamBody},
+    hyper::body::Frame,
+    serde_json::{Value, json as value},
+    sha2::{Digest, Sha256},
+    std::{convert::Infallible, sync::Arc},
+    tokio::sync::mpsc,
+};
+
+/// Turns an answer's events into server-sent events.
+///
+/// Every event's `id` is the request and the offset behind the event, so that a
+/// caller that lost its connection goes on with `Last-Event-ID`.
+pub struct SseWriter {
+    id: RequestId,
+    model: String,
+    chat: bool,
+    /// Only a reader from the first token on can tell the digest.
+    digest: Option<Sha256>,
+    from: usize,
+}
+
+impl SseWriter {
+    /// Starts to write an answer from an offset.
+    pub fn new(id: RequestId, from: usize) -> Self {
+        Self {
+            id,
+            model: String::new(),
+            chat: false,
+            digest: (from == 0).then(Sha256::new),
+            from,
+        }
+    }
+
+    /// Takes note of what was asked.
+    pub fn spec(&mut self, spec: &RequestSpec) {
+        self.model = spec.service.to_string();
+        self.chat = spec.model().is_some_and(|w| w.chat);
+    }
+
+    /// Writes an event.
+    pub fn event(&mut self, event: &AnswerEvent) -> Option<Bytes> {
+        match event {
+            AnswerEvent::Spec(spec) => {
+                self.spec(spec);
+                None
+            }
+            AnswerEvent::Tokens { offset, tokens } => Some(self.tokens(*offset, tokens)),
+            AnswerEvent::Ending(Ending::Whole { total }) => Some(self.whole(*total)),
+            AnswerEvent::Ending(Ending::Plain(_)) => Some(self.named("error", &value!({}))),
+            AnswerEvent::Ending(Ending::Failed(f)) => Some(self.failed(f)),
+            AnswerEvent::Reattach => Some(self.reattach()),
+            AnswerEvent::NotFound => {
+                let failure = Failure::new(Outcome::MayHaveRun, "no box knows the request", 0);
+                Some(self.failed(&failure))
+            }
+        }
+    }
+
+    fn tokens(&mut self, offset: usize, tokens: &[Arc<str>]) -> Bytes {
+        let text = tokens.concat();
+        if let Some(digest) = &mut self.digest {
+            digest.update(&text);
+        }
+        self.from = offset + tokens.len();
+        self.data(&self.chunk(&text, Value::Null, None))
+    }
+
+    fn whole(&mut self, total: usize) -> Bytes {
+        let digest = self.digest.take().map(|d| hex::encode(d.finalize()));
+        let end = value!({ "total_tokens": total, "sha256": digest });
+        let chunk = self.chunk("", value!("stop"), Some(end));
+        let mut bytes = self.data(&chunk).to_vec();
+        bytes.extend_from_slice(b"data: [DONE]\n\n");
+        bytes.into()
+    }
+
+    fn failed(&self, f: &Failure) -> Bytes {
+        let doc = Problem::new(status_of(f.outcome), f, Some(self.id));
+        let mut doc = serde_json::to_value(doc).unwrap_or_default();
+        doc["retry_after_ms"] = value!(f.retry_after_ms);
+        self.named("error", &doc)
+    }
+
+    fn reattach(&self) -> Bytes {
+        let path = format!("/v1/requests/{}", self.id);
+        self.named("reattach", &value!({ "get": path }))
+    }
+
+    fn chunk(&self, text: &str, finish: Value, end: Option<Value>) -> Value {
+        let mut choice = value!({ "index": 0, "finish_reason": finish });
+        if self.chat {
+            choice["delta"] = value!({ "content": text });
+        } else {
+            choice["text"] = value!(text);
+        }
+        let object = if self.chat {
+            "chat.completion.chunk"
+        } else {
+            "text_completion"
+        };
+        let mut chunk = value!({
+            "id": self.id.to_string(),
+            "object": object,
+            "model": self.model,
+            "choices": [choice],
+        });
+        if let Some(end) = end {
+            chunk["saddlepulley"] = end;
+        }
+        chunk
+    }
+
+    fn data(&self, data: &Value) -> Bytes {
+        format!("id: {}:{}\ndata: {data}\n\n", self.id, self.from).into()
+    }
+
+    fn named(&self, name: &str, data: &Value) -> Bytes {
+        format!(
+            "id: {}:{}\nevent: {name}\ndata: {data}\n\n",
+            self.id, self.from
+        )
+        .into()
+    }
+}
+
+/// Returns the body of an answer that comes as events.
+pub fn sse_body(writer: SseWriter, rx: mpsc::Receiver<AnswerEvent>) -> Body {
+    let events = stream::unfold((writer, rx), |(mut writer, mut rx)| async move {
+        loop {
+            let event = rx.recv().await?;
+            if let Some(bytes) = writer.event(&event) {
+                return Some((bytes, (writer, rx)));
+            }
+        }
+    });
+    let frames = events.map(|bytes| Ok::<_, Infallible>(Frame::data(bytes)));
+    BodyExt::boxed(StreamBody::new(frames))
+}
+
+/// Reads a `Last-Event-ID`, which names a request and an offset.
+pub fn parse_event_id(text: &str, id: RequestId) -> Option<usize> {
+    let (request, offset) = text.rsplit_once(':')?;
+    if request.parse::<RequestId>().ok()? != id {
+        return None;
+    }
+    offset.parse().ok()
+}
--- /dev/null
+++ b/src/cli/cli_error.rs
@@ -0,0 +1,47 @@
+use {
+    crate::{
+        app::AppError, conf::ConfError, contracts::TableError, http::HttpError,
+        platform::PlatformError,
+    },
+    std::process::ExitCode,
+};
+
+/// Says why a command failed.
+#[derive(Debug, displaydoc::Display, thiserror::Error)]
+pub enum CliError {
+    /// {0}
+    Usage(String),
+    /// {0}
+    Conf(#[from] ConfError),
+    /// {0}
+    Table(#[from] TableError),
+    /// {0}
+    App(#[from] AppError),
+    /// the platform: {0}
+    Platform(#[from] PlatformError),
+    /// a daemon: {0}
+    Daemon(#[from] HttpError),
+    /// conflict: another edit changed {0}
+    Conflict(String),
+    /// {0}
+    Failed(String),
+    /// {0}
+    Io(#[from] std::io::Error),
+}
+
+impl From<pico_args::Error> for CliError {
+    fn from(e: pico_args::Error) -> Self {
+        Self::Usage(e.to_string())
+    }
+}
+
+impl CliError {
+    /// Returns the exit code: 1 failed, 2 usage, 3 conflict.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            Self::Usage(_) | Self::Conf(_) | Self::Table(_) => ExitCode::from(2),
+            Self::Conflict(_) => ExitCode::from(3),
+            _ => ExitCode::from(1),
+        }
+    }
+}
--- /dev/null
+++ b/src/cli/operator_client.rs
@@ -0,0 +1,55 @@
+use {
+    super::CliError,
+    crate::{caller::Status, http::*},
+    http::{HeaderMap, HeaderValue, header::AUTHORIZATION},
+    std::{env, net::SocketAddr, time::Duration},
+};
+
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Calls daemons on their operators' addresses.
+pub struct OperatorClient {
+    client: HttpClient,
+    headers: HeaderMap,
+}
+
+impl OperatorClient {
+    /// Makes a client with the token of the environment.
+    pub fn from_env() -> Self {
+        Self::with_token(&env::var("SADDLEPULLEY_TOKEN").unwrap_or_default())
+    }
+
+    /// Makes a client with a token.
+    pub fn with_token(token: &str) -> Self {
+        let mut headers = HeaderMap::new();
+        if let Ok(mut value) = HeaderValue::from_str(&format!("Bearer {token}")) {
+            value.set_sensitive(true);
+            headers.insert(AUTHORIZATION, value);
+        }
+        Self {
+            client: HttpClient::default(),
+            headers,
+        }
+    }
+
+    /// Returns a daemon's status.
+    pub async fn status(&self, at: SocketAddr) -> Result<Status, CliError> {
+        let req = request("GET", at, "/status", &self.headers, Default::default())?;
+        Ok(from_json(&self.client.call(req, TIMEOUT).await?)?)
+    }
+
+    /// Tells a daemon to drain.
+    pub async fn drain(&self, at: SocketAddr) -> Result<(), CliError> {
+        let req = request("POST", at, "/drain", &self.headers, Default::default())?;
+        self.client.call(req, TIMEOUT).await?;
+        Ok(())
+    }
+}
+
+/// Reads a list of addresses.
+pub fn parse_addrs(text: &str) -> Result<Vec<SocketAddr>, CliError> {
+    let wrong = |part: &str| CliError::Usage(format!("expected IP:port, found `{part}`"));
+    text.split(',')
+        .map(|part| part.trim().parse().map_err(|_| wrong(part)))
+        .collect()
+}
--- /dev/null
+++ b/src/cli/run.rs
@@ -0,0 +1,77 @@
+use {
+    super::{CliError, check, demo, help, report_command, serve, status, table_command},
+    pico_args::Arguments,
+    std::{ffi::OsString, process::ExitCode},
+};
+
+/// Runs the command line and returns the exit code.
+pub fn run(args: Vec<OsString>) -> ExitCode {
+    match dispatch(Arguments::from_vec(args)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("saddlepulley: {e}");
+            e.exit_code()
+        }
+    }
+}
+
+fn dispatch(mut args: Arguments) -> Result<(), CliError> {
+    let wants_help = args.contains(["-h", "--help"]);
+    let command = args.subcommand()?;
+    let Some((text, run)) = command.as_deref().and_then(find) else {
+        if wants_help || command.is_none() {
+            print!("{}", help::HELP);
+            return Ok(());
+        }
+        let name = command.unwrap_or_default();
+        return Err(CliError::Usage(format!(
+            "no command `{name}`; try `saddlepulley --help`"
+        )));
+    };
+    if wants_help {
+        print!("{text}");
+        return Ok(());
+    }
+    run(args)
+}
+
+type Command = fn(Arguments) -> Result<(), CliError>;
+
+fn find(name: &str) -> Option<(&'static str, Command)> {
+    let found: (&'static str, Command) = match name {
+        "serve" => (help::SERVE, serve::serve),
+        "check" => (help::CHECK, check::check),
+        "table" => (help::TABLE, table_command::table),
+        "status" => (help::STATUS, status::status),
+        "report" => (help::REPORT, report_command::report),
+        "drain" => (help::DRAIN, status::drain),
+        "demo" => (help::DEMO, demo::demo),
+        _ => return None,
+    };
+    Some(found)
+}
+
+/// Runs a future on a runtime with a pool of workers.
+///
+/// # Errors
+///
+/// Returns the future's error, or that of starting the runtime.
+pub fn block_on<T>(f: impl Future<Output = Result<T, CliError>>) -> Result<T, CliError> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()?
+        .block_on(f)
+}
+
+/// Refuses arguments that no command took.
+///
+/// # Errors
+///
+/// Returns [`CliError::Usage`] that names them.
+pub fn finish(args: Arguments) -> Result<(), CliError> {
+    let rest = args.finish();
+    if rest.is_empty() {
+        return Ok(());
+    }
+    Err(CliError::Usage(format!("unknown arguments: {rest:?}")))
+}
--- /dev/null
+++ b/src/conf/mod.rs
@@ -0,0 +1,7 @@
+//! Settings of a daemon and of the operator's command line.
+
+mod conf_error;
+mod default_settings;
+mod settings;
+
+pub use {conf_error::*, default_settings::*, settings::*};
--- /dev/null
+++ b/src/contracts/mod.rs
@@ -0,0 +1,10 @@
+//! Contracts: the rows of the table that operators publish, and how edits of it fold.
+
+mod contract;
+mod edit;
+mod table;
+mod table_check;
+mod table_error;
+mod table_file;
+
+pub use {contract::*, edit::*, table::*, table_check::*, table_error::*, table_file::*};
--- /dev/null
+++ b/src/contracts/table_file.rs
@@ -0,0 +1,192 @@
+use {
+    super::*,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fs,
+        path::Path,
+    },
+    uuid::Uuid,
+};
+
+/// The table as operators keep it under version control.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TableFile {
+    /// The version that the file was based on; `table show` writes it.
+    #[serde(default)]
+    pub based_on: u64,
+    /// The client accounts.
+    #[serde(default, rename = "account")]
+    pub accounts: Vec<AccountEntry>,
+    /// The rows.
+    #[serde(default, rename = "row")]
+    pub rows: Vec<Contract>,
+}
+
+impl TableFile {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the file, line and field that are wrong.
+    pub fn read(path: &Path) -> Result<Self, TableError> {
+        let text = fs::read_to_string(path).map_err(|source| TableError::Read {
+            path: path.to_path_buf(),
+            source,
+        })?;
+        Self::parse(&path.display().to_string(), &text)
+    }
+
+    /// Parses and checks the text of a file; `path` is only named in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns the line and field that are wrong.
+    pub fn parse(path: &str, text: &str) -> Result<Self, TableError> {
+        let file: Self = toml::from_str(text).map_err(|e| TableError::Parse {
+            path: path.to_string(),
+            line: line_of(text, e.span().map_or(0, |s| s.start)),
+            message: e.message().to_string(),
+        })?;
+        file.check().map_err(|e| TableError::Parse {
+            path: path.to_string(),
+            line: line_of_entry(text, &file, &e),
+            message: e.to_string(),
+        })?;
+        Ok(file)
+    }
+
+    /// Writes a table as a file's text.
+    pub fn show(table: &Table) -> String {
+        let file = Self {
+            based_on: table.version,
+            accounts: table.accounts().cloned().collect(),
+            rows: table.rows().cloned().collect(),
+        };
+        toml::to_string(&file).unwrap_or_default()
+    }
+
+    /// Returns the file's entries by key.
+    pub fn entries(&self) -> BTreeMap<String, Entry> {
+        self.all().map(|e| (e.key(), e)).collect()
+    }
+
+    /// Works out the edit that brings a table to this file.
+    ///
+    /// A key that the file lacks is taken away only if the file's author could
+    /// have seen it. A key that changed after the file's version keeps that
+    /// version as its base, so that the fold refuses it as a conflict.
+    pub fn edit_against(&self, table: &Table, id: Uuid) -> Edit {
+        let wanted = self.entries();
+        let mut changes = BTreeMap::new();
+        for (key, entry) in &wanted {
+            let current = table.entries.get(key);
+            if current.is_some_and(|v| v.entry == *entry) {
+                continue;
+            }
+            let base = self.base_of(current);
+            changes.insert(
+                key.clone(),
+                Change {
+                    base,
+                    entry: Some(entry.clone()),
+                },
+            );
+        }
+        for (key, v) in &table.entries {
+            if !wanted.contains_key(key) && v.version <= self.based_on {
+                changes.insert(
+                    key.clone(),
+                    Change {
+                        base: v.version,
+                        entry: None,
+                    },
+                );
+            }
+        }
+        Edit { id, changes }
+    }
+
+    fn base_of(&self, current: Option<&Versioned>) -> u64 {
+        match current {
+            Some(v) if v.version <= self.based_on => v.version,
+            // Changed since the author looked: a base that can't match.
+            Some(_) => self.based_on,
+            None => 0,
+        }
+    }
+
+    fn all(&self) -> impl Iterator<Item = Entry> + '_ {
+        let accounts = self.accounts.iter().cloned().map(Entry::Account);
+        accounts.chain(self.rows.iter().cloned().map(Entry::Row))
+    }
+
+    fn check(&self) -> Result<(), TableError> {
+        let accounts: BTreeSet<String> = self.accounts.iter().map(|a| a.name.to_string()).collect();
+        let mut seen = BTreeSet::new();
+        for entry in self.all() {
+            check_entry(&entry, &accounts)?;
+            if !seen.insert(entry.key()) {
+                return Err(TableError::Twice { key: entry.key() });
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Returns the line, from 1, of a byte position.
+pub fn line_of(text: &str, at: usize) -> usize {
+    text.as_bytes()[..at.min(text.len())]
+        .iter()
+        .filter(|b| **b == b'\n')
+        .count()
+        + 1
+}
+
+/// Finds the line of the entry that an error names, or of its field.
+fn line_of_entry(text: &str, file: &TableFile, e: &TableError) -> usize {
+    let (key, field, last) = match e {
+        TableError::Field { key, field, .. } => (key, Some(*field), false),
+        TableError::Twice { key } => (key, None, true),
+        _ => return 1,
+    };
+    let pick = |keys: Vec<String>| {
+        if last {
+            keys.iter().rposition(|k| k == key)
+        } else {
+            keys.iter().position(|k| k == key)
+        }
+    };
+    let accounts = file
+        .accounts
+        .iter()
+        .cloned()
+        .map(|a| Entry::Account(a).key());
+    let rows = file.rows.iter().cloned().map(|c| Entry::Row(c).key());
+    let found = pick(accounts.collect())
+        .map(|n| ("[[account]]", n))
+        .or_else(|| pick(rows.collect()).map(|n| ("[[row]]", n)));
+    let Some((header, n)) = found else { return 1 };
+    line_in_block(text, header, n, field)
+}
+
+fn line_in_block(text: &str, header: &str, n: usize, field: Option<&str>) -> usize {
+    let mut lines = text.lines().enumerate();
+    let start = lines
+        .by_ref()
+        .filter(|(_, l)| l.trim() == header)
+        .nth(n)
+        .map_or(0, |(i, _)| i);
+    let Some(field) = field else { return start + 1 };
+    for (i, line) in lines {
+        if line.trim().starts_with("[[") {
+            break;
+        }
+        let name = line.split('=').next().unwrap_or("").trim();
+        if name == field || line.trim() == format!("[row.{field}]") {
+            return i + 1;
+        }
+    }
+    start + 1
+}
--- /dev/null
+++ b/src/failure_domains/mod.rs
@@ -0,0 +1,5 @@
+//! Failure domains as this box sees them.
+
+mod domain_view;
+
+pub use domain_view::*;
--- /dev/null
+++ b/src/links/mod.rs
@@ -0,0 +1,6 @@
+//! Links to other daemons, and what travels on them.
+
+mod journal;
+mod link_table;
+
+pub use {journal::*, link_table::*};
--- /dev/null
+++ b/src/names/mod.rs
@@ -0,0 +1,7 @@
+//! Names and identifiers that every part shares.
+
+mod clock;
+mod name;
+mod request_id;
+
+pub use {clock::*, name::*, request_id::*};
--- /dev/null
+++ b/src/names/name.rs
@@ -0,0 +1,59 @@
+use {
+    serde::{Deserialize, Serialize},
+    std::{borrow::Borrow, fmt, sync::Arc},
+};
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(s: &str) -> Self {
+                Self(Arc::from(s))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+    };
+}
+
+name_type! {
+    /// The name of a box, given by the platform and never used twice at once.
+    BoxId
+}
+name_type! {
+    /// The name of a failure domain: boxes that can be taken back or cut off together.
+    FailureDomain
+}
+name_type! {
+    /// The name of a client account, as it stands in the table.
+    ClientAccount
+}
+name_type! {
+    /// The name of a service: a model service or a plain one.
+    ServiceName
+}
+name_type! {
+    /// The name of a placement policy.
+    PolicyName
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,13 @@
+//! The platform: log service, box list, cloud API and weight store, each behind a trait.
+
+mod box_list;
+mod cloud_api;
+mod platform_error;
+mod platform_http;
+mod platform_log;
+mod weight_store;
+
+pub use {
+    box_list::*, cloud_api::*, platform_error::*, platform_http::*, platform_log::*,
+    weight_store::*,
+};
--- /dev/null
+++ b/src/policy/estimate.rs
@@ -0,0 +1,68 @@
+use super::{Ask, UpstreamView};
+
+/// What a request would meet on an upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Milliseconds to the first token.
+    pub first_token_ms: f64,
+    /// Milliseconds between tokens.
+    pub between_tokens_ms: f64,
+    /// The request's share of the box's price, in millionths of a currency unit.
+    pub cost_micros: f64,
+    /// Tokens that a reclaim is expected to make us compute again.
+    pub expected_recompute: f64,
+}
+
+impl Estimate {
+    /// Estimates from the last report, own newer dispatches counted in.
+    pub fn of(ask: &Ask, u: &UpstreamView) -> Self {
+        let running = (u.running + u.unreported).min(u.slots.max(1));
+        let queued = (u.running + u.waiting + u.unreported).saturating_sub(u.slots);
+        let batch = f64::from((running + 1).min(u.slots.max(1)));
+        let between_tokens_ms = u.step_ms + u.step_ms_per_request * (batch - 1.0);
+        let prefill_ms = uncached_tokens(ask, u) / u.prefill_tokens_per_s.max(1.0) * 1_000.0;
+        let stay_ms = between_tokens_ms * f64::from(ask.expected_tokens.max(1));
+        let queue_ms = queue_wait_ms(queued, u, stay_ms, running);
+        let busy_ms = prefill_ms + stay_ms / batch;
+        Self {
+            first_token_ms: queue_ms + prefill_ms + between_tokens_ms + u.round_trip_ms,
+            between_tokens_ms,
+            cost_micros: u.price_micros as f64 * busy_ms / 1_000.0,
+            expected_recompute: expected_recompute(ask, u, prefill_ms + stay_ms),
+        }
+    }
+
+    /// Returns whether both targets of the ask are met.
+    pub fn on_target(&self, ask: &Ask) -> bool {
+        self.first_token_ms <= ask.first_token_ms && self.between_tokens_ms <= ask.between_tokens_ms
+    }
+
+    /// Returns by how much the targets are missed, as a ratio; 0 if met.
+    pub fn miss(&self, ask: &Ask) -> f64 {
+        let first = self.first_token_ms / ask.first_token_ms.max(1.0);
+        let between = self.between_tokens_ms / ask.between_tokens_ms.max(1.0);
+        (first.max(1.0) - 1.0) + (between.max(1.0) - 1.0)
+    }
+}
+
+/// Returns the tokens that the upstream has to take in before the next one.
+pub fn uncached_tokens(ask: &Ask, u: &UpstreamView) -> f64 {
+    let all = ask.prompt_tokens + ask.generated_tokens;
+    f64::from(all.saturating_sub(u.cached_tokens))
+}
+
+/// A full upstream frees a slot whenever one of its requests ends: on average
+/// `slots` times in the time that one request stays.
+fn queue_wait_ms(queued: u32, u: &UpstreamView, stay_ms: f64, running: u32) -> f64 {
+    if running < u.slots {
+        return 0.0;
+    }
+    f64::from(queued + 1) * stay_ms / f64::from(u.slots.max(1))
+}
+
+/// The chance of a reclaim during the stay, times the tokens lost by one.
+fn expected_recompute(ask: &Ask, u: &UpstreamView, stay_ms: f64) -> f64 {
+    let chance = 1.0 - (-u.hazard_per_s * stay_ms / 1_000.0).exp();
+    let prompt = f64::from(ask.prompt_tokens + ask.generated_tokens);
+    chance * (prompt + f64::from(ask.expected_tokens) / 2.0)
+}
--- /dev/null
+++ b/src/policy/holder.rs
@@ -0,0 +1,68 @@
+use {
+    crate::names::*,
+    sha2::{Digest, Sha256},
+};
+
+/// An entry box that may hold the copy of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HolderCandidate {
+    /// The box.
+    pub id: BoxId,
+    /// Its failure domain.
+    pub failure_domain: FailureDomain,
+}
+
+/// Orders candidates for a request's copy: rendezvous hashing, boxes of other
+/// failure domains before those of the owner's.
+///
+/// Any box can work out the order again, so a request is found without a
+/// search: its holder is among the first of the order for each domain.
+pub fn rank_holders(
+    request: RequestId,
+    owner_domain: &FailureDomain,
+    candidates: &[HolderCandidate],
+) -> Vec<HolderCandidate> {
+    let mut ranked: Vec<_> = candidates.to_vec();
+    ranked.sort_by_cached_key(|c| {
+        let same = c.failure_domain == *owner_domain;
+        (same, score(request, &c.id))
+    });
+    ranked
+}
+
+/// Returns the boxes to ask for a request, `per_domain` of each failure domain
+/// in rendezvous order, best first: a copy's holder stands among them.
+pub fn rank_locate(
+    request: RequestId,
+    candidates: &[HolderCandidate],
+    most: usize,
+) -> Vec<HolderCandidate> {
+    let mut ranked: Vec<_> = candidates.to_vec();
+    ranked.sort_by_cached_key(|c| score(request, &c.id));
+    let first_domain = ranked.first().map(|c| c.failure_domain.clone());
+    let (same, other): (Vec<_>, Vec<_>) = ranked
+        .into_iter()
+        .partition(|c| Some(&c.failure_domain) == first_domain.as_ref());
+    let same = same.into_iter().take(most);
+    let other = other.into_iter().take(most);
+    same.chain(other).collect()
+}
+
+fn score(request: RequestId, id: &BoxId) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(request.uuid().as_bytes());
+    hash.update(id.as_str());
+    hash.finalize().into()
+}
+
+/// Returns the box that reads an upstream's load for its failure domain.
+pub fn reader_of(upstream: &BoxId, daemons: &[HolderCandidate]) -> Option<BoxId> {
+    let score = |c: &&HolderCandidate| {
+        let mut hash = Sha256::new();
+        hash.update(upstream.as_str());
+        hash.update([0]);
+        hash.update(c.id.as_str());
+        <[u8; 32]>::from(hash.finalize())
+    };
+    daemons.iter().min_by_key(score).map(|c| c.id.clone())
+}
--- /dev/null
+++ b/src/policy/placement_naive.rs
@@ -0,0 +1,42 @@
+use {
+    super::*,
+    rand::{Rng, RngCore},
+};
+
+/// The baseline: a random upstream, immediate retries, no budget.
+#[derive(Clone, Copy, Debug)]
+pub struct NaivePlacement;
+
+impl NaivePlacement {
+    /// The name in the table.
+    pub const NAME: &'static str = "naive";
+}
+
+impl Placement for NaivePlacement {
+    fn name(&self) -> &'static str {
+        Self::NAME
+    }
+
+    fn choose(
+        &self,
+        ask: &Ask,
+        upstreams: &[UpstreamView],
+        rng: &mut dyn RngCore,
+    ) -> Option<usize> {
+        let allowed: Vec<usize> = (0..upstreams.len())
+            .filter(|i| ask.allows(&upstreams[*i]))
+            .collect();
+        if allowed.is_empty() {
+            return None;
+        }
+        Some(allowed[rng.random_range(0..allowed.len())])
+    }
+
+    fn retry_style(&self) -> RetryStyle {
+        RetryStyle::Immediate
+    }
+
+    fn move_style(&self) -> MoveStyle {
+        MoveStyle::Recompute
+    }
+}
--- /dev/null
+++ b/standin/src/engine/answer.rs
@@ -0,0 +1,29 @@
+use {
+    super::EngineConfig,
+    sha2::{Digest, Sha256},
+};
+
+const WORDS: [&str; 32] = [
+    "index", "query", "found", "match", "claim", "item", "case", "gate", "train", "bag", "file",
+    "line", "call", "type", "field", "value", "list", "branch", "merge", "review", "desk", "hall",
+    "code", "reply", "notes", "date", "time", "owner", "blue", "small", "large", "lost",
+];
+
+/// Returns token `i` of the answer to a prompt: the same on every engine,
+/// unless the engine salts its answers.
+pub fn answer_token(cfg: &EngineConfig, prompt: &str, i: usize) -> String {
+    let word = expected_word(prompt, i);
+    if cfg.salted {
+        return format!("{word}@{} ", cfg.name);
+    }
+    format!("{word} ")
+}
+
+/// Returns the word of token `i` of the answer to a prompt.
+pub fn expected_word(prompt: &str, i: usize) -> String {
+    let mut hash = Sha256::new();
+    hash.update(prompt);
+    hash.update(i.to_le_bytes());
+    let hash = hash.finalize();
+    format!("{}{}", WORDS[usize::from(hash[0]) % WORDS.len()], hash[1])
+}
--- /dev/null
+++ b/standin/src/engine/batch.rs
@@ -0,0 +1,159 @@
+use {super::*, std::collections::BTreeMap, tokio::sync::mpsc::UnboundedSender, uuid::Uuid};
+
+/// What an engine works on.
+#[derive(Debug, Default)]
+pub struct Batch {
+    /// Sequences that are decoded.
+    pub running: Vec<Sequence>,
+    /// Sequences that wait for a slot.
+    pub waiting: Vec<Sequence>,
+    /// Whole answers that nobody has read to the end yet.
+    pub finished: Vec<Sequence>,
+    /// The prefix cache.
+    pub cache: PrefixCache,
+    /// Imported KV caches: how many tokens of a request are here.
+    pub imported: BTreeMap<Uuid, usize>,
+    /// Tokens taken in, all requests together.
+    pub computed_tokens: u64,
+}
+
+impl Batch {
+    /// Takes in a request, or resumes one that is still here.
+    pub fn add(
+        &mut self,
+        cfg: &EngineConfig,
+        ask: &CompletionAsk,
+        tx: UnboundedSender<CompletionFrame>,
+    ) {
+        for seq in self.all_mut() {
+            if seq.id == ask.request_id && seq.resume(ask, tx.clone()) {
+                return;
+            }
+        }
+        self.cancel(ask.request_id);
+        let hashes = prefix_hashes(&ask.prompt);
+        let all = prompt_tokens(&ask.prompt) + ask.generated.len();
+        let imported = self.imported.remove(&ask.request_id).unwrap_or(0);
+        let cached = self.cache.cached_tokens(&hashes).max(imported).min(all);
+        self.computed_tokens += (all - cached) as u64;
+        let mut seq = Sequence {
+            id: ask.request_id,
+            attempt: ask.attempt,
+            prompt: ask.prompt.as_str().into(),
+            start: ask.generated.len(),
+            made: Vec::new(),
+            max_tokens: ask.max_tokens.max(ask.generated.len()),
+            priority: ask.priority,
+            prefill_left: (all - cached) as f64,
+            hashes,
+            tx: Some(tx),
+            unread_since_ms: None,
+        };
+        let usage = Usage {
+            prompt_tokens: all,
+            cached_tokens: cached,
+        };
+        let first = CompletionFrame {
+            request_id: seq.id,
+            attempt: seq.attempt,
+            offset: seq.start,
+            tokens: Vec::new(),
+            total: seq.is_done().then_some(seq.max_tokens),
+            usage: Some(usage),
+        };
+        seq.send(first, 0);
+        if !seq.is_done() {
+            self.enqueue(cfg, seq);
+        }
+    }
+
+    /// Ends a request.
+    pub fn cancel(&mut self, id: Uuid) {
+        self.running.retain(|s| s.id != id);
+        self.waiting.retain(|s| s.id != id);
+        self.finished.retain(|s| s.id != id);
+    }
+
+    /// Returns a request's sequence.
+    pub fn find(&self, id: Uuid) -> Option<&Sequence> {
+        let all = self.running.iter().chain(&self.waiting);
+        all.chain(&self.finished).find(|s| s.id == id)
+    }
+
+    /// Does one step and returns how long it takes, in milliseconds.
+    pub fn step(&mut self, cfg: &EngineConfig, now_ms: u64) -> f64 {
+        self.forget_unread(cfg, now_ms);
+        while self.running.len() < cfg.slots as usize && !self.waiting.is_empty() {
+            let seq = self.waiting.remove(0);
+            self.running.push(seq);
+        }
+        let n = self.running.len().max(1) as f64;
+        let step_ms = cfg.step_ms + cfg.step_ms_per_request * (n - 1.0);
+        self.prefill(cfg, step_ms, now_ms);
+        for seq in &mut self.running {
+            if seq.prefill_left <= 0.0 && !seq.is_done() {
+                seq.step(cfg, now_ms);
+            }
+        }
+        let (done, running) = self.running.drain(..).partition(|s: &Sequence| s.is_done());
+        self.running = running;
+        self.finished.extend::<Vec<_>>(done);
+        step_ms
+    }
+
+    /// Returns whether there is nothing to step.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty() && self.finished.is_empty()
+    }
+
+    fn all_mut(&mut self) -> impl Iterator<Item = &mut Sequence> {
+        let all = self.running.iter_mut().chain(&mut self.waiting);
+        all.chain(&mut self.finished)
+    }
+
+    fn enqueue(&mut self, cfg: &EngineConfig, seq: Sequence) {
+        if self.running.len() < cfg.slots as usize && self.waiting.is_empty() {
+            self.running.push(seq);
+            return;
+        }
+        let at = self.waiting.partition_point(|s| s.priority >= seq.priority);
+        self.waiting.insert(at, seq);
+    }
+
+    fn prefill(&mut self, cfg: &EngineConfig, step_ms: f64, now_ms: u64) {
+        let mut room = cfg.prefill_tokens_per_s * step_ms / 1_000.0;
+        for seq in &mut self.running {
+            if seq.prefill_left <= 0.0 {
+                continue;
+            }
+            let part = seq.prefill_left.min(room);
+            seq.prefill_left -= part;
+            room -= part;
+            if seq.prefill_left <= 0.0 {
+                let hashes = seq.hashes.clone();
+                self.cache.store(&hashes, cfg.cache_blocks, now_ms);
+            }
+        }
+    }
+
+    fn forget_unread(&mut self, cfg: &EngineConfig, now_ms: u64) {
+        let keep = |s: &mut Sequence| {
+            if s.tx.as_ref().is_some_and(UnboundedSender::is_closed) {
+                s.tx = None;
+                s.unread_since_ms.get_or_insert(now_ms);
+            }
+            match s.unread_since_ms {
+                Some(since) => now_ms.saturating_sub(since) < cfg.resume_grace_ms,
+                None => true,
+            }
+        };
+        self.running.retain_mut(keep);
+        self.waiting.retain_mut(keep);
+        self.finished.retain_mut(|s| {
+            // A whole answer was sent; it stays only for a reader that comes back.
+            s.unread_since_ms.get_or_insert(now_ms);
+            s.tx = None;
+            keep(s)
+        });
+    }
+}
--- /dev/null
+++ b/standin/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! The load tool.
