Hand a request over once at a time; integration tests with real processes

Cause: a reclaim of a whole failure domain could hand one request over twice at once (the box leaves, and its domain has no upstream left); the taker said Done to the doubled message and started a second run, whose tokens were committed beside the first's: one answer had 201 of 200 tokens. Ruled out: the engine's stand-in (never passes max_tokens), the splice rule (bounded by the total). Before: streams_survive_the_reclaim_of_a_whole_failure_domain failed on its first run ('tokens are missing: 201'). After: 3 runs of 5 tests, all pass. Conclusion: one hand-over at a time, a run commits only in its own epoch, and a copy takes appends from its own owner only.

--- a/src/app/claim_desk.rs
+++ b/src/app/claim_desk.rs
@@ -186,15 +186,14 @@
 ) -> bool {
     loop {
         let appended = world.claims.append(vec![record.clone()]).await;
-        let wait = match appended {
+        match appended {
             Ok(AppendEnd::At(offset)) => wait_folded(world, offset + 1).await,
             Ok(AppendEnd::NotTaken) | Err(_) => {
                 tokio::time::sleep(READ_PAUSE).await;
                 continue;
             }
             Ok(AppendEnd::Unknown) => tokio::time::sleep(SETTLE_WAIT).await,
-        };
-        let () = wait;
+        }
         if let Some(claims) = world.claims.key(key) {
             claimant.observe(&claims);
         }
--- a/src/app/hand_over.rs
+++ b/src/app/hand_over.rs
@@ -57,6 +57,10 @@
     let Some(incarnation) = incarnation_of(world, taker) else {
         return false;
     };
+    // Two hand-overs at once would make two owners of one epoch.
+    let Some(_moving) = cell.start_move() else {
+        return false;
+    };
     let snapshot = {
         let r = cell.read();
         if !r.is_owner() || r.is_ended() {
--- a/src/app/heartbeat.rs
+++ b/src/app/heartbeat.rs
@@ -138,7 +138,7 @@
         leaves_at_ms: 0,
         kind: BoxKind::Entry,
         failure_domain: world.my_domain().clone(),
-        address: world.settings.listen.peers,
+        address: world.settings.listen.advertised(),
         service: ServiceName::from(""),
         class: BoxClass::Reclaimable,
         price_micros: 0,
@@ -185,7 +185,7 @@
         .filter(|b| b.kind == BoxKind::Entry)
         .map(|b| b.address)
         .collect();
-    let own = world.settings.listen.peers;
+    let own = world.settings.listen.advertised();
     for seed in &world.settings.peers.seeds {
         let needed = !known.contains(seed) && *seed != own;
         if needed && !targets.iter().any(|(a, _)| a == seed) {
--- a/src/app/peer_desk.rs
+++ b/src/app/peer_desk.rs
@@ -42,7 +42,8 @@
             return PeerReply::Done;
         }
         let held = cell.change(|r| {
-            if r.epoch > s.epoch || (r.epoch == s.epoch && r.is_owner()) {
+            let same_owner = matches!(&r.role, Role::Copy { owner } if *owner == s.owner);
+            if r.epoch > s.epoch || (r.epoch == s.epoch && !same_owner) {
                 return false;
             }
             let readers = r.readers;
@@ -62,15 +63,15 @@
         }
     }
 
-    fn replicate(&self, appends: Vec<CopyAppend>) -> PeerReply {
+    fn replicate(&self, owner: &BoxId, appends: Vec<CopyAppend>) -> PeerReply {
         let acks = appends.into_iter().map(|a| Ack {
             request: a.request,
-            state: self.append(a),
+            state: self.append(owner, a),
         });
         PeerReply::Replicated(acks.collect())
     }
 
-    fn append(&self, a: CopyAppend) -> AckState {
+    fn append(&self, from: &BoxId, a: CopyAppend) -> AckState {
         let Some(cell) = self.world.requests.get(a.request) else {
             return AckState::Unknown;
         };
@@ -85,7 +86,7 @@
                 Role::Copy { owner } if r.epoch > a.epoch => {
                     return AckState::Superseded(owner.clone());
                 }
-                Role::Copy { .. } if r.epoch == a.epoch => {}
+                Role::Copy { owner } if r.epoch == a.epoch && owner == from => {}
                 _ => return AckState::Unknown,
             }
             r.upstream = a.upstream;
@@ -119,13 +120,21 @@
         if !fresh {
             let taken = cell.change(|r| {
                 if r.epoch >= s.epoch {
-                    return r.epoch == s.epoch && r.is_owner();
+                    return false;
                 }
                 let readers = r.readers;
                 *r = record_of(&s, Role::Owner);
                 r.readers = readers;
                 true
             });
+            let doubled = !taken && {
+                let r = cell.read();
+                r.epoch == s.epoch && r.is_owner()
+            };
+            if doubled {
+                // It runs already: a second run would commit its tokens twice.
+                return PeerReply::Done;
+            }
             if !taken {
                 return PeerReply::Refused("superseded".to_string());
             }
@@ -183,7 +192,7 @@
             PeerCall::Ping => PeerReply::Done,
             PeerCall::Heartbeat(news) => PeerReply::Heartbeat(take_news(&self.world, news)),
             PeerCall::Hold(s) => self.hold(s),
-            PeerCall::Replicate(appends) => self.replicate(appends),
+            PeerCall::Replicate { owner, appends } => self.replicate(&owner, appends),
             PeerCall::TakeOver(t) => self.take_over(*t),
             PeerCall::Locate(id) => PeerReply::Located(locate_here(&self.world, id)),
             PeerCall::FetchTable(from) => PeerReply::Table(table_news(&self.world, from)),
--- a/src/app/replicate.rs
+++ b/src/app/replicate.rs
@@ -61,7 +61,10 @@
             cells.clear();
             continue;
         }
-        let call = PeerCall::Replicate(appends);
+        let call = PeerCall::Replicate {
+            owner: world.me.id.clone(),
+            appends,
+        };
         match world.call_box(&holder, &call, REPLICATE_TIMEOUT).await {
             Ok(PeerReply::Replicated(acks)) => {
                 failures = 0;
--- a/src/app/run_model.rs
+++ b/src/app/run_model.rs
@@ -39,6 +39,7 @@
     world: &'a Arc<World>,
     cell: &'a Arc<RequestCell>,
     spec: Arc<RequestSpec>,
+    epoch: u64,
     splice: Splice,
     rng: ChaCha8Rng,
     orders: watch::Receiver<MoveOrder>,
@@ -51,20 +52,21 @@
 
 /// Runs a repeatable model request until it ends or moves to another box.
 pub async fn run_model(world: &Arc<World>, cell: &Arc<RequestCell>) {
-    let (spec, committed) = {
+    let (spec, committed, epoch) = {
         let r = cell.read();
-        (r.spec.clone(), r.tokens.len())
+        (r.spec.clone(), r.tokens.len(), r.epoch)
     };
     let mut run = ModelRun {
         world,
         cell,
+        epoch,
         splice: Splice::at(committed),
         rng: world.fork_rng(),
         orders: cell.orders(),
         exclude: BTreeSet::new(),
         retries: 0,
         attempts: 0,
-        started: committed > 0 || cell.read().epoch > 1,
+        started: committed > 0 || epoch > 1,
         score: RunScore::new(&spec),
         spec,
     };
@@ -155,7 +157,7 @@
     ///
     /// Returns whether this box is done with it.
     async fn no_place(&mut self) -> bool {
-        if !self.cell.read().is_owner() {
+        if self.is_stopped() {
             return true;
         }
         if move_to_other_domain(self.world, self.cell).await {
@@ -283,10 +285,11 @@
             self.note_first(place, now - opened_ms);
         }
         let still_owner = self.cell.change(|r| {
-            if r.is_owner() {
+            let mine = r.is_owner() && r.epoch == self.epoch;
+            if mine {
                 r.commit(tokens);
             }
-            r.is_owner()
+            mine
         });
         if still_owner {
             self.world.replicators.mark(self.world, self.cell);
@@ -296,7 +299,7 @@
 
     fn note_usage(&mut self, place: &Place, usage: EngineUsage) {
         let computed = u64::from(usage.prompt_tokens.saturating_sub(usage.cached_tokens));
-        if self.attempts > 1 || self.cell.read().epoch > 1 {
+        if self.attempts > 1 || self.epoch > 1 {
             self.cell.change(|r| r.recomputed += computed);
             metrics::counter!("saddlepulley_recomputed_tokens_total").increment(computed);
         }
@@ -321,7 +324,7 @@
 
     fn is_stopped(&self) -> bool {
         let r = self.cell.read();
-        !r.is_owner() || r.is_ended()
+        !r.is_owner() || r.epoch != self.epoch || r.is_ended()
     }
 
     /// An answer that was cut off goes on elsewhere. This costs no retry budget:
--- a/src/app/world.rs
+++ b/src/app/world.rs
@@ -100,6 +100,7 @@
             id: settings.this_box.id.clone(),
             incarnation,
         };
+        let local_ip = settings.listen.peers.ip();
         let silence_ms = settings.peers.silence_ms;
         Self {
             me,
@@ -109,7 +110,7 @@
             journal: Mutex::default(),
             load_journal: Mutex::default(),
             news: Notify::new(),
-            links: LinkTable::new(tls, silence_ms),
+            links: LinkTable::new(tls, local_ip, silence_ms),
             stats: Mutex::default(),
             hints: Mutex::default(),
             admission: AdmissionDesk::default(),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -13,4 +13,4 @@
 mod status;
 mod table_command;
 
-pub use {cli_error::*, logs::*, run::*};
+pub use {cli_error::*, logs::*, run::*, table_command::*};
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -49,6 +49,16 @@
     pub peers: SocketAddr,
     /// For operators.
     pub operators: SocketAddr,
+    /// The address that peers are told, where it isn't the one listened on.
+    #[serde(default)]
+    pub peers_advertised: Option<SocketAddr>,
+}
+
+impl ListenSettings {
+    /// Returns the address that peers are told.
+    pub fn advertised(&self) -> SocketAddr {
+        self.peers_advertised.unwrap_or(self.peers)
+    }
 }
 
 /// Where the platform is.
--- a/src/links/link_table.rs
+++ b/src/links/link_table.rs
@@ -1,12 +1,17 @@
 use {
     crate::{names::*, peer::*},
     parking_lot::Mutex,
-    std::{collections::HashMap, net::SocketAddr, sync::Arc},
+    std::{
+        collections::HashMap,
+        net::{IpAddr, SocketAddr},
+        sync::Arc,
+    },
 };
 
 /// The links of this box, and when each peer was heard last.
 pub struct LinkTable {
     tls: Option<Arc<PeerTls>>,
+    local_ip: IpAddr,
     silence_ms: u64,
     clients: Mutex<HashMap<SocketAddr, Arc<PeerClient>>>,
     heard: Mutex<HashMap<BoxId, Heard>>,
@@ -20,10 +25,11 @@
 }
 
 impl LinkTable {
-    /// Makes an empty table.
-    pub fn new(tls: Option<Arc<PeerTls>>, silence_ms: u64) -> Self {
+    /// Makes an empty table; connections leave from `local_ip`.
+    pub fn new(tls: Option<Arc<PeerTls>>, local_ip: IpAddr, silence_ms: u64) -> Self {
         Self {
             tls,
+            local_ip,
             silence_ms,
             clients: Mutex::default(),
             heard: Mutex::default(),
@@ -35,7 +41,7 @@
         let mut clients = self.clients.lock();
         clients
             .entry(addr)
-            .or_insert_with(|| Arc::new(PeerClient::new(addr, self.tls.clone())))
+            .or_insert_with(|| Arc::new(PeerClient::new(addr, self.local_ip, self.tls.clone())))
             .clone()
     }
 
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -13,15 +13,20 @@
     Heartbeat(News),
     /// Hold the copy of a request.
     Hold(Snapshot),
-    /// CopyAppend to copies.
-    Replicate(Vec<CopyAppend>),
+    /// Append to the copies that this box holds for an owner.
+    Replicate {
+        /// The owner.
+        owner: BoxId,
+        /// What is new.
+        appends: Vec<CopyAppend>,
+    },
     /// Own a request from now on.
     TakeOver(Box<TakeOver>),
     /// Where is a request?
     Locate(RequestId),
     /// The table's records from an offset on.
     FetchTable(u64),
-    /// CopyAppend claims, together with those of other boxes of the failure domain.
+    /// Append claims, together with those of other boxes of the failure domain.
     AppendClaims(Vec<ClaimRecord>),
     /// How does a claim of this box stand?
     AskClaim(ClaimKey),
--- a/src/peer/peer_client.rs
+++ b/src/peer/peer_client.rs
@@ -3,8 +3,12 @@
     bytes::{Bytes, BytesMut},
     h2::{RecvStream, client::SendRequest},
     http::{Request, StatusCode},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpStream, sync::Mutex, time::timeout},
+    std::{
+        net::{IpAddr, SocketAddr},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{net::TcpSocket, sync::Mutex, time::timeout},
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -12,15 +16,17 @@
 /// A connection to one other daemon, made when it is needed.
 pub struct PeerClient {
     addr: SocketAddr,
+    local_ip: IpAddr,
     tls: Option<Arc<PeerTls>>,
     conn: Mutex<Option<SendRequest<Bytes>>>,
 }
 
 impl PeerClient {
     /// Makes a client; nothing is connected yet.
-    pub fn new(addr: SocketAddr, tls: Option<Arc<PeerTls>>) -> Self {
+    pub fn new(addr: SocketAddr, local_ip: IpAddr, tls: Option<Arc<PeerTls>>) -> Self {
         Self {
             addr,
+            local_ip,
             tls,
             conn: Mutex::new(None),
         }
@@ -89,7 +95,13 @@
     }
 
     async fn connect(&self) -> Result<SendRequest<Bytes>, PeerError> {
-        let stream = TcpStream::connect(self.addr).await?;
+        let socket = match self.addr {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        // Peers and what stands between can tell by the address who calls.
+        socket.bind(SocketAddr::new(self.local_ip, 0))?;
+        let stream = socket.connect(self.addr).await?;
         stream.set_nodelay(true)?;
         let stream = match &self.tls {
             Some(tls) => tls.connect(stream).await?,
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -2,6 +2,6 @@
 
 mod burn;
 mod html;
-mod report;
+mod policy_report;
 
-pub use {burn::*, html::*, report::*};
+pub use {burn::*, html::*, policy_report::*};
--- a/src/requests/request_cell.rs
+++ b/src/requests/request_cell.rs
@@ -34,6 +34,7 @@
     changed: watch::Sender<u64>,
     orders: watch::Sender<MoveOrder>,
     queued: AtomicBool,
+    moving: AtomicBool,
 }
 
 impl RequestCell {
@@ -45,6 +46,7 @@
             changed: watch::Sender::new(0),
             orders: watch::Sender::new(MoveOrder::Stay),
             queued: AtomicBool::new(false),
+            moving: AtomicBool::new(false),
         })
     }
 
@@ -95,6 +97,12 @@
         self.queued.store(false, Ordering::SeqCst);
     }
 
+    /// Marks the request as being handed over; returns none if it is already.
+    pub fn start_move(&self) -> Option<Moving<'_>> {
+        let started = !self.moving.swap(true, Ordering::SeqCst);
+        started.then_some(Moving { cell: self })
+    }
+
     /// Counts in a reader of the answer.
     pub fn reader(self: &Arc<Self>) -> Reader {
         self.record.lock().readers += 1;
@@ -102,6 +110,18 @@
     }
 }
 
+/// A hand-over on its way; only one at a time.
+#[derive(Debug)]
+pub struct Moving<'a> {
+    cell: &'a RequestCell,
+}
+
+impl Drop for Moving<'_> {
+    fn drop(&mut self) {
+        self.cell.moving.store(false, Ordering::SeqCst);
+    }
+}
+
 /// A reader of the answer; it counts itself out when dropped.
 #[derive(Debug)]
 pub struct Reader {
--- /dev/null
+++ b/tests/it/promise_survives.rs
@@ -0,0 +1,111 @@
+//! Promise 1: an accepted request survives any announced reclaim.
+
+use {
+    crate::support::*,
+    std::{net::SocketAddr, time::Duration},
+    tokio::task::JoinSet,
+};
+
+const TOKENS: usize = 200;
+
+fn start_streams(boxes: &[SocketAddr], n: usize) -> JoinSet<Transcript> {
+    let mut streams = JoinSet::new();
+    for i in 0..n {
+        let boxes = boxes.to_vec();
+        streams.spawn(async move {
+            let first = i % boxes.len();
+            ask_stream(
+                &boxes,
+                first,
+                &format!("prompt number {i} with some words"),
+                TOKENS,
+            )
+            .await
+        });
+    }
+    streams
+}
+
+async fn all_whole(streams: JoinSet<Transcript>) -> Vec<Transcript> {
+    let transcripts = streams.join_all().await;
+    for t in &transcripts {
+        assert_eq!(t.end, CallerEnd::Whole, "{t:?}");
+    }
+    transcripts
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_the_reclaim_of_an_upstream() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let streams = start_streams(&cluster.caller_addrs(), 12);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.reclaim(&["zone-a-engine-0"], 800).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    cluster.upstreams[0].running.stop();
+    all_whole(streams).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_the_reclaim_of_their_entry_box() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    cluster.list_entry_boxes().await;
+    let streams = start_streams(&cluster.caller_addrs(), 12);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let name = cluster.daemons[0].id.clone();
+    cluster.reclaim(&[&name], 1_000).await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    cluster.daemons[0].kill();
+    let transcripts = all_whole(streams).await;
+    assert!(
+        transcripts.iter().any(|t| t.attaches > 0),
+        "no caller had to re-attach"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_the_reclaim_of_a_whole_failure_domain() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    cluster.list_entry_boxes().await;
+    let streams = start_streams(&cluster.caller_addrs(), 12);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let name = cluster.daemons[0].id.clone();
+    let names = [
+        name.as_str(),
+        "zone-a-engine-0",
+        "zone-a-engine-1",
+        "zone-a-codes",
+    ];
+    cluster.reclaim(&names, 2_000).await;
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    cluster.daemons[0].kill();
+    for u in cluster.upstreams.iter().filter(|u| u.domain == 0) {
+        u.running.stop();
+    }
+    all_whole(streams).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_a_daemon_killed_half_way_through_the_notice() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    cluster.list_entry_boxes().await;
+    let streams = start_streams(&cluster.caller_addrs(), 12);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let name = cluster.daemons[0].id.clone();
+    cluster.reclaim(&[&name, "zone-a-engine-0"], 2_000).await;
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    cluster.daemons[0].kill();
+    all_whole(streams).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_a_frozen_owner() {
+    let cluster = Cluster::start(Plan::default()).await;
+    // Callers of the frozen box can't know; they ask at the other boxes.
+    let boxes = cluster.caller_addrs();
+    let streams = start_streams(&boxes[1..], 8);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.daemons[0].freeze();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    cluster.daemons[0].thaw();
+    all_whole(streams).await;
+}
--- /dev/null
+++ b/tests/it/support/caller.rs
@@ -0,0 +1,293 @@
+use {
+    super::TOKEN,
+    bytes::Bytes,
+    http::{HeaderMap, Request},
+    http_body_util::{BodyExt, Full},
+    hyper::body::Incoming,
+    hyper_util::{
+        client::legacy::{Client as HyperClient, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    saddlepulley_standin::engine::expected_word,
+    serde_json::{Value, json},
+    sha2::{Digest, Sha256},
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// A plain HTTP client, with one connection a request.
+pub mod reqwestless {
+    use super::*;
+
+    #[derive(Clone)]
+    pub struct Client {
+        client: HyperClient<HttpConnector, Full<Bytes>>,
+    }
+
+    pub struct Reply {
+        pub status: u16,
+        pub headers: HeaderMap,
+        pub body: Bytes,
+    }
+
+    impl Default for Client {
+        fn default() -> Self {
+            let client = HyperClient::builder(TokioExecutor::new())
+                .pool_max_idle_per_host(0)
+                .build_http();
+            Self { client }
+        }
+    }
+
+    impl Client {
+        pub async fn open(
+            &self,
+            method: &str,
+            at: SocketAddr,
+            path: &str,
+            headers: &[(&str, &str)],
+            body: &str,
+        ) -> Result<http::Response<Incoming>, String> {
+            let mut req = Request::builder()
+                .method(method)
+                .uri(format!("http://{at}{path}"));
+            for (name, value) in headers {
+                req = req.header(*name, *value);
+            }
+            let req = req
+                .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+                .unwrap();
+            self.client.request(req).await.map_err(|e| format!("{e:?}"))
+        }
+
+        pub async fn send(
+            &self,
+            method: &str,
+            at: SocketAddr,
+            path: &str,
+            headers: &[(&str, &str)],
+            body: &str,
+        ) -> Result<Reply, String> {
+            let rep = self.open(method, at, path, headers, body).await?;
+            let (status, headers) = (rep.status().as_u16(), rep.headers().clone());
+            let body = rep
+                .into_body()
+                .collect()
+                .await
+                .map_err(|e| e.to_string())?
+                .to_bytes();
+            Ok(Reply {
+                status,
+                headers,
+                body,
+            })
+        }
+    }
+}
+
+/// How a streamed answer ended for its caller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CallerEnd {
+    /// Whole, checked against length, digest and the words expected.
+    Whole,
+    /// Given up on, with this outcome.
+    Failed(String),
+    /// Refused before it was accepted, with status and outcome.
+    Refused(u16, String),
+}
+
+/// What a caller saw of one streamed answer, over as many connections as it took.
+#[derive(Clone, Debug)]
+pub struct Transcript {
+    pub id: String,
+    pub text: String,
+    pub tokens: usize,
+    pub attaches: usize,
+    pub durability: String,
+    pub end: CallerEnd,
+}
+
+/// Asks for a streamed answer and follows it over lost connections and
+/// `reattach` events, at one box after another, as a good caller would.
+pub async fn ask_stream(
+    boxes: &[SocketAddr],
+    first: usize,
+    prompt: &str,
+    max_tokens: usize,
+) -> Transcript {
+    ask_stream_with(boxes, first, prompt, max_tokens, &[]).await
+}
+
+pub async fn ask_stream_with(
+    boxes: &[SocketAddr],
+    first: usize,
+    prompt: &str,
+    max_tokens: usize,
+    headers: &[(&str, &str)],
+) -> Transcript {
+    let client = reqwestless::Client::default();
+    let ask =
+        json!({ "model": "assistant", "prompt": prompt, "max_tokens": max_tokens, "stream": true });
+    let bearer = super::bearer(TOKEN);
+    let mut all = vec![("authorization", bearer.as_str())];
+    all.extend(headers);
+    let mut t = Transcript {
+        id: String::new(),
+        text: String::new(),
+        tokens: 0,
+        attaches: 0,
+        durability: String::new(),
+        end: CallerEnd::Whole,
+    };
+    let rep = client
+        .open(
+            "POST",
+            boxes[first],
+            "/v1/completions",
+            &all,
+            &ask.to_string(),
+        )
+        .await
+        .expect("the first box answers");
+    if rep.status() != 200 {
+        let status = rep.status().as_u16();
+        let body = rep.into_body().collect().await.unwrap().to_bytes();
+        let doc: Value = serde_json::from_slice(&body).unwrap_or_default();
+        t.end = CallerEnd::Refused(status, doc["outcome"].as_str().unwrap_or("").to_string());
+        return t;
+    }
+    let header = |name: &str| rep.headers()[name].to_str().unwrap().to_string();
+    t.id = header("saddlepulley-request");
+    t.durability = rep
+        .headers()
+        .get("saddlepulley-durability")
+        .map_or(String::new(), |v| v.to_str().unwrap().to_string());
+    let mut at = first;
+    let mut reader = Some(rep.into_body());
+    for _ in 0..200 {
+        if let Some(body) = reader.take()
+            && let Some(end) = read_events(body, &mut t, prompt, max_tokens).await
+        {
+            t.end = end;
+            return t;
+        }
+        at = (at + 1) % boxes.len();
+        t.attaches += 1;
+        let last = format!("{}:{}", t.id, t.tokens);
+        let path = format!("/v1/requests/{}", t.id);
+        let headers = [
+            ("authorization", bearer.as_str()),
+            ("last-event-id", last.as_str()),
+        ];
+        let opened = client.open("GET", boxes[at], &path, &headers, "");
+        match tokio::time::timeout(Duration::from_secs(20), opened).await {
+            Ok(Ok(rep)) if rep.status() == 200 => reader = Some(rep.into_body()),
+            Ok(Ok(rep)) if rep.status() != 404 => {
+                let body = rep.into_body().collect().await.unwrap().to_bytes();
+                let doc: Value = serde_json::from_slice(&body).unwrap_or_default();
+                t.end = CallerEnd::Failed(doc["outcome"].as_str().unwrap_or("").to_string());
+                return t;
+            }
+            _ => tokio::time::sleep(Duration::from_millis(200)).await,
+        }
+    }
+    t.end = CallerEnd::Failed("no end in 200 attaches".to_string());
+    t
+}
+
+/// Reads events until the stream ends; returns the end if it was an end.
+async fn read_events(
+    mut body: Incoming,
+    t: &mut Transcript,
+    prompt: &str,
+    max_tokens: usize,
+) -> Option<CallerEnd> {
+    let mut buf = String::new();
+    loop {
+        let frame = tokio::time::timeout(Duration::from_secs(30), body.frame()).await;
+        let Ok(Some(Ok(frame))) = frame else {
+            return None;
+        };
+        buf += std::str::from_utf8(&frame.into_data().unwrap_or_default()).unwrap();
+        while let Some(end) = buf.find("\n\n") {
+            let event: String = buf.drain(..end + 2).collect();
+            if let Some(end) = take_event(&event, t, prompt, max_tokens) {
+                return end;
+            }
+        }
+    }
+}
+
+/// Returns whether reading is over, and with which end.
+fn take_event(
+    event: &str,
+    t: &mut Transcript,
+    prompt: &str,
+    max_tokens: usize,
+) -> Option<Option<CallerEnd>> {
+    let field = |name: &str| event.lines().find_map(|l| l.strip_prefix(name));
+    let data = field("data: ").unwrap_or("");
+    if data == "[DONE]" {
+        return None;
+    }
+    let doc: Value = serde_json::from_str(data).unwrap();
+    match field("event: ") {
+        Some("reattach") => return Some(None),
+        Some("error") => {
+            let outcome = doc["outcome"].as_str().unwrap_or("").to_string();
+            return Some(Some(CallerEnd::Failed(outcome)));
+        }
+        _ => {}
+    }
+    if let Some(end) = doc.get("saddlepulley") {
+        assert_eq!(end["total_tokens"], json!(max_tokens), "{}", t.id);
+        assert_eq!(t.tokens, max_tokens, "{}: tokens are missing", t.id);
+        if let Some(digest) = end["sha256"].as_str() {
+            assert_eq!(digest, hex::encode(Sha256::digest(&t.text)), "{}", t.id);
+        }
+        check_words(t, prompt, max_tokens);
+        return Some(Some(CallerEnd::Whole));
+    }
+    let text = doc["choices"][0]["text"].as_str().unwrap_or("");
+    let offset: usize = field("id: ")
+        .unwrap()
+        .rsplit(':')
+        .next()
+        .unwrap()
+        .parse()
+        .unwrap();
+    let n = text.split_whitespace().count();
+    assert_eq!(offset, t.tokens + n, "{}: a gap or an overlap", t.id);
+    t.tokens = offset;
+    t.text += text;
+    None
+}
+
+/// Compares the answer with the one expected for its own prompt. The engine's
+/// name behind an `@` is not compared: it changes where the answer moved.
+fn check_words(t: &Transcript, prompt: &str, max_tokens: usize) {
+    let words: Vec<&str> = t.text.split_whitespace().collect();
+    assert_eq!(words.len(), max_tokens);
+    for (i, word) in words.iter().enumerate() {
+        let word = word.split('@').next().unwrap();
+        assert_eq!(word, expected_word(prompt, i), "{}: token {i}", t.id);
+    }
+}
+
+/// Calls a plain service once.
+pub async fn call_codes(at: SocketAddr, key: &str, body: &str) -> Result<(u16, Value), String> {
+    let client = reqwestless::Client::default();
+    let bearer = super::bearer(TOKEN);
+    let headers = [
+        ("authorization", bearer.as_str()),
+        ("idempotency-key", key),
+        ("saddlepulley-repeatable", "no"),
+    ];
+    let call = client.send("POST", at, "/codes/issue", &headers, body);
+    let rep = tokio::time::timeout(Duration::from_secs(40), call)
+        .await
+        .map_err(|_| "timeout".to_string())??;
+    Ok((
+        rep.status,
+        serde_json::from_slice(&rep.body).unwrap_or_default(),
+    ))
+}
--- /dev/null
+++ b/tests/it/support/cluster.rs
@@ -0,0 +1,353 @@
+use {
+    super::*,
+    saddlepulley::{caller::Status, caller::token_hash},
+    saddlepulley_standin::{
+        engine::{Engine, EngineConfig},
+        http::Running,
+        plain::{Plain, PlainConfig},
+        platform::Platform,
+    },
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap,
+        fs,
+        net::{IpAddr, SocketAddr, TcpListener},
+        time::Duration,
+    },
+    tempfile::TempDir,
+};
+
+pub const TOKEN: &str = "caller-token";
+pub const OTHER_TOKEN: &str = "other-token";
+pub const OPERATOR_TOKEN: &str = "operator-token";
+
+/// What a cluster shall look like.
+pub struct Plan {
+    pub domains: usize,
+    pub daemons_per_domain: usize,
+    pub engines_per_domain: usize,
+    pub engine: EngineConfig,
+    pub plain_work_ms: u64,
+    pub checks_fence: bool,
+    /// Fields of every row, as TOML.
+    pub row: String,
+    /// Lines for every daemon's `[peers]`.
+    pub peers: String,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            domains: 3,
+            daemons_per_domain: 1,
+            engines_per_domain: 2,
+            engine: EngineConfig {
+                slots: 64,
+                step_ms: 10.0,
+                step_ms_per_request: 0.0,
+                ..EngineConfig::default()
+            },
+            plain_work_ms: 5,
+            checks_fence: false,
+            row: "rate = 1000\nconcurrency = 1000\n".to_string(),
+            peers: "heartbeat_ms = 200\nsilence_ms = 1000\n".to_string(),
+        }
+    }
+}
+
+/// An upstream stand-in behind its proxy.
+pub struct UpstreamStandin {
+    pub name: String,
+    pub domain: usize,
+    pub service: String,
+    pub proxy: FaultProxy,
+    pub running: Running,
+    /// As the box list shows it.
+    pub listed: Value,
+}
+
+/// Stand-ins in this process, daemons as processes, proxies between all.
+pub struct Cluster {
+    pub platform: Running,
+    /// One proxy for each domain's way to the platform.
+    pub platform_proxies: Vec<FaultProxy>,
+    pub daemons: Vec<DaemonProcess>,
+    /// One proxy in front of each daemon's peer address.
+    pub peer_proxies: Vec<FaultProxy>,
+    pub upstreams: Vec<UpstreamStandin>,
+    pub client: reqwestless::Client,
+    dir: TempDir,
+}
+
+pub fn domain_name(n: usize) -> String {
+    format!("zone-{}", (b'a' + n as u8) as char)
+}
+
+/// The address from which a domain's daemons call.
+pub fn domain_ip(n: usize) -> IpAddr {
+    IpAddr::from([127, 0, 1, 1 + n as u8])
+}
+
+impl Cluster {
+    pub async fn start(plan: Plan) -> Self {
+        let mut cluster = Self::prepare(&plan).await;
+        cluster.start_upstreams(&plan).await;
+        cluster.publish(&default_table(&plan)).await;
+        for daemon in &mut cluster.daemons {
+            daemon.start();
+        }
+        cluster.wait_ready().await;
+        cluster
+    }
+
+    async fn prepare(plan: &Plan) -> Self {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let platform = Platform::start(any).await.unwrap();
+        let mut platform_proxies = Vec::new();
+        for _ in 0..plan.domains {
+            platform_proxies.push(FaultProxy::start(platform.addr()).await);
+        }
+        let mut cluster = Self {
+            platform,
+            platform_proxies,
+            daemons: Vec::new(),
+            peer_proxies: Vec::new(),
+            upstreams: Vec::new(),
+            client: reqwestless::Client::default(),
+            dir: TempDir::new().unwrap(),
+        };
+        let mut places = Vec::new();
+        for n in 0..plan.domains * plan.daemons_per_domain {
+            let domain = n % plan.domains;
+            let peers = free_addr(domain_ip(domain));
+            let proxy = FaultProxy::start(peers).await;
+            places.push((domain, peers, proxy.addr()));
+            cluster.peer_proxies.push(proxy);
+        }
+        let seeds: Vec<String> = places.iter().map(|p| format!("\"{}\"", p.2)).collect();
+        for (n, (domain, peers, advertised)) in places.iter().enumerate() {
+            let id = format!("{}-entry-{n}", domain_name(*domain));
+            let callers = free_addr(domain_ip(*domain));
+            let operators = free_addr(domain_ip(*domain));
+            let text = format!(
+                "[box]\nid = \"{id}\"\nfailure_domain = \"{}\"\n\
+                 [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\n\
+                 peers_advertised = \"{advertised}\"\noperators = \"{operators}\"\n\
+                 [platform]\naddress = \"{}\"\n\
+                 [peers]\nseeds = [{}]\nplain = true\n{}\n\
+                 [operators]\ntoken_sha256 = \"{}\"\n[logs]\nlevel = \"debug\"\n",
+                domain_name(*domain),
+                cluster.platform_proxies[*domain].addr(),
+                seeds.join(", "),
+                plan.peers,
+                token_hash(OPERATOR_TOKEN),
+            );
+            let path = cluster.dir.path().join(format!("{id}.toml"));
+            fs::write(&path, text).unwrap();
+            let daemon = DaemonProcess::new(&id, *domain, callers, operators, path);
+            cluster.daemons.push(daemon);
+        }
+        cluster
+    }
+
+    async fn start_upstreams(&mut self, plan: &Plan) {
+        for domain in 0..plan.domains {
+            for n in 0..plan.engines_per_domain {
+                let name = format!("{}-engine-{n}", domain_name(domain));
+                self.add_engine(plan, domain, &name).await;
+            }
+            let name = format!("{}-codes", domain_name(domain));
+            let any = SocketAddr::from(([127, 0, 0, 1], 0));
+            let cfg = PlainConfig {
+                name: name.clone(),
+                work_ms: plan.plain_work_ms,
+                checks_fence: plan.checks_fence,
+            };
+            let running = Plain::start(any, cfg).await.unwrap();
+            self.add_upstream(running, domain, &name, "plain", "codes", plan.checks_fence)
+                .await;
+        }
+    }
+
+    pub async fn add_engine(&mut self, plan: &Plan, domain: usize, name: &str) {
+        let cfg = EngineConfig {
+            name: name.to_string(),
+            ..plan.engine.clone()
+        };
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        let running = Engine::start(any, cfg).await.unwrap();
+        self.add_upstream(running, domain, name, "engine", "assistant", false)
+            .await;
+    }
+
+    async fn add_upstream(
+        &mut self,
+        running: Running,
+        domain: usize,
+        name: &str,
+        kind: &str,
+        service: &str,
+        checks_fence: bool,
+    ) {
+        let proxy = FaultProxy::start(running.addr()).await;
+        let listed = json!({
+            "id": name, "incarnation": 1, "state": "live", "kind": kind,
+            "failure_domain": domain_name(domain), "address": proxy.addr(),
+            "service": service, "class": "reclaimable", "price_micros": 300,
+            "checks_fence": checks_fence,
+        });
+        self.control("boxes", &json!([listed])).await;
+        self.upstreams.push(UpstreamStandin {
+            name: name.to_string(),
+            domain,
+            service: service.to_string(),
+            proxy,
+            running,
+            listed,
+        });
+    }
+
+    /// Waits until each daemon is ready and knows all others.
+    pub async fn wait_ready(&self) {
+        let running = self.daemons.len();
+        let upstreams = self.upstreams.len();
+        for daemon in &self.daemons {
+            self.wait_status(daemon, "ready and complete", |s| {
+                let live = |kind| {
+                    let is = |b: &&saddlepulley::policy::BoxFact| {
+                        (b.kind == saddlepulley::policy::BoxKind::Entry) == kind
+                    };
+                    s.boxes.iter().filter(is).count()
+                };
+                s.phase == "Ready" && live(true) >= running && live(false) >= upstreams
+            })
+            .await;
+        }
+    }
+
+    pub async fn wait_status(
+        &self,
+        daemon: &DaemonProcess,
+        what: &str,
+        good: impl Fn(&Status) -> bool,
+    ) {
+        let end = tokio::time::Instant::now() + Duration::from_secs(30);
+        let mut last = None;
+        while tokio::time::Instant::now() < end {
+            last = self.status(daemon).await;
+            if last.as_ref().is_some_and(&good) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("{} never was {what}: {last:?}\n{}", daemon.id, daemon.log());
+    }
+
+    pub async fn status(&self, daemon: &DaemonProcess) -> Option<Status> {
+        let rep = self
+            .client
+            .send(
+                "GET",
+                daemon.operators,
+                "/status",
+                &[("authorization", &bearer(OPERATOR_TOKEN))],
+                "",
+            )
+            .await
+            .ok()?;
+        serde_json::from_slice(&rep.body).ok()
+    }
+
+    /// Appends a table file's edit to the log.
+    pub async fn publish(&self, table: &str) -> Result<u64, saddlepulley::cli::CliError> {
+        let file = saddlepulley::contracts::TableFile::parse("test", table).unwrap();
+        let log = saddlepulley::platform::PlatformHttp::new(self.platform.addr());
+        saddlepulley::cli::publish(&log, &file).await
+    }
+
+    pub async fn control(&self, what: &str, order: &Value) -> Value {
+        self.control_at(self.platform.addr(), what, order).await
+    }
+
+    pub async fn control_at(&self, at: SocketAddr, what: &str, order: &Value) -> Value {
+        let path = format!("/control/{what}");
+        let (method, body) = if order.is_null() {
+            ("GET", String::new())
+        } else {
+            ("POST", order.to_string())
+        };
+        let rep = self
+            .client
+            .send(method, at, &path, &[], &body)
+            .await
+            .unwrap();
+        assert_eq!(rep.status, 200, "{:?}", rep.body);
+        serde_json::from_slice(&rep.body).unwrap_or(Value::Null)
+    }
+
+    /// Announces a reclaim of boxes by name.
+    pub async fn reclaim(&self, names: &[&str], notice_ms: u64) {
+        let order = json!({ "boxes": names, "notice_ms": notice_ms });
+        self.control("reclaim", &order).await;
+    }
+
+    /// Executions by key, over all plain services.
+    pub async fn executions(&self) -> BTreeMap<String, u64> {
+        let mut all = BTreeMap::new();
+        for u in self.upstreams.iter().filter(|u| u.service == "codes") {
+            let counts = self
+                .control_at(u.running.addr(), "counts", &Value::Null)
+                .await;
+            for (key, n) in counts.as_object().unwrap() {
+                *all.entry(key.clone()).or_default() += n.as_u64().unwrap();
+            }
+        }
+        all
+    }
+
+    pub fn caller_addrs(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|d| d.callers).collect()
+    }
+
+    /// Lists the entry boxes in the platform, so that they can be reclaimed.
+    pub async fn list_entry_boxes(&self) {
+        let mut boxes = Vec::new();
+        for (daemon, proxy) in self.daemons.iter().zip(&self.peer_proxies) {
+            let incarnation = self.status(daemon).await.unwrap().incarnation;
+            boxes.push(json!({
+                "id": daemon.id, "incarnation": incarnation, "state": "live", "kind": "entry",
+                "failure_domain": domain_name(daemon.domain), "address": proxy.addr(),
+                "service": "", "class": "reclaimable", "price_micros": 10,
+            }));
+        }
+        self.control("boxes", &Value::Array(boxes)).await;
+    }
+}
+
+pub fn bearer(token: &str) -> String {
+    format!("Bearer {token}")
+}
+
+pub fn default_table(plan: &Plan) -> String {
+    let mut text = String::new();
+    for (name, token) in [("acme", TOKEN), ("other", OTHER_TOKEN)] {
+        text += &format!(
+            "[[account]]\nname = \"{name}\"\ntoken_sha256 = [\"{}\"]\n",
+            token_hash(token)
+        );
+    }
+    for domain in 0..plan.domains {
+        for service in ["assistant", "codes"] {
+            text += &format!(
+                "[[row]]\naccount = \"acme\"\nservice = \"{service}\"\nfailure_domain = \"{}\"\n{}\n",
+                domain_name(domain),
+                plan.row
+            );
+        }
+    }
+    text
+}
+
+fn free_addr(ip: IpAddr) -> SocketAddr {
+    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+}
