Count open requests against the bound, not kept answers

Cause: max_requests was compared with the whole table, kept answers and copies included: after 4,096 finished requests a box refused all work as full. Two tests hung on it; their daemons' status showed requests=4096, waiting=0. Conclusion: open requests are counted at admission; kept answers have a bound of their own in bytes and number.

--- a/src/app/accept.rs
+++ b/src/app/accept.rs
@@ -77,7 +77,7 @@
             1_000,
         ));
     }
-    if world.requests.len() >= world.settings.requests.max_requests {
+    if world.admission.running() >= world.settings.requests.max_requests {
         return Err(Refusal::not_run(503, "this box is full", 1_000));
     }
     let table = world.table_in_force();
--- a/src/app/admission_desk.rs
+++ b/src/app/admission_desk.rs
@@ -4,7 +4,10 @@
     parking_lot::Mutex,
     std::{
         collections::{BTreeMap, HashMap},
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::Duration,
     },
     tokio::sync::oneshot,
@@ -26,6 +29,7 @@
 pub struct AdmissionDesk {
     gates: Mutex<BTreeMap<(ClientAccount, ServiceName), RowGate>>,
     queues: Mutex<BTreeMap<ServiceName, ServiceQueue>>,
+    running: AtomicUsize,
 }
 
 #[derive(Debug, Default)]
@@ -74,6 +78,11 @@
         Ok(admitted)
     }
 
+    /// Returns how many admitted requests have not ended, those that wait included.
+    pub fn running(&self) -> usize {
+        self.running.load(Ordering::Relaxed)
+    }
+
     /// Returns how many requests wait for their turn.
     pub fn waiting(&self) -> usize {
         self.queues.lock().values().map(|q| q.fair.waiting()).sum()
@@ -88,7 +97,9 @@
         let gate = gates
             .entry(key)
             .or_insert_with(|| RowGate::new(&share, now));
-        gate.admit(&share, tokens, now)
+        gate.admit(&share, tokens, now)?;
+        self.running.fetch_add(1, Ordering::Relaxed);
+        Ok(())
     }
 
     async fn take_turn(
@@ -132,6 +143,7 @@
 
     fn leave_gate(&self, account: &ClientAccount, service: &ServiceName) {
         let key = (account.clone(), service.clone());
+        self.running.fetch_sub(1, Ordering::Relaxed);
         if let Some(gate) = self.gates.lock().get_mut(&key) {
             gate.end();
         }
--- a/src/app/peer_desk.rs
+++ b/src/app/peer_desk.rs
@@ -6,8 +6,9 @@
     tokio::sync::mpsc,
 };
 
-/// The most copies held for others, as a multiple of the most own requests.
-const MAX_COPIES_FACTOR: usize = 4;
+/// The most requests in the table, kept answers and copies for others
+/// included, as a multiple of the most own requests.
+const MAX_HELD_FACTOR: usize = 8;
 
 /// What this daemon does for its peers.
 pub struct PeerDesk {
@@ -25,7 +26,7 @@
         if s.owner == world.me.id {
             return PeerReply::Refused("not for the owner itself".to_string());
         }
-        if world.requests.len() >= world.settings.requests.max_requests * MAX_COPIES_FACTOR {
+        if world.requests.len() >= world.settings.requests.max_requests * MAX_HELD_FACTOR {
             return PeerReply::Refused("full".to_string());
         }
         if world.leaves_at_ms().is_some() {
--- a/src/app/sweep.rs
+++ b/src/app/sweep.rs
@@ -169,12 +169,14 @@
     }
     kept.sort_unstable();
     let mut bytes: usize = kept.iter().map(|(_, b, _)| b).sum();
+    let mut left = kept.len();
     for (_, b, id) in kept {
-        if bytes <= s.keep_answers_bytes {
+        if bytes <= s.keep_answers_bytes && left <= 4 * s.max_requests {
             return;
         }
         world.requests.remove(id);
         bytes -= b;
+        left -= 1;
     }
 }
 
--- a/tests/it/promise_leaving.rs
+++ b/tests/it/promise_leaving.rs
@@ -16,6 +16,15 @@
 
 const LEAVING: &str = "zone-a-engine-0";
 
+/// Random placement, so that every upstream gets work.
+fn plan(trial: &str) -> Plan {
+    Plan {
+        row: "rate = 1000\nconcurrency = 1000\npolicies = { naive = 1 }\n".to_string(),
+        trial: trial.to_string(),
+        ..Plan::default()
+    }
+}
+
 async fn started(cluster: &Cluster) -> u64 {
     let u = cluster
         .upstreams
@@ -77,7 +86,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lagging_box_list_brings_no_work_back() {
-    let cluster = Cluster::start(Plan::default()).await;
+    let cluster = Cluster::start(plan("")).await;
     cluster
         .control("settings", &json!({ "list_lag_ms": 8_000 }))
         .await;
@@ -86,11 +95,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn without_monotone_states_a_lagging_list_brings_work_back() {
-    let plan = Plan {
-        trial: "leaving = false".to_string(),
-        ..Plan::default()
-    };
-    let cluster = Cluster::start(plan).await;
+    let cluster = Cluster::start(plan("leaving = false")).await;
     cluster
         .control("settings", &json!({ "list_lag_ms": 8_000 }))
         .await;
@@ -99,7 +104,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_lost_notice_is_made_up_by_the_box_list() {
-    let cluster = Cluster::start(Plan::default()).await;
+    let cluster = Cluster::start(plan("")).await;
     cluster
         .control(
             "settings",
@@ -111,7 +116,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_domain_cut_off_from_the_platform_hears_it_from_its_peers() {
-    let cluster = Cluster::start(Plan::default()).await;
+    let cluster = Cluster::start(plan("")).await;
     cluster.platform_proxies[0].cut();
     assert_eq!(dispatches_after_all_know(&cluster, true).await, 0);
 }
