--- /dev/null
+++ b/benches/policies.rs
@@ -0,0 +1,311 @@
+//! Policies under load, as ratios to `naive` in one run: cost at the latency
+//! target, tokens recomputed, goodput under overload, reclaim waves.
+//!
+//! `cargo bench --bench policies -- compare | waves | overload` (all by default)
+
+#[path = "../tests/it/support/mod.rs"]
+#[allow(dead_code, unused_imports)]
+mod support;
+
+use {
+    saddlepulley_standin::{
+        engine::EngineConfig,
+        load::{LoadReport, Stream, Workload, run},
+    },
+    serde_json::{Value, json},
+    std::time::Duration,
+    support::*,
+};
+
+const POLICIES: [&str; 3] = ["naive", "cheapest-on-target", "keep-work"];
+const SEEDS: [u64; 3] = [1, 2, 3];
+const RUN_SECONDS: f64 = 12.0;
+
+fn main() {
+    let args: Vec<String> = std::env::args()
+        .skip(1)
+        .filter(|a| !a.starts_with('-'))
+        .collect();
+    let wants = |what: &str| args.is_empty() || args.iter().any(|a| a == what);
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .unwrap()
+        .block_on(async {
+            if wants("compare") {
+                compare(false).await;
+            }
+            if wants("waves") {
+                compare(true).await;
+            }
+            if wants("overload") {
+                overload().await;
+            }
+        });
+}
+
+/// One run's two measures, and what else is worth seeing.
+#[derive(Clone, Copy, Debug)]
+struct Run {
+    on_target: f64,
+    cost_at_target: f64,
+    computed: f64,
+    recomputed: f64,
+    whole: f64,
+    first_p95_ms: f64,
+}
+
+fn engine() -> EngineConfig {
+    EngineConfig {
+        slots: 16,
+        step_ms: 12.0,
+        step_ms_per_request: 1.0,
+        prefill_tokens_per_s: 12_000.0,
+        cache_blocks: 600,
+        kv_bytes_per_ms: 2_000_000.0,
+        ..EngineConfig::default()
+    }
+}
+
+fn plan(policy: &str, trial: &str) -> Plan {
+    Plan {
+        engines_per_domain: 3,
+        engine: engine(),
+        classes: vec![
+            ("on-demand", 900),
+            ("reclaimable", 300),
+            ("reclaimable", 330),
+        ],
+        row: format!("rate = 2000\nconcurrency = 2000\npolicies = {{ {policy} = 1 }}\n"),
+        trial: trial.to_string(),
+        ..Plan::default()
+    }
+}
+
+async fn compare(waves: bool) {
+    for name in ["austin", "seoul"] {
+        println!("\n{name}{}", if waves { ", reclaim waves" } else { "" });
+        let mut naive = Vec::new();
+        for policy in POLICIES {
+            let mut runs = Vec::new();
+            for seed in SEEDS {
+                runs.push(one(name, policy, seed, waves).await);
+            }
+            if policy == "naive" {
+                naive = runs.clone();
+            }
+            print_runs(policy, &runs, &naive);
+        }
+    }
+}
+
+async fn one(name: &str, policy: &str, seed: u64, waves: bool) -> Run {
+    let path = format!("{}/workloads/{name}.toml", env!("CARGO_MANIFEST_DIR"));
+    let mut workload: Workload = toml::from_str(&std::fs::read_to_string(path).unwrap()).unwrap();
+    workload.seed = seed;
+    workload.duration_s = RUN_SECONDS;
+    let mut cluster = Cluster::start(plan(policy, "")).await;
+    cluster.list_entry_boxes().await;
+    let boxes = cluster.caller_addrs();
+    let load = tokio::spawn(async move { run(&workload, &boxes).await });
+    if waves {
+        reclaim_waves(&mut cluster).await;
+    }
+    let report = LoadReport::of(&load.await.unwrap());
+    let mut cost = 0.0;
+    let mut computed = 0.0;
+    for u in cluster
+        .upstreams
+        .iter()
+        .filter(|u| u.service == "assistant")
+    {
+        let at = u.running.addr();
+        // A box that was taken tells nothing any more; its figures were read before.
+        let counts = if u.running.is_stopped() {
+            u.last.clone()
+        } else {
+            cluster.control_at(at, "counts", &Value::Null).await
+        };
+        cost += counts["busy_ms"].as_f64().unwrap() / 1_000.0 * u.price_micros as f64;
+        computed += counts["computed_tokens"].as_f64().unwrap();
+    }
+    let recomputed = recomputed(&cluster).await;
+    Run {
+        on_target: report.on_target as f64 / report.requests as f64,
+        cost_at_target: cost / report.on_target.max(1) as f64,
+        computed,
+        recomputed,
+        whole: report.outcomes.get("whole").copied().unwrap_or(0) as f64 / report.requests as f64,
+        first_p95_ms: report.first_ms[1],
+    }
+}
+
+/// 47% of the engines with 2 s of notice, then a whole failure domain.
+async fn reclaim_waves(cluster: &mut Cluster) {
+    let refuse = json!({ "refused_classes": ["reclaimable", "on-demand"] });
+    cluster.control("settings", &refuse).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    take(
+        cluster,
+        &[
+            "zone-b-engine-1",
+            "zone-b-engine-2",
+            "zone-c-engine-1",
+            "zone-c-engine-2",
+        ],
+    )
+    .await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let name = cluster.daemons[0].id.clone();
+    let domain = [
+        name.as_str(),
+        "zone-a-engine-0",
+        "zone-a-engine-1",
+        "zone-a-engine-2",
+        "zone-a-codes",
+    ];
+    take(cluster, &domain).await;
+    cluster.daemons[0].kill();
+}
+
+async fn take(cluster: &mut Cluster, names: &[&str]) {
+    cluster.reclaim(names, 2_000).await;
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    for i in 0..cluster.upstreams.len() {
+        if !names.contains(&cluster.upstreams[i].name.as_str()) {
+            continue;
+        }
+        let at = cluster.upstreams[i].running.addr();
+        cluster.upstreams[i].last = cluster.control_at(at, "counts", &Value::Null).await;
+        cluster.upstreams[i].running.stop();
+    }
+}
+
+/// Tokens computed again, as the daemons that still run count them.
+async fn recomputed(cluster: &Cluster) -> f64 {
+    let auth = bearer(OPERATOR_TOKEN);
+    let mut sum = 0.0;
+    for daemon in &cluster.daemons {
+        let headers = [("authorization", auth.as_str())];
+        let Ok(rep) = cluster
+            .client
+            .send("GET", daemon.operators, "/scores", &headers, "")
+            .await
+        else {
+            continue;
+        };
+        let scores: Vec<Value> = serde_json::from_slice(&rep.body).unwrap_or_default();
+        for s in scores {
+            sum += s[1]["recomputed_tokens"].as_f64().unwrap_or(0.0);
+        }
+    }
+    sum
+}
+
+fn median(mut v: Vec<f64>) -> (f64, f64, f64) {
+    v.sort_by(f64::total_cmp);
+    (v[v.len() / 2], v[0], v[v.len() - 1])
+}
+
+fn print_runs(policy: &str, runs: &[Run], naive: &[Run]) {
+    let of = |f: fn(&Run) -> f64| median(runs.iter().map(f).collect());
+    let ratio = |f: fn(&Run) -> f64| {
+        let pairs = runs.iter().zip(naive);
+        median(pairs.map(|(a, b)| f(a) / f(b).max(1e-9)).collect())
+    };
+    let (cost, cost_min, cost_max) = ratio(|r| r.cost_at_target);
+    let (computed, c_min, c_max) = ratio(|r| r.computed);
+    println!(
+        "{policy:<20} whole {:.3} on target {:.3} ({:.3}-{:.3}) first p95 {:.0} ms; cost at target {:.1} = {cost:.2} ({cost_min:.2}-{cost_max:.2}) x naive; tokens taken in {:.0} = {computed:.2} ({c_min:.2}-{c_max:.2}) x naive; recomputed {:.0} ({:.0}-{:.0})",
+        of(|r| r.whole).0,
+        of(|r| r.on_target).0,
+        of(|r| r.on_target).1,
+        of(|r| r.on_target).2,
+        of(|r| r.first_p95_ms).0,
+        of(|r| r.cost_at_target).0,
+        of(|r| r.computed).0,
+        of(|r| r.recomputed).0,
+        of(|r| r.recomputed).1,
+        of(|r| r.recomputed).2,
+    );
+}
+
+/// Goodput before, during and after a burst, with impatient callers.
+async fn overload() {
+    println!(
+        "\noverload: load at about 85% of capacity, a burst of 4 s, callers that ask again at once up to 3 times"
+    );
+    let all_off = "queue = false\nlimit = false\nbudget = false\ncancel = false";
+    let cases = [
+        ("naive", "naive", ""),
+        ("placement only", "cheapest-on-target", all_off),
+        (
+            "+ cancel",
+            "cheapest-on-target",
+            "queue = false\nlimit = false\nbudget = false",
+        ),
+        (
+            "+ budget",
+            "cheapest-on-target",
+            "queue = false\nlimit = false\ncancel = false",
+        ),
+        (
+            "+ limit",
+            "cheapest-on-target",
+            "queue = false\nbudget = false\ncancel = false",
+        ),
+        (
+            "+ queue",
+            "cheapest-on-target",
+            "limit = false\nbudget = false\ncancel = false",
+        ),
+        ("all", "cheapest-on-target", ""),
+    ];
+    for (name, policy, trial) in cases {
+        let mut before = Vec::new();
+        let mut during = Vec::new();
+        let mut after = Vec::new();
+        let mut sends = Vec::new();
+        for seed in SEEDS {
+            let plan = Plan {
+                engines_per_domain: 1,
+                engine: EngineConfig {
+                    slots: 8,
+                    ..engine()
+                },
+                ..plan(policy, trial)
+            };
+            let cluster = Cluster::start(plan).await;
+            let stream = |rate, from_s, to_s| Stream {
+                token: TOKEN.to_string(),
+                service: "assistant".to_string(),
+                model: true,
+                rate,
+                from_s,
+                to_s,
+                documents: 0,
+                document_tokens: 0,
+                prompt_tokens: [40, 80],
+                answer_tokens: [30, 50],
+                first_ms: 1_000,
+                deadline_ms: 2_000,
+                caller_retries: 3,
+            };
+            let workload = Workload {
+                seed,
+                duration_s: 22.0,
+                streams: vec![stream(24.0, 0.0, 0.0), stream(50.0, 6.0, 10.0)],
+            };
+            let report = LoadReport::of(&run(&workload, &cluster.caller_addrs()).await);
+            before.push(report.goodput(1, 6));
+            during.push(report.goodput(6, 10));
+            after.push(report.goodput(14, 22));
+            sends.push(report.sends_per_request);
+        }
+        let (b, d, a, s) = (median(before), median(during), median(after), median(sends));
+        println!(
+            "{name:<16} goodput before {:.2}, during {:.2}, after {:.2} ({:.2}-{:.2}); sends a request {:.2}",
+            b.0, d.0, a.0, a.1, a.2, s.0
+        );
+    }
+}
--- a/src/app/accept.rs
+++ b/src/app/accept.rs
@@ -1,5 +1,9 @@
 use {
-    super::{run_model::run_model, run_plain::run_plain, *},
+    super::{
+        run_model::{finish, run_model},
+        run_plain::run_plain,
+        *,
+    },
     crate::{contracts::Contract, engine::count_tokens, names::*, policy::*, requests::*},
     std::sync::Arc,
 };
@@ -96,9 +100,10 @@
     }
     let spec = Arc::new(make_spec(world, &sub, c, repeatable));
     let naive = spec.policy.as_str() == NaivePlacement::NAME;
+    let fair = !naive && world.settings.trial.queue;
     let tokens = tokens_of(&spec);
     let deadline_ms = spec.deadline_ms;
-    let admitted = AdmissionDesk::admit(world, c, tokens, deadline_ms, !naive).await;
+    let admitted = AdmissionDesk::admit(world, c, tokens, deadline_ms, fair).await;
     let admitted = admitted.map_err(|r| rejected(&r))?;
     earn_retry(world, &spec);
     start(world, spec, admitted, sub.cross_domain_only).await
@@ -156,12 +161,7 @@
     }
     let durability = hold(world, &cell, None).await;
     if cross_domain_only && durability != Durability::CrossDomain {
-        world.requests.remove(id);
-        return Err(Refusal::not_run(
-            503,
-            "no other failure domain can be reached",
-            2_000,
-        ));
+        return Err(refuse_domain_only(world, &cell));
     }
     spawn_run(world, &cell, admitted);
     drop(reader);
@@ -173,6 +173,15 @@
     })
 }
 
+/// A copy in this failure domain isn't enough for the caller. The request ends
+/// here and on the holder, which must not think that it was lost and run it.
+fn refuse_domain_only(world: &Arc<World>, cell: &Arc<RequestCell>) -> Refusal {
+    let refusal = Refusal::not_run(503, "no other failure domain can be reached", 2_000);
+    let ending = Ending::Failed(refusal.failure.clone());
+    finish(world, cell, ending, &RunScore::new(&cell.spec()));
+    refusal
+}
+
 fn spawn_run(world: &Arc<World>, cell: &Arc<RequestCell>, admitted: Admitted) {
     let world = world.clone();
     let cell = cell.clone();
--- a/src/app/attempt.rs
+++ b/src/app/attempt.rs
@@ -63,17 +63,30 @@
         .upstreams(service, world.my_domain())
         .filter_map(|b| {
             let s = stats.of(&b.id);
-            if s.avoid_until_ms > now {
+            let loaded = s
+                .load
+                .as_ref()
+                .is_none_or(|l| *l.model == *b.service.as_str());
+            if s.avoid_until_ms > now || !loaded {
                 return None;
             }
             let cached_tokens = hints.cached_tokens(&b.id, hashes);
-            Some((view_of(b, s, cached_tokens), Place::of(b)))
+            Some((
+                view_of(b, s, cached_tokens, world.settings.trial.limit),
+                Place::of(b),
+            ))
         })
         .collect()
 }
 
-fn view_of(b: &BoxFact, s: &crate::boxes::UpstreamStats, cached_tokens: u32) -> UpstreamView {
+fn view_of(
+    b: &BoxFact,
+    s: &crate::boxes::UpstreamStats,
+    cached_tokens: u32,
+    limited: bool,
+) -> UpstreamView {
     let load = s.load.as_ref();
+    let limit = if limited { s.limit.limit() } else { u32::MAX };
     UpstreamView {
         id: b.id.clone(),
         address: b.address,
@@ -84,7 +97,7 @@
         waiting: load.map_or(0, |l| l.waiting),
         unreported: s.unreported(),
         in_flight: s.in_flight,
-        limit: s.limit.limit(),
+        limit,
         prefill_tokens_per_s: load.map_or(DEFAULT_PREFILL_TOKENS_PER_S, |l| l.prefill_tokens_per_s),
         step_ms: load.map_or(DEFAULT_STEP_MS, |l| l.step_ms),
         step_ms_per_request: load.map_or(0.0, |l| l.step_ms_per_request),
--- a/src/app/duties.rs
+++ b/src/app/duties.rs
@@ -1,6 +1,6 @@
 use {
-    super::*,
-    crate::{names::*, policy::*},
+    super::{model_loads::ModelLoads, replacements::Replacements, *},
+    crate::policy::*,
     std::{
         collections::BTreeMap,
         sync::Arc,
@@ -43,7 +43,8 @@
     let mut view = LeaseView::default();
     let mut next = 0;
     let mut sent: BTreeMap<u64, u64> = BTreeMap::new();
-    let mut replacement = Replacements::default();
+    let mut replacements = Replacements::default();
+    let mut model_loads = ModelLoads::default();
     loop {
         let wait_ms = if next == 0 { 0 } else { READ_WAIT_MS };
         let Ok(page) = world.borders.log.read(&stream, next, wait_ms).await else {
@@ -75,84 +76,12 @@
                     next = next.min(offset);
                 }
             }
-            LeaseStep::Act { .. } => {
-                replacement
-                    .step(&world, || view.may_act(clock.now_ms()))
-                    .await;
+            LeaseStep::Act { settled, .. } => {
+                let may_act = || view.may_act(clock.now_ms());
+                replacements.step(&world, &may_act).await;
+                model_loads.step(&world, &may_act, settled).await;
             }
             LeaseStep::Append(_) | LeaseStep::Wait => {}
         }
     }
 }
-
-/// Orders a box for each that is leaving.
-#[derive(Debug, Default)]
-struct Replacements {
-    done: std::collections::BTreeSet<String>,
-}
-
-impl Replacements {
-    async fn step(&mut self, world: &World, may_act: impl Fn() -> Option<u64>) {
-        for b in lost_upstreams(world) {
-            let token = format!("replace-{}-{}", b.id, b.incarnation);
-            if self.done.contains(&token) {
-                continue;
-            }
-            if self.order(world, &b, &token, &may_act).await {
-                self.done.insert(token);
-            }
-        }
-    }
-
-    /// Orders a replacement: of the same class, or on-demand where that is refused.
-    ///
-    /// The token is the same whoever orders, so that an order whose answer was
-    /// lost, and is given again by this or the next holder, is taken once.
-    async fn order(
-        &self,
-        world: &World,
-        lost: &BoxFact,
-        token: &str,
-        may_act: &impl Fn() -> Option<u64>,
-    ) -> bool {
-        for class in [lost.class, BoxClass::OnDemand] {
-            let Some(fence) = may_act() else { return false };
-            let order = crate::platform::BoxOrder {
-                client_token: token.to_string(),
-                fence,
-                failure_domain: lost.failure_domain.clone(),
-                class,
-                service: lost.service.clone(),
-            };
-            match world.borders.cloud.order(&order).await {
-                Ok(()) => {
-                    log::info!(target: "duties", "ordered a box. for={} class={class:?} fence={fence}", lost.id);
-                    return true;
-                }
-                Err(crate::platform::PlatformError::Refused) => {}
-                Err(e) => {
-                    log::debug!(target: "duties", "an order failed. error=\"{e}\"");
-                    return self.is_taken(world, token).await;
-                }
-            }
-        }
-        false
-    }
-
-    /// An order whose answer was lost is settled by the list of orders.
-    async fn is_taken(&self, world: &World, token: &str) -> bool {
-        let orders = world.borders.cloud.orders().await;
-        orders.is_ok_and(|o| o.iter().any(|o| o.client_token == token))
-    }
-}
-
-fn lost_upstreams(world: &World) -> Vec<BoxFact> {
-    let recent = now_ms().saturating_sub(600_000);
-    let boxes = world.boxes.read();
-    boxes
-        .iter()
-        .filter(|b| b.kind != BoxKind::Entry && b.state != BoxState::Live)
-        .filter(|b| b.failure_domain == *world.my_domain() && b.leaves_at_ms > recent)
-        .cloned()
-        .collect()
-}
--- a/src/app/hand_over.rs
+++ b/src/app/hand_over.rs
@@ -89,7 +89,7 @@
         Err(_) if hop => return false,
         Err(_) => {}
     }
-    cell.change(|r| {
+    cell.change_owner(|r| {
         if r.is_owner() && r.epoch < epoch {
             r.role = Role::Moved { to: taker.clone() };
             r.epoch = epoch;
--- a/src/app/load_watch.rs
+++ b/src/app/load_watch.rs
@@ -71,5 +71,5 @@
 fn worth_telling(old: &EngineLoad, new: &EngineLoad) -> bool {
     let queue = |l: &EngineLoad| i64::from(l.running) + i64::from(l.waiting);
     let step = (i64::from(new.slots) / 8).max(1);
-    (queue(old) - queue(new)).abs() >= step || old.slots != new.slots
+    (queue(old) - queue(new)).abs() >= step || old.slots != new.slots || old.model != new.model
 }
--- a/src/app/peer_desk.rs
+++ b/src/app/peer_desk.rs
@@ -42,7 +42,7 @@
         if fresh {
             return PeerReply::Done;
         }
-        let held = cell.change(|r| {
+        let held = cell.change_owner(|r| {
             if r.epoch > s.epoch || (r.epoch == s.epoch && !yields(r, &world.me.id, &s.owner)) {
                 return false;
             }
@@ -122,7 +122,7 @@
         let s = t.snapshot;
         let (cell, fresh) = world.requests.insert(record_of(&s, Role::Owner));
         if !fresh {
-            let taken = cell.change(|r| {
+            let taken = cell.change_owner(|r| {
                 if r.epoch >= s.epoch {
                     return false;
                 }
@@ -147,6 +147,19 @@
         PeerReply::Done
     }
 
+    fn ownership(&self, holder: &BoxId, id: RequestId) -> Ownership {
+        let Some(cell) = self.world.requests.get(id) else {
+            return Ownership::Unknown;
+        };
+        let r = cell.read();
+        match (&r.role, &r.holder) {
+            (Role::Owner, Holder::At(at)) if at != holder => Ownership::CopyElsewhere,
+            (Role::Owner, _) => Ownership::Owner,
+            (Role::Copy { owner }, _) => Ownership::OwnedBy(owner.clone()),
+            (Role::Moved { to }, _) => Ownership::OwnedBy(to.clone()),
+        }
+    }
+
     async fn append_claims(&self, records: Vec<ClaimRecord>) -> PeerReply {
         match self.world.claims.append(records).await {
             Ok(super::claim_desk::AppendEnd::At(offset)) => PeerReply::Appended(Some(offset)),
@@ -208,6 +221,10 @@
     async fn call(&self, call: PeerCall) -> PeerReply {
         match call {
             PeerCall::Ping => PeerReply::Done,
+            PeerCall::AskOwner { holder, requests } => {
+                let all = requests.iter().map(|id| self.ownership(&holder, *id));
+                PeerReply::Ownership(all.collect())
+            }
             PeerCall::Heartbeat(news) => PeerReply::Heartbeat(take_news(&self.world, news)),
             PeerCall::Hold(s) => self.hold(s),
             PeerCall::Replicate { owner, appends } => self.replicate(&owner, appends),
--- a/src/app/replicate.rs
+++ b/src/app/replicate.rs
@@ -145,7 +145,7 @@
 /// Another box owns the request: this one stops. `told_by` is who said so.
 pub fn give_way(cell: &RequestCell, told_by: &BoxId, owner: BoxId) {
     log::warn!(target: "replicate", "superseded. request={} by={owner} told_by={told_by}", cell.id());
-    cell.change(|r| {
+    cell.change_owner(|r| {
         if r.is_owner() {
             r.role = Role::Moved { to: owner };
         }
--- a/src/app/run_model.rs
+++ b/src/app/run_model.rs
@@ -3,7 +3,7 @@
     crate::{engine::*, names::*, policy::*, requests::*},
     rand_chacha::ChaCha8Rng,
     std::{collections::BTreeSet, sync::Arc, time::Duration},
-    tokio::sync::watch,
+    tokio::{sync::watch, time::Instant},
 };
 
 const BACKOFF_BASE_MS: u64 = 50;
@@ -221,14 +221,19 @@
 
     async fn pump(&mut self, place: &Place, attempt: u32, mut frames: Frames) -> AttemptEnd {
         let opened_ms = now_ms();
-        let mut changed = self.cell.watch();
+        let mut owners = self.cell.watch_owner();
         let first = Duration::from_millis(u64::from(self.spec.terms.first_token_ms) * 10);
         let mut patience = FIRST_STALL + first;
+        let expiry = tokio::time::sleep(Duration::from_millis(self.left_ms()));
+        tokio::pin!(expiry);
+        let stall = tokio::time::sleep(patience);
+        tokio::pin!(stall);
+        let mut heard = Instant::now();
         loop {
-            let left = Duration::from_millis(self.left_ms());
             tokio::select! {
                 frame = frames.recv() => match frame {
                     Some(Ok(frame)) => {
+                        heard = Instant::now();
                         if self.take(place, attempt, frame, opened_ms) {
                             patience = STALL;
                         }
@@ -245,13 +250,19 @@
                         return AttemptEnd::Moved(to);
                     }
                 }
-                _ = changed.changed() => {
+                _ = owners.changed() => {
                     if self.is_stopped() {
                         return AttemptEnd::Stop;
                     }
                 }
-                () = tokio::time::sleep(left) => return AttemptEnd::Expired,
-                () = tokio::time::sleep(patience) => return AttemptEnd::Lost,
+                () = &mut expiry => return AttemptEnd::Expired,
+                () = &mut stall => {
+                    // The timer is set again when it fires, not with every frame.
+                    if heard.elapsed() >= patience {
+                        return AttemptEnd::Lost;
+                    }
+                    stall.as_mut().reset(heard + patience);
+                }
             }
         }
     }
@@ -351,7 +362,7 @@
         }
         self.world.stats.lock().of(&place.id).limit.refused();
         let style = placement(&self.spec.policy).retry_style();
-        if style == RetryStyle::Immediate {
+        if style == RetryStyle::Immediate || !self.world.settings.trial.budget {
             return true;
         }
         self.exclude.insert(place.id.clone());
@@ -383,6 +394,10 @@
     }
 
     fn cancel(&self, place: &Place) {
+        let naive = self.spec.policy.as_str() == NaivePlacement::NAME;
+        if naive || !self.world.settings.trial.cancel {
+            return;
+        }
         // The box that took the request over may go on reading at this upstream.
         if matches!(self.cell.read().role, Role::Moved { .. }) {
             return;
@@ -405,7 +420,8 @@
 
 /// Ends a request that this box owns, and notes how its policy did.
 pub fn finish(world: &Arc<World>, cell: &Arc<RequestCell>, ending: Ending, score: &RunScore) {
-    let (ended, recomputed) = cell.change(|r| (r.end(ending.clone(), now_ms()), r.recomputed));
+    let (ended, recomputed) =
+        cell.change_owner(|r| (r.end(ending.clone(), now_ms()), r.recomputed));
     if !ended {
         return;
     }
--- a/src/app/run_plain.rs
+++ b/src/app/run_plain.rs
@@ -170,7 +170,7 @@
     } else if given_up_elsewhere(world, key, &by).await {
         Failure::new(Outcome::NotRun, "another box gave the request up", 500)
     } else {
-        cell.change(|r| r.role = Role::Moved { to: by.id });
+        cell.change_owner(|r| r.role = Role::Moved { to: by.id });
         return;
     };
     finish(
--- a/src/app/sweep.rs
+++ b/src/app/sweep.rs
@@ -1,11 +1,7 @@
 use {
     super::{peer_desk::own, *},
     crate::{names::*, peer::*, policy::*, requests::*},
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        sync::Arc,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
 /// How long an answer that nobody reads goes on.
@@ -22,9 +18,9 @@
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
         let cells = world.requests.all();
-        let gone = gone_owners(&world, &cells, &mut suspects).await;
+        look_after_copies(&world, &cells, &mut suspects).await;
         for cell in &cells {
-            sweep_one(&world, cell, &gone);
+            sweep_one(&world, cell);
         }
         forget(&world, &cells);
         world.admission.wake_all(&world);
@@ -32,33 +28,61 @@
     }
 }
 
-/// Asks the owners of held copies for a sign of life; those that gave none for
-/// the allowed silence, or started anew, are gone.
-async fn gone_owners(
-    world: &World,
+/// Asks the owners of held copies whether they still are: a copy is taken over
+/// if its owner is silent for too long, is gone, or started anew and forgot it.
+async fn look_after_copies(
+    world: &Arc<World>,
     cells: &[Arc<RequestCell>],
     suspects: &mut BTreeMap<BoxId, u64>,
-) -> BTreeSet<BoxId> {
-    let owners: BTreeSet<BoxId> = cells.iter().filter_map(|c| live_owner(c)).collect();
-    suspects.retain(|id, _| owners.contains(id));
+) {
+    let mut by_owner: BTreeMap<BoxId, Vec<Arc<RequestCell>>> = BTreeMap::new();
+    for cell in cells {
+        if let Some(owner) = live_owner(cell) {
+            by_owner.entry(owner).or_default().push(cell.clone());
+        }
+    }
+    suspects.retain(|id, _| by_owner.contains_key(id));
     let within = Duration::from_millis(world.settings.peers.silence_ms / 2);
-    let pings = owners.iter().map(|id| async move {
-        let reply = world.call_box(id, &PeerCall::Ping, within).await;
-        (id.clone(), reply.is_ok())
+    let asks = by_owner.iter().map(|(owner, copies)| async move {
+        let call = PeerCall::AskOwner {
+            holder: world.me.id.clone(),
+            requests: copies.iter().map(|c| c.id()).collect(),
+        };
+        (owner, copies, world.call_box(owner, &call, within).await)
     });
-    let mut gone = BTreeSet::new();
-    for (id, answers) in futures_util::future::join_all(pings).await {
-        if answers {
-            suspects.remove(&id);
+    for (owner, copies, reply) in futures_util::future::join_all(asks).await {
+        if let Ok(PeerReply::Ownership(all)) = reply {
+            suspects.remove(owner);
+            copies
+                .iter()
+                .zip(all)
+                .for_each(|(c, o)| take_note(world, c, owner, o));
             continue;
         }
-        let since = *suspects.entry(id.clone()).or_insert_with(now_ms);
+        let since = *suspects.entry(owner.clone()).or_insert_with(now_ms);
         let silent = now_ms().saturating_sub(since) + SWEEP_EVERY.as_millis() as u64;
-        if silent >= world.settings.peers.silence_ms || is_gone(world, &id) {
-            gone.insert(id);
+        if silent >= world.settings.peers.silence_ms || is_gone(world, owner) {
+            copies.iter().for_each(|c| take_over(world, c, owner));
         }
     }
-    gone
+}
+
+/// Draws the conclusion from what an owner says of a copy held here.
+fn take_note(world: &Arc<World>, cell: &Arc<RequestCell>, owner: &BoxId, is: Ownership) {
+    match is {
+        Ownership::Owner => {}
+        Ownership::CopyElsewhere => world.requests.remove(cell.id()),
+        Ownership::OwnedBy(other) if other != world.me.id => cell.change(|r| {
+            if is_copy_of(r, owner) {
+                r.role = Role::Copy { owner: other };
+            }
+        }),
+        Ownership::OwnedBy(_) | Ownership::Unknown => take_over(world, cell, owner),
+    }
+}
+
+fn is_copy_of(r: &Record, owner: &BoxId) -> bool {
+    matches!(&r.role, Role::Copy { owner: known } if known == owner) && !r.is_ended()
 }
 
 fn live_owner(cell: &RequestCell) -> Option<BoxId> {
@@ -74,14 +98,10 @@
     boxes.get(id).is_none_or(|b| b.state == BoxState::Gone)
 }
 
-fn sweep_one(world: &Arc<World>, cell: &Arc<RequestCell>, gone: &BTreeSet<BoxId>) {
+fn sweep_one(world: &Arc<World>, cell: &Arc<RequestCell>) {
     let r = cell.read();
     let unread_ms = now_ms().saturating_sub(r.unread_since_ms);
     match &r.role {
-        Role::Copy { owner } if !r.is_ended() && gone.contains(owner) => {
-            drop(r);
-            take_over(world, cell);
-        }
         Role::Owner if is_leaving(world, &r.holder) => {
             let lost = match &r.holder {
                 Holder::At(id) => Some(id.clone()),
@@ -110,16 +130,20 @@
 }
 
 /// The owner is gone: this box goes on with the request, if it may be repeated.
-fn take_over(world: &Arc<World>, cell: &Arc<RequestCell>) {
-    let repeatable = cell.change(|r| {
+fn take_over(world: &Arc<World>, cell: &Arc<RequestCell>, owner: &BoxId) {
+    let repeatable = cell.change_owner(|r| {
+        if !is_copy_of(r, owner) {
+            return None;
+        }
         log::info!(target: "app", "taking a request over. request={} role={:?}", r.spec.id, r.role);
         r.role = Role::Owner;
         r.epoch += 1;
         r.durable = 0;
         r.holder = Holder::Searching;
         r.unread_since_ms = now_ms();
-        r.spec.repeatable
+        Some(r.spec.repeatable)
     });
+    let Some(repeatable) = repeatable else { return };
     metrics::counter!("saddlepulley_takeovers_total").increment(1);
     if !repeatable {
         let failure = Failure::new(Outcome::MayHaveRun, "the box that ran it is gone", 0);
--- a/src/boxes/upstream_stats.rs
+++ b/src/boxes/upstream_stats.rs
@@ -62,6 +62,7 @@
         if !newer {
             return;
         }
+        self.limit.learn_slots(load.slots);
         self.dispatched.retain(|at| *at > load.as_of_ms);
         self.load = Some(load);
     }
--- a/src/caller/sse.rs
+++ b/src/caller/sse.rs
@@ -5,18 +5,55 @@
     futures_util::{StreamExt, stream},
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
+    serde::Serialize,
     serde_json::{Value, json as value},
     sha2::{Digest, Sha256},
-    std::{convert::Infallible, sync::Arc},
+    std::{convert::Infallible, io::Write as _, sync::Arc},
     tokio::sync::mpsc,
 };
 
+/// About how long a chunk with one token is.
+const CHUNK_BYTES: usize = 256;
+
+#[derive(Serialize)]
+struct Chunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    saddlepulley: Option<ChunkEnd>,
+}
+
+#[derive(Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Delta<'a>>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct Delta<'a> {
+    content: &'a str,
+}
+
+/// The explicit end of an answer: its length, and a digest of its text.
+#[derive(Serialize)]
+struct ChunkEnd {
+    total_tokens: usize,
+    sha256: Option<String>,
+}
+
 /// Turns an answer's events into server-sent events.
 ///
 /// Every event's `id` is the request and the offset behind the event, so that a
 /// caller that lost its connection goes on with `Last-Event-ID`.
 pub struct SseWriter {
     id: RequestId,
+    id_text: String,
     model: String,
     chat: bool,
     /// Only a reader from the first token on can tell the digest.
@@ -29,6 +66,7 @@
     pub fn new(id: RequestId, from: usize) -> Self {
         Self {
             id,
+            id_text: id.to_string(),
             model: String::new(),
             chat: false,
             digest: (from == 0).then(Sha256::new),
@@ -67,14 +105,16 @@
             digest.update(&text);
         }
         self.from = offset + tokens.len();
-        self.data(&self.chunk(&text, Value::Null, None))
+        self.chunk(&text, None)
     }
 
     fn whole(&mut self, total: usize) -> Bytes {
         let digest = self.digest.take().map(|d| hex::encode(d.finalize()));
-        let end = value!({ "total_tokens": total, "sha256": digest });
-        let chunk = self.chunk("", value!("stop"), Some(end));
-        let mut bytes = self.data(&chunk).to_vec();
+        let end = ChunkEnd {
+            total_tokens: total,
+            sha256: digest,
+        };
+        let mut bytes = self.chunk("", Some(end)).to_vec();
         bytes.extend_from_slice(b"data: [DONE]\n\n");
         bytes.into()
     }
@@ -91,32 +131,40 @@
         self.named("reattach", &value!({ "get": path }))
     }
 
-    fn chunk(&self, text: &str, finish: Value, end: Option<Value>) -> Value {
-        let mut choice = value!({ "index": 0, "finish_reason": finish });
-        if self.chat {
-            choice["delta"] = value!({ "content": text });
+    fn chunk(&self, text: &str, end: Option<ChunkEnd>) -> Bytes {
+        let finish_reason = end.as_ref().map(|_| "stop");
+        let choice = if self.chat {
+            Choice {
+                delta: Some(Delta { content: text }),
+                text: None,
+                index: 0,
+                finish_reason,
+            }
         } else {
-            choice["text"] = value!(text);
-        }
+            Choice {
+                delta: None,
+                text: Some(text),
+                index: 0,
+                finish_reason,
+            }
+        };
         let object = if self.chat {
             "chat.completion.chunk"
         } else {
             "text_completion"
         };
-        let mut chunk = value!({
-            "id": self.id.to_string(),
-            "object": object,
-            "model": self.model,
-            "choices": [choice],
-        });
-        if let Some(end) = end {
-            chunk["saddlepulley"] = end;
-        }
-        chunk
-    }
-
-    fn data(&self, data: &Value) -> Bytes {
-        format!("id: {}:{}\ndata: {data}\n\n", self.id, self.from).into()
+        let chunk = Chunk {
+            id: &self.id_text,
+            object,
+            model: &self.model,
+            choices: [choice],
+            saddlepulley: end,
+        };
+        let mut bytes = Vec::with_capacity(CHUNK_BYTES);
+        let _ = write!(bytes, "id: {}:{}\ndata: ", self.id_text, self.from);
+        let _ = serde_json::to_writer(&mut bytes, &chunk);
+        bytes.extend_from_slice(b"\n\n");
+        bytes.into()
     }
 
     fn named(&self, name: &str, data: &Value) -> Bytes {
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -51,6 +51,14 @@
     pub drain: bool,
     /// Tables are relayed between daemons.
     pub relay: bool,
+    /// Requests wait for a fair turn, and are refused early.
+    pub queue: bool,
+    /// Requests in flight at an upstream are limited adaptively.
+    pub limit: bool,
+    /// Retries are spent from the row's budget, with full jitter.
+    pub budget: bool,
+    /// An answer that nobody waits for any more is cancelled at its deadline.
+    pub cancel: bool,
 }
 
 impl Default for TrialSettings {
@@ -63,6 +71,10 @@
             leaving: true,
             drain: true,
             relay: true,
+            queue: true,
+            limit: true,
+            budget: true,
+            cancel: true,
         }
     }
 }
--- a/src/engine/engine_wire.rs
+++ b/src/engine/engine_wire.rs
@@ -62,6 +62,8 @@
     pub step_ms: f64,
     /// Milliseconds that each further request adds to a step.
     pub step_ms_per_request: f64,
+    /// The model that is loaded, or empty.
+    pub model: String,
     /// When this was true, in Unix milliseconds.
     pub as_of_ms: u64,
 }
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -9,6 +9,14 @@
 pub enum PeerCall {
     /// Is anybody there?
     Ping,
+    /// Does the box that is called still own these requests, whose copies the
+    /// caller holds?
+    AskOwner {
+        /// The caller.
+        holder: BoxId,
+        /// The requests.
+        requests: Vec<RequestId>,
+    },
     /// News, and a sign of life.
     Heartbeat(News),
     /// Hold the copy of a request.
@@ -41,6 +49,8 @@
     Refused(String),
     /// Refused: this box owns the request.
     Superseded(BoxId),
+    /// What it is to each of the requests asked about.
+    Ownership(Vec<Ownership>),
     /// News in return.
     Heartbeat(News),
     /// How far each copy is.
@@ -113,6 +123,19 @@
     pub upstream: Option<BoxId>,
 }
 
+/// What a box is to a request whose copy another one holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ownership {
+    /// Its owner, and the copy counts.
+    Owner,
+    /// Its owner, with the copy on another box.
+    CopyElsewhere,
+    /// Not its owner, but knows it.
+    OwnedBy(BoxId),
+    /// It knows nothing of it: it started anew.
+    Unknown,
+}
+
 /// How far a copy is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ack {
--- a/src/policy/concurrency.rs
+++ b/src/policy/concurrency.rs
@@ -1,7 +1,9 @@
 /// The fewest requests at once that a limit allows.
 const MIN_LIMIT: f64 = 2.0;
 /// The most requests at once that a limit allows.
-const MAX_LIMIT: f64 = 512.0;
+const MAX_LIMIT: f64 = 4_096.0;
+/// What an upstream's slots are worth at the start: a full batch and some waiting.
+const SLOTS_FACTOR: f64 = 1.25;
 /// How much of a new sample enters the smoothed latency.
 const SMOOTHING: f64 = 0.1;
 /// A latency this many times the best one means that a queue is building.
@@ -20,6 +22,7 @@
     limit: f64,
     best_ms: f64,
     smooth_ms: f64,
+    knows_slots: bool,
 }
 
 impl ConcurrencyLimit {
@@ -29,6 +32,19 @@
             limit: f64::from(start).clamp(MIN_LIMIT, MAX_LIMIT),
             best_ms: 0.0,
             smooth_ms: 0.0,
+            knows_slots: false,
+        }
+    }
+
+    /// Raises the limit to what the upstream says that it serves at once, the
+    /// first time that it says so.
+    pub fn learn_slots(&mut self, slots: u32) {
+        if !self.knows_slots {
+            self.knows_slots = true;
+            self.limit = self
+                .limit
+                .max(f64::from(slots) * SLOTS_FACTOR)
+                .min(MAX_LIMIT);
         }
     }
 
--- a/src/requests/request_cell.rs
+++ b/src/requests/request_cell.rs
@@ -33,6 +33,7 @@
     record: Mutex<Record>,
     changed: watch::Sender<u64>,
     orders: watch::Sender<MoveOrder>,
+    owners: watch::Sender<u64>,
     queued: AtomicBool,
     moving: AtomicBool,
 }
@@ -45,6 +46,7 @@
             record: Mutex::new(record),
             changed: watch::Sender::new(0),
             orders: watch::Sender::new(MoveOrder::Stay),
+            owners: watch::Sender::new(0),
             queued: AtomicBool::new(false),
             moving: AtomicBool::new(false),
         })
@@ -72,6 +74,18 @@
         out
     }
 
+    /// Changes who owns the request, or ends it, and wakes its run as well.
+    pub fn change_owner<T>(&self, f: impl FnOnce(&mut Record) -> T) -> T {
+        let out = self.change(f);
+        self.owners.send_modify(|n| *n += 1);
+        out
+    }
+
+    /// Returns a receiver that wakes when the owner changed or the request ended.
+    pub fn watch_owner(&self) -> watch::Receiver<u64> {
+        self.owners.subscribe()
+    }
+
     /// Returns a receiver that wakes on each change.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -15,6 +15,8 @@
     pub imported: BTreeMap<Uuid, usize>,
     /// Requests that were started, resumed ones not counted.
     pub started: u64,
+    /// Time spent with work, in milliseconds.
+    pub busy_ms: f64,
     /// Tokens taken in, all requests together.
     pub computed_tokens: u64,
 }
@@ -92,6 +94,9 @@
         }
         let n = self.running.len().max(1) as f64;
         let step_ms = cfg.step_ms + cfg.step_ms_per_request * (n - 1.0);
+        if !self.running.is_empty() {
+            self.busy_ms += step_ms;
+        }
         self.prefill(cfg, step_ms, now_ms);
         for seq in &mut self.running {
             if seq.prefill_left <= 0.0 && !seq.is_done() {
--- a/standin/src/engine/config.rs
+++ b/standin/src/engine/config.rs
@@ -6,6 +6,8 @@
 pub struct EngineConfig {
     /// Its name.
     pub name: String,
+    /// The model that it has loaded, or empty.
+    pub model: String,
     /// Requests that it decodes at once.
     pub slots: u32,
     /// Milliseconds of a step with one request running.
@@ -37,6 +39,7 @@
     fn default() -> Self {
         Self {
             name: "engine".to_string(),
+            model: "assistant".to_string(),
             slots: 16,
             step_ms: 10.0,
             step_ms_per_request: 0.5,
--- a/standin/src/engine/service.rs
+++ b/standin/src/engine/service.rs
@@ -34,6 +34,7 @@
     reports: Mutex<VecDeque<Load>>,
     highest_fence: Mutex<u64>,
     model: Mutex<String>,
+    orders: Mutex<u64>,
     work: Notify,
     client: Client<HttpConnector, Full<Bytes>>,
 }
@@ -46,12 +47,13 @@
     /// Returns the error of binding the address.
     pub async fn start(addr: SocketAddr, cfg: EngineConfig) -> io::Result<Running> {
         let engine = Arc::new(Self {
+            model: Mutex::new(cfg.model.clone()),
+            orders: Mutex::default(),
             cfg,
             faults: Faults::default(),
             batch: Mutex::default(),
             reports: Mutex::default(),
             highest_fence: Mutex::default(),
-            model: Mutex::default(),
             work: Notify::new(),
             client: Client::builder(TokioExecutor::new()).build_http(),
         });
@@ -164,6 +166,7 @@
             return text(StatusCode::CONFLICT, "an older fencing token\n");
         }
         *highest = order.fence;
+        *self.orders.lock() += 1;
         *self.model.lock() = order.value;
         text(StatusCode::OK, "ok\n")
     }
@@ -172,10 +175,12 @@
         let batch = self.batch.lock();
         let counts = value!({
             "started": batch.started,
+            "busy_ms": batch.busy_ms,
             "computed_tokens": batch.computed_tokens,
             "running": batch.running.len(),
             "waiting": batch.waiting.len(),
             "model": *self.model.lock(),
+            "orders": *self.orders.lock(),
         });
         json(StatusCode::OK, &counts)
     }
@@ -189,6 +194,7 @@
             prefill_tokens_per_s: self.cfg.prefill_tokens_per_s,
             step_ms: self.cfg.step_ms,
             step_ms_per_request: self.cfg.step_ms_per_request,
+            model: self.model.lock().clone(),
             as_of_ms: now_ms(),
         }
     }
--- a/standin/src/http/server.rs
+++ b/standin/src/http/server.rs
@@ -39,6 +39,11 @@
         self.addr
     }
 
+    /// Returns whether it was stopped.
+    pub fn is_stopped(&self) -> bool {
+        self.abort.is_finished()
+    }
+
     /// Stops it at once: connections are cut.
     pub fn stop(&self) {
         self.abort.abort();
--- /dev/null
+++ b/standin/src/load/run.rs
@@ -0,0 +1,232 @@
+use {
+    super::*,
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{Request, body::Incoming},
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::TokioExecutor,
+    },
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::task::JoinSet,
+};
+
+/// The target between tokens.
+const BETWEEN_TARGET: Duration = Duration::from_millis(46);
+const SLOW_GAPS_ALLOWED: f64 = 0.05;
+/// How long an answer is waited for where no deadline is set.
+const PATIENCE: Duration = Duration::from_secs(60);
+const MAX_ATTACHES: u32 = 60;
+
+type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// Sends a workload to the boxes in turn and waits for all answers.
+pub async fn run(workload: &Workload, boxes: &[SocketAddr]) -> Vec<Sample> {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    let client: Http = Client::builder(TokioExecutor::new()).build(connector);
+    let streams = Arc::new(workload.streams.clone());
+    let boxes: Arc<[SocketAddr]> = boxes.into();
+    let start = Instant::now();
+    let mut set = JoinSet::new();
+    for (n, due) in workload.schedule().into_iter().enumerate() {
+        let at = start + Duration::from_micros(due.at_us);
+        tokio::time::sleep_until(at.into()).await;
+        let call = Call {
+            client: client.clone(),
+            boxes: boxes.clone(),
+            first: n,
+            stream: streams[due.stream].clone(),
+            due,
+            // Counted from when it should have been sent, however late it was.
+            at,
+            tokens: 0,
+            slow_gaps: 0,
+            first_us: None,
+            last: None,
+            id: String::new(),
+        };
+        set.spawn(call.go());
+    }
+    set.join_all().await
+}
+
+struct Call {
+    client: Http,
+    boxes: Arc<[SocketAddr]>,
+    first: usize,
+    stream: Stream,
+    due: Due,
+    at: Instant,
+    tokens: u64,
+    slow_gaps: u64,
+    first_us: Option<u64>,
+    last: Option<Instant>,
+    id: String,
+}
+
+impl Call {
+    async fn go(mut self) -> Sample {
+        let mut sends = 0;
+        let outcome = loop {
+            sends += 1;
+            let patience = match self.stream.deadline_ms {
+                0 => PATIENCE,
+                ms => Duration::from_millis(ms) + Duration::from_secs(2),
+            };
+            let answer = tokio::time::timeout(patience, self.send()).await;
+            let outcome = answer.unwrap_or_else(|_| "lost".to_string());
+            if outcome == "whole" || sends > self.stream.caller_retries {
+                break outcome;
+            }
+            self.tokens = 0;
+            self.slow_gaps = 0;
+            self.last = None;
+        };
+        let first_ok = self
+            .first_us
+            .is_some_and(|us| us <= self.stream.first_ms * 1_000);
+        let gaps_ok = self.slow_gaps as f64 <= self.tokens as f64 * SLOW_GAPS_ALLOWED;
+        Sample {
+            due_us: self.due.at_us,
+            stream: self.due.stream,
+            first_us: self.first_us,
+            total_us: self.at.elapsed().as_micros() as u64,
+            tokens: self.tokens,
+            slow_gaps: self.slow_gaps,
+            on_target: outcome == "whole" && first_ok && gaps_ok,
+            outcome,
+            sends,
+        }
+    }
+
+    async fn send(&mut self) -> String {
+        let at = self.boxes[self.first % self.boxes.len()];
+        let (path, body) = if self.stream.model {
+            let ask = json!({
+                "model": self.stream.service,
+                "prompt": self.due.prompt,
+                "max_tokens": self.due.answer_tokens,
+                "stream": true,
+            });
+            ("/v1/completions".to_string(), ask.to_string())
+        } else {
+            (
+                format!("/{}/call", self.stream.service),
+                self.due.prompt.clone(),
+            )
+        };
+        let mut req = Request::post(format!("http://{at}{path}"))
+            .header("authorization", format!("Bearer {}", self.stream.token));
+        if self.stream.deadline_ms > 0 {
+            req = req.header("saddlepulley-deadline-ms", self.stream.deadline_ms);
+        }
+        let Ok(req) = req.body(Full::new(Bytes::from(body))) else {
+            return "lost".to_string();
+        };
+        let Ok(rep) = self.client.request(req).await else {
+            return "lost".to_string();
+        };
+        let status = rep.status().as_u16();
+        if status != 200 {
+            return outcome_of(rep.into_body()).await;
+        }
+        if !self.stream.model {
+            let whole = rep.into_body().collect().await.is_ok();
+            self.token();
+            return if whole { "whole" } else { "lost" }.to_string();
+        }
+        let id = rep.headers().get("saddlepulley-request");
+        self.id = id.and_then(|v| v.to_str().ok()).unwrap_or("").to_string();
+        self.read_on(rep.into_body()).await
+    }
+
+    /// Reads the answer over as many connections as it takes.
+    async fn read_on(&mut self, body: Incoming) -> String {
+        if let Some(end) = self.read(body).await {
+            return end;
+        }
+        for n in 1..MAX_ATTACHES {
+            let at = self.boxes[(self.first + n as usize) % self.boxes.len()];
+            let req = Request::get(format!("http://{at}/v1/requests/{}", self.id))
+                .header("authorization", format!("Bearer {}", self.stream.token))
+                .header("last-event-id", format!("{}:{}", self.id, self.tokens));
+            let Ok(req) = req.body(Full::default()) else {
+                break;
+            };
+            match self.client.request(req).await {
+                Ok(rep) if rep.status() == 200 => {
+                    if let Some(end) = self.read(rep.into_body()).await {
+                        return end;
+                    }
+                }
+                _ => tokio::time::sleep(Duration::from_millis(100)).await,
+            }
+        }
+        "lost".to_string()
+    }
+
+    async fn read(&mut self, mut body: Incoming) -> Option<String> {
+        let mut buf = String::new();
+        while let Some(Ok(frame)) = body.frame().await {
+            buf += std::str::from_utf8(&frame.into_data().unwrap_or_default()).unwrap_or("");
+            while let Some(end) = buf.find("\n\n") {
+                let event: String = buf.drain(..end + 2).collect();
+                if let Some(end) = self.event(&event) {
+                    return end;
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns whether reading is over, and with which end.
+    fn event(&mut self, event: &str) -> Option<Option<String>> {
+        let field = |name: &str| event.lines().find_map(|l| l.strip_prefix(name));
+        let doc: Value = serde_json::from_str(field("data: ")?).unwrap_or_default();
+        match field("event: ") {
+            Some("reattach") => return Some(None),
+            Some("error") => {
+                let outcome = doc["outcome"].as_str().unwrap_or("lost");
+                return Some(Some(outcome.to_string()));
+            }
+            _ => {}
+        }
+        if doc.get("saddlepulley").is_some() {
+            return Some(Some("whole".to_string()));
+        }
+        let text = doc["choices"][0]["text"].as_str().unwrap_or("");
+        for _ in text.split_whitespace() {
+            self.token();
+        }
+        None
+    }
+
+    fn token(&mut self) {
+        let now = Instant::now();
+        match self.last {
+            None if self.first_us.is_none() => {
+                self.first_us = Some(self.at.elapsed().as_micros() as u64);
+            }
+            Some(last) if now - last > BETWEEN_TARGET => self.slow_gaps += 1,
+            _ => {}
+        }
+        self.last = Some(now);
+        self.tokens += 1;
+    }
+}
+
+async fn outcome_of(body: Incoming) -> String {
+    let bytes = body
+        .collect()
+        .await
+        .map(|b| b.to_bytes())
+        .unwrap_or_default();
+    let doc: Value = serde_json::from_slice(&bytes).unwrap_or_default();
+    doc["outcome"].as_str().unwrap_or("lost").to_string()
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -5,6 +5,7 @@
     saddlepulley_standin::{
         engine::{Engine, EngineConfig},
         http::Running,
+        load::{LoadReport, Workload, run as run_load},
         plain::{Plain, PlainConfig},
         platform::Platform,
     },
@@ -17,8 +18,9 @@
   saddlepulley-standin platform --listen 127.0.0.1:7900
   saddlepulley-standin engine   --listen 127.0.0.1:8001 --name e1 [--slots 16] [--step-ms 10]
   saddlepulley-standin plain    --listen 127.0.0.1:8101 --name p1 [--work-ms 5] [--checks-fence]
+  saddlepulley-standin load     --workload workloads/austin.toml --at 127.0.0.1:7001,127.0.0.1:7002
 
-Each runs until it is stopped, and takes orders to misbehave at /control/faults.
+`load` prints a report as JSON. Each of the others runs until it is stopped, and takes orders to misbehave at /control/faults.
 ";
 
 #[tokio::main]
@@ -42,6 +44,7 @@
         Some("platform") => Platform::start(listen(&mut args)?).await?,
         Some("engine") => engine(&mut args).await?,
         Some("plain") => plain(&mut args).await?,
+        Some("load") => return load(&mut args).await,
         _ => return Err(HELP.into()),
     };
     println!("listening on {}", running.addr());
@@ -67,6 +70,20 @@
     Ok(Engine::start(addr, cfg).await?)
 }
 
+async fn load(args: &mut Arguments) -> Result<(), Box<dyn Error>> {
+    let path: String = args.value_from_str("--workload")?;
+    let at: String = args.value_from_str("--at")?;
+    let boxes: Result<Vec<SocketAddr>, _> = at.split(',').map(str::parse).collect();
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+    let workload: Workload = toml::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+    let samples = run_load(&workload, &boxes?).await;
+    println!(
+        "{}",
+        serde_json::to_string_pretty(&LoadReport::of(&samples))?
+    );
+    Ok(())
+}
+
 async fn plain(args: &mut Arguments) -> Result<Running, Box<dyn Error>> {
     let addr = listen(args)?;
     let cfg = PlainConfig {
--- a/tests/it/bad_input.rs
+++ b/tests/it/bad_input.rs
@@ -43,7 +43,8 @@
     let many = json!({ "model": "assistant", "prompt": "x", "max_tokens": 99_999_999 }).to_string();
     let unknown = json!({ "model": "nobody", "prompt": "x" }).to_string();
     let large = "x".repeat(2 * 1024 * 1024);
-    let cases: Vec<(u16, &str, Vec<(&str, &str)>, &str)> = vec![
+    type Case<'a> = (u16, &'a str, Vec<(&'a str, &'a str)>, &'a str);
+    let cases: Vec<Case> = vec![
         (400, path, vec![], "{"),
         (400, path, vec![], &many),
         (404, path, vec![], &unknown),
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -5,8 +5,13 @@
 mod promise_leaving;
 mod promise_not_run;
 mod promise_once;
+mod promise_orders;
 mod promise_stop;
 mod promise_survives;
 mod promise_table;
 mod promise_whole;
+mod soak;
+// The benches use parts of it that the tests don't.
+#[allow(dead_code, unused_imports)]
 mod support;
+mod tls;
--- a/tests/it/promise_survives.rs
+++ b/tests/it/promise_survives.rs
@@ -192,3 +192,15 @@
     assert!(losses_with("resume = false", true).await > 0);
     assert_eq!(losses_with("", true).await, 0);
 }
+
+/// An owner that starts anew answers at once, and knows nothing of its requests.
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_survive_an_owner_that_starts_anew_at_once() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    let boxes = cluster.caller_addrs();
+    let streams = start_streams(&boxes, 12);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    cluster.daemons[0].kill();
+    cluster.daemons[0].start();
+    all_whole(streams).await;
+}
--- a/tests/it/promise_table.rs
+++ b/tests/it/promise_table.rs
@@ -4,84 +4,9 @@
     crate::support::*,
     saddlepulley::{cli::CliError, contracts::*, platform::PlatformHttp},
     serde_json::json,
-    std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{sync::Mutex, task::JoinHandle},
+    std::time::Duration,
 };
 
-/// Watches every daemon's version, over its restarts, and panics if one goes back.
-struct Watch {
-    task: JoinHandle<()>,
-    fault: Arc<Mutex<Option<String>>>,
-}
-
-impl Watch {
-    fn start(cluster: &Cluster) -> Self {
-        let fault = Arc::new(Mutex::new(None));
-        let at: Vec<SocketAddr> = cluster.daemons.iter().map(|d| d.operators).collect();
-        let (client, seen_fault) = (cluster.client.clone(), fault.clone());
-        let task = tokio::spawn(async move {
-            let mut last: BTreeMap<SocketAddr, u64> = BTreeMap::new();
-            let auth = bearer(OPERATOR_TOKEN);
-            loop {
-                for addr in &at {
-                    let rep = client
-                        .send("GET", *addr, "/status", &[("authorization", &auth)], "")
-                        .await;
-                    let Ok(rep) = rep else { continue };
-                    let Ok(s) = serde_json::from_slice::<saddlepulley::caller::Status>(&rep.body)
-                    else {
-                        continue;
-                    };
-                    // A daemon that isn't ready serves nobody by its table.
-                    if s.phase != "Ready" {
-                        continue;
-                    }
-                    let before = last.insert(*addr, s.table_version).unwrap_or(0);
-                    if s.table_version < before {
-                        let text =
-                            format!("{} went from {before} back to {}", s.id, s.table_version);
-                        *seen_fault.lock().await = Some(text);
-                    }
-                }
-                tokio::time::sleep(Duration::from_millis(10)).await;
-            }
-        });
-        Self { task, fault }
-    }
-
-    async fn stop(self) {
-        self.task.abort();
-        assert_eq!(*self.fault.lock().await, None);
-    }
-}
-
-async fn shown(cluster: &Cluster) -> String {
-    let log = PlatformHttp::new(cluster.platform.addr());
-    for _ in 0..50 {
-        if let Ok((table, _)) = saddlepulley::cli::read_table(&log).await {
-            return TableFile::show(&table);
-        }
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
-    panic!("the log never answered");
-}
-
-fn with_weight(text: &str, row: usize, weight: usize) -> String {
-    let mut n = 0;
-    let lines = text.lines().map(|l| {
-        if !l.starts_with("weight = ") {
-            return l.to_string();
-        }
-        n += 1;
-        if n == row + 1 {
-            format!("weight = {weight}")
-        } else {
-            l.to_string()
-        }
-    });
-    lines.collect::<Vec<_>>().join("\n")
-}
-
 async fn wait_version(cluster: &Cluster, version: u64, daemons: &[usize]) {
     for n in daemons {
         let daemon = &cluster.daemons[*n];
@@ -96,7 +21,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn racing_operators_get_one_winner_a_row() {
     let cluster = Cluster::start(Plan::default()).await;
-    let watch = Watch::start(&cluster);
+    let watch = VersionWatch::start(&cluster);
     for round in 0..5 {
         let text = shown(&cluster).await;
         let same = [
@@ -123,7 +48,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_domain_cut_off_from_the_platform_follows_its_peers() {
     let cluster = Cluster::start(Plan::default()).await;
-    let watch = Watch::start(&cluster);
+    let watch = VersionWatch::start(&cluster);
     cluster.platform_proxies[0].cut();
     let version = cluster
         .publish(&with_weight(&shown(&cluster).await, 0, 77))
@@ -154,7 +79,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_domain_cut_off_from_all_goes_on_and_catches_up() {
     let cluster = Cluster::start(Plan::default()).await;
-    let watch = Watch::start(&cluster);
+    let watch = VersionWatch::start(&cluster);
     cluster.platform_proxies[0].cut();
     cluster.peer_proxies[0].cut();
     for p in &cluster.peer_proxies[1..] {
@@ -176,7 +101,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn restarts_outages_and_lost_answers_never_revert_it() {
     let mut cluster = Cluster::start(Plan::default()).await;
-    let watch = Watch::start(&cluster);
+    let watch = VersionWatch::start(&cluster);
     let platform = cluster.platform.addr();
     let mut last = 0;
     for round in 0..6 {
@@ -217,7 +142,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn retention_that_passes_the_first_edit_loses_nothing() {
     let mut cluster = Cluster::start(Plan::default()).await;
-    let watch = Watch::start(&cluster);
+    let watch = VersionWatch::start(&cluster);
     let mut version = 0;
     // More edits than pass between two snapshots.
     for n in 0..60 {
--- a/tests/it/support/caller.rs
+++ b/tests/it/support/caller.rs
@@ -38,6 +38,14 @@
     }
 
     impl Client {
+        /// A client that keeps its connections.
+        pub fn pooled() -> Self {
+            let mut connector = HttpConnector::new();
+            connector.set_nodelay(true);
+            let client = HyperClient::builder(TokioExecutor::new()).build(connector);
+            Self { client }
+        }
+
         pub async fn open(
             &self,
             method: &str,
@@ -112,6 +120,20 @@
     ask_stream_with(boxes, first, prompt, max_tokens, &[]).await
 }
 
+/// Like `ask_stream`; none if the first box went away before it answered.
+pub async fn try_ask_stream(
+    boxes: &[SocketAddr],
+    first: usize,
+    prompt: &str,
+    max_tokens: usize,
+) -> Option<Transcript> {
+    let ask = ask_stream_or_refusal(boxes, first, prompt, max_tokens, &[]);
+    tokio::time::timeout(Duration::from_secs(90), ask)
+        .await
+        .expect("an end in 90 s")
+        .ok()
+}
+
 pub async fn ask_stream_with(
     boxes: &[SocketAddr],
     first: usize,
@@ -119,6 +141,17 @@
     max_tokens: usize,
     headers: &[(&str, &str)],
 ) -> Transcript {
+    let asked = ask_stream_or_refusal(boxes, first, prompt, max_tokens, headers).await;
+    asked.expect("the first box answers")
+}
+
+async fn ask_stream_or_refusal(
+    boxes: &[SocketAddr],
+    first: usize,
+    prompt: &str,
+    max_tokens: usize,
+    headers: &[(&str, &str)],
+) -> Result<Transcript, String> {
     let client = reqwestless::Client::default();
     let ask =
         json!({ "model": "assistant", "prompt": prompt, "max_tokens": max_tokens, "stream": true });
@@ -141,17 +174,16 @@
             &all,
             &ask.to_string(),
         )
-        .await
-        .expect("the first box answers");
+        .await?;
     if rep.status() != 200 {
         let status = rep.status().as_u16();
         let body = rep.into_body().collect().await.unwrap().to_bytes();
         let doc: Value = serde_json::from_slice(&body).unwrap_or_default();
         t.end = CallerEnd::Refused(status, doc["outcome"].as_str().unwrap_or("").to_string());
-        return t;
+        return Ok(t);
     }
-    let header = |name: &str| rep.headers()[name].to_str().unwrap().to_string();
-    t.id = header("saddlepulley-request");
+    let id = rep.headers()["saddlepulley-request"].to_str();
+    t.id = id.unwrap().to_string();
     t.durability = rep
         .headers()
         .get("saddlepulley-durability")
@@ -163,7 +195,7 @@
             && let Some(end) = read_events(body, &mut t, prompt, max_tokens).await
         {
             t.end = end;
-            return t;
+            return Ok(t);
         }
         at = (at + 1) % boxes.len();
         t.attaches += 1;
@@ -180,13 +212,13 @@
                 let body = rep.into_body().collect().await.unwrap().to_bytes();
                 let doc: Value = serde_json::from_slice(&body).unwrap_or_default();
                 t.end = CallerEnd::Failed(doc["outcome"].as_str().unwrap_or("").to_string());
-                return t;
+                return Ok(t);
             }
             _ => tokio::time::sleep(Duration::from_millis(200)).await,
         }
     }
     t.end = CallerEnd::Failed("no end in 200 attaches".to_string());
-    t
+    Ok(t)
 }
 
 /// Reads events until the stream ends; returns the end if it was an end.
--- a/tests/it/support/cluster.rs
+++ b/tests/it/support/cluster.rs
@@ -12,6 +12,7 @@
         collections::BTreeMap,
         fs,
         net::{IpAddr, SocketAddr, TcpListener},
+        sync::atomic::{AtomicU32, Ordering},
         time::Duration,
     },
     tempfile::TempDir,
@@ -35,6 +36,10 @@
     pub peers: String,
     /// Lines for every daemon's `[trial]`.
     pub trial: String,
+    /// Whether links between daemons have TLS.
+    pub tls: bool,
+    /// Class and price of the engines of a domain, in turn.
+    pub classes: Vec<(&'static str, u64)>,
 }
 
 impl Default for Plan {
@@ -54,6 +59,8 @@
             row: "rate = 1000\nconcurrency = 1000\n".to_string(),
             peers: "heartbeat_ms = 200\nsilence_ms = 1000\n".to_string(),
             trial: String::new(),
+            tls: false,
+            classes: vec![("reclaimable", 300)],
         }
     }
 }
@@ -63,8 +70,11 @@
     pub name: String,
     pub domain: usize,
     pub service: String,
+    pub price_micros: u64,
     pub proxy: FaultProxy,
     pub running: Running,
+    /// Its counts, read before it was stopped.
+    pub last: Value,
 }
 
 /// Stand-ins in this process, daemons as processes, proxies between all.
@@ -77,7 +87,8 @@
     pub peer_proxies: Vec<FaultProxy>,
     pub upstreams: Vec<UpstreamStandin>,
     pub client: reqwestless::Client,
-    dir: TempDir,
+    pub dir: TempDir,
+    pub authority: Authority,
 }
 
 pub fn domain_name(n: usize) -> String {
@@ -116,6 +127,7 @@
             upstreams: Vec::new(),
             client: reqwestless::Client::default(),
             dir: TempDir::new().unwrap(),
+            authority: Authority::default(),
         };
         let mut places = Vec::new();
         for n in 0..plan.domains * plan.daemons_per_domain {
@@ -135,11 +147,12 @@
                  [listen]\ncallers = \"{callers}\"\npeers = \"{peers}\"\n\
                  peers_advertised = \"{advertised}\"\noperators = \"{operators}\"\n\
                  [platform]\naddress = \"{}\"\n\
-                 [peers]\nseeds = [{}]\nplain = true\n{}\n\
+                 [peers]\nseeds = [{}]\n{}\n{}\n\
                  [operators]\ntoken_sha256 = \"{}\"\n[logs]\nlevel = \"debug\"\n[trial]\n{}\n",
                 domain_name(*domain),
                 cluster.platform_proxies[*domain].addr(),
                 seeds.join(", "),
+                cluster.link_settings(plan, &id),
                 plan.peers,
                 token_hash(OPERATOR_TOKEN),
                 plan.trial,
@@ -152,11 +165,29 @@
         cluster
     }
 
+    /// Plain links, or a certificate of this cluster's own authority.
+    fn link_settings(&self, plan: &Plan, id: &str) -> String {
+        if !plan.tls {
+            return "plain = true".to_string();
+        }
+        let file = |name: &str| self.dir.path().join(name);
+        if !file("ca.pem").exists() {
+            self.authority.write_ca(&file("ca.pem"));
+        }
+        let (cert, key) = (file(&format!("{id}.pem")), file(&format!("{id}.key")));
+        self.authority.write_cert(&cert, &key);
+        format!(
+            "tls_cert = {cert:?}\ntls_key = {key:?}\ntls_ca = {:?}",
+            file("ca.pem")
+        )
+    }
+
     async fn start_upstreams(&mut self, plan: &Plan) {
         for domain in 0..plan.domains {
             for n in 0..plan.engines_per_domain {
                 let name = format!("{}-engine-{n}", domain_name(domain));
-                self.add_engine(plan, domain, &name).await;
+                let class = plan.classes[n % plan.classes.len()];
+                self.add_engine(plan, domain, &name, class).await;
             }
             let name = format!("{}-codes", domain_name(domain));
             let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -166,45 +197,45 @@
                 checks_fence: plan.checks_fence,
             };
             let running = Plain::start(any, cfg).await.unwrap();
-            self.add_upstream(running, domain, &name, "plain", "codes", plan.checks_fence)
-                .await;
+            let what = json!({
+                "kind": "plain", "service": "codes", "class": "on-demand", "price_micros": 300,
+                "checks_fence": plan.checks_fence,
+            });
+            self.add_upstream(running, domain, &name, what).await;
         }
     }
 
-    pub async fn add_engine(&mut self, plan: &Plan, domain: usize, name: &str) {
+    pub async fn add_engine(&mut self, plan: &Plan, domain: usize, name: &str, class: (&str, u64)) {
         let cfg = EngineConfig {
             name: name.to_string(),
             ..plan.engine.clone()
         };
         let any = SocketAddr::from(([127, 0, 0, 1], 0));
         let running = Engine::start(any, cfg).await.unwrap();
-        self.add_upstream(running, domain, name, "engine", "assistant", false)
-            .await;
+        let what = json!({
+            "kind": "engine", "service": "assistant", "class": class.0, "price_micros": class.1,
+        });
+        self.add_upstream(running, domain, name, what).await;
     }
 
-    async fn add_upstream(
-        &mut self,
-        running: Running,
-        domain: usize,
-        name: &str,
-        kind: &str,
-        service: &str,
-        checks_fence: bool,
-    ) {
+    async fn add_upstream(&mut self, running: Running, domain: usize, name: &str, what: Value) {
         let proxy = FaultProxy::start(running.addr()).await;
-        let listed = json!({
-            "id": name, "incarnation": 1, "state": "live", "kind": kind,
+        let mut listed = json!({
+            "id": name, "incarnation": 1, "state": "live",
             "failure_domain": domain_name(domain), "address": proxy.addr(),
-            "service": service, "class": "reclaimable", "price_micros": 300,
-            "checks_fence": checks_fence,
         });
+        for (field, value) in what.as_object().unwrap() {
+            listed[field] = value.clone();
+        }
         self.control("boxes", &json!([listed])).await;
         self.upstreams.push(UpstreamStandin {
             name: name.to_string(),
             domain,
-            service: service.to_string(),
+            service: what["service"].as_str().unwrap().to_string(),
+            price_micros: what["price_micros"].as_u64().unwrap(),
             proxy,
             running,
+            last: Value::Null,
         });
     }
 
@@ -349,6 +380,18 @@
     text
 }
 
+/// An address below the range from which the system gives ports to connections,
+/// so that none takes it before the daemon does.
 fn free_addr(ip: IpAddr) -> SocketAddr {
-    TcpListener::bind((ip, 0)).unwrap().local_addr().unwrap()
+    const FIRST: u32 = 10_000;
+    const PORTS: u32 = 20_000;
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let start = std::process::id().wrapping_mul(977) % PORTS;
+    loop {
+        let n = NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = (FIRST + (start + n) % PORTS) as u16;
+        if TcpListener::bind((ip, port)).is_ok() {
+            return SocketAddr::new(ip, port);
+        }
+    }
 }
--- a/tests/it/support/fault_proxy.rs
+++ b/tests/it/support/fault_proxy.rs
@@ -3,7 +3,10 @@
     std::{
         collections::HashSet,
         net::{IpAddr, SocketAddr},
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -15,6 +18,7 @@
         delayer::DynamicDuration, io::NetEmWriteExt, probability::DynamicProbability,
         slicer::DynamicSize, terminator::Terminator,
     },
+    tokio_util::io::InspectReader,
 };
 
 /// A proxy in front of one address, with faults that can be changed while it runs.
@@ -33,6 +37,7 @@
     cut_all: watch::Sender<bool>,
     cuts: watch::Sender<u64>,
     drops: watch::Sender<u64>,
+    bytes: AtomicU64,
 }
 
 impl FaultProxy {
@@ -48,6 +53,7 @@
             cut_all: watch::Sender::new(false),
             cuts: watch::Sender::new(0),
             drops: watch::Sender::new(0),
+            bytes: AtomicU64::new(0),
         });
         let task = tokio::spawn(accept(listener, knobs.clone()));
         Self { addr, knobs, task }
@@ -57,6 +63,11 @@
         self.addr
     }
 
+    /// Bytes that passed, both ways together.
+    pub fn bytes(&self) -> u64 {
+        self.knobs.bytes.load(Ordering::Relaxed)
+    }
+
     /// Cuts every connection and refuses new ones.
     pub fn cut(&self) {
         self.knobs.cut_all.send_replace(true);
@@ -126,6 +137,11 @@
     };
     let _ = inbound.set_nodelay(true);
     let _ = outbound.set_nodelay(true);
+    let count = |b: &[u8]| {
+        knobs.bytes.fetch_add(b.len() as u64, Ordering::Relaxed);
+    };
+    let inbound = InspectReader::new(inbound, count);
+    let outbound = InspectReader::new(outbound, count);
     let inbound = Terminator::new(inbound, knobs.break_chance.clone());
     let outbound = Terminator::new(outbound, knobs.break_chance.clone());
     let mut inbound = inbound
--- a/tests/it/support/mod.rs
+++ b/tests/it/support/mod.rs
@@ -1,8 +1,10 @@
 //! What the integration tests share.
 
+mod authority;
 mod caller;
 mod cluster;
 mod daemon_process;
 mod fault_proxy;
+mod table_watch;
 
-pub use {caller::*, cluster::*, daemon_process::*, fault_proxy::*};
+pub use {authority::*, caller::*, cluster::*, daemon_process::*, fault_proxy::*, table_watch::*};
