Send requests that would be late to a failure domain with room; command line tests

Cause: a failure domain whose upstreams were reclaimed queued its requests while others stood idle: only a domain without any upstream sent them on. Also: an idle duty loop span while its daemon was not ready; gone entry boxes were kept for ever (the list counts lives its own way, so its 'gone' was older than what was known); a model call to a plain service was tried. Ruled out: summaries of their own for other domains; loads already travel.

--- a/src/app/accept.rs
+++ b/src/app/accept.rs
@@ -1,5 +1,6 @@
 use {
     super::{
+        attempt::choose_spill,
         run_model::{finish, run_model},
         run_plain::run_plain,
         *,
@@ -93,6 +94,7 @@
         );
         return Err(Refusal::malformed(404, detail));
     };
+    check_kind(world, &sub)?;
     let repeatable = sub.repeatable.unwrap_or(c.repeatable);
     check_key(world, &sub, repeatable)?;
     if let Some(accepted) = attach_elsewhere(world, &sub, repeatable).await {
@@ -100,13 +102,20 @@
     }
     let spec = Arc::new(make_spec(world, &sub, c, repeatable));
     let naive = spec.policy.as_str() == NaivePlacement::NAME;
-    let fair = !naive && world.settings.trial.queue;
+    let spill = choose_spill(world, &spec);
+    let fair = !naive && spill.is_none() && world.settings.trial.queue;
     let tokens = tokens_of(&spec);
     let deadline_ms = spec.deadline_ms;
     let admitted = AdmissionDesk::admit(world, c, tokens, deadline_ms, fair).await;
     let admitted = admitted.map_err(|r| rejected(&r))?;
     earn_retry(world, &spec);
-    start(world, spec, admitted, sub.cross_domain_only).await
+    let start = Start {
+        spec,
+        admitted,
+        spill,
+        cross_domain_only: sub.cross_domain_only,
+    };
+    start.go(world).await
 }
 
 /// The tokens that a request is charged with.
@@ -127,50 +136,67 @@
     }
 }
 
-async fn start(
-    world: &Arc<World>,
+/// An admitted request, about to start.
+struct Start {
     spec: Arc<RequestSpec>,
     admitted: Admitted,
+    /// The failure domain that it goes to at once.
+    spill: Option<FailureDomain>,
     cross_domain_only: bool,
-) -> Result<Accepted, Refusal> {
-    let id = spec.id;
-    let deadline_ms = spec.deadline_ms;
-    let record = Record::new(spec.clone(), Role::Owner, 1, now_ms());
-    let (cell, fresh) = world.requests.insert(record);
-    if !fresh {
-        // The same key came twice at this moment: both get the one answer.
-        let durability = None;
-        return Ok(Accepted {
-            id,
-            deadline_ms,
-            durability,
-        });
+}
+
+impl Start {
+    async fn go(self, world: &Arc<World>) -> Result<Accepted, Refusal> {
+        let record = Record::new(self.spec.clone(), Role::Owner, 1, now_ms());
+        let (cell, fresh) = world.requests.insert(record);
+        if !fresh {
+            // The same key came twice at this moment: both get the one answer.
+            return Ok(self.accepted(None));
+        }
+        let _reader = cell.reader();
+        let repeatable_model = self.spec.model().is_some() && self.spec.repeatable;
+        if repeatable_model && !self.cross_domain_only {
+            // It runs while its copy travels; nothing is shown before both.
+            let accepted = self.accepted(None);
+            self.spawn(world, &cell);
+            let durability = Some(hold(world, &cell, None).await);
+            world.replicators.mark(world, &cell);
+            return Ok(Accepted {
+                durability,
+                ..accepted
+            });
+        }
+        let durability = hold(world, &cell, None).await;
+        if self.cross_domain_only && durability != Durability::CrossDomain {
+            return Err(refuse_domain_only(world, &cell));
+        }
+        let accepted = self.accepted(Some(durability));
+        self.spawn(world, &cell);
+        Ok(accepted)
     }
-    let reader = cell.reader();
-    let early = spec.model().is_some() && spec.repeatable && !cross_domain_only;
-    if early {
-        spawn_run(world, &cell, admitted);
-        let durability = Some(hold(world, &cell, None).await);
-        world.replicators.mark(world, &cell);
-        drop(reader);
-        return Ok(Accepted {
-            id,
-            deadline_ms,
+
+    fn accepted(&self, durability: Option<Durability>) -> Accepted {
+        Accepted {
+            id: self.spec.id,
+            deadline_ms: self.spec.deadline_ms,
             durability,
-        });
+        }
     }
-    let durability = hold(world, &cell, None).await;
-    if cross_domain_only && durability != Durability::CrossDomain {
-        return Err(refuse_domain_only(world, &cell));
+
+    fn spawn(self, world: &Arc<World>, cell: &Arc<RequestCell>) {
+        let world = world.clone();
+        let cell = cell.clone();
+        tokio::spawn(async move {
+            let gone = match &self.spill {
+                Some(domain) => move_to_domain(&world, &cell, domain).await,
+                None => false,
+            };
+            if !gone {
+                run(world, cell, None).await;
+            }
+            drop(self.admitted);
+        });
     }
-    spawn_run(world, &cell, admitted);
-    drop(reader);
-    let durability = Some(durability);
-    Ok(Accepted {
-        id,
-        deadline_ms,
-        durability,
-    })
 }
 
 /// A copy in this failure domain isn't enough for the caller. The request ends
@@ -182,15 +208,6 @@
     refusal
 }
 
-fn spawn_run(world: &Arc<World>, cell: &Arc<RequestCell>, admitted: Admitted) {
-    let world = world.clone();
-    let cell = cell.clone();
-    tokio::spawn(async move {
-        run(world, cell, None).await;
-        drop(admitted);
-    });
-}
-
 /// A key that this box knows attaches to its request; one that was refused
 /// `not-run` may be sent again and starts afresh.
 fn attach_here(world: &World, sub: &Submission) -> Result<Option<Accepted>, Refusal> {
@@ -241,6 +258,23 @@
     })
 }
 
+/// A service that is known to be of the other kind can't do the work.
+fn check_kind(world: &World, sub: &Submission) -> Result<(), Refusal> {
+    let (wanted, what) = match &sub.work {
+        Work::Model(_) => (BoxKind::Engine, "a model service"),
+        Work::Plain(_) => (BoxKind::Plain, "a plain service"),
+    };
+    let boxes = world.boxes.read();
+    let mut known = boxes.iter().filter(|b| b.service == sub.service).peekable();
+    if known.peek().is_none() || known.any(|b| b.kind == wanted) {
+        return Ok(());
+    }
+    Err(Refusal::malformed(
+        404,
+        format!("`{}` is not {what}", sub.service),
+    ))
+}
+
 fn check_key(world: &World, sub: &Submission, repeatable: bool) -> Result<(), Refusal> {
     let Some(key) = sub.key else {
         if repeatable {
--- a/src/app/admission_desk.rs
+++ b/src/app/admission_desk.rs
@@ -83,6 +83,12 @@
         self.running.load(Ordering::Relaxed)
     }
 
+    /// Returns how many requests of a service wait for their turn.
+    pub fn waiting_for(&self, service: &ServiceName) -> u32 {
+        let queues = self.queues.lock();
+        queues.get(service).map_or(0, |q| q.fair.waiting() as u32)
+    }
+
     /// Returns how many requests wait for their turn.
     pub fn waiting(&self) -> usize {
         self.queues.lock().values().map(|q| q.fair.waiting()).sum()
--- a/src/app/attempt.rs
+++ b/src/app/attempt.rs
@@ -53,14 +53,19 @@
     }
 }
 
-/// Returns how placement sees the live upstreams of a service in this failure domain.
-pub fn views(world: &World, service: &ServiceName, hashes: &[u64]) -> Vec<(UpstreamView, Place)> {
+/// Returns how placement sees the live upstreams of a service in a failure domain.
+pub fn views(
+    world: &World,
+    service: &ServiceName,
+    failure_domain: &FailureDomain,
+    hashes: &[u64],
+) -> Vec<(UpstreamView, Place)> {
     let now = now_ms();
     let boxes = world.boxes.read();
     let mut stats = world.stats.lock();
     let hints = world.hints.lock();
     boxes
-        .upstreams(service, world.my_domain())
+        .upstreams(service, failure_domain)
         .filter_map(|b| {
             let s = stats.of(&b.id);
             let loaded = s
@@ -110,6 +115,29 @@
     }
 }
 
+/// Chooses another failure domain for a request that would miss its target here.
+pub fn choose_spill(world: &World, spec: &RequestSpec) -> Option<FailureDomain> {
+    if spec.policy.as_str() == NaivePlacement::NAME || !world.settings.trial.spill {
+        return None;
+    }
+    let work = spec.model()?;
+    let hashes = prefix_hashes(&work.prompt);
+    let seen = |failure_domain: &FailureDomain| {
+        let views = views(world, &spec.service, failure_domain, &hashes);
+        DomainUpstreams {
+            failure_domain: failure_domain.clone(),
+            upstreams: views.into_iter().map(|(view, _)| view).collect(),
+        }
+    };
+    let domains = world.boxes.read().domains_with(&spec.service);
+    let others = domains.iter().filter(|d| *d != world.my_domain());
+    let others: Vec<DomainUpstreams> = others.map(seen).collect();
+    let here = seen(world.my_domain());
+    let waiting = world.admission.waiting_for(&spec.service);
+    let ask = ask_of(spec, 0, BTreeSet::new());
+    spill(&ask, &here, waiting, &others, &mut world.fork_rng())
+}
+
 /// Chooses a place for a request by its policy.
 pub fn choose(
     world: &World,
@@ -121,8 +149,9 @@
     let hashes = spec
         .model()
         .map_or_else(Vec::new, |w| prefix_hashes(&w.prompt));
-    let (views, places): (Vec<_>, Vec<_>) =
-        views(world, &spec.service, &hashes).into_iter().unzip();
+    let (views, places): (Vec<_>, Vec<_>) = views(world, &spec.service, world.my_domain(), &hashes)
+        .into_iter()
+        .unzip();
     let ask = ask_of(spec, generated, exclude.clone());
     let policy = placement(&spec.policy);
     let chosen = policy
--- a/src/app/box_watch.rs
+++ b/src/app/box_watch.rs
@@ -1,26 +1,34 @@
 use {
     super::*,
     crate::{names::*, policy::*},
-    std::{collections::BTreeSet, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 const LIST_EVERY: Duration = Duration::from_millis(2_000);
 const NOTICE_WAIT_MS: u64 = 4_000;
+/// How long a gone box is remembered: longer than any source lags.
+const REMEMBER_GONE_MS: u64 = 3_600_000;
 const PAUSE: Duration = Duration::from_millis(250);
 
 /// Folds the platform's box list, which lags.
 pub async fn watch_box_list(world: Arc<World>) {
+    let mut gone_since: BTreeMap<BoxId, u64> = BTreeMap::new();
     loop {
         match world.borders.box_list.list().await {
             Ok(facts) => {
                 let facts: Vec<BoxFact> =
                     facts.into_iter().filter(|f| f.id != world.me.id).collect();
                 world.fold_facts(&facts);
+                mark_gone_entries(&world, &facts);
             }
             Err(e) => log::debug!(target: "boxes", "the box list can't be read. error=\"{e}\""),
         }
         mark_left(&world);
-        forget_gone(&world);
+        forget_gone(&world, &mut gone_since);
         tokio::time::sleep(LIST_EVERY).await;
     }
 }
@@ -83,7 +91,24 @@
     }
 }
 
-fn forget_gone(world: &World) {
+/// An entry box counts its lives itself, by its start times, and the list by
+/// its own: what the list says of one that is gone holds for the life that is
+/// known if that life doesn't answer either.
+fn mark_gone_entries(world: &World, listed: &[BoxFact]) {
+    let is_gone = |f: &&BoxFact| f.kind == BoxKind::Entry && f.state == BoxState::Gone;
+    for f in listed.iter().filter(is_gone) {
+        let known = world.boxes.read().get(&f.id).cloned();
+        let Some(known) = known.filter(|b| b.state != BoxState::Gone) else {
+            continue;
+        };
+        if world.links.is_silent(&f.id) {
+            world.advance_box(&f.id, known.incarnation, BoxState::Gone, 0);
+        }
+    }
+}
+
+/// Forgets what was kept of boxes that are gone, and the boxes some time later.
+fn forget_gone(world: &World, gone_since: &mut BTreeMap<BoxId, u64>) {
     let (kept, addrs) = {
         let boxes = world.boxes.read();
         let there: Vec<&BoxFact> = boxes.iter().filter(|b| b.state != BoxState::Gone).collect();
@@ -92,8 +117,32 @@
         addrs.extend(world.settings.peers.seeds.iter().copied());
         (kept, addrs)
     };
+    forget_facts(world, gone_since);
     world.stats.lock().retain(|id| kept.contains(id));
     world.hints.lock().retain(|id| kept.contains(id));
     world.replicators.retain(|id| kept.contains(id));
     world.links.retain(|addr| addrs.contains(addr));
 }
+
+fn forget_facts(world: &World, gone_since: &mut BTreeMap<BoxId, u64>) {
+    let now = now_ms();
+    let mut boxes = world.boxes.write();
+    let gone: BTreeSet<BoxId> = boxes
+        .iter()
+        .filter(|b| b.state == BoxState::Gone)
+        .map(|b| b.id.clone())
+        .collect();
+    gone_since.retain(|id, _| gone.contains(id));
+    for id in gone {
+        gone_since.entry(id).or_insert(now);
+    }
+    let recent = |id: &BoxId| {
+        let since = gone_since.get(id).copied().unwrap_or(now);
+        now.saturating_sub(since) < REMEMBER_GONE_MS
+    };
+    boxes.forget_gone(recent);
+    let mut journal = world.journal.lock();
+    for id in gone_since.keys().filter(|id| !recent(id)) {
+        journal.forget(id);
+    }
+}
--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -207,6 +207,11 @@
     match reached {
         // The table's own task has read on, or does so now, and says ready.
         Ok(Ok(page)) if page.next > from => {}
-        _ => become_ready(world),
+        Ok(Ok(_)) => become_ready(world),
+        // Without the log a peer's table is taken, if one answers.
+        _ => {
+            ask_peers_for_table(world).await;
+            become_ready(world);
+        }
     }
 }
--- a/src/app/duties.rs
+++ b/src/app/duties.rs
@@ -42,11 +42,14 @@
     let stream = format!("duties-{}", world.my_domain());
     let mut view = LeaseView::default();
     let mut next = 0;
+    let mut first = true;
     let mut sent: BTreeMap<u64, u64> = BTreeMap::new();
     let mut replacements = Replacements::default();
     let mut model_loads = ModelLoads::default();
     loop {
-        let wait_ms = if next == 0 { 0 } else { READ_WAIT_MS };
+        // The first read tells at once whether the lease is free.
+        let wait_ms = if first { 0 } else { READ_WAIT_MS };
+        first = false;
         let Ok(page) = world.borders.log.read(&stream, next, wait_ms).await else {
             tokio::time::sleep(PAUSE).await;
             continue;
--- a/src/app/hand_over.rs
+++ b/src/app/hand_over.rs
@@ -18,7 +18,23 @@
     if spec.hops >= MAX_HOPS {
         return false;
     }
-    let takers = takers_with(world, &spec);
+    let domains = world.boxes.read().domains_with(&spec.service);
+    hop_to_one(world, cell, takers_in(world, &spec, &domains)).await
+}
+
+/// Gives a request to a failure domain that has more room for it.
+///
+/// Returns whether another box owns it now.
+pub async fn move_to_domain(
+    world: &Arc<World>,
+    cell: &Arc<RequestCell>,
+    domain: &FailureDomain,
+) -> bool {
+    let takers = takers_in(world, &cell.spec(), std::slice::from_ref(domain));
+    hop_to_one(world, cell, takers).await
+}
+
+async fn hop_to_one(world: &Arc<World>, cell: &Arc<RequestCell>, takers: Vec<BoxId>) -> bool {
     for taker in takers.into_iter().take(MAX_TRIES) {
         if hand_to(world, cell, &taker, true).await {
             return true;
@@ -98,12 +114,10 @@
     true
 }
 
-/// Returns the boxes of other failure domains with a live upstream for a
-/// request, those with the most room first.
-fn takers_with(world: &World, spec: &RequestSpec) -> Vec<BoxId> {
+/// Returns the boxes of other failure domains that may take a request, in the
+/// order of its rendezvous hashes, those that fail last.
+fn takers_in(world: &World, spec: &RequestSpec, domains: &[FailureDomain]) -> Vec<BoxId> {
     let candidates = world.holder_candidates();
-    let boxes = world.boxes.read();
-    let domains = boxes.domains_with(&spec.service);
     let near: Vec<HolderCandidate> = candidates
         .into_iter()
         .filter(|c| c.failure_domain != *world.my_domain() && domains.contains(&c.failure_domain))
--- a/src/app/reclaim_watch.rs
+++ b/src/app/reclaim_watch.rs
@@ -85,7 +85,9 @@
 ) {
     let streams: Vec<StreamAtRisk> = cells.iter().map(|c| at_risk(c)).collect();
     let (targets, places): (Vec<_>, Vec<_>) =
-        views(world, &leaving.service, &[]).into_iter().unzip();
+        views(world, &leaving.service, world.my_domain(), &[])
+            .into_iter()
+            .unzip();
     let by_id: BTreeMap<RequestId, Arc<RequestCell>> =
         cells.into_iter().map(|c| (c.id(), c)).collect();
     let moves = plan_moves(&streams, &targets, notice_ms, KV_BYTES_PER_MS);
--- a/src/app/table_watch.rs
+++ b/src/app/table_watch.rs
@@ -10,6 +10,8 @@
 const READ_WAIT_MS: u64 = 2_000;
 const READ_PAUSE: Duration = Duration::from_millis(250);
 const FETCH_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Peers that are asked for their table after a pause.
+const ASKED_PEERS: usize = 4;
 /// Records kept for peers that lag.
 const KEPT_RECORDS: usize = 64;
 /// The table is appended again when this many records have passed since it was
@@ -209,6 +211,17 @@
     });
 }
 
+/// Fetches what a peer has and this box lacks, from the first that answers.
+pub async fn ask_peers_for_table(world: &Arc<World>) {
+    let from = world.table_in_force().folded_to;
+    for peer in world.holder_candidates().into_iter().take(ASKED_PEERS) {
+        let call = PeerCall::FetchTable(from);
+        if let Ok(PeerReply::Table(news)) = world.call_box(&peer.id, &call, FETCH_TIMEOUT).await {
+            return take_table(world, news);
+        }
+    }
+}
+
 /// Returns what this box tells of the table to a peer that has folded to `from`.
 pub fn table_news(world: &World, from: u64) -> TableNews {
     if let Some(records) = world.table_records.lock().since(from) {
--- a/src/boxes/box_table.rs
+++ b/src/boxes/box_table.rs
@@ -10,25 +10,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct BoxTable {
     boxes: BTreeMap<BoxId, BoxFact>,
-    version: u64,
 }
 
 impl BoxTable {
     /// Folds a fact; returns whether it told anything new.
     pub fn fold(&mut self, fact: &BoxFact) -> bool {
         let full = self.boxes.len() >= MAX_BOXES;
-        let changed = match self.boxes.get_mut(&fact.id) {
+        match self.boxes.get_mut(&fact.id) {
             Some(known) => known.merge(fact),
             None if full => false,
             None => {
                 self.boxes.insert(fact.id.clone(), fact.clone());
                 true
             }
-        };
-        if changed {
-            self.version += 1;
         }
-        changed
     }
 
     /// Takes a fact as the newest truth, for trials without monotone states.
@@ -53,9 +48,11 @@
         self.fold(&fact).then_some(fact)
     }
 
-    /// Returns a number that grows with every change.
-    pub fn version(&self) -> u64 {
-        self.version
+    /// Forgets boxes that are gone, save those to keep. A source that lags by
+    /// more than the caller waits could bring one back.
+    pub fn forget_gone(&mut self, keep: impl Fn(&BoxId) -> bool) {
+        self.boxes
+            .retain(|id, b| b.state != BoxState::Gone || keep(id));
     }
 
     /// Returns what is known of a box.
--- a/src/caller/server.rs
+++ b/src/caller/server.rs
@@ -9,10 +9,7 @@
         service::TowerToHyperService,
     },
     std::{convert::Infallible, sync::Arc, time::Duration},
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::Semaphore,
-    },
+    tokio::{net::TcpListener, sync::Semaphore},
     tower::{Service, ServiceBuilder, ServiceExt, service_fn},
 };
 
@@ -49,6 +46,7 @@
     S::Future: Send + 'static,
 {
     let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let builder = connection_builder();
     loop {
         let Ok(slot) = slots.clone().acquire_owned().await else {
             return;
@@ -57,23 +55,20 @@
             tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
-        let service = service.clone();
+        let _ = stream.set_nodelay(true);
+        let builder = builder.clone();
+        let service = TowerToHyperService::new(service.clone());
         tokio::spawn(async move {
-            serve_conn(stream, service).await;
+            let conn = builder.serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = conn.await {
+                log::debug!(target: "caller", "connection ended. error=\"{e}\"");
+            }
             drop(slot);
         });
     }
 }
 
-async fn serve_conn<S>(stream: TcpStream, service: S)
-where
-    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible>
-        + Clone
-        + Send
-        + 'static,
-    S::Future: Send + 'static,
-{
-    let _ = stream.set_nodelay(true);
+fn connection_builder() -> auto::Builder<TokioExecutor> {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder
         .http1()
@@ -84,13 +79,7 @@
         .http2()
         .timer(TokioTimer::new())
         .max_header_list_size(MAX_HEAD as u32);
-    let service = TowerToHyperService::new(service);
-    if let Err(e) = builder
-        .serve_connection(TokioIo::new(stream), service)
-        .await
-    {
-        log::debug!(target: "caller", "connection ended. error=\"{e}\"");
-    }
+    builder
 }
 
 async fn answer_or_shed<S>(service: S, req: Request<Incoming>) -> Response<Body>
--- a/src/cli/logs.rs
+++ b/src/cli/logs.rs
@@ -11,10 +11,9 @@
 pub fn start_logs(s: &LogSettings) -> Result<(), log::SetLoggerError> {
     let format = s.format;
     fern::Dispatch::new()
-        .level(log::LevelFilter::Warn)
-        .level_for("saddlepulley", s.level)
-        .filter(|meta| !meta.target().contains("::"))
         .level(s.level)
+        // Our parts have short names; libraries log by their module paths.
+        .filter(|meta| !meta.target().contains("::"))
         .format(move |out, message, record| {
             let time = humantime::format_rfc3339_millis(SystemTime::now());
             match format {
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -51,6 +51,8 @@
     pub drain: bool,
     /// Tables are relayed between daemons.
     pub relay: bool,
+    /// Requests go to another failure domain if they would be late here.
+    pub spill: bool,
     /// Requests wait for a fair turn, and are refused early.
     pub queue: bool,
     /// Requests in flight at an upstream are limited adaptively.
@@ -71,6 +73,7 @@
             leaving: true,
             drain: true,
             relay: true,
+            spill: true,
             queue: true,
             limit: true,
             budget: true,
--- a/src/links/journal.rs
+++ b/src/links/journal.rs
@@ -31,6 +31,13 @@
         (ids, self.next)
     }
 
+    /// Forgets a box.
+    pub fn forget(&mut self, id: &BoxId) {
+        if let Some(seq) = self.by_box.remove(id) {
+            self.by_seq.remove(&seq);
+        }
+    }
+
     /// Returns the place after the last change.
     pub fn end(&self) -> u64 {
         self.next
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,10 +16,11 @@
 mod placement_naive;
 mod reclaim;
 mod retry;
+mod spill;
 mod splice;
 
 pub use {
     admission::*, box_state::*, claim::*, claim_fold::*, claimant::*, concurrency::*, estimate::*,
     holder::*, lease::*, neighbours::*, placement::*, placement_cheapest::*,
-    placement_keep_work::*, placement_naive::*, reclaim::*, retry::*, splice::*,
+    placement_keep_work::*, placement_naive::*, reclaim::*, retry::*, spill::*, splice::*,
 };
--- a/src/policy/placement.rs
+++ b/src/policy/placement.rs
@@ -140,17 +140,13 @@
     PolicyName::from(CheapestOnTarget::NAME)
 }
 
-/// Returns the indexes of the upstreams that an ask allows, those under their
-/// adaptive limit before any other.
+/// Returns the indexes of the upstreams that an ask allows and that are under
+/// their adaptive limit.
 pub fn candidates(ask: &Ask, upstreams: &[UpstreamView]) -> Vec<usize> {
-    let allowed = |i: &usize| ask.allows(&upstreams[*i]);
-    let all: Vec<usize> = (0..upstreams.len()).filter(allowed).collect();
-    let under: Vec<usize> = all
-        .iter()
-        .copied()
-        .filter(|i| upstreams[*i].in_flight < upstreams[*i].limit)
-        .collect();
-    under
+    let good = |u: &UpstreamView| ask.allows(u) && u.in_flight < u.limit;
+    (0..upstreams.len())
+        .filter(|i| good(&upstreams[*i]))
+        .collect()
 }
 
 /// Returns the index with the smallest score; ties go to a random one.
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -15,6 +15,8 @@
     pub imported: BTreeMap<Uuid, usize>,
     /// Requests that were started, resumed ones not counted.
     pub started: u64,
+    /// When the last one of them was started, in Unix milliseconds.
+    pub last_started_ms: u64,
     /// Time spent with work, in milliseconds.
     pub busy_ms: f64,
     /// Tokens taken in, all requests together.
@@ -36,6 +38,7 @@
         }
         self.cancel(ask.request_id);
         self.started += 1;
+        self.last_started_ms = crate::platform::now_ms();
         let hashes = prefix_hashes(&ask.prompt);
         let all = prompt_tokens(&ask.prompt) + ask.generated.len();
         let imported = self.imported.remove(&ask.request_id).unwrap_or(0);
--- a/standin/src/engine/service.rs
+++ b/standin/src/engine/service.rs
@@ -175,6 +175,7 @@
         let batch = self.batch.lock();
         let counts = value!({
             "started": batch.started,
+            "last_started_ms": batch.last_started_ms,
             "busy_ms": batch.busy_ms,
             "computed_tokens": batch.computed_tokens,
             "running": batch.running.len(),
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -7,5 +7,8 @@
 mod lease;
 mod placement;
 mod reclaim;
+mod report;
+mod spill;
 mod splice;
+mod support;
 mod table_fold;
--- /dev/null
+++ b/tests/it/cli.rs
@@ -0,0 +1,173 @@
+//! The command line: help, exit codes, errors with their place.
+
+use {
+    crate::support::*,
+    std::{
+        fs,
+        process::{Command, Output},
+    },
+};
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_saddlepulley"))
+        .args(args)
+        .env("SADDLEPULLEY_TOKEN", OPERATOR_TOKEN)
+        .output()
+        .unwrap()
+}
+
+fn code(out: &Output) -> i32 {
+    out.status.code().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn every_command_has_help_with_an_example() {
+    for command in [
+        "serve", "check", "table", "status", "report", "drain", "demo",
+    ] {
+        let out = run(&[command, "--help"]);
+        assert_eq!(code(&out), 0, "{command}");
+        assert!(text(&out.stdout).contains("Example:"), "{command}");
+        assert!(text(&run(&["--help"]).stdout).contains(command));
+    }
+}
+
+#[test]
+fn wrong_usage_exits_2_and_says_what() {
+    for args in [
+        &["fly"][..],
+        &["serve"],
+        &["check"],
+        &["status", "--at", "nowhere"],
+        &["demo", "--twice"],
+    ] {
+        let out = run(args);
+        assert_eq!(code(&out), 2, "{args:?}");
+        assert!(!out.stderr.is_empty());
+    }
+}
+
+#[test]
+fn check_names_file_line_and_field() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("t.toml");
+    fs::write(&path, "[[account]]\nname = \"a b\"\ntoken_sha256 = []\n").unwrap();
+    let out = run(&["check", "--table", path.to_str().unwrap()]);
+    assert_eq!(code(&out), 2);
+    assert!(
+        text(&out.stderr).contains("t.toml:2:"),
+        "{}",
+        text(&out.stderr)
+    );
+}
+
+#[test]
+fn the_demo_runs_once_and_exits_0() {
+    let out = run(&["demo", "--once"]);
+    let shown = text(&out.stdout);
+    assert_eq!(code(&out), 0, "{shown}{}", text(&out.stderr));
+    for part in [
+        "table in force",
+        "model:",
+        "lookup:",
+        "release code:",
+        "policy=",
+    ] {
+        assert!(shown.contains(part), "{part} is missing: {shown}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_table_is_shown_edited_published_and_read_back() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let platform = cluster.platform.addr().to_string();
+    let at: Vec<String> = cluster
+        .daemons
+        .iter()
+        .map(|d| d.operators.to_string())
+        .collect();
+    let at = at.join(",");
+    let dir = tempfile::tempdir().unwrap();
+    let file = |name: &str, text: &str| {
+        let path = dir.path().join(name);
+        fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_string()
+    };
+    let shown = text(&run(&["table", "show", "--platform", &platform]).stdout);
+    let mine = file("mine.toml", &with_weight(&shown, 0, 7));
+    let yours = file("yours.toml", &with_weight(&shown, 0, 8));
+    let diff = run(&["table", "diff", "--platform", &platform, &mine]);
+    assert!(
+        text(&diff.stdout).contains("change acme/"),
+        "{}",
+        text(&diff.stdout)
+    );
+    let out = run(&[
+        "table",
+        "publish",
+        "--platform",
+        &platform,
+        &mine,
+        "--at",
+        &at,
+    ]);
+    assert_eq!(code(&out), 0, "{}", text(&out.stderr));
+    assert_eq!(text(&out.stdout).matches("in force. domain=").count(), 3);
+    let out = run(&["table", "publish", "--platform", &platform, &yours]);
+    assert_eq!(code(&out), 3);
+    assert!(
+        text(&out.stderr).contains("conflict"),
+        "{}",
+        text(&out.stderr)
+    );
+    let out = run(&["table", "log", "--platform", &platform]);
+    assert!(
+        text(&out.stdout).contains("Conflict"),
+        "{}",
+        text(&out.stdout)
+    );
+    let out = run(&["status", "--at", &at]);
+    assert_eq!(code(&out), 0);
+    assert_eq!(text(&out.stdout).matches("Ready").count(), 3);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_report_reads_what_daemons_published() {
+    let mut cluster = Cluster::start(Plan::default()).await;
+    let boxes = cluster.caller_addrs();
+    for i in 0..3 {
+        ask_stream(&boxes, i, "to be reported", 10).await;
+    }
+    // A stopping daemon publishes its last page.
+    for daemon in &mut cluster.daemons {
+        daemon.terminate();
+    }
+    for daemon in &mut cluster.daemons {
+        assert!(daemon.wait_left(std::time::Duration::from_secs(30)).await);
+    }
+    let platform = cluster.platform.addr().to_string();
+    let out = run(&["report", "--platform", &platform, "--json"]);
+    let doc: serde_json::Value = serde_json::from_slice(&out.stdout).unwrap();
+    let requests: u64 = doc["rows"]
+        .as_array()
+        .unwrap()
+        .iter()
+        .map(|r| r["score"]["requests"].as_u64().unwrap())
+        .sum();
+    assert_eq!(requests, 3, "{doc}");
+    let html = cluster.dir.path().join("report.html");
+    let out = run(&[
+        "report",
+        "--platform",
+        &platform,
+        "--html",
+        html.to_str().unwrap(),
+    ]);
+    assert_eq!(code(&out), 0);
+    let page = fs::read_to_string(html).unwrap();
+    assert!(page.contains("cheapest-on-target") && !page.contains("http://"));
+}
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -2,6 +2,7 @@
 //! injects faults.
 
 mod bad_input;
+mod cli;
 mod promise_leaving;
 mod promise_not_run;
 mod promise_once;
