--- a/src/app/accept.rs
+++ b/src/app/accept.rs
@@ -226,7 +226,7 @@
         ));
     }
     let deadline_ms = r.spec.deadline_ms;
-    let not_run = matches!(&r.ending, Some(Ending::Failed(f)) if f.outcome == Outcome::NotRun);
+    let not_run = r.is_not_run();
     drop(r);
     if not_run {
         world.requests.remove(key);
--- a/src/app/answer_reader.rs
+++ b/src/app/answer_reader.rs
@@ -7,6 +7,7 @@
 
 const ATTACH_TIMEOUT: Duration = Duration::from_millis(1_000);
 const PAUSE: Duration = Duration::from_millis(100);
+const HOPS_BEFORE_PAUSE: u32 = 4;
 /// How long a request that is found nowhere is looked for, beyond the silence
 /// after which its copy's holder takes it over.
 const LOST_AFTER_MS: u64 = 4_000;
@@ -87,6 +88,7 @@
             None => Way::Look,
         };
         let mut lost_since = None;
+        let mut hops = 0;
         loop {
             way = match way {
                 Way::Done => return,
@@ -101,6 +103,11 @@
             };
             if !matches!(way, Way::Look) {
                 self.known = true;
+                hops += 1;
+                // Two boxes that point at each other for a moment aren't asked without a pause.
+                if hops % HOPS_BEFORE_PAUSE == 0 {
+                    tokio::time::sleep(PAUSE).await;
+                }
                 continue;
             }
             let since = *lost_since.get_or_insert(now_ms());
--- a/src/app/box_watch.rs
+++ b/src/app/box_watch.rs
@@ -1,6 +1,7 @@
 use {
     super::*,
     crate::{names::*, policy::*},
+    rand::Rng,
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -8,7 +9,12 @@
     },
 };
 
-const LIST_EVERY: Duration = Duration::from_millis(2_000);
+/// The least time between two looks at the list.
+const LIST_EVERY_MS: u64 = 2_000;
+/// About how many bytes the list takes for one box.
+const LIST_BYTES_PER_BOX: u64 = 250;
+/// How much of a daemon's control traffic the list may take, in bytes a second.
+const LIST_BYTES_PER_S: u64 = 1_500;
 const NOTICE_WAIT_MS: u64 = 4_000;
 /// How long a gone box is remembered: longer than any source lags.
 const REMEMBER_GONE_MS: u64 = 3_600_000;
@@ -29,10 +35,19 @@
         }
         mark_left(&world);
         forget_gone(&world, &mut gone_since);
-        tokio::time::sleep(LIST_EVERY).await;
+        tokio::time::sleep(list_pause(&world)).await;
     }
 }
 
+/// The larger the list, the more seldom one daemon reads it: all daemons read
+/// it at different times, and tell each other what is new in it.
+fn list_pause(world: &World) -> Duration {
+    let listed = world.boxes.read().iter().count() as u64;
+    let ms = listed * LIST_BYTES_PER_BOX * 1_000 / LIST_BYTES_PER_S;
+    let ms = ms.max(LIST_EVERY_MS);
+    Duration::from_millis(world.fork_rng().random_range(ms / 2..=ms * 3 / 2))
+}
+
 /// Follows the cloud's reclaim notices.
 pub async fn watch_notices(world: Arc<World>) {
     let mut next = 0;
--- a/src/app/heartbeat.rs
+++ b/src/app/heartbeat.rs
@@ -6,8 +6,14 @@
 
 /// Facts in one message.
 const MAX_FACTS: usize = 256;
-/// Loads in one message.
-const MAX_LOADS: usize = 128;
+/// About how many bytes a load takes.
+const LOAD_BYTES: u64 = 60;
+/// How much of a daemon's control traffic loads may take, in bytes a second.
+const LOAD_BYTES_PER_S: u64 = 1_200;
+/// Loads in one message at the least.
+const MIN_LOADS: usize = 4;
+/// Links of a daemon that hasn't counted them.
+const USUAL_LINKS: usize = 4;
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// News waits this long for more news before it is sent.
 const GATHER: Duration = Duration::from_millis(10);
@@ -26,9 +32,10 @@
     loop {
         let targets = targets(&world);
         told.retain(|addr, _| targets.iter().any(|(a, _)| a == addr));
+        let links = targets.len();
         let beats = targets.into_iter().map(|(addr, id)| {
             let told = told.get(&addr).copied().unwrap_or_default();
-            beat(&world, addr, id, told)
+            beat(&world, addr, id, told, links)
         });
         for (addr, now_told) in futures_util::future::join_all(beats).await {
             match now_told {
@@ -57,10 +64,10 @@
     let back_link = !knows(world, &news.from);
     take_facts(world, &news);
     follow_table(world, &news);
-    let mut reply = news_for(world, &mut Told::default(), false);
+    let mut reply = news_for(world, &mut Told::default(), None);
     if back_link {
         // The caller is new here: it gets all that is known.
-        reply = news_for(world, &mut Told::default(), true);
+        reply = news_for(world, &mut Told::default(), Some(USUAL_LINKS));
     }
     reply
 }
@@ -77,9 +84,10 @@
     addr: SocketAddr,
     id: Option<BoxId>,
     told: Told,
+    links: usize,
 ) -> (SocketAddr, Option<Told>) {
     let mut now_told = told;
-    let call = PeerCall::Heartbeat(news_for(world, &mut now_told, true));
+    let call = PeerCall::Heartbeat(news_for(world, &mut now_told, Some(links)));
     let client = world.links.client(addr);
     match client.call(&call, HEARTBEAT_TIMEOUT).await {
         Ok(PeerReply::Heartbeat(news)) => {
@@ -97,16 +105,20 @@
     }
 }
 
-/// Returns the news for a link, and moves its place on.
-fn news_for(world: &World, told: &mut Told, with_facts: bool) -> News {
+/// Returns the news for one of so many links, and moves its place on; without
+/// links only the sign of life and the table's place.
+fn news_for(world: &World, told: &mut Told, links: Option<usize>) -> News {
     let mut facts = Vec::new();
     let mut loads = Vec::new();
     let boxes = world.boxes.read();
-    if with_facts {
+    if let Some(links) = links {
         let (ids, next) = world.journal.lock().since(told.facts, MAX_FACTS);
         told.facts = next;
         facts = ids.iter().filter_map(|id| boxes.get(id).cloned()).collect();
-        let (ids, next) = world.load_journal.lock().since(told.loads, MAX_LOADS);
+        let (ids, next) = world
+            .load_journal
+            .lock()
+            .since(told.loads, max_loads(world, links));
         told.loads = next;
         let stats = world.stats.lock();
         loads = ids
@@ -122,6 +134,14 @@
     }
 }
 
+/// Returns how many loads a message may carry, so that all links together stay
+/// within the traffic allowed; the journal holds the newest of each upstream.
+fn max_loads(world: &World, links: usize) -> usize {
+    let bytes = LOAD_BYTES_PER_S * world.settings.peers.heartbeat_ms / 1_000;
+    let loads = bytes / LOAD_BYTES / links.max(1) as u64;
+    (loads as usize).max(MIN_LOADS)
+}
+
 fn own_fact(world: &World, boxes: &crate::boxes::BoxTable) -> BoxFact {
     let known = boxes
         .get(&world.me.id)
--- a/src/app/locate.rs
+++ b/src/app/locate.rs
@@ -50,6 +50,9 @@
 pub fn locate_here(world: &World, id: RequestId) -> Option<Located> {
     let cell = world.requests.get(id)?;
     let r = cell.read();
+    if r.is_not_run() {
+        return None;
+    }
     let owner = match &r.role {
         Role::Owner => world.me.id.clone(),
         Role::Copy { .. } if r.is_ended() => world.me.id.clone(),
--- a/src/app/peer_desk.rs
+++ b/src/app/peer_desk.rs
@@ -42,6 +42,9 @@
         if fresh {
             return PeerReply::Done;
         }
+        if cell.read().spec.account != s.spec.account {
+            return PeerReply::Refused("another account's".to_string());
+        }
         let held = cell.change_owner(|r| {
             if r.epoch > s.epoch || (r.epoch == s.epoch && !yields(r, &world.me.id, &s.owner)) {
                 return false;
@@ -179,6 +182,8 @@
 /// has its holder, so that it can't go in a circle.
 fn yields(r: &Record, me: &BoxId, owner: &BoxId) -> bool {
     match &r.role {
+        // The key was sent again after `not-run`, to another box.
+        _ if r.is_not_run() => true,
         Role::Copy { owner: known } => known == owner,
         Role::Owner => r.holder == Holder::Searching && r.durable == 0 && owner < me,
         Role::Moved { .. } => false,
--- a/src/caller/caller_service.rs
+++ b/src/caller/caller_service.rs
@@ -102,9 +102,8 @@
         let headers = req.headers().clone();
         let body = self.read_body(req).await?;
         let ask = parse_model_call(chat, &body).map_err(|e| Refusal::malformed(400, e))?;
-        let mut sub = submission(&headers, account.clone())?;
-        sub.service = ask.service;
-        sub.work = Work::Model(ask.work);
+        let work = Work::Model(ask.work);
+        let sub = submission(&headers, account.clone(), ask.service, work)?;
         let accepted = accept(&self.world, sub).await?;
         let rx = self.follow(&accepted, &account, 0);
         let mut rep = if ask.stream {
@@ -128,9 +127,7 @@
         let headers = req.headers().clone();
         let body = self.read_body(req).await?;
         let content_type = headers.get(header::CONTENT_TYPE);
-        let mut sub = submission(&headers, account.clone())?;
-        sub.service = service;
-        sub.work = Work::Plain(PlainCall {
+        let work = Work::Plain(PlainCall {
             method,
             path,
             content_type: content_type
@@ -139,6 +136,7 @@
                 .to_string(),
             body: body.to_vec(),
         });
+        let sub = submission(&headers, account.clone(), service, work)?;
         let accepted = accept(&self.world, sub).await?;
         let rx = self.follow(&accepted, &account, 0);
         let mut rep = whole_answer(accepted.id, rx).await;
@@ -229,7 +227,12 @@
 }
 
 /// Reads the headers that steer a request.
-fn submission(headers: &HeaderMap, account: ClientAccount) -> Result<Submission, Refusal> {
+fn submission(
+    headers: &HeaderMap,
+    account: ClientAccount,
+    service: ServiceName,
+    work: Work,
+) -> Result<Submission, Refusal> {
     check_headers(headers)?;
     let key = match header_text(headers, "idempotency-key")? {
         None => None,
@@ -262,13 +265,8 @@
     };
     Ok(Submission {
         account,
-        service: ServiceName::from(""),
-        work: Work::Plain(PlainCall {
-            method: String::new(),
-            path: String::new(),
-            content_type: String::new(),
-            body: Vec::new(),
-        }),
+        service,
+        work,
         key,
         repeatable,
         deadline_ms,
--- a/src/requests/record.rs
+++ b/src/requests/record.rs
@@ -89,6 +89,11 @@
         self.ending.is_some()
     }
 
+    /// Returns whether it ended as `not-run`: the same key may be sent again.
+    pub fn is_not_run(&self) -> bool {
+        matches!(&self.ending, Some(Ending::Failed(f)) if f.outcome == Outcome::NotRun)
+    }
+
     /// Returns the ending, once the caller may see it.
     pub fn shown_ending(&self) -> Option<&Ending> {
         let all_shown = self.durable == self.tokens.len() && self.ending_durable;
