Take over at once from an owner that started anew; no table is not a wrong token

And a call to a daemon without a table yet was told that its token was wrong (malformed), which callers don't send again. Ruled out: a copy that was never made (the answer's head is sent after it). Also: an owner that lives on is asked about each copy every 5 s instead of twice a second.

--- a/src/app/peer_desk.rs
+++ b/src/app/peer_desk.rs
@@ -225,7 +225,7 @@
 impl PeerHandler for PeerDesk {
     async fn call(&self, call: PeerCall) -> PeerReply {
         match call {
-            PeerCall::Ping => PeerReply::Done,
+            PeerCall::Ping => PeerReply::Alive(self.world.me.incarnation),
             PeerCall::AskOwner { holder, requests } => {
                 let all = requests.iter().map(|id| self.ownership(&holder, *id));
                 PeerReply::Ownership(all.collect())
--- a/src/app/sweep.rs
+++ b/src/app/sweep.rs
@@ -8,17 +8,25 @@
 const UNREAD_MS: u64 = 30_000;
 /// How long the record of a moved request stays.
 const MOVED_MS: u64 = 30_000;
-/// The first pause before an owner without a holder looks for one again.
+/// How often an owner that lives on is asked about each copy.
+const ASK_EVERY_MS: u64 = 5_000;
+/// The least time between two rounds.
+const NEWS_PAUSE: Duration = Duration::from_millis(50);
+/// How often the requests are gone over.
 const SWEEP_EVERY: Duration = Duration::from_millis(500);
 
 /// Goes over the requests: takes over those whose owner is gone, looks for
 /// holders, ends what nobody reads, and forgets what was kept long enough.
 pub async fn sweep_requests(world: Arc<World>) {
-    let mut suspects: BTreeMap<BoxId, u64> = BTreeMap::new();
+    let mut watches: BTreeMap<BoxId, OwnerWatch> = BTreeMap::new();
     loop {
-        tokio::time::sleep(SWEEP_EVERY).await;
+        // A box that started anew tells so: its requests aren't left waiting.
+        tokio::select! {
+            () = tokio::time::sleep(SWEEP_EVERY) => {}
+            () = world.news.notified() => tokio::time::sleep(NEWS_PAUSE).await,
+        }
         let cells = world.requests.all();
-        look_after_copies(&world, &cells, &mut suspects).await;
+        look_after_copies(&world, &cells, &mut watches).await;
         for cell in &cells {
             sweep_one(&world, cell);
         }
@@ -28,12 +36,26 @@
     }
 }
 
-/// Asks the owners of held copies whether they still are: a copy is taken over
-/// if its owner is silent for too long, is gone, or started anew and forgot it.
+/// What this box knows of an owner whose copies it holds.
+#[derive(Clone, Copy, Debug, Default)]
+struct OwnerWatch {
+    /// Since when it doesn't answer.
+    silent_since_ms: Option<u64>,
+    /// The life that answered last.
+    incarnation: u64,
+    /// When it was asked about each copy.
+    asked_ms: u64,
+}
+
+/// Looks after the owners of held copies: a copy is taken over if its owner is
+/// silent for too long, is gone, or started anew and forgot it.
+///
+/// An owner is pinged each time, and asked about each copy when it started
+/// anew and now and then: that message grows with the copies.
 async fn look_after_copies(
     world: &Arc<World>,
     cells: &[Arc<RequestCell>],
-    suspects: &mut BTreeMap<BoxId, u64>,
+    watches: &mut BTreeMap<BoxId, OwnerWatch>,
 ) {
     let mut by_owner: BTreeMap<BoxId, Vec<Arc<RequestCell>>> = BTreeMap::new();
     for cell in cells {
@@ -41,30 +63,46 @@
             by_owner.entry(owner).or_default().push(cell.clone());
         }
     }
-    suspects.retain(|id, _| by_owner.contains_key(id));
-    let within = Duration::from_millis(world.settings.peers.silence_ms / 2);
-    let asks = by_owner.iter().map(|(owner, copies)| async move {
-        let call = PeerCall::AskOwner {
-            holder: world.me.id.clone(),
-            requests: copies.iter().map(|c| c.id()).collect(),
-        };
-        (owner, copies, world.call_box(owner, &call, within).await)
+    watches.retain(|id, _| by_owner.contains_key(id));
+    let looks = by_owner.into_iter().map(|(owner, copies)| {
+        let watch = watches.get(&owner).copied().unwrap_or_default();
+        look_at_owner(world, owner, copies, watch)
     });
-    for (owner, copies, reply) in futures_util::future::join_all(asks).await {
-        if let Ok(PeerReply::Ownership(all)) = reply {
-            suspects.remove(owner);
-            copies
-                .iter()
-                .zip(all)
-                .for_each(|(c, o)| take_note(world, c, owner, o));
-            continue;
-        }
-        let since = *suspects.entry(owner.clone()).or_insert_with(now_ms);
-        let silent = now_ms().saturating_sub(since) + SWEEP_EVERY.as_millis() as u64;
-        if silent >= world.settings.peers.silence_ms || is_gone(world, owner) {
-            copies.iter().for_each(|c| take_over(world, c, owner));
+    watches.extend(futures_util::future::join_all(looks).await);
+}
+
+async fn look_at_owner(
+    world: &Arc<World>,
+    owner: BoxId,
+    copies: Vec<Arc<RequestCell>>,
+    mut watch: OwnerWatch,
+) -> (BoxId, OwnerWatch) {
+    let within = Duration::from_millis(world.settings.peers.silence_ms / 2);
+    let now = now_ms();
+    let Ok(PeerReply::Alive(incarnation)) = world.call_box(&owner, &PeerCall::Ping, within).await
+    else {
+        let since = *watch.silent_since_ms.get_or_insert(now);
+        let silent_ms = now_ms().saturating_sub(since);
+        if silent_ms >= world.settings.peers.silence_ms || is_gone(world, &owner) {
+            copies.iter().for_each(|c| take_over(world, c, &owner));
         }
+        return (owner, watch);
+    };
+    watch.silent_since_ms = None;
+    if incarnation == watch.incarnation && now < watch.asked_ms + ASK_EVERY_MS {
+        return (owner, watch);
+    }
+    let call = PeerCall::AskOwner {
+        holder: world.me.id.clone(),
+        requests: copies.iter().map(|c| c.id()).collect(),
+    };
+    if let Ok(PeerReply::Ownership(all)) = world.call_box(&owner, &call, within).await {
+        watch.incarnation = incarnation;
+        watch.asked_ms = now;
+        let told = copies.iter().zip(all);
+        told.for_each(|(c, is)| take_note(world, c, &owner, is));
     }
+    (owner, watch)
 }
 
 /// Draws the conclusion from what an owner says of a copy held here.
--- a/src/caller/caller_service.rs
+++ b/src/caller/caller_service.rs
@@ -60,6 +60,9 @@
         path: &str,
     ) -> Result<Response<Body>, Refusal> {
         let table = self.world.table_in_force();
+        if table.version == 0 {
+            return Err(Refusal::not_run(503, "this box has no table yet", 1_000));
+        }
         let account = account_of(&table, req.headers());
         let Some(account) = account else {
             return Err(Refusal::malformed(401, "no account has this bearer token"));
--- a/src/peer/message.rs
+++ b/src/peer/message.rs
@@ -45,6 +45,8 @@
 pub enum PeerReply {
     /// Done.
     Done,
+    /// Here, in this life.
+    Alive(u64),
     /// Refused, for this reason.
     Refused(String),
     /// Refused: this box owns the request.
