--- a/benches/policies.rs
+++ b/benches/policies.rs
@@ -1,7 +1,8 @@
 //! Policies under load, as ratios to `naive` in one run: cost at the latency
 //! target, tokens recomputed, goodput under overload, reclaim waves.
 //!
-//! `cargo bench --bench policies -- compare | waves | overload` (all by default)
+//! `cargo bench --bench policies -- compare | waves | overload` (all by default);
+//! with `short` Austin only, and three cases of the overload.
 
 #[path = "../tests/it/support/mod.rs"]
 #[allow(dead_code, unused_imports)]
@@ -91,7 +92,9 @@
 }
 
 async fn compare(waves: bool) {
-    for name in ["austin", "seoul"] {
+    let short = std::env::args().any(|a| a == "short");
+    let names = ["austin", "seoul"];
+    for name in names.into_iter().take(if short { 1 } else { 2 }) {
         println!("\n{name}{}", if waves { ", reclaim waves" } else { "" });
         let mut naive = Vec::new();
         for (label, policy, trial) in VARIANTS {
@@ -248,7 +251,7 @@
         "\noverload: load at about 85% of capacity, a burst of 4 s, callers that ask again at once up to 3 times"
     );
     let all_off = "queue = false\nlimit = false\nbudget = false\ncancel = false";
-    let cases = [
+    let mut cases = vec![
         ("naive", "naive", ""),
         ("placement only", "cheapest-on-target", all_off),
         (
@@ -273,6 +276,10 @@
         ),
         ("all", "cheapest-on-target", ""),
     ];
+    // `-- overload short`: the baseline, the queue, and all together.
+    if std::env::args().any(|a| a == "short") {
+        cases.retain(|c| ["naive", "+ queue", "all"].contains(&c.0));
+    }
     for (name, policy, trial) in cases {
         let mut before = Vec::new();
         let mut during = Vec::new();
--- a/src/app/admission_desk.rs
+++ b/src/app/admission_desk.rs
@@ -186,7 +186,12 @@
 
 impl ServiceQueue {
     fn wake(&mut self, capacity: u32) {
-        for ticket in self.fair.next(capacity, now_ms()) {
+        let turns = self.fair.next(capacity, self.stay_ms, now_ms());
+        for ticket in turns.over {
+            // Its request is told at once: the channel closes.
+            self.waiters.remove(&ticket);
+        }
+        for ticket in turns.go {
             let woken = self
                 .waiters
                 .remove(&ticket)
--- a/src/app/peer_desk.rs
+++ b/src/app/peer_desk.rs
@@ -71,6 +71,7 @@
     }
 
     fn replicate(&self, owner: &BoxId, appends: Vec<CopyAppend>) -> PeerReply {
+        self.world.links.heard(owner);
         let acks = appends.into_iter().map(|a| Ack {
             request: a.request,
             state: self.append(owner, a),
--- a/src/app/sweep.rs
+++ b/src/app/sweep.rs
@@ -50,8 +50,9 @@
 /// Looks after the owners of held copies: a copy is taken over if its owner is
 /// silent for too long, is gone, or started anew and forgot it.
 ///
-/// An owner is pinged each time, and asked about each copy when it started
-/// anew and now and then: that message grows with the copies.
+/// An owner whose answers are being copied shows by that that it lives; else it
+/// is pinged. It is asked about each copy when it started anew and now and then:
+/// that message grows with the copies.
 async fn look_after_copies(
     world: &Arc<World>,
     cells: &[Arc<RequestCell>],
@@ -79,6 +80,14 @@
 ) -> (BoxId, OwnerWatch) {
     let within = Duration::from_millis(world.settings.peers.silence_ms / 2);
     let now = now_ms();
+    let asked = now < watch.asked_ms + ASK_EVERY_MS;
+    if asked && is_same_life(world, &owner, watch.incarnation) {
+        let ms = world.settings.peers.silence_ms / 2;
+        if world.links.heard_within(&owner, ms) {
+            watch.silent_since_ms = None;
+            return (owner, watch);
+        }
+    }
     let Ok(PeerReply::Alive(incarnation)) = world.call_box(&owner, &PeerCall::Ping, within).await
     else {
         let since = *watch.silent_since_ms.get_or_insert(now);
@@ -89,7 +98,7 @@
         return (owner, watch);
     };
     watch.silent_since_ms = None;
-    if incarnation == watch.incarnation && now < watch.asked_ms + ASK_EVERY_MS {
+    if incarnation == watch.incarnation && asked {
         return (owner, watch);
     }
     let call = PeerCall::AskOwner {
@@ -105,6 +114,11 @@
     (owner, watch)
 }
 
+fn is_same_life(world: &World, id: &BoxId, incarnation: u64) -> bool {
+    let boxes = world.boxes.read();
+    boxes.get(id).is_some_and(|b| b.incarnation == incarnation)
+}
+
 /// Draws the conclusion from what an owner says of a copy held here.
 fn take_note(world: &Arc<World>, cell: &Arc<RequestCell>, owner: &BoxId, is: Ownership) {
     match is {
--- a/src/links/link_table.rs
+++ b/src/links/link_table.rs
@@ -71,6 +71,14 @@
         h.failures > 0 && now_ms().saturating_sub(h.at_ms) > self.silence_ms
     }
 
+    /// Returns whether a peer gave a sign of life in the last milliseconds.
+    pub fn heard_within(&self, id: &BoxId, ms: u64) -> bool {
+        let heard = self.heard.lock();
+        heard
+            .get(id)
+            .is_some_and(|h| now_ms().saturating_sub(h.at_ms) < ms)
+    }
+
     /// Returns whether the last call to a peer failed.
     pub fn is_failing(&self, id: &BoxId) -> bool {
         self.heard.lock().get(id).is_some_and(|h| h.failures > 0)
--- a/src/policy/admission.rs
+++ b/src/policy/admission.rs
@@ -186,6 +186,15 @@
     queue: VecDeque<Waiting>,
 }
 
+/// What a look at the queue gave.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Turns {
+    /// Tickets that go now.
+    pub go: Vec<u64>,
+    /// Tickets that were taken out: they can't end in time.
+    pub over: Vec<u64>,
+}
+
 /// What a request gets when it joins the queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Turn {
@@ -198,8 +207,8 @@
 impl FairQueue {
     /// Joins the queue of a service that has room for `capacity` requests at once.
     ///
-    /// `stay_ms` is how long a request stays on average; with it a wait that
-    /// can't end before the deadline is refused at once.
+    /// `stay_ms` is how long a request stays on average; a wait and a stay that
+    /// can't end before the deadline are refused at once.
     ///
     /// # Errors
     ///
@@ -219,7 +228,8 @@
             return Ok(Turn::Now);
         }
         let wait_ms = self.expected_wait_ms(account, weight, capacity, stay_ms);
-        if now_ms + wait_ms as u64 >= deadline_ms {
+        // A turn that leaves no time to run is worth nothing.
+        if now_ms + (wait_ms + stay_ms) as u64 >= deadline_ms {
             return Err(Rejection::Deadline {
                 retry_after_ms: wait_ms as u64,
             });
@@ -248,12 +258,13 @@
         self.drop_idle();
     }
 
-    /// Returns the tickets that may go now, and drops those past their deadline.
-    pub fn next(&mut self, capacity: u32, now_ms: u64) -> Vec<u64> {
-        let mut go = Vec::new();
-        for share in self.accounts.values_mut() {
-            share.queue.retain(|w| w.deadline_ms > now_ms);
-        }
+    /// Returns the tickets that may go now, and those that are over: their
+    /// deadline comes before a stay would end.
+    pub fn next(&mut self, capacity: u32, stay_ms: f64, now_ms: u64) -> Turns {
+        let mut turns = Turns {
+            over: self.take_over_tickets(now_ms + stay_ms as u64),
+            go: Vec::new(),
+        };
         while self.running < capacity {
             let Some(account) = self.furthest_behind() else {
                 break;
@@ -263,12 +274,26 @@
             };
             let weight = share.weight;
             if let Some(w) = share.queue.pop_front() {
-                go.push(w.ticket);
+                turns.go.push(w.ticket);
             }
             self.start(&account, weight);
         }
         self.drop_idle();
-        go
+        turns
+    }
+
+    fn take_over_tickets(&mut self, earliest_end_ms: u64) -> Vec<u64> {
+        let mut over = Vec::new();
+        for share in self.accounts.values_mut() {
+            share.queue.retain(|w| {
+                let in_time = w.deadline_ms > earliest_end_ms;
+                if !in_time {
+                    over.push(w.ticket);
+                }
+                in_time
+            });
+        }
+        over
     }
 
     /// Returns how many requests wait.
--- a/tests/decisions/admission.rs
+++ b/tests/decisions/admission.rs
@@ -58,7 +58,7 @@
     let mut served = (0, 0);
     for _ in 0..n {
         q.end();
-        for t in q.next(1, 1) {
+        for t in q.next(1, 1.0, 1).go {
             if owner[&t] == a {
                 served.0 += 1;
             } else {
@@ -88,7 +88,7 @@
     };
     q.end();
     q.end();
-    let go = q.next(4, 1);
+    let go = q.next(4, 100.0, 1).go;
     assert!(
         go.contains(&ticket),
         "the small account waits behind the flood"
@@ -115,3 +115,23 @@
     let alone = RowShare::divide(90.0, 10, 0.0, 1);
     assert_eq!((alone.rate, alone.concurrency), (90.0, 10));
 }
+
+/// In an overload a queue that only looks at the wait serves requests that
+/// expire while they run: all of its work is wasted.
+#[test]
+fn a_turn_that_leaves_no_time_to_run_is_refused() {
+    let mut q = FairQueue::default();
+    let a = account("a");
+    // One runs and four wait: the next one's turn comes after 5 s.
+    for _ in 0..5 {
+        let _ = q.join(&a, 1, 1, 1_000.0, 0, u64::MAX / 2);
+    }
+    assert!(q.join(&a, 1, 1, 1_000.0, 0, 5_500).is_err());
+    let Ok(Turn::Wait(ticket)) = q.join(&a, 1, 1, 1_000.0, 0, 6_500) else {
+        panic!("expected a wait");
+    };
+    // The turns before it took longer than thought: it is dropped.
+    q.end();
+    let turns = q.next(1, 1_000.0, 6_000);
+    assert!(turns.over.contains(&ticket) && !turns.go.contains(&ticket));
+}
