Count a refused request out once: a box that refused many refused all

Cause: a request that was refused its turn left the gate twice (where it was refused, and when its guard was dropped). The count of open requests went below zero, that is to a huge number, and the box refused everything as full, for ever. Before: new test a_box_that_refused_many_takes_the_next fails (refused 503 not-run after the flood). After: it passes.

--- a/src/app/admission_desk.rs
+++ b/src/app/admission_desk.rs
@@ -130,21 +130,17 @@
                     q.waiters.insert(ticket, tx);
                     (ticket, rx)
                 }
-                Err(rejection) => {
-                    drop(queues);
-                    self.leave_gate(&c.account, &c.service);
-                    return Err(rejection);
-                }
+                Err(rejection) => return Err(rejection),
             }
         };
         let waiting = Waiting {
             desk: self,
             service: &c.service,
-            account: &c.account,
             ticket,
+            rx,
             done: false,
         };
-        waiting.turn(rx, deadline_ms.saturating_sub(now)).await
+        waiting.turn(deadline_ms.saturating_sub(now)).await
     }
 
     fn leave_gate(&self, account: &ClientAccount, service: &ServiceName) {
@@ -211,14 +207,14 @@
 struct Waiting<'a> {
     desk: &'a AdmissionDesk,
     service: &'a ServiceName,
-    account: &'a ClientAccount,
     ticket: u64,
+    rx: oneshot::Receiver<()>,
     done: bool,
 }
 
 impl Waiting<'_> {
-    async fn turn(mut self, rx: oneshot::Receiver<()>, left_ms: u64) -> Result<(), Rejection> {
-        let turn = tokio::time::timeout(Duration::from_millis(left_ms), rx).await;
+    async fn turn(mut self, left_ms: u64) -> Result<(), Rejection> {
+        let turn = tokio::time::timeout(Duration::from_millis(left_ms), &mut self.rx).await;
         if matches!(turn, Ok(Ok(()))) {
             self.done = true;
             return Ok(());
@@ -237,8 +233,11 @@
         if let Some(q) = self.desk.queues.lock().get_mut(self.service) {
             q.fair.leave(self.ticket);
             q.waiters.remove(&self.ticket);
+            // A turn that came in the last moment is given back.
+            if self.rx.try_recv().is_ok() {
+                q.fair.end();
+            }
         }
-        self.desk.leave_gate(self.account, self.service);
     }
 }
 
--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -3,6 +3,7 @@
 
 mod bad_input;
 mod cli;
+mod overload;
 mod promise_leaving;
 mod promise_not_run;
 mod promise_once;
--- /dev/null
+++ b/tests/it/overload.rs
@@ -0,0 +1,40 @@
+//! A box that had to refuse serves again as soon as it can.
+
+use {
+    crate::support::*, saddlepulley_standin::engine::EngineConfig, std::time::Duration,
+    tokio::task::JoinSet,
+};
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_box_that_refused_many_takes_the_next() {
+    let plan = Plan {
+        domains: 1,
+        engines_per_domain: 1,
+        engine: EngineConfig {
+            slots: 1,
+            step_ms: 10.0,
+            ..EngineConfig::default()
+        },
+        ..Plan::default()
+    };
+    let cluster = Cluster::start(plan).await;
+    let boxes = cluster.caller_addrs();
+    for round in 0..3 {
+        let mut flood = JoinSet::new();
+        for i in 0..60 {
+            let boxes = boxes.clone();
+            flood.spawn(async move {
+                let headers = [("saddlepulley-deadline-ms", "800")];
+                ask_stream_with(&boxes, 0, &format!("flood {round} {i}"), 20, &headers).await
+            });
+        }
+        let ends = flood.join_all().await;
+        let refused = ends
+            .iter()
+            .filter(|t| matches!(&t.end, CallerEnd::Refused(_, o) if o == "not-run"));
+        assert!(refused.count() > 10, "the flood was not refused");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let t = ask_stream(&boxes, 0, "after the flood", 5).await;
+        assert_eq!(t.end, CallerEnd::Whole, "{t:?}");
+    }
+}
