Hold the copy of the owner that one gave way to

Cause: with one key at three boxes at once, the third gave way to the second and then refused to hold the second's copy, naming the second itself as the owner; the second took that for a failure, asked the first and gave way to it, while the first, told by the third, gave way to the second: nobody ran it. Ruled out: the claim (none was appended), the yielding order among searching boxes. A circle is left for a box that can't hold for another reason at that very moment (full or cut off): its callers are told may-have-run.

--- a/src/app/peer_desk.rs
+++ b/src/app/peer_desk.rs
@@ -187,7 +187,8 @@
         _ if r.is_not_run() => true,
         Role::Copy { owner: known } => known == owner,
         Role::Owner => r.holder == Holder::Searching && r.durable == 0 && owner < me,
-        Role::Moved { .. } => false,
+        // It gave way to this very owner, and can hold its copy.
+        Role::Moved { to } => to == owner,
     }
 }
 
