--- a/benches/policies.rs
+++ b/benches/policies.rs
@@ -267,7 +267,7 @@
         (
             "+ limit",
             "cheapest-on-target",
-            "queue = false\nbudget = false\ncancel = false",
+            "queue = false\nbudget = false\ncancel = false\nlimit = true",
         ),
         (
             "+ queue",
--- a/src/conf/settings.rs
+++ b/src/conf/settings.rs
@@ -55,7 +55,8 @@
     pub spill: bool,
     /// Requests wait for a fair turn, and are refused early.
     pub queue: bool,
-    /// Requests in flight at an upstream are limited adaptively.
+    /// Requests in flight at an upstream are limited adaptively. Off: the
+    /// measurement of the overload speaks against it (docs/MEASUREMENTS.md).
     pub limit: bool,
     /// Retries are spent from the row's budget, with full jitter.
     pub budget: bool,
@@ -75,7 +76,7 @@
             relay: true,
             spill: true,
             queue: true,
-            limit: true,
+            limit: false,
             budget: true,
             cancel: true,
         }
