Say once how a retry is spent and an upstream avoided

Ruled out: any change of behaviour; only the place changed. Conclusion: both stand in app/attempt.rs.

--- a/src/app/attempt.rs
+++ b/src/app/attempt.rs
@@ -12,6 +12,8 @@
 /// day on average, until the boxes' own record says more.
 const RECLAIMABLE_HAZARD_PER_S: f64 = 1.0 / 86_400.0;
 const ROUND_TRIP_MS: f64 = 1.0;
+/// How long an upstream that refused a connection isn't asked again.
+const AVOID_MS: u64 = 1_000;
 
 /// A place that was chosen.
 #[derive(Clone, Debug)]
@@ -177,6 +179,18 @@
     policy.choose(&relaxed, views, rng)
 }
 
+/// Leaves an upstream that refused a connection alone for a while.
+pub fn avoid(world: &World, place: &Place) {
+    let mut stats = world.stats.lock();
+    stats.of(&place.id).avoid_until_ms = now_ms() + AVOID_MS;
+}
+
+/// Spends a retry from the budget of a request's row, if one is saved.
+pub fn spend_retry(world: &World, spec: &RequestSpec) -> bool {
+    let key = (spec.account.clone(), spec.service.clone());
+    world.budgets.lock().entry(key).or_default().spend()
+}
+
 /// An attempt in flight at an upstream; it is counted out when dropped.
 pub struct InFlight {
     world: Arc<World>,
--- a/src/app/run_model.rs
+++ b/src/app/run_model.rs
@@ -8,8 +8,6 @@
 
 const BACKOFF_BASE_MS: u64 = 50;
 const BACKOFF_CAP_MS: u64 = 2_000;
-/// How long an upstream that refused a connection isn't asked again.
-const AVOID_MS: u64 = 1_000;
 /// An attempt that says nothing for this long has stalled.
 const STALL: Duration = Duration::from_millis(3_000);
 /// How long an attempt may take to its first token, beyond the target's tenfold.
@@ -352,7 +350,7 @@
     async fn after_refusal(&mut self, place: &Place, e: EngineError) -> bool {
         self.started |= !e.is_not_run();
         if e.is_not_connected() {
-            self.avoid(place);
+            avoid(self.world, place);
             self.exclude.insert(place.id.clone());
             return true;
         }
@@ -366,7 +364,7 @@
             return true;
         }
         self.exclude.insert(place.id.clone());
-        if !self.spend_retry() {
+        if !spend_retry(self.world, &self.spec) {
             let outcome = if self.started {
                 Outcome::MayHaveRun
             } else {
@@ -382,17 +380,6 @@
         true
     }
 
-    fn avoid(&self, place: &Place) {
-        let mut stats = self.world.stats.lock();
-        stats.of(&place.id).avoid_until_ms = now_ms() + AVOID_MS;
-    }
-
-    fn spend_retry(&self) -> bool {
-        let key = (self.spec.account.clone(), self.spec.service.clone());
-        let mut budgets = self.world.budgets.lock();
-        budgets.entry(key).or_default().spend()
-    }
-
     fn cancel(&self, place: &Place) {
         let naive = self.spec.policy.as_str() == NaivePlacement::NAME;
         if naive || !self.world.settings.trial.cancel {
--- a/src/app/run_plain.rs
+++ b/src/app/run_plain.rs
@@ -7,7 +7,6 @@
 
 const BACKOFF_BASE_MS: u64 = 20;
 const BACKOFF_CAP_MS: u64 = 1_000;
-const AVOID_MS: u64 = 1_000;
 /// How often a call that was refused before its start is sent elsewhere.
 const MAX_NOT_RUN: u32 = 8;
 
@@ -72,7 +71,7 @@
         if immediate || e.is_not_connected() {
             continue;
         }
-        if !spend(world, &spec) {
+        if !spend_retry(world, &spec) {
             let detail = format!("no retry is left: {e}");
             break Failure::new(not_run_if(!may_have_run), detail, 1_000);
         }
@@ -281,20 +280,13 @@
 }
 
 fn note_failure(world: &World, place: &Place, e: &EngineError) {
-    let mut stats = world.stats.lock();
-    let s = stats.of(&place.id);
     if e.is_not_connected() {
-        s.avoid_until_ms = now_ms() + AVOID_MS;
+        avoid(world, place);
     } else {
-        s.limit.refused();
+        world.stats.lock().of(&place.id).limit.refused();
     }
 }
 
-fn spend(world: &World, spec: &RequestSpec) -> bool {
-    let key = (spec.account.clone(), spec.service.clone());
-    world.budgets.lock().entry(key).or_default().spend()
-}
-
 fn not_run_if(not_run: bool) -> Outcome {
     if not_run {
         Outcome::NotRun
