--- a/src/app/claim_desk.rs
+++ b/src/app/claim_desk.rs
@@ -1,6 +1,6 @@
 use {
     super::World,
-    crate::{names::*, peer::*, platform::PlatformError, policy::*},
+    crate::{names::*, peer::*, policy::*, provider::PlatformError},
     parking_lot::Mutex,
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::sync::{Notify, oneshot, watch},
--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -4,8 +4,8 @@
         peer_desk::PeerDesk, reclaim_watch::watch_reclaims, sweep::*, table_watch::*, *,
     },
     crate::{
-        caller::serve_callers, conf::Settings, engine::*, names::*, peer::*, platform::*,
-        policy::BoxState,
+        caller::serve_callers, conf::Settings, engine::*, names::*, peer::*, policy::BoxState,
+        provider::*,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, task::JoinSet},
--- a/src/app/replacements.rs
+++ b/src/app/replacements.rs
@@ -1,6 +1,6 @@
 use {
     super::World,
-    crate::{names::*, platform::*, policy::*},
+    crate::{names::*, policy::*, provider::*},
     std::collections::BTreeSet,
 };
 
--- a/src/app/table_watch.rs
+++ b/src/app/table_watch.rs
@@ -1,6 +1,6 @@
 use {
     super::*,
-    crate::{contracts::*, names::*, peer::*, platform::*},
+    crate::{contracts::*, names::*, peer::*, provider::*},
     std::{collections::VecDeque, sync::Arc, time::Duration},
 };
 
--- a/src/app/world.rs
+++ b/src/app/world.rs
@@ -2,7 +2,7 @@
     super::*,
     crate::{
         boxes::*, conf::Settings, contracts::Table, engine::*, links::*, names::*, peer::*,
-        platform::*, policy::*, requests::*,
+        policy::*, provider::*, requests::*,
     },
     parking_lot::{Mutex, RwLock},
     rand::{RngCore, SeedableRng},
--- /dev/null
+++ b/src/backends/backend.rs
@@ -0,0 +1,30 @@
+use {
+    crate::names::{BackendId, ServiceName, ZoneName},
+    serde::{Deserialize, Serialize},
+    std::net::SocketAddr,
+};
+
+/// What a back end says of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Backend {
+    /// Which life of it.
+    pub id: BackendId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The zone that it stands in.
+    pub zone: ZoneName,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it is about to leave: no new work.
+    #[serde(default)]
+    pub draining: bool,
+    /// Whether it may be taken away at short notice.
+    #[serde(default)]
+    pub reclaimable: bool,
+    /// Rises with each heartbeat.
+    #[serde(default)]
+    pub heartbeat: u64,
+}
--- a/src/cli/cli_error.rs
+++ b/src/cli/cli_error.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         app::AppError, conf::ConfError, contracts::TableError, http::HttpError,
-        platform::PlatformError,
+        provider::PlatformError,
     },
     std::process::ExitCode,
 };
--- a/src/cli/demo_world.rs
+++ b/src/cli/demo_world.rs
@@ -2,7 +2,7 @@
     super::{CliError, table_command::publish},
     crate::{
         app::Daemon, caller::token_hash, conf::Settings, contracts::TableFile, http::HttpClient,
-        platform::PlatformHttp,
+        provider::PlatformHttp,
     },
     saddlepulley_standin::{
         engine::{Engine, EngineConfig},
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -6,6 +6,7 @@
 Usage: saddlepulley <command> [options]
 
   serve          run the daemon of an entry box
+  gateway        run the daemon that routes by host and path
   check          check a settings file or a table file
   table show     print the table in force, ready to edit
   table diff     show what publishing a file would change
@@ -20,6 +21,18 @@
 Exit codes: 0 done, 1 failed, 2 usage or wrong file, 3 conflict.
 ";
 
+/// Help for `gateway`.
+pub const GATEWAY: &str = "\
+Usage: saddlepulley gateway [--settings FILE]
+
+Runs the daemon that routes requests by host and path to back ends, byte for
+byte, until SIGTERM or SIGINT: then it takes no new clients, finishes what is
+in flight and leaves. Without --settings, the file is the one that the variable
+SADDLEPULLEY_NODE_FILE names.
+
+Example: saddlepulley gateway --settings gateway.toml
+";
+
 /// Help for `serve`.
 pub const SERVE: &str = "\
 Usage: saddlepulley serve --settings FILE
--- a/src/cli/report_command.rs
+++ b/src/cli/report_command.rs
@@ -1,6 +1,6 @@
 use {
     super::{CliError, block_on, finish, table_command::read_table},
-    crate::{names::*, platform::PlatformHttp, report::*},
+    crate::{names::*, provider::PlatformHttp, report::*},
     pico_args::Arguments,
     std::{fs, net::SocketAddr, path::PathBuf},
 };
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,5 +1,7 @@
 use {
-    super::{CliError, check, demo, help, report_command, serve, status, table_command},
+    super::{
+        CliError, check, demo, gateway_command, help, report_command, serve, status, table_command,
+    },
     pico_args::Arguments,
     std::{ffi::OsString, process::ExitCode},
 };
@@ -40,6 +42,7 @@
 fn find(name: &str) -> Option<(&'static str, Command)> {
     let found: (&'static str, Command) = match name {
         "serve" => (help::SERVE, serve::serve),
+        "gateway" => (help::GATEWAY, gateway_command::gateway),
         "check" => (help::CHECK, check::check),
         "table" => (help::TABLE, table_command::table),
         "status" => (help::STATUS, status::status),
--- a/src/cli/table_command.rs
+++ b/src/cli/table_command.rs
@@ -1,6 +1,6 @@
 use {
     super::{CliError, block_on, finish, operator_client::*},
-    crate::{app::TABLE_STREAM, contracts::*, names::*, platform::*},
+    crate::{app::TABLE_STREAM, contracts::*, names::*, provider::*},
     pico_args::Arguments,
     std::{
         collections::BTreeMap,
--- /dev/null
+++ b/src/cluster/digest.rs
@@ -0,0 +1,135 @@
+use {
+    crate::{
+        names::{BackendId, NodeName, TenantName},
+        policy::{QuotaNotice, TenantCounts},
+    },
+    bincode::{Decode, Encode},
+    displaydoc::Display,
+    std::net::SocketAddr,
+};
+
+/// The version of the message; one of another version is not understood.
+const DIGEST_VERSION: u8 = 1;
+/// The largest digest, in bytes: one datagram, not split.
+pub const MAX_DIGEST_BYTES: usize = 1_400;
+
+/// Why a datagram is no digest.
+#[derive(Debug, Display, thiserror::Error)]
+pub enum DigestError {
+    /// not a digest: {0}
+    Malformed(String),
+    /// a digest of version {0}
+    OtherVersion(u8),
+}
+
+/// What a daemon tells the others some times a second.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Digest {
+    version: u8,
+    /// The daemon.
+    pub node: String,
+    /// Which life of it.
+    pub incarnation: u64,
+    /// Rises with each digest of a life.
+    pub sequence: u64,
+    /// Where it listens for other daemons.
+    pub address: SocketAddr,
+    /// The configuration that it has in force; 0 for none.
+    pub config_version: u64,
+    /// How long ago its source of configuration answered, in milliseconds.
+    pub source_age_ms: u64,
+    /// Whether it holds the duties.
+    pub holds_duties: bool,
+    /// By tenant, the weight with which it asks for a part of the quota and
+    /// what it has let in.
+    pub quotas: Vec<(String, f32, f64)>,
+    /// Requests that began there, by window and tenant.
+    pub usage: Vec<(u64, Vec<(String, u32)>)>,
+    /// Requests and waiting prompt tokens that it has at back ends.
+    pub loads: Vec<(String, u32, u32)>,
+    /// Other daemons that it knows.
+    pub peers: Vec<SocketAddr>,
+}
+
+impl Digest {
+    /// Starts a digest that tells nothing but who sends it.
+    pub fn new(node: &NodeName, incarnation: u64, sequence: u64, address: SocketAddr) -> Self {
+        Self {
+            version: DIGEST_VERSION,
+            node: node.to_string(),
+            incarnation,
+            sequence,
+            address,
+            config_version: 0,
+            source_age_ms: u64::MAX,
+            holds_duties: false,
+            quotas: Vec::new(),
+            usage: Vec::new(),
+            loads: Vec::new(),
+            peers: Vec::new(),
+        }
+    }
+
+    /// Encodes the digest.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DigestError::Malformed`] if it is too large for a datagram.
+    pub fn encode(&self) -> Result<Vec<u8>, DigestError> {
+        let bytes = bincode::encode_to_vec(self, bincode::config::standard());
+        let bytes = bytes.map_err(|e| DigestError::Malformed(e.to_string()))?;
+        if bytes.len() > MAX_DIGEST_BYTES {
+            return Err(DigestError::Malformed(format!("{} bytes", bytes.len())));
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a digest.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the bytes are none.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DigestError> {
+        match bytes.first() {
+            Some(&DIGEST_VERSION) => {}
+            Some(other) => return Err(DigestError::OtherVersion(*other)),
+            None => return Err(DigestError::Malformed("empty".into())),
+        }
+        let config = bincode::config::standard().with_limit::<MAX_DIGEST_BYTES>();
+        let decoded = bincode::decode_from_slice(bytes, config);
+        let (digest, _) = decoded.map_err(|e| DigestError::Malformed(e.to_string()))?;
+        Ok(digest)
+    }
+
+    /// Returns what it tells about quotas, typed.
+    pub fn quota_notices(&self) -> Vec<QuotaNotice> {
+        let quotas = self.quotas.iter();
+        let typed = quotas.map(|(tenant, weight, admitted)| QuotaNotice {
+            tenant: TenantName::from(tenant.as_str()),
+            weight: f64::from(*weight),
+            admitted: *admitted,
+        });
+        typed.collect()
+    }
+
+    /// Returns the usage with typed names.
+    pub fn usage_counts(&self) -> Vec<(u64, TenantCounts)> {
+        let typed = |counts: &Vec<(String, u32)>| {
+            let counts = counts.iter();
+            counts
+                .map(|(t, n)| (TenantName::from(t.as_str()), u64::from(*n)))
+                .collect()
+        };
+        self.usage
+            .iter()
+            .map(|(w, counts)| (*w, typed(counts)))
+            .collect()
+    }
+
+    /// Returns a back end's name and figures, typed.
+    pub fn typed_loads(&self) -> impl Iterator<Item = (BackendId, u32, u32)> + '_ {
+        self.loads
+            .iter()
+            .map(|(id, active, tokens)| (BackendId::from(id.as_str()), *active, *tokens))
+    }
+}
--- /dev/null
+++ b/src/cluster/digest_exchange.rs
@@ -0,0 +1,146 @@
+use {
+    super::Digest,
+    crate::{gateway::Gateway, names::now_ms},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::net::UdpSocket,
+};
+
+/// The time between two digests.
+const DIGEST_EVERY: Duration = Duration::from_millis(250);
+/// How many windows of usage are told: what is lost once comes again.
+const USAGE_WINDOWS: usize = 3;
+/// Each how many digests seeds are written to that were not heard from.
+const SEEDS_EVERY: u64 = 4;
+const MAX_DATAGRAM: usize = 2_048;
+
+/// Tells other daemons about this one, and hears them.
+pub async fn exchange_digests(socket: UdpSocket, gateway: Arc<Gateway>) {
+    let socket = Arc::new(socket);
+    tokio::join!(
+        send_digests(socket.clone(), gateway.clone()),
+        hear_digests(socket, gateway)
+    );
+}
+
+async fn hear_digests(socket: Arc<UdpSocket>, gateway: Arc<Gateway>) {
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            continue;
+        };
+        match Digest::decode(&buffer[..length]) {
+            Ok(digest) => take_in(&gateway, digest),
+            Err(e) => log::warn!(target: "peers", "datagram refused. error=\"{e}\""),
+        }
+    }
+}
+
+fn take_in(gateway: &Gateway, digest: Digest) {
+    if digest.address == gateway.settings.listen.peers {
+        return;
+    }
+    let usage = digest.usage_counts();
+    let quotas = digest.quota_notices();
+    let (node, incarnation) = (digest.node.clone(), digest.incarnation);
+    let news = gateway.peers.lock().hear(digest, gateway.steady_ms());
+    if news {
+        gateway.usage.lock().merge(&node, incarnation, &usage);
+        gateway.quotas.lock().hear(&node, incarnation, &quotas);
+    }
+}
+
+async fn send_digests(socket: Arc<UdpSocket>, gateway: Arc<Gateway>) {
+    let mut sequence = 0;
+    loop {
+        sequence += 1;
+        gateway.peers.lock().tick(gateway.steady_ms());
+        reserve_quotas(&gateway);
+        let digest = make_digest(&gateway, sequence);
+        match digest.encode() {
+            Ok(bytes) => send_to_all(&socket, &gateway, &bytes, sequence).await,
+            Err(e) => log::warn!(target: "peers", "no digest. error=\"{e}\""),
+        }
+        tokio::time::sleep(DIGEST_EVERY).await;
+    }
+}
+
+async fn send_to_all(socket: &UdpSocket, gateway: &Gateway, bytes: &[u8], sequence: u64) {
+    let mut addresses = gateway.peers.lock().addresses();
+    if sequence % SEEDS_EVERY == 1 {
+        addresses.extend(gateway.settings.peers.seeds.iter().copied());
+    }
+    addresses.remove(&gateway.settings.listen.peers);
+    for address in addresses {
+        // A datagram may be lost anyway; the next one tells it all again.
+        let _ = socket.send_to(bytes, address).await;
+    }
+}
+
+/// Reserves for silent daemons their parts of the quotas.
+fn reserve_quotas(gateway: &Gateway) {
+    let (live, silent) = gateway.peers.lock().quota_weights();
+    if live.is_empty() && silent.is_empty() {
+        return;
+    }
+    gateway.quotas.lock().reserve(&live, &silent);
+}
+
+fn make_digest(gateway: &Gateway, sequence: u64) -> Digest {
+    let settings = &gateway.settings;
+    let address: SocketAddr = settings.listen.peers;
+    let mut digest = Digest::new(&settings.node.name, gateway.incarnation, sequence, address);
+    digest.config_version = gateway.table().map_or(0, |t| t.version());
+    digest.source_age_ms = source_age_ms(gateway);
+    digest.holds_duties = gateway.holds_duties.load(Ordering::Relaxed);
+    digest.quotas = quotas(gateway);
+    digest.usage = usage(gateway);
+    digest.loads = loads(gateway);
+    digest.peers = gateway.peers.lock().live_addresses();
+    digest
+}
+
+/// Returns how long ago the source of configuration answered.
+pub fn source_age_ms(gateway: &Gateway) -> u64 {
+    match gateway.source_heard_ms.load(Ordering::Relaxed) {
+        0 => u64::MAX,
+        heard_ms => gateway.steady_ms().saturating_sub(heard_ms),
+    }
+}
+
+fn quotas(gateway: &Gateway) -> Vec<(String, f32, f64)> {
+    let (tenants, daemons) = (gateway.tenants(), gateway.daemons());
+    let may_grow = !gateway.peers.lock().any_silent();
+    let mut quotas = gateway.quotas.lock();
+    let notices = quotas.announce(&tenants, daemons, may_grow, gateway.steady_ms());
+    let notices = notices.into_iter();
+    notices
+        .map(|n| (n.tenant.to_string(), n.weight as f32, n.admitted))
+        .collect()
+}
+
+fn usage(gateway: &Gateway) -> Vec<(u64, Vec<(String, u32)>)> {
+    let newest = gateway.usage.lock().newest(USAGE_WINDOWS);
+    let oldest = gateway
+        .window_of(now_ms())
+        .saturating_sub(USAGE_WINDOWS as u64);
+    let recent = newest.into_iter().filter(|(window, _)| *window >= oldest);
+    let named = recent.map(|(window, counts)| {
+        let counts = counts.into_iter();
+        (
+            window,
+            counts.map(|(t, n)| (t.to_string(), n as u32)).collect(),
+        )
+    });
+    named.collect()
+}
+
+fn loads(gateway: &Gateway) -> Vec<(String, u32, u32)> {
+    let loads = gateway.loads.lock();
+    let busy = loads.iter().filter(|(_, load)| load.active > 0);
+    let figures = busy.map(|(id, l)| (id.to_string(), l.active, l.waiting_tokens as u32));
+    figures.collect()
+}
--- /dev/null
+++ b/src/cluster/duty_borders.rs
@@ -0,0 +1,115 @@
+use {
+    crate::{
+        names::{NodeName, ServiceName, ZoneName},
+        policy::TenantCounts,
+    },
+    async_trait::async_trait,
+    bytes::Bytes,
+    displaydoc::Display,
+};
+
+/// How a call to a shared log or an API for duties failed.
+#[derive(Clone, Debug, Display, thiserror::Error)]
+pub enum BorderError {
+    /// not done: {0}
+    NotDone(String),
+    /// may have been done: {0}
+    Unknown(String),
+}
+
+/// A part of a topic.
+#[derive(Clone, Debug, Default)]
+pub struct TopicPage {
+    /// The offset of the first record that is kept.
+    pub first: u64,
+    /// The offset of the first record here.
+    pub from: u64,
+    /// The records.
+    pub records: Vec<Bytes>,
+}
+
+/// How an append under a condition ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendEnd {
+    /// The record is in the topic.
+    Taken,
+    /// The topic ends elsewhere; nothing was done.
+    Conflict,
+}
+
+/// A log that all daemons share and that outlives them.
+#[async_trait]
+pub trait SharedLog: Send + Sync {
+    /// Reads a topic from an offset, or from its first record if that is later.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the read failed.
+    async fn read(&self, topic: &str, from: u64) -> Result<TopicPage, BorderError>;
+
+    /// Appends a record if the topic ends at an offset.
+    ///
+    /// # Errors
+    ///
+    /// [`BorderError::Unknown`] if it may be in the topic, or come into it later.
+    async fn append_at(
+        &self,
+        topic: &str,
+        end: u64,
+        record: Bytes,
+    ) -> Result<AppendEnd, BorderError>;
+}
+
+/// In whose name a duty is done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyClaim {
+    /// The daemon.
+    pub holder: NodeName,
+    /// The fencing token.
+    pub fence: u64,
+}
+
+/// An order for the number of a service's back ends in a zone.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FleetOrder {
+    /// The service.
+    pub service: ServiceName,
+    /// The zone.
+    pub zone: ZoneName,
+    /// Whether back ends are meant that may be taken away.
+    pub reclaimable: bool,
+    /// How many there shall be.
+    pub count: u32,
+}
+
+/// How an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// It was taken.
+    Taken,
+    /// No such back ends are to be had there now.
+    NoneLeft,
+}
+
+/// The API for duties that one daemon has at a time.
+#[async_trait]
+pub trait DutyApi: Send + Sync {
+    /// Reports a window's usage.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
+    async fn report_usage(
+        &self,
+        claim: &DutyClaim,
+        window: u64,
+        counts: &TenantCounts,
+    ) -> Result<(), BorderError>;
+
+    /// Orders back ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
+    async fn order(&self, claim: &DutyClaim, order: &FleetOrder) -> Result<OrderEnd, BorderError>;
+}
--- /dev/null
+++ b/src/cluster/duty_runner.rs
@@ -0,0 +1,205 @@
+use {
+    super::{AppendEnd, BorderError, DutyApi, DutyClaim, SharedLog},
+    crate::{
+        gateway::{Gateway, GatewayPhase},
+        names::{BoxId, now_ms},
+        policy::{Claimer, DutyLog, DutyRecord, LeaseRecord, LeaseStep},
+    },
+    bytes::Bytes,
+    std::{
+        collections::BTreeSet,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+};
+
+/// The topic of the duties.
+pub const DUTY_TOPIC: &str = "duties";
+const PAUSE: Duration = Duration::from_millis(250);
+/// The pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+/// How long a call for a duty may take, in milliseconds: borders end it then.
+pub const DUTY_CALL_MS: u64 = 900;
+/// Of the time until a report is due, how much is waited for late counts.
+const REPORT_AT: f64 = 0.65;
+/// Until how many times the delay a late report is still sent.
+const REPORT_UNTIL: f64 = 1.2;
+
+/// Takes the lease of the duties when it is free, and does them while it is held.
+pub struct DutyRunner {
+    gateway: Arc<Gateway>,
+    shared_log: Arc<dyn SharedLog>,
+    api: Arc<dyn DutyApi>,
+    log: DutyLog,
+    reported: BTreeSet<u64>,
+}
+
+impl DutyRunner {
+    /// Makes the runner of a daemon.
+    pub fn new(
+        gateway: Arc<Gateway>,
+        shared_log: Arc<dyn SharedLog>,
+        api: Arc<dyn DutyApi>,
+    ) -> Self {
+        let me = Claimer {
+            id: BoxId::from(gateway.settings.node.name.as_str()),
+            incarnation: gateway.incarnation,
+        };
+        let log = DutyLog::new(me, gateway.settings.duties.lease_ms);
+        Self {
+            gateway,
+            shared_log,
+            api,
+            log,
+            reported: BTreeSet::new(),
+        }
+    }
+
+    /// Runs until the daemon stops.
+    pub async fn run(mut self) {
+        let spread_ms = self.gateway.draw() % 500;
+        tokio::time::sleep(Duration::from_millis(spread_ms)).await;
+        let mut holds = false;
+        loop {
+            let stopping = *self.gateway.phase.borrow() != GatewayPhase::Ready;
+            let other_holds = self.gateway.peers.lock().has_duty_holder();
+            if stopping || (!holds && other_holds) {
+                self.tell(false);
+                holds = false;
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            }
+            match self.turn(holds).await {
+                Ok(now_holds) => {
+                    holds = now_holds;
+                    self.tell(holds);
+                    tokio::time::sleep(PAUSE).await;
+                }
+                Err(e) => {
+                    log::info!(target: "duties", "a call failed. error=\"{e}\"");
+                    holds = self.log.fence_for(0, self.gateway.steady_ms()).is_some();
+                    self.tell(holds);
+                    tokio::time::sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn tell(&self, holds: bool) {
+        let before = self.gateway.holds_duties.swap(holds, Ordering::Relaxed);
+        if before != holds {
+            log::info!(target: "duties", "holder changed. holds={holds}");
+        }
+    }
+
+    /// Does one turn; returns whether the lease is held.
+    async fn turn(&mut self, holds: bool) -> Result<bool, BorderError> {
+        if !holds {
+            self.read_on().await?;
+        }
+        match self.log.step(self.gateway.steady_ms()) {
+            LeaseStep::Wait => Ok(false),
+            LeaseStep::Append(lease) => self.take_lease(lease).await,
+            LeaseStep::Act { .. } => {
+                self.report_usage().await?;
+                Ok(true)
+            }
+        }
+    }
+
+    async fn read_on(&mut self) -> Result<(), BorderError> {
+        let page = self.shared_log.read(DUTY_TOPIC, self.log.next()).await?;
+        self.log.skip_to(page.from);
+        let now_ms = self.gateway.steady_ms();
+        for (offset, bytes) in (page.from..).zip(&page.records) {
+            match serde_json::from_slice::<DutyRecord>(bytes) {
+                Ok(record) => self.log.fold(offset, record, now_ms),
+                Err(e) => {
+                    log::warn!(target: "duties", "unreadable record. offset={offset} error=\"{e}\"");
+                    self.log.skip(offset);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn take_lease(&mut self, lease: LeaseRecord) -> Result<bool, BorderError> {
+        self.log.sending(&lease, self.gateway.steady_ms());
+        let taken = self.append(DutyRecord::Lease(lease)).await?;
+        Ok(taken && self.log.fence_for(0, self.gateway.steady_ms()).is_some())
+    }
+
+    /// Appends a record where the topic was read to; returns whether it was taken.
+    async fn append(&mut self, record: DutyRecord) -> Result<bool, BorderError> {
+        let end = self.log.next();
+        let bytes = serde_json::to_vec(&record).map_err(|e| BorderError::NotDone(e.to_string()))?;
+        let append = self
+            .shared_log
+            .append_at(DUTY_TOPIC, end, Bytes::from(bytes));
+        match append.await? {
+            AppendEnd::Taken => {
+                self.log.fold(end, record, self.gateway.steady_ms());
+                Ok(true)
+            }
+            AppendEnd::Conflict => {
+                self.read_on().await?;
+                Ok(false)
+            }
+        }
+    }
+
+    /// Reports the windows that are due.
+    async fn report_usage(&mut self) -> Result<(), BorderError> {
+        if !self.gateway.settings.duties.usage {
+            return Ok(());
+        }
+        for window in self.due_windows() {
+            if self.log.report(window).is_none() {
+                let counts = self.gateway.usage.lock().total(window);
+                let record = self.log.usage_record(window, counts);
+                if !self.append(record).await? {
+                    return Ok(());
+                }
+            }
+            self.send_report(window).await?;
+        }
+        Ok(())
+    }
+
+    fn due_windows(&self) -> Vec<u64> {
+        let duties = &self.gateway.settings.duties;
+        let length_ms = duties.usage_window_s * 1_000;
+        let delay_ms = duties.usage_delay_s as f64 * 1_000.0;
+        let now = now_ms();
+        let is_due = |window: &u64| {
+            let ended_ms = (window + 1) * length_ms;
+            let age_ms = now.saturating_sub(ended_ms) as f64;
+            age_ms >= delay_ms * REPORT_AT
+                && age_ms <= delay_ms * REPORT_UNTIL
+                && !self.reported.contains(window)
+        };
+        let newest = now / length_ms.max(1);
+        let oldest = newest.saturating_sub(2 * duties.usage_delay_s / duties.usage_window_s.max(1));
+        (oldest..newest).filter(is_due).collect()
+    }
+
+    async fn send_report(&mut self, window: u64) -> Result<(), BorderError> {
+        let Some(counts) = self.log.report(window).cloned() else {
+            return Ok(());
+        };
+        // Asked again right before the call: the lease may be over by now.
+        let Some(fence) = self.log.fence_for(DUTY_CALL_MS, self.gateway.steady_ms()) else {
+            return Ok(());
+        };
+        let claim = DutyClaim {
+            holder: self.gateway.settings.node.name.clone(),
+            fence,
+        };
+        self.api.report_usage(&claim, window, &counts).await?;
+        self.reported.insert(window);
+        if self.reported.len() > 64 {
+            self.reported.pop_first();
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/cluster/mod.rs
@@ -0,0 +1,12 @@
+//! What equal daemons tell each other, and the duties that one has at a time.
+
+mod digest;
+mod digest_exchange;
+mod duty_borders;
+mod duty_runner;
+mod peer_table;
+mod state_relay;
+
+pub use {
+    digest::*, digest_exchange::*, duty_borders::*, duty_runner::*, peer_table::*, state_relay::*,
+};
--- /dev/null
+++ b/src/cluster/peer_table.rs
@@ -0,0 +1,151 @@
+use {
+    super::Digest,
+    crate::names::{BackendId, TenantName},
+    std::{
+        collections::{BTreeMap, HashMap, HashSet},
+        net::SocketAddr,
+    },
+};
+
+/// After how long without a digest a daemon counts as silent, in milliseconds.
+pub const SILENT_AFTER_MS: u64 = 1_200;
+/// How long a silent daemon's part of the quotas stays its own, in milliseconds.
+const RESERVED_MS: u64 = 30_000;
+/// After how long without a digest an address is no longer written to, in
+/// milliseconds.
+const FORGOTTEN_MS: u64 = 60_000;
+/// How old a digest's loads may be to count, in milliseconds.
+const LOADS_AGE_MS: u64 = 1_000;
+
+#[derive(Debug)]
+struct Peer {
+    digest: Digest,
+    heard_ms: u64,
+}
+
+/// The other daemons, by what they told last. Times are milliseconds of the
+/// daemon's steady clock.
+#[derive(Debug, Default)]
+pub struct PeerTable {
+    peers: BTreeMap<String, Peer>,
+    /// Addresses that were told but not heard from, with when they were told.
+    rumoured: HashMap<SocketAddr, u64>,
+    now_ms: u64,
+}
+
+impl PeerTable {
+    /// Takes in a digest; returns whether it is news.
+    pub fn hear(&mut self, digest: Digest, now_ms: u64) -> bool {
+        self.now_ms = now_ms;
+        if let Some(known) = self.peers.get(&digest.node) {
+            let same_life = known.digest.incarnation == digest.incarnation;
+            if same_life && digest.sequence <= known.digest.sequence {
+                return false;
+            }
+        }
+        for address in &digest.peers {
+            self.rumoured.entry(*address).or_insert(now_ms);
+        }
+        self.rumoured.remove(&digest.address);
+        let peer = Peer {
+            heard_ms: now_ms,
+            digest,
+        };
+        self.peers.insert(peer.digest.node.clone(), peer);
+        true
+    }
+
+    /// Notes the time and forgets daemons that have long been silent.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.now_ms = now_ms;
+        self.peers.retain(|_, p| now_ms < p.heard_ms + FORGOTTEN_MS);
+        self.rumoured
+            .retain(|_, told_ms| now_ms < *told_ms + FORGOTTEN_MS);
+    }
+
+    /// Returns where digests go to.
+    pub fn addresses(&self) -> HashSet<SocketAddr> {
+        let heard = self.peers.values().map(|p| p.digest.address);
+        heard.chain(self.rumoured.keys().copied()).collect()
+    }
+
+    /// Returns the addresses of daemons that were heard from lately.
+    pub fn live_addresses(&self) -> Vec<SocketAddr> {
+        self.live().map(|p| p.digest.address).collect()
+    }
+
+    /// Returns how many others count for the division of quotas.
+    pub fn known(&self) -> usize {
+        self.reserved().count()
+    }
+
+    /// Returns whether a daemon that has a part of the quotas is silent.
+    pub fn any_silent(&self) -> bool {
+        self.reserved().any(|p| self.is_silent(p))
+    }
+
+    /// Returns the sums of the weights of live and of silent daemons, by tenant.
+    pub fn quota_weights(&self) -> (HashMap<TenantName, f64>, HashMap<TenantName, f64>) {
+        let (mut live, mut silent) = (HashMap::new(), HashMap::new());
+        for peer in self.reserved() {
+            let sums = match self.is_silent(peer) {
+                true => &mut silent,
+                false => &mut live,
+            };
+            for notice in peer.digest.quota_notices() {
+                *sums.entry(notice.tenant).or_default() += notice.weight;
+            }
+        }
+        (live, silent)
+    }
+
+    /// Returns requests and waiting tokens that others have at back ends.
+    pub fn loads(&self) -> HashMap<BackendId, (u32, u64)> {
+        let mut sums: HashMap<BackendId, (u32, u64)> = HashMap::new();
+        let fresh = self.peers.values();
+        let fresh = fresh.filter(|p| self.now_ms < p.heard_ms + LOADS_AGE_MS);
+        for (id, active, tokens) in fresh.flat_map(|p| p.digest.typed_loads()) {
+            let sum = sums.entry(id).or_default();
+            sum.0 += active;
+            sum.1 += u64::from(tokens);
+        }
+        sums
+    }
+
+    /// Returns whether another live daemon says that it holds the duties.
+    pub fn has_duty_holder(&self) -> bool {
+        self.live().any(|p| p.digest.holds_duties)
+    }
+
+    /// Returns the live daemon whose source answered last, with its
+    /// configuration's version.
+    pub fn best_informed(&self) -> Option<(SocketAddr, u64, u64)> {
+        let best = self.live().min_by_key(|p| p.digest.source_age_ms);
+        best.map(|p| {
+            (
+                p.digest.address,
+                p.digest.config_version,
+                p.digest.source_age_ms,
+            )
+        })
+    }
+
+    /// Returns a live daemon with the newest configuration.
+    pub fn newest_config(&self) -> Option<(SocketAddr, u64)> {
+        let newest = self.live().max_by_key(|p| p.digest.config_version);
+        newest.map(|p| (p.digest.address, p.digest.config_version))
+    }
+
+    fn reserved(&self) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values();
+        peers.filter(|p| self.now_ms < p.heard_ms + RESERVED_MS)
+    }
+
+    fn live(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|p| !self.is_silent(p))
+    }
+
+    fn is_silent(&self, peer: &Peer) -> bool {
+        self.now_ms >= peer.heard_ms + SILENT_AFTER_MS
+    }
+}
--- /dev/null
+++ b/src/conf/gateway_settings.rs
@@ -0,0 +1,168 @@
+use {
+    super::ConfError,
+    crate::{
+        contracts::line_of,
+        names::{NodeName, ZoneName},
+    },
+    serde::Deserialize,
+    std::{
+        collections::BTreeMap,
+        fs,
+        net::SocketAddr,
+        path::{Path, PathBuf},
+    },
+};
+
+/// The settings of a daemon on the routed path (`saddlepulley gateway`).
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// This machine.
+    pub node: NodeSettings,
+    /// Where it listens.
+    pub listen: GatewayListen,
+    /// Where configuration and back ends come from.
+    pub source: SourceSettings,
+    /// Other daemons.
+    #[serde(default)]
+    pub peers: GatewayPeers,
+    /// Bounds that hold for all daemons.
+    #[serde(default)]
+    pub bounds: GatewayBounds,
+    /// Duties that one daemon has at a time.
+    #[serde(default)]
+    pub duties: DutySettings,
+}
+
+/// Who this machine is.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Its name.
+    pub name: NodeName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// All zones, with their regions.
+    #[serde(default)]
+    pub zones: BTreeMap<ZoneName, String>,
+}
+
+/// Where the daemon listens.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GatewayListen {
+    /// For clients.
+    pub clients: SocketAddr,
+    /// For the balancer's question whether it is ready.
+    pub readiness: SocketAddr,
+    /// For other daemons, by TCP and UDP.
+    pub peers: SocketAddr,
+    /// For metrics.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// Where configuration and back ends come from.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case", tag = "kind")]
+pub enum SourceSettings {
+    /// A file of routes and back ends, read again when it changes.
+    File {
+        /// Its path.
+        path: PathBuf,
+    },
+    /// The users' platform.
+    Platform {
+        /// The address of its store.
+        store: SocketAddr,
+        /// The address of its API for duties.
+        #[serde(default)]
+        cloud: Option<SocketAddr>,
+    },
+}
+
+/// Other daemons.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewayPeers {
+    /// Daemons to ask first; some may be gone.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// Bounds that hold for all daemons together.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GatewayBounds {
+    /// Repeated sends for each first one.
+    pub retry_ratio: f64,
+    /// Repeated sends on top of the ratio, in a window of some seconds.
+    pub retry_slack: f64,
+    /// How long a planned stop may take, in seconds.
+    pub stop_s: f64,
+}
+
+impl Default for GatewayBounds {
+    fn default() -> Self {
+        Self {
+            retry_ratio: 0.2,
+            retry_slack: 40.0,
+            stop_s: 8.0,
+        }
+    }
+}
+
+/// Duties that one daemon has at a time.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct DutySettings {
+    /// Whether usage is reported.
+    pub usage: bool,
+    /// Whether back ends are ordered.
+    pub scaling: bool,
+    /// How long the lease of the duties lasts, in milliseconds.
+    pub lease_ms: u64,
+    /// The length of a window of usage, in seconds.
+    pub usage_window_s: u64,
+    /// How long after its end a window's usage is due, in seconds.
+    pub usage_delay_s: u64,
+}
+
+impl Default for DutySettings {
+    fn default() -> Self {
+        Self {
+            usage: false,
+            scaling: false,
+            lease_ms: 3_000,
+            usage_window_s: 5,
+            usage_delay_s: 10,
+        }
+    }
+}
+
+impl GatewaySettings {
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the file and line that are wrong.
+    pub fn read(path: &Path) -> Result<Self, ConfError> {
+        let text = fs::read_to_string(path).map_err(|source| ConfError::Read {
+            path: path.to_path_buf(),
+            source,
+        })?;
+        Self::parse(&path.display().to_string(), &text)
+    }
+
+    /// Parses the text of a file; `path` is only named in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns the line that is wrong and what was expected.
+    pub fn parse(path: &str, text: &str) -> Result<Self, ConfError> {
+        toml::from_str(text).map_err(|e| ConfError::Parse {
+            path: path.to_string(),
+            line: line_of(text, e.span().map_or(0, |s| s.start)),
+            message: e.message().to_string(),
+        })
+    }
+}
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -2,6 +2,7 @@
 
 mod conf_error;
 mod default_settings;
+mod gateway_settings;
 mod settings;
 
-pub use {conf_error::*, default_settings::*, settings::*};
+pub use {conf_error::*, default_settings::*, gateway_settings::*, settings::*};
--- /dev/null
+++ b/src/gateway/attempts.rs
@@ -0,0 +1,52 @@
+use {
+    super::{Gateway, RequestContext},
+    crate::{backends::*, names::BackendId, policy::*},
+    std::sync::Arc,
+};
+
+/// What has been tried for one request.
+#[derive(Debug, Default)]
+pub struct Attempts {
+    /// The back ends that it was sent to or that could not be reached.
+    pub tried: Vec<BackendId>,
+    /// How many back ends it reached.
+    pub sends: u32,
+    /// Whether it may have run somewhere.
+    pub may_have_run: bool,
+    /// How the last try failed.
+    pub last_failure: Option<SendFailure>,
+}
+
+impl Attempts {
+    /// Chooses where to send the request next.
+    pub fn place(&self, gateway: &Gateway, context: &RequestContext) -> Option<Arc<Backend>> {
+        gateway.place(context, &self.tried)
+    }
+
+    /// Notes a failure and decides whether the request may be sent elsewhere.
+    pub fn may_go_on(
+        &mut self,
+        gateway: &Gateway,
+        context: &RequestContext,
+        backend: &BackendId,
+        failure: SendFailure,
+    ) -> bool {
+        self.tried.push(backend.clone());
+        let reached = !matches!(failure, SendFailure::NotSent(_));
+        if reached {
+            self.sends += 1;
+        }
+        self.may_have_run |= !failure.is_not_run();
+        let situation = RetrySituation {
+            may_have_run: self.may_have_run,
+            repeatable: context.route.is_repeatable(),
+            sends: self.sends,
+            max_sends: context.route.max_attempts,
+            tried: self.tried.len(),
+            time_left_ms: context.time_left().as_millis() as u64,
+        };
+        let draws_on_budget = self.sends > 0;
+        self.last_failure = Some(failure);
+        situation.allows_another() && (!draws_on_budget || gateway.spend_retry(context))
+    }
+}
--- /dev/null
+++ b/src/gateway/follow_file.rs
@@ -0,0 +1,84 @@
+use {
+    super::Gateway,
+    crate::{backends::Backend, contracts::line_of, routing::RoutingConfig},
+    displaydoc::Display,
+    serde::Deserialize,
+    std::{
+        io,
+        path::{Path, PathBuf},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+
+/// A file of routes and back ends.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RoutesFile {
+    /// The configuration.
+    pub config: RoutingConfig,
+    /// The back ends.
+    #[serde(default)]
+    pub backends: Vec<Backend>,
+}
+
+/// What is wrong with a file of routes.
+#[derive(Debug, Display, thiserror::Error)]
+pub enum RoutesFileError {
+    /// can't be read: {0}
+    Read(#[from] io::Error),
+    /// line {line}: {message}
+    Malformed {
+        /// The line, from 1.
+        line: usize,
+        /// What was expected.
+        message: String,
+    },
+}
+
+impl RoutesFile {
+    /// Reads a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the line that is wrong.
+    pub fn read(path: &Path) -> Result<Self, RoutesFileError> {
+        Self::parse(&std::fs::read_to_string(path)?)
+    }
+
+    /// Parses the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the line that is wrong.
+    pub fn parse(text: &str) -> Result<Self, RoutesFileError> {
+        toml::from_str(text).map_err(|e| RoutesFileError::Malformed {
+            line: line_of(text, e.span().map_or(0, |s| s.start)),
+            message: e.message().to_string(),
+        })
+    }
+}
+
+/// Feeds a daemon from a file; a file that is wrong changes nothing.
+pub async fn follow_file(path: PathBuf, gateway: Arc<Gateway>) {
+    let mut last_error = String::new();
+    loop {
+        match RoutesFile::read(&path) {
+            Ok(file) => {
+                gateway.apply_config(file.config);
+                gateway.directory.write().replace(file.backends);
+                gateway.note_source();
+                gateway.check_ready();
+                last_error.clear();
+            }
+            Err(e) if e.to_string() != last_error => {
+                last_error = e.to_string();
+                log::warn!(target: "config", "{}: {e}", path.display());
+            }
+            Err(_) => {}
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+}
--- /dev/null
+++ b/src/gateway/gateway_state.rs
@@ -0,0 +1,371 @@
+use {
+    super::{attempts::Attempts, *},
+    crate::{
+        backends::*,
+        cluster::PeerTable,
+        conf::GatewaySettings,
+        names::{BackendId, ServiceName, ZoneName},
+        policy::*,
+        routing::{RouteTable, RoutingConfig, Tenant},
+    },
+    http::{Response, StatusCode},
+    parking_lot::{Mutex, RwLock},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    std::{
+        collections::HashMap,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::sync::watch,
+};
+
+/// How fast a back end is taken to read a prompt, in tokens a millisecond.
+const PROMPT_TOKENS_PER_MS: f64 = 30.0;
+/// Of the budget for repeated sends, how much is used.
+const BUDGET_USE: f64 = 0.75;
+/// Daemons of a zone that are reckoned with before any is known.
+const ASSUMED_PER_ZONE: usize = 3;
+const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Whether a daemon takes new clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GatewayPhase {
+    /// It lacks a configuration or back ends.
+    Starting,
+    /// It takes clients.
+    Ready,
+    /// It will stop: it finishes what it has.
+    Stopping,
+}
+
+/// What the parts of a daemon share.
+///
+/// Locks are held one at a time and never across an await.
+#[derive(Debug)]
+pub struct Gateway {
+    /// The settings.
+    pub settings: GatewaySettings,
+    /// The names of headers.
+    pub names: HeaderNames,
+    /// Which life of this daemon.
+    pub incarnation: u64,
+    /// The back ends.
+    pub directory: RwLock<BackendDirectory>,
+    /// How they fare.
+    pub loads: Mutex<LoadTable>,
+    /// Connections to them.
+    pub pool: Arc<BackendPool>,
+    /// The other daemons.
+    pub peers: Mutex<PeerTable>,
+    /// Requests that began, by window and tenant.
+    pub usage: Mutex<UsageWindows>,
+    /// The tenants' quotas.
+    pub quotas: Mutex<QuotaBook>,
+    /// Whether clients are taken.
+    pub phase: watch::Sender<GatewayPhase>,
+    /// Requests in flight.
+    pub open_requests: AtomicUsize,
+    /// Whether this daemon has the duties that one has at a time.
+    pub holds_duties: AtomicBool,
+    /// When the source of configuration last answered, by the steady clock.
+    pub source_heard_ms: AtomicU64,
+    table: RwLock<Option<Arc<RouteTable>>>,
+    retries: Mutex<HashMap<ServiceName, RetryAllowance>>,
+    caches: Mutex<CacheMemory>,
+    rng: Mutex<ChaCha8Rng>,
+    started: Instant,
+}
+
+impl Gateway {
+    /// Makes the state of a daemon that starts.
+    pub fn new(settings: GatewaySettings, names: HeaderNames, seed: u64) -> Self {
+        Self {
+            settings,
+            names,
+            incarnation: seed,
+            directory: RwLock::default(),
+            loads: Mutex::default(),
+            pool: Arc::default(),
+            peers: Mutex::default(),
+            usage: Mutex::default(),
+            quotas: Mutex::default(),
+            phase: watch::Sender::new(GatewayPhase::Starting),
+            open_requests: AtomicUsize::new(0),
+            holds_duties: AtomicBool::new(false),
+            source_heard_ms: AtomicU64::new(0),
+            table: RwLock::default(),
+            retries: Mutex::default(),
+            caches: Mutex::default(),
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            started: Instant::now(),
+        }
+    }
+
+    /// Returns the milliseconds since the start, by the steady clock.
+    pub fn steady_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// Returns the routes in force; none before the first configuration.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().clone()
+    }
+
+    /// Puts a configuration in force, unless it is older than the one that is.
+    pub fn apply_config(&self, config: RoutingConfig) -> bool {
+        let mut table = self.table.write();
+        if table
+            .as_ref()
+            .is_some_and(|t| t.version() >= config.version)
+        {
+            return false;
+        }
+        log::info!(target: "config", "in force. version={}", config.version);
+        *table = Some(Arc::new(RouteTable::new(config)));
+        true
+    }
+
+    /// Notes that the source of configuration answered.
+    pub fn note_source(&self) {
+        let now_ms = self.steady_ms().max(1);
+        self.source_heard_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Becomes ready once a configuration and back ends are known.
+    pub fn check_ready(&self) {
+        let known = self.table().is_some() && self.directory.read().revision() > 0;
+        self.phase.send_if_modified(|phase| {
+            let becomes = known && *phase == GatewayPhase::Starting;
+            if becomes {
+                log::info!(target: "gateway", "ready.");
+                *phase = GatewayPhase::Ready;
+            }
+            becomes
+        });
+    }
+
+    /// Returns whether new clients are taken.
+    pub fn is_ready(&self) -> bool {
+        *self.phase.borrow() == GatewayPhase::Ready
+    }
+
+    /// Draws a number.
+    pub fn draw(&self) -> u64 {
+        self.rng.lock().random()
+    }
+
+    /// Returns how many daemons there are, as far as is known.
+    pub fn daemons(&self) -> usize {
+        let known = self.peers.lock().known() + 1;
+        let assumed = self.settings.node.zones.len() * ASSUMED_PER_ZONE;
+        if known > 1 { known } else { assumed.max(1) }
+    }
+
+    /// Chooses a back end for a request; `tried` ones come last.
+    pub fn place(&self, context: &RequestContext, tried: &[BackendId]) -> Option<Arc<Backend>> {
+        let ready: Vec<Arc<Backend>> = {
+            let directory = self.directory.read();
+            let ready = directory.ready(&context.service);
+            ready.filter(|b| !tried.contains(&b.id)).cloned().collect()
+        };
+        let home = self.home_of(context, &ready);
+        let peer_loads = self.peers.lock().loads();
+        let candidates: Vec<Candidate> = ready
+            .iter()
+            .map(|b| self.candidate(context, b, home.as_ref(), &peer_loads))
+            .collect();
+        let mut rng = self.rng.lock();
+        let chosen = choose_backend(&candidates, PROMPT_TOKENS_PER_MS, &mut *rng)?;
+        Some(ready[chosen].clone())
+    }
+
+    fn candidate(
+        &self,
+        context: &RequestContext,
+        backend: &Backend,
+        home: Option<&BackendId>,
+        peer_loads: &HashMap<BackendId, (u32, u64)>,
+    ) -> Candidate {
+        let now_ms = self.steady_ms();
+        let is_home = home == Some(&backend.id);
+        let unread_tokens = match is_home {
+            true => own_tokens(context),
+            false => self.unread_tokens(context, backend),
+        };
+        let (peer_active, peer_tokens) = peer_loads.get(&backend.id).copied().unwrap_or_default();
+        let loads = self.loads.lock();
+        let load = loads.get(&backend.id).cloned().unwrap_or_default();
+        Candidate {
+            avoided: load.is_avoided(now_ms),
+            waiting_tokens: load.waiting_tokens + peer_tokens,
+            unread_tokens,
+            active: load.active + peer_active,
+            slots: backend.slots,
+            failure_rate: load.failure_rate(now_ms),
+            same_zone: backend.zone == self.settings.node.zone,
+        }
+    }
+
+    /// Finds the back end that all daemons send a chain of parts to, as long
+    /// as its load allows.
+    fn home_of(&self, context: &RequestContext, ready: &[Arc<Backend>]) -> Option<BackendId> {
+        let chain = context.prompt.shared_chain()?;
+        let home = ready.iter().max_by_key(|b| home_rank(chain, b.id.as_str()));
+        home.map(|b| b.id.clone())
+    }
+
+    /// Returns how many prompt tokens a back end would have to read.
+    pub fn unread_tokens(&self, context: &RequestContext, backend: &Backend) -> u64 {
+        let now_ms = self.steady_ms();
+        let caches = self.caches.lock();
+        let is_kept = |part: &PromptPart| caches.is_kept(&backend.id, part.chain, now_ms);
+        context.prompt.unread_tokens(is_kept)
+    }
+
+    /// Notes that a back end reads a request's prompt.
+    pub fn note_cached(&self, context: &RequestContext, backend: &Backend) {
+        let parts = context.prompt.parts.iter().map(|p| p.chain);
+        let now_ms = self.steady_ms();
+        self.caches.lock().note(&backend.id, parts, now_ms);
+    }
+
+    /// Notes a first send to a service.
+    pub fn earn_retry(&self, service: &ServiceName) {
+        self.with_allowance(service, RetryAllowance::earn);
+    }
+
+    /// Spends a repeated send, if one is left.
+    pub fn spend_retry(&self, context: &RequestContext) -> bool {
+        self.with_allowance(&context.service, RetryAllowance::spend)
+    }
+
+    fn with_allowance<T>(
+        &self,
+        service: &ServiceName,
+        act: impl FnOnce(&mut RetryAllowance) -> T,
+    ) -> T {
+        let bounds = &self.settings.bounds;
+        let slack_share = bounds.retry_slack * BUDGET_USE / self.daemons() as f64;
+        let ratio = bounds.retry_ratio * BUDGET_USE;
+        let mut retries = self.retries.lock();
+        let fresh = || RetryAllowance::new(ratio, slack_share);
+        act(retries.entry(service.clone()).or_insert_with(fresh))
+    }
+
+    /// Lets a tenant's request in.
+    ///
+    /// # Errors
+    ///
+    /// Returns after how long it would be let in.
+    pub fn admit(&self, tenant: &Tenant, cost: f64) -> Result<(), Duration> {
+        let start_fraction = 1.0 / self.daemons() as f64;
+        let now_ms = self.steady_ms();
+        let mut quotas = self.quotas.lock();
+        let admitted = quotas.admit(tenant, cost, start_fraction, now_ms);
+        admitted.map_err(Duration::from_millis)
+    }
+
+    /// Notes how a request ended at a back end.
+    pub fn note_outcome(&self, backend: &BackendId, failed: bool) {
+        let now_ms = self.steady_ms();
+        self.loads
+            .lock()
+            .entry(backend)
+            .note_outcome(failed, now_ms);
+    }
+
+    /// Notes that a send failed.
+    pub fn note_send_failure(
+        &self,
+        context: &RequestContext,
+        backend: &Backend,
+        failure: &SendFailure,
+    ) {
+        if !matches!(failure, SendFailure::NotSent(_)) {
+            self.note_outcome(&backend.id, true);
+        }
+        log::info!(
+            target: "send",
+            "failed. request={} backend={} zone={} cause=\"{failure}\"",
+            context.id_text(),
+            backend.id,
+            backend.zone
+        );
+    }
+
+    /// Notes that a request began to run.
+    pub fn note_run(&self, context: &RequestContext) {
+        let Some(tenant) = &context.tenant else {
+            return;
+        };
+        let window = self.window_of(crate::names::now_ms());
+        self.usage.lock().note(window, tenant);
+    }
+
+    /// Returns the window of a time in Unix milliseconds.
+    pub fn window_of(&self, unix_ms: u64) -> u64 {
+        unix_ms / (self.settings.duties.usage_window_s * 1_000).max(1)
+    }
+
+    /// Answers a request that is given up, at once.
+    pub fn give_up(
+        &self,
+        context: &RequestContext,
+        attempts: &Attempts,
+        timed_out: bool,
+    ) -> Response<AnswerBody> {
+        log::info!(
+            target: "gateway",
+            "given up. request={} service={} sends={} tried={} may_have_run={} timed_out={timed_out} cause=\"{:?}\"",
+            context.id_text(),
+            context.service,
+            attempts.sends,
+            attempts.tried.len(),
+            attempts.may_have_run,
+            attempts.last_failure
+        );
+        if timed_out {
+            return own_answer(StatusCode::GATEWAY_TIMEOUT, "no answer in time");
+        }
+        if attempts.may_have_run {
+            return own_answer(StatusCode::BAD_GATEWAY, "the request may have run");
+        }
+        refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no back end took the request",
+            SHORT_RETRY_AFTER,
+        )
+    }
+
+    /// Returns the zone of this daemon.
+    pub fn zone(&self) -> &ZoneName {
+        &self.settings.node.zone
+    }
+
+    /// Returns the tenants in force.
+    pub fn tenants(&self) -> Vec<Tenant> {
+        let table = self.table();
+        table.map_or_else(Vec::new, |t| t.config().tenants.clone())
+    }
+
+    /// Forgets what concerns back ends that are gone.
+    pub fn sweep(&self) {
+        let known: Vec<BackendId> = {
+            let directory = self.directory.read();
+            directory.all().map(|b| b.id.clone()).collect()
+        };
+        let is_known = |id: &BackendId| known.contains(id);
+        self.pool.sweep(is_known);
+        self.loads.lock().retain(is_known);
+        self.caches.lock().retain(is_known);
+    }
+}
+
+fn own_tokens(context: &RequestContext) -> u64 {
+    let parts = &context.prompt.parts;
+    parts.last().map_or(0, |part| part.tokens)
+}
--- /dev/null
+++ b/src/gateway/intake.rs
@@ -0,0 +1,194 @@
+use {
+    super::{forward_stream::forward_stream, forward_whole::forward_whole, *},
+    crate::routing::{Route, RouteKind, RouteTable, Tenant},
+    bytes::Bytes,
+    http::{HeaderMap, HeaderName, Request, Response, StatusCode, Uri, header, request::Parts},
+    http_body_util::{BodyExt, LengthLimitError, Limited},
+    hyper::body::Incoming,
+    std::{
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+    tokio::time::Instant,
+};
+
+/// The wait that is told while a daemon has no configuration.
+const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// The longest wait that is told to a tenant beyond its quota.
+const MAX_QUOTA_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// Counts a request for as long as it is in flight.
+struct OpenRequest(Arc<Gateway>);
+
+impl OpenRequest {
+    fn start(gateway: &Arc<Gateway>) -> Self {
+        gateway.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(gateway.clone())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Answers a client's request.
+pub async fn answer_client(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let open = OpenRequest::start(&gateway);
+    let started = Instant::now();
+    let answer = match take_in(&gateway, request, started).await {
+        Ok(context) => forward(&gateway, context).await,
+        Err(answer) => *answer,
+    };
+    keep_open(answer, open)
+}
+
+/// Ties a request's count to its answer's body.
+fn keep_open(answer: Response<AnswerBody>, open: OpenRequest) -> Response<AnswerBody> {
+    answer.map(|body| {
+        body.map_frame(move |frame| {
+            let _ = &open;
+            frame
+        })
+        .boxed_unsync()
+    })
+}
+
+async fn forward(gateway: &Arc<Gateway>, context: RequestContext) -> Response<AnswerBody> {
+    gateway.earn_retry(&context.service);
+    match context.route.kind {
+        RouteKind::Streaming => forward_stream(gateway, context).await,
+        RouteKind::Idempotent | RouteKind::NonIdempotent => forward_whole(gateway, &context).await,
+    }
+}
+
+/// Checks a request and reads it whole.
+async fn take_in(
+    gateway: &Arc<Gateway>,
+    request: Request<Incoming>,
+    started: Instant,
+) -> Result<RequestContext, Box<Response<AnswerBody>>> {
+    let Some(table) = gateway.table() else {
+        let detail = "no configuration yet";
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(Box::new(refusal(status, detail, NO_CONFIG_RETRY_AFTER)));
+    };
+    let (head, body) = request.into_parts();
+    let route = find_route(&table, &head)?;
+    let tenant = find_tenant(gateway, &table, &route, &head.headers)?;
+    let Some(service) = route.pick_service(gateway.draw()).cloned() else {
+        return Err(own(StatusCode::NOT_FOUND, "the route leads nowhere"));
+    };
+    let body = read_body(&table, body).await?;
+    let prompt = Prompt::from_headers(&head.headers, &gateway.names);
+    if let Some(tenant) = &tenant {
+        let cost = tenant.cost(prompt.tokens());
+        admit(gateway, tenant, cost)?;
+    }
+    let wait_ms = number(&head.headers, &gateway.names.deadline_ms);
+    let wait_ms = wait_ms.map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
+    Ok(RequestContext {
+        attempt_id: head.headers.get(&gateway.names.attempt_id).cloned(),
+        priority: priority_of(&route, tenant.as_deref()),
+        service,
+        tenant: tenant.as_ref().map(|t| t.name.clone()),
+        method: head.method,
+        target: path_and_query(&head.uri),
+        last_event_id: number(&head.headers, &gateway.names.last_event_id),
+        headers: forwarded_headers(head.headers, &gateway.names),
+        body,
+        prompt,
+        started,
+        give_up_at: started + Duration::from_millis(wait_ms),
+        route,
+    })
+}
+
+fn own(status: StatusCode, detail: &str) -> Box<Response<AnswerBody>> {
+    Box::new(own_answer(status, detail))
+}
+
+fn find_route(table: &RouteTable, head: &Parts) -> Result<Arc<Route>, Box<Response<AnswerBody>>> {
+    let host = head.headers.get(header::HOST).and_then(|v| v.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let route = table.find_route(host, head.uri.path());
+    route
+        .cloned()
+        .ok_or_else(|| own(StatusCode::NOT_FOUND, "no route"))
+}
+
+fn find_tenant(
+    gateway: &Gateway,
+    table: &RouteTable,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<Arc<Tenant>>, Box<Response<AnswerBody>>> {
+    let key = headers.get(&gateway.names.api_key);
+    let tenant = key
+        .and_then(|v| v.to_str().ok())
+        .and_then(|key| table.find_tenant(key));
+    if tenant.is_none() && table.needs_keys() && !route.public {
+        return Err(own(StatusCode::UNAUTHORIZED, "no tenant has this key"));
+    }
+    Ok(tenant.cloned())
+}
+
+async fn read_body(table: &RouteTable, body: Incoming) -> Result<Bytes, Box<Response<AnswerBody>>> {
+    let limits = &table.config().limits;
+    let timeout = Duration::from_millis(limits.body_timeout_ms);
+    let limited = Limited::new(body, limits.max_body_bytes).collect();
+    match tokio::time::timeout(timeout, limited).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Err(own(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
+        }
+        Ok(Err(_)) => Err(own(StatusCode::BAD_REQUEST, "the body was cut off")),
+        Err(_) => Err(own(StatusCode::REQUEST_TIMEOUT, "the body took too long")),
+    }
+}
+
+fn admit(gateway: &Gateway, tenant: &Tenant, cost: f64) -> Result<(), Box<Response<AnswerBody>>> {
+    let admitted = gateway.admit(tenant, cost);
+    admitted.map_err(|wait| {
+        let wait = wait.min(MAX_QUOTA_RETRY_AFTER);
+        log::info!(target: "quota", "refused. tenant={} cost={cost} wait_ms={}", tenant.name, wait.as_millis());
+        Box::new(refusal(StatusCode::TOO_MANY_REQUESTS, "the quota is used up", wait))
+    })
+}
+
+fn priority_of(route: &Route, tenant: Option<&Tenant>) -> u8 {
+    let tenant_rank = tenant.and_then(|t| t.priority);
+    tenant_rank.unwrap_or(route.priority).min(9)
+}
+
+fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+fn path_and_query(uri: &Uri) -> Uri {
+    let target = uri.path_and_query().cloned();
+    target.map_or_else(|| uri.clone(), Uri::from)
+}
+
+/// Leaves out what concerns the client's connection, and what only the system
+/// may say.
+fn forwarded_headers(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
+    strip_connection_headers(&mut headers);
+    let ours = [
+        &names.api_key,
+        &names.tenant,
+        &names.deadline_ms,
+        &names.expected_backend,
+        &names.priority,
+    ];
+    for name in ours {
+        headers.remove(name);
+    }
+    // The body goes out whole, with its own length.
+    headers.remove(header::CONTENT_LENGTH);
+    headers
+}
--- /dev/null
+++ b/src/gateway/listen.rs
@@ -0,0 +1,161 @@
+use {
+    super::*,
+    crate::backends::set_socket_options,
+    http::{HeaderValue, Method, Request, Response, StatusCode, header},
+    hyper::{body::Incoming, server::conn::http1, service::service_fn},
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{
+        convert::Infallible,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+    },
+};
+
+/// How long to wait after a failed accept: descriptors may be short.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The least rest that a connection is allowed between requests.
+const MIN_IDLE: Duration = Duration::from_secs(10);
+
+/// The connections of clients.
+#[derive(Debug)]
+pub struct ClientConnections {
+    open: AtomicUsize,
+    /// Set when idle connections are to be closed.
+    closing: watch::Sender<bool>,
+}
+
+impl Default for ClientConnections {
+    fn default() -> Self {
+        Self {
+            open: AtomicUsize::new(0),
+            closing: watch::Sender::new(false),
+        }
+    }
+}
+
+impl ClientConnections {
+    /// Closes connections once they are idle.
+    pub fn close_idle(&self) {
+        self.closing.send_replace(true);
+    }
+
+    /// Returns how many are open.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+}
+
+/// Serves clients until the task is ended.
+pub async fn serve_clients(
+    listener: TcpListener,
+    gateway: Arc<Gateway>,
+    connections: Arc<ClientConnections>,
+) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let served = serve_client(stream, gateway.clone(), connections.clone());
+                tokio::spawn(served);
+            }
+            Err(e) => {
+                log::warn!(target: "listen", "accept failed. error=\"{e}\"");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_client(
+    stream: TcpStream,
+    gateway: Arc<Gateway>,
+    connections: Arc<ClientConnections>,
+) {
+    if set_socket_options(&stream).is_err() {
+        return;
+    }
+    connections.open.fetch_add(1, Ordering::Relaxed);
+    let limits = gateway.table().map(|t| t.config().limits.clone());
+    let limits = limits.unwrap_or_default();
+    let answering = gateway.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let gateway = answering.clone();
+        async move {
+            let mut answer = answer_client(gateway.clone(), request).await;
+            if *gateway.phase.borrow() == GatewayPhase::Stopping {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    let idle = Duration::from_millis(limits.idle_timeout_ms).max(MIN_IDLE);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(limits.max_header_bytes.max(16 * 1024) + 8 * 1024)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut closing = connections.closing.subscribe();
+    tokio::pin!(connection);
+    let mut told = false;
+    loop {
+        tokio::select! {
+            _ = &mut connection => break,
+            _ = closing.wait_for(|closing| *closing), if !told => {
+                told = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    }
+    connections.open.fetch_sub(1, Ordering::Relaxed);
+}
+
+/// Answers the balancer's question whether this daemon takes new clients.
+pub async fn serve_readiness(listener: TcpListener, gateway: Arc<Gateway>) {
+    serve_plain(listener, move |request| {
+        if request.method() != Method::GET {
+            return own_answer(StatusCode::METHOD_NOT_ALLOWED, "expected GET");
+        }
+        match gateway.is_ready() {
+            true => own_answer(StatusCode::OK, "ready"),
+            false => own_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        }
+    })
+    .await;
+}
+
+/// Serves small answers that need no waiting.
+pub async fn serve_plain(
+    listener: TcpListener,
+    answer: impl Fn(Request<Incoming>) -> Response<AnswerBody> + Send + Sync + 'static,
+) {
+    let answer = Arc::new(answer);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        if set_socket_options(&stream).is_err() {
+            continue;
+        }
+        let answer = answer.clone();
+        let service = service_fn(move |request: Request<Incoming>| {
+            let answer = answer.clone();
+            async move { Ok::<_, Infallible>(answer(request)) }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(MIN_IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            // A client that goes away is no matter.
+            let _ = connection.await;
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/mod.rs
@@ -0,0 +1,22 @@
+//! The routed request path: accept, authenticate, limit, place, send, answer.
+//! Requests and answers pass byte for byte.
+
+mod answer;
+mod attempts;
+mod event_border;
+mod follow_file;
+mod forward_stream;
+mod forward_whole;
+mod gateway_state;
+mod header_names;
+mod intake;
+mod listen;
+mod process;
+mod prompt;
+mod request_context;
+mod send;
+
+pub use {
+    answer::*, event_border::*, follow_file::*, gateway_state::*, header_names::*, intake::*,
+    listen::*, process::*, prompt::*, request_context::*,
+};
--- /dev/null
+++ b/src/gateway/process.rs
@@ -0,0 +1,116 @@
+use {
+    super::*,
+    crate::cluster,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::{TcpListener, UdpSocket},
+        task::JoinSet,
+    },
+};
+
+/// For how long a stopping daemon goes on at least, so that the balancer and
+/// clients learn of it.
+const STOP_NOTICE: Duration = Duration::from_millis(2_600);
+/// Of the time for a stop, how much is used.
+const STOP_USE: f64 = 0.92;
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// For how long idle connections are closed before the end.
+const CLOSE_TIME: Duration = Duration::from_millis(250);
+const SWEEP_EVERY: Duration = Duration::from_secs(2);
+
+/// A daemon on the routed path that runs.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    gateway: Arc<Gateway>,
+    connections: Arc<ClientConnections>,
+    tasks: JoinSet<()>,
+}
+
+impl GatewayProcess {
+    /// Starts listening; configuration and back ends are fed to the state.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of an address that can't be listened on.
+    pub async fn start(gateway: Arc<Gateway>) -> io::Result<Self> {
+        let listen = gateway.settings.listen.clone();
+        let clients = listen_on(listen.clients).await?;
+        let readiness = listen_on(listen.readiness).await?;
+        let peers = listen_on(listen.peers).await?;
+        let digests = UdpSocket::bind(listen.peers).await?;
+        let connections = Arc::new(ClientConnections::default());
+        log::info!(
+            target: "gateway",
+            "started. node={} zone={} incarnation={}",
+            gateway.settings.node.name,
+            gateway.settings.node.zone,
+            gateway.incarnation
+        );
+        let mut tasks = JoinSet::new();
+        tasks.spawn(serve_clients(clients, gateway.clone(), connections.clone()));
+        tasks.spawn(serve_readiness(readiness, gateway.clone()));
+        tasks.spawn(cluster::serve_state(peers, gateway.clone()));
+        tasks.spawn(cluster::exchange_digests(digests, gateway.clone()));
+        tasks.spawn(cluster::follow_peers(gateway.clone()));
+        tasks.spawn(sweep(gateway.clone()));
+        Ok(Self {
+            gateway,
+            connections,
+            tasks,
+        })
+    }
+
+    /// Runs a task for as long as the daemon runs.
+    pub fn spawn(&mut self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.spawn(task);
+    }
+
+    /// Returns what the daemon's parts share.
+    pub fn gateway(&self) -> &Arc<Gateway> {
+        &self.gateway
+    }
+
+    /// Stops as planned: takes no new clients, finishes what is in flight, and
+    /// only then closes idle connections.
+    pub async fn stop(mut self) {
+        let began = Instant::now();
+        let limit = Duration::from_secs_f64(self.gateway.settings.bounds.stop_s * STOP_USE);
+        self.gateway.phase.send_replace(GatewayPhase::Stopping);
+        log::info!(target: "gateway", "stopping. requests={}", self.open_requests());
+        while began.elapsed() + CLOSE_TIME < limit {
+            let noticed = began.elapsed() >= STOP_NOTICE;
+            if noticed && self.open_requests() == 0 {
+                break;
+            }
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        self.connections.close_idle();
+        let closing = Instant::now();
+        while self.connections.open() > 0 && closing.elapsed() < CLOSE_TIME {
+            tokio::time::sleep(STOP_POLL).await;
+        }
+        log::info!(target: "gateway", "stopped. requests={}", self.open_requests());
+        self.tasks.abort_all();
+    }
+
+    fn open_requests(&self) -> usize {
+        self.gateway.open_requests.load(Ordering::Relaxed)
+    }
+}
+
+async fn listen_on(address: SocketAddr) -> io::Result<TcpListener> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|e| io::Error::new(e.kind(), format!("can't listen on {address}: {e}")))
+}
+
+async fn sweep(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(SWEEP_EVERY).await;
+        gateway.sweep();
+    }
+}
--- /dev/null
+++ b/src/gateway/request_context.rs
@@ -0,0 +1,60 @@
+use {
+    super::Prompt,
+    crate::{
+        names::{ServiceName, TenantName},
+        routing::Route,
+    },
+    bytes::Bytes,
+    http::{HeaderMap, HeaderValue, Method, Uri},
+    std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
+};
+
+/// A request that was let in.
+#[derive(Debug)]
+pub struct RequestContext {
+    /// The id of the client's attempt.
+    pub attempt_id: Option<HeaderValue>,
+    /// The route that it takes.
+    pub route: Arc<Route>,
+    /// The service that it goes to.
+    pub service: ServiceName,
+    /// Whose it is; none on public routes.
+    pub tenant: Option<TenantName>,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
+    /// The method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub target: Uri,
+    /// The headers that travel along.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+    /// Its prompt.
+    pub prompt: Prompt,
+    /// The last event that the client has.
+    pub last_event_id: Option<u64>,
+    /// When its head arrived.
+    pub started: Instant,
+    /// When it is given up: the client's deadline or the route's timeout.
+    pub give_up_at: Instant,
+}
+
+impl RequestContext {
+    /// Returns the time left.
+    pub fn time_left(&self) -> Duration {
+        self.give_up_at.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the attempt's id as text, for logs.
+    pub fn id_text(&self) -> &str {
+        let id = self.attempt_id.as_ref();
+        id.and_then(|v| v.to_str().ok()).unwrap_or("-")
+    }
+
+    /// Returns the time within which an answer is wanted.
+    pub fn target_latency(&self) -> Duration {
+        Duration::from_millis(self.route.target_latency_ms)
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,18 +2,24 @@
 //! services on cheap, reclaimable boxes.
 
 pub mod app;
+pub mod backends;
 pub mod boxes;
 pub mod caller;
 pub mod cli;
+pub mod cluster;
 pub mod conf;
 pub mod contracts;
 pub mod engine;
 pub mod failure_domains;
+pub mod gateway;
 pub mod http;
 pub mod links;
 pub mod names;
 pub mod peer;
+#[path = "../platform/mod.rs"]
 pub mod platform;
 pub mod policy;
+pub mod provider;
 pub mod report;
 pub mod requests;
+pub mod routing;
--- /dev/null
+++ b/src/policy/duty_log.rs
@@ -0,0 +1,139 @@
+use {
+    super::{Claimer, LeaseRecord, LeaseStep, LeaseView, TenantCounts},
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// How many windows' reports are remembered.
+const KEPT_REPORTS: usize = 64;
+
+/// A record of the duties' topic.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DutyRecord {
+    /// Takes or renews the lease.
+    Lease(LeaseRecord),
+    /// Says what a window's usage report will be, before it is sent.
+    Usage(UsageRecord),
+}
+
+/// What a window's usage report will be.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct UsageRecord {
+    /// Who will send it.
+    pub by: Claimer,
+    /// The window.
+    pub window: u64,
+    /// The counts.
+    pub counts: TenantCounts,
+}
+
+/// One daemon's view of the duties' topic. Times are milliseconds of its
+/// steady clock.
+#[derive(Clone, Debug)]
+pub struct DutyLog {
+    me: Claimer,
+    term_ms: u64,
+    view: LeaseView,
+    reports: BTreeMap<u64, TenantCounts>,
+    /// The lease record that was sent last: what it follows, and when.
+    sent: Option<(u64, u64)>,
+    /// The offset of the next record.
+    next: u64,
+}
+
+impl DutyLog {
+    /// Starts with nothing read.
+    pub fn new(me: Claimer, term_ms: u64) -> Self {
+        Self {
+            me,
+            term_ms,
+            view: LeaseView::default(),
+            reports: BTreeMap::new(),
+            sent: None,
+            next: 0,
+        }
+    }
+
+    /// Returns the offset to read from, which is the end of what was read.
+    pub fn next(&self) -> u64 {
+        self.next
+    }
+
+    /// Goes on from an offset: the records before it are gone.
+    pub fn skip_to(&mut self, offset: u64) {
+        self.next = self.next.max(offset);
+    }
+
+    /// Folds a record that was read or appended at `now_ms`.
+    pub fn fold(&mut self, offset: u64, record: DutyRecord, now_ms: u64) {
+        if offset < self.next {
+            return;
+        }
+        self.next = offset + 1;
+        match record {
+            DutyRecord::Lease(lease) => self.fold_lease(offset, lease, now_ms),
+            DutyRecord::Usage(usage) => self.fold_usage(usage),
+        }
+    }
+
+    /// Notes an unreadable record.
+    pub fn skip(&mut self, offset: u64) {
+        self.next = self.next.max(offset + 1);
+    }
+
+    fn fold_lease(&mut self, offset: u64, lease: LeaseRecord, now_ms: u64) {
+        let sent = self.sent.filter(|(follows, _)| *follows == lease.follows);
+        let sent_ms = sent.map(|(_, at_ms)| at_ms);
+        self.view.fold(offset, lease, &self.me, sent_ms, now_ms, 0);
+    }
+
+    /// The first report of a window by the holder of its time counts.
+    fn fold_usage(&mut self, usage: UsageRecord) {
+        let holder = self.view.lease().current.as_ref();
+        if holder.is_none_or(|(_, lease)| lease.by != usage.by) {
+            return;
+        }
+        self.reports.entry(usage.window).or_insert(usage.counts);
+        while self.reports.len() > KEPT_REPORTS {
+            self.reports.pop_first();
+        }
+    }
+
+    /// Decides what to do about the lease.
+    pub fn step(&self, now_ms: u64) -> LeaseStep {
+        self.view.step(&self.me, self.term_ms, now_ms)
+    }
+
+    /// Notes that a lease record is sent.
+    pub fn sending(&mut self, lease: &LeaseRecord, now_ms: u64) {
+        let again = self
+            .sent
+            .is_some_and(|(follows, _)| follows == lease.follows);
+        // The first try may be the one that was taken.
+        if !again {
+            self.sent = Some((lease.follows, now_ms));
+        }
+    }
+
+    /// Returns the fencing token, if a call that takes up to `call_ms` ends
+    /// while the lease is held.
+    pub fn fence_for(&self, call_ms: u64, now_ms: u64) -> Option<u64> {
+        self.view.may_act(now_ms + call_ms)?;
+        Some(self.view.lease().tenure)
+    }
+
+    /// Returns what a window's report must be, if it was said.
+    pub fn report(&self, window: u64) -> Option<&TenantCounts> {
+        self.reports.get(&window)
+    }
+
+    /// Makes the record that says what a window's report will be.
+    pub fn usage_record(&self, window: u64, counts: TenantCounts) -> DutyRecord {
+        DutyRecord::Usage(UsageRecord {
+            by: self.me.clone(),
+            window,
+            counts,
+        })
+    }
+}
--- a/src/policy/lease.rs
+++ b/src/policy/lease.rs
@@ -19,6 +19,9 @@
 pub struct LeaseFold {
     /// The lease in force and its fencing token (its offset, plus one).
     pub current: Option<(u64, LeaseRecord)>,
+    /// The fencing token with which the present holder took the lease; stays
+    /// the same while it renews.
+    pub tenure: u64,
     next: u64,
 }
 
@@ -29,9 +32,18 @@
             return false;
         }
         self.next = offset + 1;
-        if record.follows != self.fence() {
+        // What the first record that is left follows is no longer there.
+        let is_oldest_left = self.current.is_none() && record.follows > 0;
+        if record.follows != self.fence() && !is_oldest_left {
             return false;
         }
+        let renewed = self
+            .current
+            .as_ref()
+            .is_some_and(|(_, old)| old.by == record.by);
+        if !renewed {
+            self.tenure = offset + 1;
+        }
         self.current = Some((offset + 1, record));
         true
     }
@@ -133,6 +145,16 @@
         (now_ms < self.held_until_ms).then_some(self.held_fence)
     }
 
+    /// Returns until when this box may act as the holder.
+    pub fn held_until_ms(&self) -> u64 {
+        self.held_until_ms
+    }
+
+    /// Returns the lease as the records give it.
+    pub fn lease(&self) -> &LeaseFold {
+        &self.fold
+    }
+
     fn act(&self, now_ms: u64) -> LeaseStep {
         LeaseStep::Act {
             fence: self.held_fence,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,10 +2,13 @@
 
 mod admission;
 mod box_state;
+mod cache_memory;
+mod choose_backend;
 mod claim;
 mod claim_fold;
 mod claimant;
 mod concurrency;
+mod duty_log;
 mod estimate;
 mod holder;
 mod lease;
@@ -14,13 +17,21 @@
 mod placement_cheapest;
 mod placement_keep_work;
 mod placement_naive;
+mod quota_account;
+mod quota_book;
 mod reclaim;
 mod retry;
+mod retry_allowance;
+mod retry_situation;
 mod spill;
 mod splice;
+mod stall;
+mod usage_windows;
 
 pub use {
-    admission::*, box_state::*, claim::*, claim_fold::*, claimant::*, concurrency::*, estimate::*,
-    holder::*, lease::*, neighbours::*, placement::*, placement_cheapest::*,
-    placement_keep_work::*, placement_naive::*, reclaim::*, retry::*, spill::*, splice::*,
+    admission::*, box_state::*, cache_memory::*, choose_backend::*, claim::*, claim_fold::*,
+    claimant::*, concurrency::*, duty_log::*, estimate::*, holder::*, lease::*, neighbours::*,
+    placement::*, placement_cheapest::*, placement_keep_work::*, placement_naive::*,
+    quota_account::*, quota_book::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*,
+    spill::*, splice::*, stall::*, usage_windows::*,
 };
--- a/src/report/policy_report.rs
+++ b/src/report/policy_report.rs
@@ -1,6 +1,6 @@
 use {
     super::*,
-    crate::{app::*, contracts::Table, names::*, platform::*},
+    crate::{app::*, contracts::Table, names::*, provider::*},
     serde::Serialize,
     std::{
         collections::BTreeMap,
--- a/tests/it/promise_table.rs
+++ b/tests/it/promise_table.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::support::*,
-    saddlepulley::{cli::CliError, contracts::*, platform::PlatformHttp},
+    saddlepulley::{cli::CliError, contracts::*, provider::PlatformHttp},
     serde_json::json,
     std::time::Duration,
 };
--- a/tests/it/support/cluster.rs
+++ b/tests/it/support/cluster.rs
@@ -293,7 +293,7 @@
     /// Appends a table file's edit to the log.
     pub async fn publish(&self, table: &str) -> Result<u64, saddlepulley::cli::CliError> {
         let file = saddlepulley::contracts::TableFile::parse("test", table).unwrap();
-        let log = saddlepulley::platform::PlatformHttp::new(self.platform.addr());
+        let log = saddlepulley::provider::PlatformHttp::new(self.platform.addr());
         saddlepulley::cli::publish(&log, &file).await
     }
 
--- a/tests/it/support/table_watch.rs
+++ b/tests/it/support/table_watch.rs
@@ -1,6 +1,6 @@
 use {
     super::*,
-    saddlepulley::{caller::Status, contracts::TableFile, platform::PlatformHttp},
+    saddlepulley::{caller::Status, contracts::TableFile, provider::PlatformHttp},
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::Mutex, task::JoinHandle},
 };
