Close idle connections early in a planned stop; start quotas at the daemon's part

Ruled out: the balancer's late misses (connections opened after the stop began served their first request just as well: hyper waits for a first request on a connection that has had none, also when told to close).

Now: idle connections are closed 2.6 s after the signal, none is accepted from then on, one that was never asked is dropped. Quotas start with 0.3 of the daemon's own part.

--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -8,7 +8,7 @@
         convert::Infallible,
         sync::{
             Arc,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -52,14 +52,19 @@
     }
 }
 
-/// Serves clients until the task is ended.
+/// Serves clients until idle connections are closed; then no more are accepted.
 pub async fn serve_clients(
     listener: TcpListener,
     gateway: Arc<Gateway>,
     connections: Arc<ClientConnections>,
 ) {
+    let mut closing = connections.closing.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.wait_for(|closing| *closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let served = serve_client(stream, gateway.clone(), connections.clone());
                 tokio::spawn(served);
@@ -84,7 +89,10 @@
     let limits = gateway.table().map(|t| t.config().limits.clone());
     let limits = limits.unwrap_or_default();
     let answering = gateway.clone();
+    let was_asked = Arc::new(AtomicBool::new(false));
+    let asked = was_asked.clone();
     let service = service_fn(move |request: Request<Incoming>| {
+        asked.store(true, Ordering::Relaxed);
         let gateway = answering.clone();
         async move {
             let mut answer = answer_client(gateway.clone(), request).await;
@@ -109,6 +117,10 @@
             _ = &mut connection => break,
             _ = closing.wait_for(|closing| *closing), if !told => {
                 told = true;
+                // Without a first request, it would wait for one.
+                if !was_asked.load(Ordering::Relaxed) {
+                    break;
+                }
                 connection.as_mut().graceful_shutdown();
             }
         }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -13,14 +13,12 @@
     },
 };
 
-/// For how long a stopping daemon goes on at least, so that the balancer and
+/// For how long a stopping daemon still takes requests, so that the balancer and
 /// clients learn of it.
 const STOP_NOTICE: Duration = Duration::from_millis(2_600);
 /// Of the time for a stop, how much is used.
 const STOP_USE: f64 = 0.92;
 const STOP_POLL: Duration = Duration::from_millis(50);
-/// For how long idle connections are closed before the end.
-const CLOSE_TIME: Duration = Duration::from_millis(250);
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
 
 /// A daemon on the routed path that runs.
@@ -82,22 +80,20 @@
         let limit = Duration::from_secs_f64(self.gateway.settings.bounds.stop_s * STOP_USE);
         self.gateway.phase.send_replace(GatewayPhase::Stopping);
         log::info!(target: "gateway", "stopping. requests={}", self.open_requests());
-        while began.elapsed() + CLOSE_TIME < limit {
-            let noticed = began.elapsed() >= STOP_NOTICE;
-            if noticed && self.open_requests() == 0 {
-                break;
-            }
-            tokio::time::sleep(STOP_POLL).await;
-        }
+        tokio::time::sleep(STOP_NOTICE.min(limit / 2)).await;
+        // What comes from here on could not be finished: it goes elsewhere.
         self.connections.close_idle();
-        let closing = Instant::now();
-        while self.connections.open() > 0 && closing.elapsed() < CLOSE_TIME {
+        while began.elapsed() < limit && self.has_work() {
             tokio::time::sleep(STOP_POLL).await;
         }
         log::info!(target: "gateway", "stopped. requests={}", self.open_requests());
         self.tasks.abort_all();
     }
 
+    fn has_work(&self) -> bool {
+        self.open_requests() > 0 || self.connections.open() > 0
+    }
+
     fn open_requests(&self) -> usize {
         self.gateway.open_requests.load(Ordering::Relaxed)
     }
--- a/src/policy/quota_account.rs
+++ b/src/policy/quota_account.rs
@@ -4,7 +4,7 @@
 const DEMAND_WINDOW_MS: f64 = 1_500.0;
 /// Of a daemon's even part, what one without demand keeps.
 const IDLE_PART: f64 = 0.25;
-/// With how much of the burst a daemon starts that knows nothing.
+/// Of its part of the burst, how much a daemon starts with.
 const START_LEVEL: f64 = 0.3;
 /// Of the burst, what has to be there for a request that is larger.
 const LARGE_REQUEST_LEVEL: f64 = 0.5;
@@ -40,7 +40,7 @@
     /// Starts with nothing heard.
     pub fn new(burst: f64, reserved: f64, now_ms: u64) -> Self {
         Self {
-            level: burst * START_LEVEL,
+            level: burst * START_LEVEL * (1.0 - reserved),
             updated_ms: now_ms,
             demand: 0.0,
             demand_ms: now_ms,
