Order back ends: reclaimable ones carry the load, a part on demand

Now: the holder of the duties plans each service's fleet from the peak of the prompt tokens offered (told by all daemons), zone prices and the price of reclaimable ones: as many as are needed are left when one zone's go; 0.3 of them on demand; on-demand ones step in while none are to be had.

Ruled out: lowering on-demand ones at once (plans keep what is there until its replacement serves).

Left: orders flap between two counts.

--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -47,6 +47,8 @@
     pub usage: Vec<(u64, Vec<(String, u32)>)>,
     /// Requests and waiting prompt tokens that it has at back ends.
     pub loads: Vec<(String, u32, u32)>,
+    /// By service, the work that it was offered, a second.
+    pub demand: Vec<(String, f32)>,
     /// Other daemons that it knows.
     pub peers: Vec<SocketAddr>,
 }
@@ -66,6 +68,7 @@
             quotas: Vec::new(),
             usage: Vec::new(),
             loads: Vec::new(),
+            demand: Vec::new(),
             peers: Vec::new(),
         }
     }
--- a/src/cluster/digest_exchange.rs
+++ b/src/cluster/digest_exchange.rs
@@ -99,6 +99,7 @@
     digest.quotas = quotas(gateway);
     digest.usage = usage(gateway);
     digest.loads = loads(gateway);
+    digest.demand = gateway.own_demand();
     digest.peers = gateway.peers.lock().live_addresses();
     digest
 }
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AppendEnd, BorderError, DutyApi, DutyClaim, SharedLog},
+    super::{AppendEnd, BorderError, DutyApi, DutyClaim, FleetOrder, FleetScaler, SharedLog},
     crate::{
         gateway::{Gateway, GatewayPhase},
         names::{BoxId, now_ms},
@@ -32,6 +32,7 @@
     api: Arc<dyn DutyApi>,
     log: DutyLog,
     reported: BTreeSet<u64>,
+    scaler: FleetScaler,
 }
 
 impl DutyRunner {
@@ -52,6 +53,7 @@
             api,
             log,
             reported: BTreeSet::new(),
+            scaler: FleetScaler::default(),
         }
     }
 
@@ -102,6 +104,7 @@
             LeaseStep::Append(lease) => self.take_lease(lease).await,
             LeaseStep::Act { .. } => {
                 self.report_usage().await?;
+                self.order_backends().await?;
                 Ok(true)
             }
         }
@@ -187,14 +190,9 @@
         let Some(counts) = self.log.report(window).cloned() else {
             return Ok(());
         };
-        // Asked again right before the call: the lease may be over by now.
-        let Some(fence) = self.log.fence_for(DUTY_CALL_MS, self.gateway.steady_ms()) else {
+        let Some(claim) = self.claim() else {
             return Ok(());
         };
-        let claim = DutyClaim {
-            holder: self.gateway.settings.node.name.clone(),
-            fence,
-        };
         self.api.report_usage(&claim, window, &counts).await?;
         self.reported.insert(window);
         if self.reported.len() > 64 {
@@ -202,4 +200,46 @@
         }
         Ok(())
     }
+
+    /// Places the orders for back ends that are due.
+    async fn order_backends(&mut self) -> Result<(), BorderError> {
+        if !self.gateway.settings.duties.scaling {
+            return Ok(());
+        }
+        for order in self.scaler.due_orders(&self.gateway) {
+            let Some(claim) = self.claim() else {
+                return Ok(());
+            };
+            let end = self.api.order(&claim, &order).await?;
+            log::info!(
+                target: "fleet",
+                "ordered. service={} zone={} reclaimable={} count={} end={end:?}",
+                order.service,
+                order.zone,
+                order.reclaimable,
+                order.count
+            );
+            let boot_ms = self.boot_ms(&order);
+            let now_ms = self.gateway.steady_ms();
+            self.scaler.note(&order, end, boot_ms, now_ms);
+        }
+        Ok(())
+    }
+
+    fn boot_ms(&self, order: &FleetOrder) -> u64 {
+        let table = self.gateway.table();
+        let service = table.as_ref().and_then(|t| t.find_service(&order.service));
+        let scaling = service.and_then(|s| s.autoscaling.as_ref());
+        scaling.map_or(0, |s| (s.boot_s * 1_000.0) as u64)
+    }
+
+    /// Returns in whose name to act, if a call ends while the lease is held.
+    fn claim(&self) -> Option<DutyClaim> {
+        // Asked right before each call: the lease may be over by now.
+        let fence = self.log.fence_for(DUTY_CALL_MS, self.gateway.steady_ms())?;
+        Some(DutyClaim {
+            holder: self.gateway.settings.node.name.clone(),
+            fence,
+        })
+    }
 }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -4,9 +4,11 @@
 mod digest_exchange;
 mod duty_borders;
 mod duty_runner;
+mod fleet_scaler;
 mod peer_table;
 mod state_relay;
 
 pub use {
-    digest::*, digest_exchange::*, duty_borders::*, duty_runner::*, peer_table::*, state_relay::*,
+    digest::*, digest_exchange::*, duty_borders::*, duty_runner::*, fleet_scaler::*, peer_table::*,
+    state_relay::*,
 };
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -112,6 +112,13 @@
         sums
     }
 
+    /// Returns the work that other live daemons were offered a second.
+    pub fn demand_of(&self, service: &str) -> f64 {
+        let told = self.live().flat_map(|p| &p.digest.demand);
+        let told = told.filter(|(name, _)| name == service);
+        told.map(|(_, per_s)| f64::from(*per_s)).sum()
+    }
+
     /// Returns whether another live daemon says that it holds the duties.
     pub fn has_duty_holder(&self) -> bool {
         self.live().any(|p| p.digest.holds_duties)
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -1,7 +1,6 @@
 use {
-    super::{Gateway, RequestContext},
+    super::{Gateway, Placement, RequestContext},
     crate::{backends::*, names::BackendId, policy::*},
-    std::sync::Arc,
 };
 
 /// What has been tried for one request.
@@ -19,7 +18,7 @@
 
 impl Attempts {
     /// Chooses where to send the request next.
-    pub fn place(&self, gateway: &Gateway, context: &RequestContext) -> Option<Arc<Backend>> {
+    pub fn place(&self, gateway: &Gateway, context: &RequestContext) -> Option<Placement> {
         gateway.place(context, &self.tried)
     }
 
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -128,8 +128,9 @@
     /// Sends the request to a back end, and on to others as long as it may.
     async fn open(&mut self) -> Option<()> {
         loop {
-            let backend = self.attempts.place(&self.gateway, &self.context)?;
-            match self.send_patiently(&backend).await {
+            let placement = self.attempts.place(&self.gateway, &self.context)?;
+            let backend = &placement.backend;
+            match self.send_patiently(&placement).await {
                 Ok(sent) => {
                     let status = sent.answer.head.status;
                     let is_success = status.is_success();
@@ -138,7 +139,7 @@
                     if unfit || retry || !speaks_for_itself(status) {
                         drop(sent);
                         let failure = SendFailure::MayHaveRun(status.to_string());
-                        self.fail_at(&backend, failure)?;
+                        self.fail_at(backend, failure)?;
                         continue;
                     }
                     self.is_events = is_success && is_event_stream(&sent.answer.head);
@@ -146,15 +147,15 @@
                     self.current = Some(sent);
                     return Some(());
                 }
-                Err(failure) => self.fail_at(&backend, failure)?,
+                Err(failure) => self.fail_at(backend, failure)?,
             }
         }
     }
 
     /// Sends the request; while it could still go elsewhere, not longer than a
     /// silent back end is waited for.
-    async fn send_patiently(&self, backend: &Arc<Backend>) -> Result<Sent, SendFailure> {
-        let send = send(&self.gateway, &self.context, backend, self.last_id);
+    async fn send_patiently(&self, placement: &Placement) -> Result<Sent, SendFailure> {
+        let send = send(&self.gateway, &self.context, placement, self.last_id);
         if !self.can_move() {
             return send.await;
         }
@@ -163,7 +164,7 @@
         loop {
             match tokio::time::timeout(STALL_CHECK, &mut send).await {
                 Ok(sent) => return sent,
-                Err(_) => self.check_stall(backend, started_ms)?,
+                Err(_) => self.check_stall(&placement.backend, started_ms)?,
             }
         }
     }
--- a/src/gateway/forward_whole.rs
+++ b/src/gateway/forward_whole.rs
@@ -34,8 +34,9 @@
     attempts: &mut Attempts,
 ) -> Option<(Parts, Bytes)> {
     loop {
-        let backend = attempts.place(gateway, context)?;
-        let failure = match send_in_time(gateway, context, &backend, attempts).await {
+        let placement = attempts.place(gateway, context)?;
+        let backend = &placement.backend;
+        let failure = match send_in_time(gateway, context, &placement, attempts).await {
             Ok((head, body)) => {
                 let failed = head.status.is_server_error();
                 gateway.note_outcome(&backend.id, failed);
@@ -53,7 +54,7 @@
             }
             Err(failure) => failure,
         };
-        gateway.note_send_failure(context, &backend, &failure);
+        gateway.note_send_failure(context, backend, &failure);
         if !attempts.may_go_on(gateway, context, &backend.id, failure) {
             return None;
         }
@@ -65,11 +66,11 @@
 async fn send_in_time(
     gateway: &Arc<Gateway>,
     context: &RequestContext,
-    backend: &Arc<Backend>,
+    placement: &Placement,
     attempts: &Attempts,
 ) -> Result<(Parts, Bytes), SendFailure> {
     let whole = async {
-        let mut sent = send(gateway, context, backend, None).await?;
+        let mut sent = send(gateway, context, placement, None).await?;
         let body = sent.answer.read_whole(MAX_WHOLE_ANSWER).await?;
         Ok((sent.answer.head.clone(), body))
     };
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -42,6 +42,15 @@
     Stopping,
 }
 
+/// Where a request is sent.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// The back end.
+    pub backend: Arc<Backend>,
+    /// The prompt tokens that it is expected to read.
+    pub unread_tokens: u64,
+}
+
 /// What the parts of a daemon share.
 ///
 /// Locks are held one at a time and never across an await.
@@ -76,6 +85,7 @@
     table: RwLock<Option<Arc<RouteTable>>>,
     retries: Mutex<HashMap<ServiceName, RetryAllowance>>,
     caches: Mutex<CacheMemory>,
+    demand: Mutex<HashMap<ServiceName, DemandMeter>>,
     rng: Mutex<ChaCha8Rng>,
     started: Instant,
 }
@@ -100,6 +110,7 @@
             table: RwLock::default(),
             retries: Mutex::default(),
             caches: Mutex::default(),
+            demand: Mutex::default(),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
             started: Instant::now(),
         }
@@ -166,7 +177,7 @@
     }
 
     /// Chooses a back end for a request; `tried` ones come last.
-    pub fn place(&self, context: &RequestContext, tried: &[BackendId]) -> Option<Arc<Backend>> {
+    pub fn place(&self, context: &RequestContext, tried: &[BackendId]) -> Option<Placement> {
         let ready: Vec<Arc<Backend>> = {
             let directory = self.directory.read();
             let ready = directory.ready(&context.service);
@@ -180,7 +191,13 @@
             .collect();
         let mut rng = self.rng.lock();
         let chosen = choose_backend(&candidates, PROMPT_TOKENS_PER_MS, &mut *rng)?;
-        Some(ready[chosen].clone())
+        drop(rng);
+        let unread_tokens = candidates[chosen].unread_tokens;
+        self.note_demand(&context.service, unread_tokens);
+        Some(Placement {
+            backend: ready[chosen].clone(),
+            unread_tokens,
+        })
     }
 
     fn candidate(
@@ -219,7 +236,7 @@
     }
 
     /// Returns how many prompt tokens a back end would have to read.
-    pub fn unread_tokens(&self, context: &RequestContext, backend: &Backend) -> u64 {
+    fn unread_tokens(&self, context: &RequestContext, backend: &Backend) -> u64 {
         let now_ms = self.steady_ms();
         let caches = self.caches.lock();
         let is_kept = |part: &PromptPart| caches.is_kept(&backend.id, part.chain, now_ms);
@@ -256,6 +273,34 @@
         act(retries.entry(service.clone()).or_insert_with(fresh))
     }
 
+    /// Notes work that is sent to a service: prompt tokens to read.
+    fn note_demand(&self, service: &ServiceName, work: u64) {
+        let now_ms = self.steady_ms();
+        let mut demand = self.demand.lock();
+        let meter = demand.entry(service.clone()).or_default();
+        meter.note(work as f64, now_ms);
+    }
+
+    /// Returns the work a second that this daemon was offered, by service.
+    pub fn own_demand(&self) -> Vec<(String, f32)> {
+        let now_ms = self.steady_ms();
+        let demand = self.demand.lock();
+        let own = demand.iter();
+        own.map(|(name, meter)| (name.to_string(), meter.per_s(now_ms) as f32))
+            .collect()
+    }
+
+    /// Returns the work a second that all daemons were offered.
+    pub fn demand_of(&self, service: &ServiceName) -> f64 {
+        let now_ms = self.steady_ms();
+        let own = self
+            .demand
+            .lock()
+            .get(service)
+            .map_or(0.0, |m| m.per_s(now_ms));
+        own + self.peers.lock().demand_of(service.as_str())
+    }
+
     /// Lets a tenant's request in.
     ///
     /// # Errors
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Gateway, RequestContext},
+    super::{Gateway, Placement, RequestContext},
     crate::{backends::*, names::BackendId},
     http::{HeaderValue, Request, StatusCode, Version},
     http_body_util::Full,
@@ -74,11 +74,11 @@
 pub async fn send(
     gateway: &Arc<Gateway>,
     context: &RequestContext,
-    backend: &Arc<Backend>,
+    placement: &Placement,
     last_event_id: Option<u64>,
 ) -> Result<Sent, SendFailure> {
-    let unread = gateway.unread_tokens(context, backend);
-    let mut active = ActiveSend::start(gateway, &backend.id, unread);
+    let backend = &placement.backend;
+    let mut active = ActiveSend::start(gateway, &backend.id, placement.unread_tokens);
     let connection = connect(gateway, context, backend).await?;
     // What is true now counts, not what was when the back end was chosen.
     if !gateway.directory.read().is_ready(&backend.id) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,8 +8,10 @@
 mod claim_fold;
 mod claimant;
 mod concurrency;
+mod demand_meter;
 mod duty_log;
 mod estimate;
+mod fleet_plan;
 mod holder;
 mod lease;
 mod neighbours;
@@ -30,8 +32,9 @@
 
 pub use {
     admission::*, box_state::*, cache_memory::*, choose_backend::*, claim::*, claim_fold::*,
-    claimant::*, concurrency::*, duty_log::*, estimate::*, holder::*, lease::*, neighbours::*,
-    placement::*, placement_cheapest::*, placement_keep_work::*, placement_naive::*,
-    quota_account::*, quota_book::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*,
-    spill::*, splice::*, stall::*, usage_windows::*,
+    claimant::*, concurrency::*, demand_meter::*, duty_log::*, estimate::*, fleet_plan::*,
+    holder::*, lease::*, neighbours::*, placement::*, placement_cheapest::*,
+    placement_keep_work::*, placement_naive::*, quota_account::*, quota_book::*, reclaim::*,
+    retry::*, retry_allowance::*, retry_situation::*, spill::*, splice::*, stall::*,
+    usage_windows::*,
 };
