Pace quotas between notices; reset calls for duties that time out; decision tests

Ruled out: the lease itself (the holder made its call inside its lease).

Now: calls for duties go over a connection of their own that is reset when given up; connections to back ends are reset as well. Quotas: what one daemon lets in between two notices is bounded by its part, notices go early near the limit, silent daemons are charged back to when they were heard, weights freeze when a notice is late, and a restart begins with nothing.

--- a/src/backends/backend_pool.rs
+++ b/src/backends/backend_pool.rs
@@ -1,6 +1,6 @@
 use {
     super::SendFailure,
-    crate::names::BackendId,
+    crate::{http::reset_on_close, names::BackendId},
     bytes::Bytes,
     http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
@@ -107,6 +107,8 @@
             .map_err(|_| not_sent(&"no connection in time"))?
             .map_err(|e| not_sent(&e))?;
         set_socket_options(&stream).map_err(|e| not_sent(&e))?;
+        // A request that is taken back must not arrive later.
+        reset_on_close(&stream).map_err(|e| not_sent(&e))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
--- a/src/cluster/digest_exchange.rs
+++ b/src/cluster/digest_exchange.rs
@@ -11,6 +11,8 @@
 
 /// The time between two digests.
 const DIGEST_EVERY: Duration = Duration::from_millis(250);
+/// The least time between two digests.
+const DIGEST_PAUSE: Duration = Duration::from_millis(50);
 /// How many windows of usage are told: what is lost once comes again.
 const USAGE_WINDOWS: usize = 3;
 /// Each how many digests seeds are written to that were not heard from.
@@ -58,13 +60,15 @@
     loop {
         sequence += 1;
         gateway.peers.lock().tick(gateway.steady_ms());
-        reserve_quotas(&gateway);
         let digest = make_digest(&gateway, sequence);
         match digest.encode() {
             Ok(bytes) => send_to_all(&socket, &gateway, &bytes, sequence).await,
             Err(e) => log::warn!(target: "peers", "no digest. error=\"{e}\""),
         }
-        tokio::time::sleep(DIGEST_EVERY).await;
+        // Sooner, if a tenant at its limit was let in more than others know.
+        let early = gateway.tell_early.notified();
+        let _ = tokio::time::timeout(DIGEST_EVERY - DIGEST_PAUSE, early).await;
+        tokio::time::sleep(DIGEST_PAUSE).await;
     }
 }
 
@@ -80,15 +84,6 @@
     }
 }
 
-/// Reserves for silent daemons their parts of the quotas.
-fn reserve_quotas(gateway: &Gateway) {
-    let (live, silent) = gateway.peers.lock().quota_weights();
-    if live.is_empty() && silent.is_empty() {
-        return;
-    }
-    gateway.quotas.lock().reserve(&live, &silent);
-}
-
 fn make_digest(gateway: &Gateway, sequence: u64) -> Digest {
     let settings = &gateway.settings;
     let address: SocketAddr = settings.listen.peers;
@@ -112,15 +107,14 @@
     }
 }
 
+/// Brings the quotas up to date and returns what to tell of them.
 fn quotas(gateway: &Gateway) -> Vec<(String, f32, f64)> {
     let (tenants, daemons) = (gateway.tenants(), gateway.daemons());
-    let may_grow = !gateway.peers.lock().any_silent();
+    let others = gateway.peers.lock().quota_daemons();
     let mut quotas = gateway.quotas.lock();
-    let notices = quotas.announce(&tenants, daemons, may_grow, gateway.steady_ms());
+    let notices = quotas.tick(&tenants, &others, daemons, gateway.steady_ms());
     let notices = notices.into_iter();
-    notices
-        .map(|n| (n.tenant.to_string(), n.weight as f32, n.admitted))
-        .collect()
+    notices.map(|n| (n.tenant.to_string(), n.weight as f32, n.admitted)).collect()
 }
 
 fn usage(gateway: &Gateway) -> Vec<(u64, Vec<(String, u32)>)> {
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -1,6 +1,9 @@
 use {
     super::Digest,
-    crate::names::{BackendId, TenantName},
+    crate::{
+        names::{BackendId, TenantName},
+        policy::OtherDaemon,
+    },
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
@@ -8,7 +11,7 @@
 };
 
 /// After how long without a digest a daemon counts as silent, in milliseconds.
-pub const SILENT_AFTER_MS: u64 = 1_200;
+pub const SILENT_AFTER_MS: u64 = 700;
 /// How long a silent daemon's part of the quotas stays its own, in milliseconds.
 const RESERVED_MS: u64 = 30_000;
 /// After how long without a digest an address is no longer written to, in
@@ -79,24 +82,20 @@
         self.reserved().count()
     }
 
-    /// Returns whether a daemon that has a part of the quotas is silent.
-    pub fn any_silent(&self) -> bool {
-        self.reserved().any(|p| self.is_silent(p))
-    }
-
-    /// Returns the sums of the weights of live and of silent daemons, by tenant.
-    pub fn quota_weights(&self) -> (HashMap<TenantName, f64>, HashMap<TenantName, f64>) {
-        let (mut live, mut silent) = (HashMap::new(), HashMap::new());
+    /// Returns what is known of the other daemons, by tenant.
+    pub fn quota_daemons(&self) -> HashMap<TenantName, Vec<OtherDaemon>> {
+        let mut daemons: HashMap<TenantName, Vec<OtherDaemon>> = HashMap::new();
         for peer in self.reserved() {
-            let sums = match self.is_silent(peer) {
-                true => &mut silent,
-                false => &mut live,
-            };
             for notice in peer.digest.quota_notices() {
-                *sums.entry(notice.tenant).or_default() += notice.weight;
+                daemons.entry(notice.tenant).or_default().push(OtherDaemon {
+                    node: peer.digest.node.clone(),
+                    weight: notice.weight,
+                    heard_ms: peer.heard_ms,
+                    silent: self.is_silent(peer),
+                });
             }
         }
-        (live, silent)
+        daemons
     }
 
     /// Returns requests and waiting tokens that others have at back ends.
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -20,7 +20,7 @@
         },
         time::{Duration, Instant},
     },
-    tokio::sync::watch,
+    tokio::sync::{Notify, watch},
 };
 
 /// How fast a back end is taken to read a prompt, in tokens a millisecond.
@@ -74,6 +74,8 @@
     pub usage: Mutex<UsageWindows>,
     /// The tenants' quotas.
     pub quotas: Mutex<QuotaBook>,
+    /// Wakes the task that tells other daemons about this one.
+    pub tell_early: Notify,
     /// Whether clients are taken.
     pub phase: watch::Sender<GatewayPhase>,
     /// Requests in flight.
@@ -103,6 +105,7 @@
             peers: Mutex::default(),
             usage: Mutex::default(),
             quotas: Mutex::default(),
+            tell_early: Notify::new(),
             phase: watch::Sender::new(GatewayPhase::Starting),
             open_requests: AtomicUsize::new(0),
             holds_duties: AtomicBool::new(false),
@@ -307,10 +310,13 @@
     ///
     /// Returns after how long it would be let in.
     pub fn admit(&self, tenant: &Tenant, cost: f64) -> Result<(), Duration> {
-        let start_fraction = 1.0 / self.daemons() as f64;
+        let start_part = 1.0 / self.daemons() as f64;
         let now_ms = self.steady_ms();
         let mut quotas = self.quotas.lock();
-        let admitted = quotas.admit(tenant, cost, start_fraction, now_ms);
+        let admitted = quotas.admit(tenant, cost, start_part, now_ms);
+        if quotas.should_tell(tenant) {
+            self.tell_early.notify_one();
+        }
         admitted.map_err(Duration::from_millis)
     }
 
--- /dev/null
+++ b/src/http/call_once.rs
@@ -0,0 +1,67 @@
+use {
+    super::{HttpError, whole_body},
+    bytes::Bytes,
+    http::{Request, StatusCode, header},
+    http_body_util::Full,
+    hyper::client::conn::http1,
+    hyper_util::rt::TokioIo,
+    socket2::SockRef,
+    std::{net::SocketAddr, time::Duration},
+    tokio::{net::TcpStream, task::AbortHandle},
+};
+
+/// Ends a connection's task when dropped.
+struct Connection(AbortHandle);
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Makes a call over a connection of its own. When it takes too long, the
+/// connection is reset, so that nothing of the call arrives any later.
+///
+/// # Errors
+///
+/// Returns how the call failed.
+pub async fn call_once(
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), HttpError> {
+    let answer = tokio::time::timeout(timeout, exchange(address, request)).await;
+    answer.map_err(|_| HttpError::Timeout(timeout))?
+}
+
+async fn exchange(
+    address: SocketAddr,
+    mut request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), HttpError> {
+    let not_connected = |e: std::io::Error| HttpError::NotConnected(e.to_string());
+    let stream = TcpStream::connect(address).await.map_err(not_connected)?;
+    reset_on_close(&stream).map_err(not_connected)?;
+    let broken = |e: hyper::Error| HttpError::Broken(e.to_string());
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(broken)?;
+    let task = tokio::spawn(async move {
+        // Its error reaches the call.
+        let _ = connection.await;
+    });
+    let _connection = Connection(task.abort_handle());
+    if let Ok(host) = address.to_string().parse() {
+        request.headers_mut().entry(header::HOST).or_insert(host);
+    }
+    let answer = sender.send_request(request).await.map_err(broken)?;
+    let status = answer.status();
+    Ok((status, whole_body(answer.into_body()).await?))
+}
+
+/// Lets a connection be reset when it is closed: what was not delivered by
+/// then is discarded, not sent on behind the back of the one who gave it up.
+///
+/// # Errors
+///
+/// Returns the error of the socket.
+pub fn reset_on_close(stream: &TcpStream) -> std::io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
--- a/src/policy/quota_account.rs
+++ b/src/policy/quota_account.rs
@@ -1,29 +1,63 @@
 use std::collections::HashMap;
 
 /// Over which time demand is averaged, in milliseconds.
-const DEMAND_WINDOW_MS: f64 = 1_500.0;
+const DEMAND_WINDOW_MS: f64 = 3_000.0;
 /// Of a daemon's even part, what one without demand keeps.
 const IDLE_PART: f64 = 0.25;
-/// Of its part of the burst, how much a daemon starts with.
-const START_LEVEL: f64 = 0.3;
 /// Of the burst, what has to be there for a request that is larger.
 const LARGE_REQUEST_LEVEL: f64 = 0.5;
+/// How many times its part of what is left a daemon may let in between two
+/// notices of the others.
+const UNHEARD_PARTS: f64 = 2.0;
+/// What is left above this part of the burst, any daemon may let in unheard.
+const SCARCE_LEVEL: f64 = 0.4;
+/// After how long another daemon's notice is late, in milliseconds.
+const LATE_MS: u64 = 400;
+/// Below this part of the burst, others should hear early of what is let in.
+const LOW_LEVEL: f64 = 0.5;
+/// Of the burst, what may be let in before others should hear of it.
+const UNHEARD_BURST: f64 = 0.05;
 
-/// What another daemon has let in, by its own count.
+/// Another daemon, as a tenant's account sees it.
 #[derive(Clone, Copy, Debug, Default)]
-struct SeenTotal {
+struct Other {
     incarnation: u64,
+    /// What it has let in, by its own count.
     total: f64,
+    /// What was taken out for it while it was silent.
+    charged: f64,
+    /// Until when that was.
+    charged_to_ms: Option<u64>,
+}
+
+/// What is known of another daemon when an account is brought up to date.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OtherDaemon {
+    /// Its name.
+    pub node: String,
+    /// The weight with which it asks for a part of the rate.
+    pub weight: f64,
+    /// When it was heard last.
+    pub heard_ms: u64,
+    /// Whether it has been silent for too long since.
+    pub silent: bool,
+}
+
+impl OtherDaemon {
+    /// Returns whether its notice is late: it may be cut off.
+    pub fn is_late(&self, now_ms: u64) -> bool {
+        now_ms > self.heard_ms + LATE_MS
+    }
 }
 
 /// One tenant's quota as one daemon sees it.
 ///
 /// All daemons keep the same token bucket: each takes from it what it lets in
 /// at once, and what the others let in when it hears of it. What it hears late
-/// drives the bucket into debt, so that the rate holds on average and a burst
-/// is exceeded by no more than what is offered in that time. For daemons that
-/// are silent, the rate that they asked for last is taken out as if they used
-/// it. Times are milliseconds of a steady clock.
+/// drives the bucket into debt, so that the rate holds on average. Between two
+/// notices a daemon lets in no more than some parts of what is left. For a
+/// daemon that is silent, the part of the rate that it asked for last is taken
+/// out as if it used it. Times are milliseconds of a steady clock.
 #[derive(Clone, Debug)]
 pub struct QuotaAccount {
     level: f64,
@@ -31,22 +65,34 @@
     demand: f64,
     demand_ms: u64,
     admitted: f64,
-    seen: HashMap<String, SeenTotal>,
-    /// The part of the rate that silent daemons may be using.
-    reserved: f64,
+    others: HashMap<String, Other>,
+    /// The part of the rate that belongs to daemons not yet heard of.
+    unknown_part: f64,
+    /// This daemon's part by weight.
+    own_part: f64,
+    /// What was left at the last tick, and what was let in since.
+    left_at_tick: f64,
+    since_tick: f64,
+    /// Whether all others were heard at the last tick.
+    all_heard: bool,
 }
 
 impl QuotaAccount {
-    /// Starts with nothing heard.
-    pub fn new(burst: f64, reserved: f64, now_ms: u64) -> Self {
+    /// Starts with nothing heard and nothing left: what was let in before a
+    /// restart is not known.
+    pub fn new(own_part: f64, now_ms: u64) -> Self {
         Self {
-            level: burst * START_LEVEL * (1.0 - reserved),
+            level: 0.0,
             updated_ms: now_ms,
             demand: 0.0,
             demand_ms: now_ms,
             admitted: 0.0,
-            seen: HashMap::new(),
-            reserved,
+            others: HashMap::new(),
+            unknown_part: 1.0 - own_part,
+            own_part,
+            left_at_tick: 0.0,
+            since_tick: 0.0,
+            all_heard: false,
         }
     }
 
@@ -61,23 +107,69 @@
         self.demand(now_ms).max(even * IDLE_PART)
     }
 
-    /// Sets the part of the rate that silent daemons may be using.
-    pub fn reserve(&mut self, part: f64) {
-        self.reserved = part.clamp(0.0, 1.0);
+    /// Returns whether others should hear now of what was let in.
+    pub fn should_tell(&self, burst: f64) -> bool {
+        self.level < burst * LOW_LEVEL && self.since_tick > burst * UNHEARD_BURST
     }
 
     /// Takes out what another daemon has let in since it was last heard.
     pub fn hear(&mut self, node: &str, incarnation: u64, total: f64) {
-        let first = !self.seen.contains_key(node);
-        let seen = self.seen.entry(node.to_string()).or_default();
-        let news = match seen.incarnation == incarnation {
-            true => (total - seen.total).max(0.0),
+        let first = !self.others.contains_key(node);
+        let other = self.others.entry(node.to_string()).or_default();
+        let news = match other.incarnation == incarnation {
+            true => (total - other.total).max(0.0),
             // What it let in before this daemon knew it is over and done.
             false if first => 0.0,
             false => total,
         };
-        *seen = SeenTotal { incarnation, total };
-        self.level -= news;
+        self.level -= (news - other.charged).max(0.0);
+        *other = Other {
+            incarnation,
+            total,
+            ..Other::default()
+        };
+    }
+
+    /// Brings the account up to date with what is known of the others.
+    pub fn tick(
+        &mut self,
+        own_weight: f64,
+        others: &[OtherDaemon],
+        rate: f64,
+        burst: f64,
+        now_ms: u64,
+    ) {
+        self.refill(rate, burst, now_ms);
+        let all: f64 = own_weight + others.iter().map(|o| o.weight).sum::<f64>();
+        if !others.is_empty() {
+            self.unknown_part = 0.0;
+            self.own_part = own_weight / all.max(f64::MIN_POSITIVE);
+        }
+        for other in others.iter().filter(|o| o.silent) {
+            self.charge(other, other.weight / all.max(f64::MIN_POSITIVE), rate, now_ms);
+        }
+        self.all_heard = !others.iter().any(|o| o.is_late(now_ms));
+        self.left_at_tick = self.level.max(0.0);
+        self.since_tick = 0.0;
+    }
+
+    /// Takes out the part of a silent daemon, back to when it was heard last.
+    fn charge(&mut self, silent: &OtherDaemon, part: f64, rate: f64, now_ms: u64) {
+        let other = self.others.entry(silent.node.clone()).or_default();
+        let from_ms = match other.charged_to_ms {
+            Some(to_ms) => to_ms,
+            None => {
+                // It may use its part of what was left, too.
+                let left = self.level.max(0.0) * part;
+                self.level -= left;
+                other.charged += left;
+                silent.heard_ms
+            }
+        };
+        let used = rate * part * now_ms.saturating_sub(from_ms) as f64 / 1_000.0;
+        other.charged_to_ms = Some(now_ms);
+        other.charged += used;
+        self.level -= used;
     }
 
     /// Lets a request in. One larger than the burst allows needs half of it.
@@ -87,20 +179,34 @@
     /// Returns after how many milliseconds it would be let in.
     pub fn admit(&mut self, cost: f64, rate: f64, burst: f64, now_ms: u64) -> Result<(), u64> {
         self.note_demand(cost, now_ms);
-        let rate = rate * (1.0 - self.reserved);
-        let elapsed_s = now_ms.saturating_sub(self.updated_ms) as f64 / 1_000.0;
-        self.level = (self.level + rate * elapsed_s).min(burst);
-        self.updated_ms = now_ms;
+        self.refill(rate, burst, now_ms);
         let needed = cost.min(burst * LARGE_REQUEST_LEVEL);
-        if self.level >= needed {
+        let own = self.left_at_tick.max(self.level) * self.own_part * UNHEARD_PARTS;
+        let spare = match self.all_heard {
+            true => self.left_at_tick - burst * SCARCE_LEVEL,
+            false => 0.0,
+        };
+        let unheard = own.max(spare);
+        let is_first = self.since_tick <= 0.0;
+        let in_turn = is_first || self.since_tick + cost <= unheard;
+        if self.level >= needed && in_turn {
             self.level -= cost;
             self.admitted += cost;
+            self.since_tick += cost;
             return Ok(());
         }
-        let wait_s = (needed - self.level) / rate.max(1.0);
+        let missing = (needed - self.level).max(0.0);
+        let wait_s = missing / (rate * (1.0 - self.unknown_part)).max(1.0);
         Err((wait_s * 1_000.0).min(60_000.0) as u64 + 1)
     }
 
+    fn refill(&mut self, rate: f64, burst: f64, now_ms: u64) {
+        let rate = rate * (1.0 - self.unknown_part);
+        let elapsed_s = now_ms.saturating_sub(self.updated_ms) as f64 / 1_000.0;
+        self.level = (self.level + rate * elapsed_s).min(burst);
+        self.updated_ms = self.updated_ms.max(now_ms);
+    }
+
     fn note_demand(&mut self, cost: f64, now_ms: u64) {
         self.demand = self.demand(now_ms) + cost * 1_000.0 / DEMAND_WINDOW_MS;
         self.demand_ms = now_ms;
--- a/src/policy/quota_book.rs
+++ b/src/policy/quota_book.rs
@@ -1,9 +1,14 @@
 use {
-    super::QuotaAccount,
+    super::{OtherDaemon, QuotaAccount},
     crate::{names::TenantName, routing::Tenant},
-    std::collections::HashMap,
+    std::collections::{HashMap, VecDeque},
 };
 
+/// How many announced weights are remembered: a daemon that may be cut off goes
+/// by the least of them, since others may not have heard the newest.
+const REMEMBERED_WEIGHTS: usize = 3;
+
+
 /// What a daemon tells about a tenant's quota.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaNotice {
@@ -19,8 +24,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct QuotaBook {
     accounts: HashMap<TenantName, QuotaAccount>,
-    /// The weights that were announced last.
-    announced: HashMap<TenantName, f64>,
+    /// The weights that were announced last, the newest at the end.
+    announced: HashMap<TenantName, VecDeque<f64>>,
 }
 
 impl QuotaBook {
@@ -53,26 +58,41 @@
         }
     }
 
-    /// Returns what to tell others. While some are silent, no weight grows:
-    /// what they asked for is still theirs.
-    pub fn announce(
+    /// Returns whether others should hear now of what was let in.
+    pub fn should_tell(&self, tenant: &Tenant) -> bool {
+        let account = self.accounts.get(&tenant.name);
+        tenant.rate_per_s > 0.0 && account.is_some_and(|a| a.should_tell(tenant.burst))
+    }
+
+    /// Brings the accounts up to date and returns what to tell others.
+    /// `others` gives what is known of the other daemons, by tenant. While one
+    /// may be cut off, no weight grows: what it asked for is still its own.
+    pub fn tick(
         &mut self,
         tenants: &[Tenant],
+        others: &HashMap<TenantName, Vec<OtherDaemon>>,
         daemons: usize,
-        may_grow: bool,
         now_ms: u64,
     ) -> Vec<QuotaNotice> {
         let limited = tenants.iter().filter(|t| t.rate_per_s > 0.0);
         let mut notices = Vec::new();
         for tenant in limited {
+            let others = others.get(&tenant.name).map_or(&[][..], Vec::as_slice);
+            let any_late = others.iter().any(|o| o.is_late(now_ms));
             let start_part = 1.0 / daemons.max(1) as f64;
             let account = self.account(tenant, start_part, now_ms);
             let mut weight = account.weight(tenant.rate_per_s, daemons, now_ms);
-            let admitted = account.admitted();
-            if !may_grow && let Some(last) = self.announced.get(&tenant.name) {
-                weight = weight.min(*last);
+            let announced = self.announced.entry(tenant.name.clone()).or_default();
+            if any_late {
+                weight = announced.iter().copied().fold(weight, f64::min);
+            }
+            announced.push_back(weight);
+            if announced.len() > REMEMBERED_WEIGHTS {
+                announced.pop_front();
             }
-            self.announced.insert(tenant.name.clone(), weight);
+            let account = self.account(tenant, start_part, now_ms);
+            account.tick(weight, others, tenant.rate_per_s, tenant.burst, now_ms);
+            let admitted = account.admitted();
             notices.push(QuotaNotice {
                 tenant: tenant.name.clone(),
                 weight,
@@ -82,19 +102,8 @@
         notices
     }
 
-    /// Reserves for silent daemons the parts that they asked for. `live` and
-    /// `silent` give the sums of the other daemons' weights.
-    pub fn reserve(&mut self, live: &HashMap<TenantName, f64>, silent: &HashMap<TenantName, f64>) {
-        for (name, account) in &mut self.accounts {
-            let own = self.announced.get(name).copied().unwrap_or(0.0);
-            let silent = silent.get(name).copied().unwrap_or(0.0);
-            let all = own + silent + live.get(name).copied().unwrap_or(0.0);
-            account.reserve(silent / all.max(f64::MIN_POSITIVE));
-        }
-    }
-
     fn account(&mut self, tenant: &Tenant, start_part: f64, now_ms: u64) -> &mut QuotaAccount {
-        let fresh = || QuotaAccount::new(tenant.burst, 1.0 - start_part, now_ms);
+        let fresh = || QuotaAccount::new(start_part, now_ms);
         let accounts = &mut self.accounts;
         accounts.entry(tenant.name.clone()).or_insert_with(fresh)
     }
--- /dev/null
+++ b/tests/decisions/gateway_files.rs
@@ -0,0 +1,47 @@
+//! Settings and route files: what is wrong with them is told with its place.
+
+use saddlepulley::{conf::GatewaySettings, gateway::RoutesFile};
+
+const SETTINGS: &str = r#"
+[node]
+name = "n1"
+zone = "a"
+
+[listen]
+clients = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+
+[source]
+kind = "file"
+path = "routes.toml"
+"#;
+
+#[test]
+fn the_least_settings_are_enough() {
+    let settings = GatewaySettings::parse("f", SETTINGS).unwrap();
+    assert!(!settings.duties.usage);
+    assert_eq!(settings.bounds.retry_ratio, 0.2);
+}
+
+#[test]
+fn an_unknown_field_is_told_with_its_line() {
+    let text = SETTINGS.replace("zone = ", "zona = ");
+    let error = GatewaySettings::parse("f", &text).unwrap_err().to_string();
+    assert!(error.starts_with("f:4: "), "{error}");
+    assert!(error.contains("zona"), "{error}");
+}
+
+#[test]
+fn a_wrong_address_is_told_with_its_line() {
+    let text = SETTINGS.replace("127.0.0.1:2", "here");
+    let error = GatewaySettings::parse("f", &text).unwrap_err().to_string();
+    assert!(error.starts_with("f:8: "), "{error}");
+}
+
+#[test]
+fn a_wrong_route_is_told_with_its_line() {
+    let text = "[config]\nversion = 1\nservices = []\n[[config.routes]]\nname = \"r\"\nkind = \"sometimes\"\n";
+    let error = RoutesFile::parse(text).unwrap_err().to_string();
+    assert!(error.starts_with("line 6"), "{error}");
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,11 +3,17 @@
 mod admission;
 mod box_facts;
 mod claim_exploration;
+mod duties;
 mod files;
+mod fleet;
+mod gateway_files;
 mod lease;
 mod placement;
+mod platform;
+mod quota;
 mod reclaim;
 mod report;
+mod routed;
 mod spill;
 mod splice;
 mod support;
--- /dev/null
+++ b/tests/decisions/quota.rs
@@ -0,0 +1,186 @@
+//! Quotas over several daemons, under seeds: lag, cuts and restarts.
+
+use {
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    saddlepulley::{cluster::SILENT_AFTER_MS, names::TenantName, policy::*, routing::Tenant},
+    std::collections::HashMap,
+};
+
+const RATE: f64 = 100_000.0;
+const BURST: f64 = 100_000.0;
+const TICK_MS: u64 = 250;
+const WINDOW_MS: u64 = 8_000;
+
+fn tenant() -> Tenant {
+    Tenant {
+        name: TenantName::from("t"),
+        keys: vec!["k".into()],
+        priority: None,
+        rate_per_s: RATE,
+        burst: BURST,
+        plain_cost: 200.0,
+        counts_tokens: true,
+    }
+}
+
+/// Daemons that offer `offered` times the rate together; `cut` says which are
+/// cut off from all others at a time. Returns what was let in, by time.
+struct Fleet {
+    books: Vec<QuotaBook>,
+    lives: Vec<u64>,
+    heard: Vec<HashMap<usize, (u64, Vec<QuotaNotice>)>>,
+    admitted: Vec<(u64, f64)>,
+    refused: f64,
+    rng: ChaCha8Rng,
+}
+
+impl Fleet {
+    fn new(daemons: usize, seed: u64) -> Self {
+        Self {
+            books: vec![QuotaBook::default(); daemons],
+            lives: (0..daemons as u64).collect(),
+            heard: vec![HashMap::new(); daemons],
+            admitted: Vec::new(),
+            refused: 0.0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    fn restart(&mut self, daemon: usize) {
+        self.books[daemon] = QuotaBook::default();
+        self.lives[daemon] += 1_000;
+        self.heard[daemon].clear();
+    }
+
+    fn run(&mut self, until_ms: u64, offered: f64, cut: impl Fn(usize, u64) -> bool) {
+        let from_ms = self.admitted.last().map_or(0, |(at, _)| *at / TICK_MS * TICK_MS);
+        let mut now_ms = from_ms;
+        while now_ms < until_ms {
+            self.tell(now_ms, &cut);
+            self.offer(now_ms, offered);
+            now_ms += TICK_MS;
+        }
+    }
+
+    fn tell(&mut self, now_ms: u64, cut: &impl Fn(usize, u64) -> bool) {
+        let daemons = self.books.len();
+        for from in 0..daemons {
+            let others = self.others_of(from, now_ms);
+            let notices = self.books[from].tick(&[tenant()], &others, daemons, now_ms);
+            for to in (0..daemons).filter(|to| *to != from) {
+                if cut(from, now_ms) || cut(to, now_ms) {
+                    continue;
+                }
+                let node = from.to_string();
+                self.books[to].hear(&node, self.lives[from], &notices);
+                self.heard[to].insert(from, (now_ms, notices.clone()));
+            }
+        }
+    }
+
+    fn others_of(&self, at: usize, now_ms: u64) -> HashMap<TenantName, Vec<OtherDaemon>> {
+        let mut others: HashMap<TenantName, Vec<OtherDaemon>> = HashMap::new();
+        for (from, (heard_ms, notices)) in &self.heard[at] {
+            for notice in notices {
+                others.entry(notice.tenant.clone()).or_default().push(OtherDaemon {
+                    node: from.to_string(),
+                    weight: notice.weight,
+                    heard_ms: *heard_ms,
+                    silent: now_ms >= heard_ms + SILENT_AFTER_MS,
+                });
+            }
+        }
+        others
+    }
+
+    fn offer(&mut self, now_ms: u64, offered: f64) {
+        let daemons = self.books.len();
+        let mut left = RATE * offered * TICK_MS as f64 / 1_000.0;
+        while left > 0.0 {
+            let cost = self.rng.random_range(500.0..15_000.0_f64);
+            let at = self.rng.random_range(0..daemons);
+            left -= cost;
+            let start_part = 1.0 / daemons as f64;
+            let at_ms = now_ms + self.rng.random_range(0..TICK_MS);
+            match self.books[at].admit(&tenant(), cost, start_part, at_ms) {
+                Ok(()) => self.admitted.push((at_ms, cost)),
+                Err(_) => self.refused += cost,
+            }
+        }
+    }
+
+    /// The most that was let in within any window.
+    fn worst_window(&self) -> f64 {
+        let starts = self.admitted.iter().map(|(at, _)| *at);
+        let sums = starts.map(|start| {
+            let inside = |at: u64| at >= start && at < start + WINDOW_MS;
+            let inside = self.admitted.iter().filter(|(at, _)| inside(*at));
+            inside.map(|(_, cost)| cost).sum::<f64>()
+        });
+        sums.fold(0.0, f64::max)
+    }
+}
+
+/// What a window may hold at most: a tenth and some requests on top.
+fn allowed() -> f64 {
+    (RATE * WINDOW_MS as f64 / 1_000.0 + BURST) * 1.1 + 72_000.0
+}
+
+#[test]
+fn offers_below_the_rate_are_let_in() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(8, seed);
+        fleet.run(3_000, 0.4, |_, _| false);
+        fleet.refused = 0.0;
+        fleet.run(30_000, 0.5, |_, _| false);
+        let offered: f64 = fleet.admitted.iter().map(|(_, cost)| cost).sum();
+        assert!(fleet.refused < offered * 0.01, "seed {seed}: {}", fleet.refused);
+    }
+}
+
+#[test]
+fn a_tenant_that_sends_many_times_its_quota_is_held_to_it() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(8, seed);
+        fleet.run(5_000, 0.5, |_, _| false);
+        fleet.run(25_000, 5.0, |_, _| false);
+        let worst = fleet.worst_window();
+        assert!(worst <= allowed(), "seed {seed}: {worst} of {}", allowed());
+    }
+}
+
+#[test]
+fn daemons_that_are_cut_off_do_not_add_up_to_more() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(6, seed);
+        fleet.run(5_000, 0.9, |_, _| false);
+        // Two of six are alone; each of them is cut off from the other too.
+        fleet.run(20_000, 4.0, |daemon, _| daemon < 2);
+        let worst = fleet.worst_window();
+        assert!(worst <= allowed(), "seed {seed}: {worst} of {}", allowed());
+    }
+}
+
+#[test]
+fn all_daemons_killed_twice_do_not_spend_their_bursts_anew() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(8, seed);
+        fleet.run(5_000, 1.0, |_, _| false);
+        fleet.run(6_000, 4.8, |_, _| false);
+        for kill_ms in [6_000, 10_000] {
+            (0..8).for_each(|daemon| fleet.restart(daemon));
+            fleet.run(kill_ms + 4_000, 4.8, |_, _| false);
+        }
+        let worst = fleet.worst_window();
+        assert!(worst <= allowed(), "seed {seed}: {worst} of {}", allowed());
+    }
+}
+
+#[test]
+fn a_refused_request_is_told_when_to_come_back() {
+    let mut account = QuotaAccount::new(1.0, 0);
+    let wait_ms = account.admit(200.0, 100.0, 1_000.0, 0).unwrap_err();
+    assert!((1_900..=2_100).contains(&wait_ms), "{wait_ms}");
+    assert_eq!(account.admit(200.0, 100.0, 1_000.0, wait_ms), Ok(()));
+}
--- /dev/null
+++ b/tests/decisions/routed.rs
@@ -0,0 +1,286 @@
+//! Decisions of the routed request path.
+
+use {
+    http::HeaderMap,
+    proptest::prelude::*,
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    saddlepulley::{backends::*, gateway::*, names::*, policy::*, routing::*},
+};
+
+fn backend(id: &str, heartbeat: u64, draining: bool) -> Backend {
+    Backend {
+        id: BackendId::from(id),
+        service: ServiceName::from("s"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: ZoneName::from("z"),
+        slots: 4,
+        draining,
+        reclaimable: false,
+        heartbeat,
+    }
+}
+
+#[test]
+fn draining_is_final_and_old_heartbeats_bring_nothing_back() {
+    let mut directory = BackendDirectory::default();
+    let id = BackendId::from("b");
+    directory.upsert(backend("b", 1, false));
+    directory.upsert(backend("b", 3, true));
+    directory.upsert(backend("b", 2, false));
+    directory.upsert(backend("b", 4, false));
+    assert!(!directory.is_ready(&id));
+    directory.remove(&id);
+    directory.upsert(backend("b", 4, false));
+    assert!(directory.get(&id).is_none(), "an old heartbeat");
+    directory.upsert(backend("b", 5, false));
+    assert!(directory.is_ready(&id), "a later one: only the entry had gone");
+}
+
+#[test]
+fn draining_said_in_an_old_heartbeat_still_counts() {
+    let mut directory = BackendDirectory::default();
+    directory.upsert(backend("b", 9, false));
+    directory.upsert(backend("b", 8, true));
+    assert!(!directory.is_ready(&BackendId::from("b")));
+}
+
+#[test]
+fn a_listing_drops_what_it_lacks() {
+    let mut directory = BackendDirectory::default();
+    directory.upsert(backend("a", 1, false));
+    directory.upsert(backend("b", 1, false));
+    directory.replace(vec![backend("b", 2, false)]);
+    let ready: Vec<_> = directory.ready(&ServiceName::from("s")).map(|b| b.id.clone()).collect();
+    assert_eq!(ready, [BackendId::from("b")]);
+}
+
+fn route(host: &str, prefix: &str, kind: RouteKind) -> Route {
+    Route {
+        name: prefix.into(),
+        host: host.into(),
+        path_prefix: prefix.into(),
+        kind,
+        timeout_ms: 4_000,
+        target_latency_ms: 1_000,
+        priority: 0,
+        services: vec![WeightedService {
+            service: ServiceName::from("s"),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        public: false,
+        resumable: false,
+        event_gap_ms: Some(500),
+    }
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let config = RoutingConfig {
+        version: 1,
+        routes: vec![
+            route("h", "/a/", RouteKind::Idempotent),
+            route("h", "/a/b/", RouteKind::NonIdempotent),
+            route("other", "/a/b/c/", RouteKind::Streaming),
+        ],
+        ..RoutingConfig::default()
+    };
+    let table = RouteTable::new(config);
+    let found = |path| table.find_route("h", path).map(|r| r.path_prefix.as_str());
+    assert_eq!(found("/a/b/c/1"), Some("/a/b/"));
+    assert_eq!(found("/a/x"), Some("/a/"));
+    assert_eq!(found("/b/"), None);
+    let with_port = table.find_route("H:8080", "/a/x");
+    assert!(with_port.is_some(), "host names have no case, ports don't count");
+}
+
+#[test]
+fn services_are_picked_by_weight() {
+    let mut split = route("h", "/", RouteKind::Idempotent);
+    split.services = [("a", 90), ("b", 10)]
+        .map(|(name, weight)| WeightedService {
+            service: ServiceName::from(name),
+            weight,
+        })
+        .into();
+    let to_b = (0..1_000).filter(|n| split.pick_service(*n).unwrap().as_str() == "b");
+    assert_eq!(to_b.count(), 100);
+}
+
+#[test]
+fn what_may_have_run_goes_elsewhere_only_if_it_may_be_repeated() {
+    let situation = RetrySituation {
+        may_have_run: true,
+        repeatable: false,
+        sends: 1,
+        max_sends: 2,
+        tried: 1,
+        time_left_ms: 500,
+    };
+    assert!(!situation.allows_another());
+    let repeatable = RetrySituation {
+        repeatable: true,
+        ..situation
+    };
+    assert!(repeatable.allows_another());
+    let refused = RetrySituation {
+        may_have_run: false,
+        ..situation
+    };
+    assert!(refused.allows_another());
+    let sent_enough = RetrySituation {
+        sends: 2,
+        ..refused
+    };
+    assert!(!sent_enough.allows_another());
+}
+
+#[test]
+fn repeats_of_all_daemons_stay_within_the_budget() {
+    // Eight daemons in outage: every request is repeated as often as allowed.
+    let (ratio, slack, daemons) = (0.2, 52.0, 8);
+    let mut repeats = 0;
+    let requests = 400;
+    for _ in 0..daemons {
+        let mut allowance = RetryAllowance::new(ratio, slack / f64::from(daemons));
+        for _ in 0..requests / daemons {
+            allowance.earn();
+            repeats += u32::from(allowance.spend());
+        }
+    }
+    assert!(f64::from(repeats) <= f64::from(requests) * ratio + slack, "{repeats}");
+    assert!(repeats >= 60, "the budget is of use: {repeats}");
+}
+
+fn candidate() -> Candidate {
+    Candidate {
+        avoided: false,
+        waiting_tokens: 0,
+        unread_tokens: 0,
+        active: 0,
+        slots: 8,
+        failure_rate: 0.0,
+        same_zone: true,
+    }
+}
+
+fn choose(candidates: &[Candidate]) -> Option<usize> {
+    choose_backend(candidates, 30.0, &mut ChaCha8Rng::seed_from_u64(1))
+}
+
+#[test]
+fn a_back_end_that_has_the_prompt_is_chosen_unless_others_wait_there() {
+    let home = Candidate {
+        unread_tokens: 300,
+        ..candidate()
+    };
+    let other = Candidate {
+        unread_tokens: 9_000,
+        ..candidate()
+    };
+    assert_eq!(choose(&[other, home]), Some(1));
+    let busy_home = Candidate {
+        waiting_tokens: 30_000,
+        ..home
+    };
+    assert_eq!(choose(&[other, busy_home]), Some(0));
+}
+
+#[test]
+fn one_that_is_avoided_is_chosen_only_if_there_is_no_other() {
+    let avoided = Candidate {
+        avoided: true,
+        ..candidate()
+    };
+    let slow = Candidate {
+        waiting_tokens: 90_000,
+        ..candidate()
+    };
+    assert_eq!(choose(&[avoided, slow]), Some(1));
+    assert_eq!(choose(&[avoided]), Some(0));
+    assert_eq!(choose(&[]), None);
+}
+
+#[test]
+fn a_back_end_that_fails_requests_gets_fewer() {
+    let mut load = BackendLoad::default();
+    for _ in 0..10 {
+        load.note_outcome(true, 100);
+    }
+    assert!(load.failure_rate(100) > 0.8);
+    assert!(load.failure_rate(20_000) < 0.05, "it gets another chance");
+    let failing = Candidate {
+        failure_rate: load.failure_rate(100),
+        ..candidate()
+    };
+    assert_eq!(choose(&[failing, candidate()]), Some(1));
+}
+
+#[test]
+fn an_unreachable_back_end_is_left_alone_and_then_gets_one_request_at_a_time() {
+    let mut load = BackendLoad::default();
+    load.note_unreachable(1_000);
+    assert!(load.is_avoided(1_100));
+    assert!(!load.is_avoided(1_500));
+    load.active = 1;
+    assert!(load.is_avoided(1_500));
+    load.note_progress(1_600);
+    assert!(!load.is_avoided(1_600));
+}
+
+#[test]
+fn a_stream_is_moved_from_a_back_end_that_is_silent_to_all() {
+    let limits = StallLimits::of(&route("h", "/", RouteKind::Streaming), true);
+    assert!(limits.is_stalled(800, 800));
+    assert!(!limits.is_stalled(800, 100), "it serves others");
+    assert!(limits.is_stalled(2_500, 0), "but not this one for too long");
+}
+
+#[test]
+fn a_prompts_parts_are_read_until_one_is_not_at_hand() {
+    let names = HeaderNames::default();
+    let mut headers = HeaderMap::new();
+    headers.insert(&names.token_count, "1460,80".parse().unwrap());
+    headers.insert(&names.prompt_parts, "5c1e:800,91bd:410,e440:250".parse().unwrap());
+    let prompt = Prompt::from_headers(&headers, &names);
+    assert_eq!(prompt.tokens(), Some(1_540));
+    assert_eq!(prompt.unread_tokens(|_| false), 1_460);
+    let first = prompt.parts[0].chain;
+    assert_eq!(prompt.unread_tokens(|p| p.chain == first), 660);
+    let second = prompt.parts[1].chain;
+    assert_eq!(prompt.unread_tokens(|p| p.chain == second), 1_460);
+    assert_eq!(prompt.shared_chain(), Some(second));
+}
+
+const EVENTS: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: bb\n\ndata: no id\n\nid: 3\ndata: ccc\n\n";
+
+proptest! {
+    /// However a stream is cut into pieces, whole events come out, byte for byte.
+    #[test]
+    fn only_whole_events_pass(cuts in proptest::collection::vec(0..EVENTS.len(), 0..8)) {
+        let mut cuts = cuts;
+        cuts.sort_unstable();
+        let mut border = EventBorder::default();
+        let mut passed = Vec::new();
+        let mut from = 0;
+        for cut in cuts.into_iter().chain([EVENTS.len()]) {
+            if let Some(run) = border.push(&EVENTS[from..cut]) {
+                passed.extend_from_slice(&run.bytes);
+            }
+            prop_assert!(passed.is_empty() || passed.ends_with(b"\n\n"));
+            from = cut;
+        }
+        prop_assert_eq!(passed, EVENTS);
+        prop_assert!(!border.is_inside_event());
+    }
+}
+
+#[test]
+fn events_tell_their_first_and_last_ids() {
+    let mut border = EventBorder::default();
+    let run = border.push(EVENTS).unwrap();
+    assert_eq!((run.first_id, run.last_id), (Some(1), Some(3)));
+    assert!(border.push(b"id: 4\ndata").is_none());
+    assert!(border.is_inside_event());
+}
