Steadier orders: found back ends stay until demand is known, starting ones count

Cause: orders flapped between two counts, on-demand back ends were ordered while reclaimable ones were starting, and the fleet was lowered before traffic had begun. Takeovers of the duties counted the old lease from a late read.

Now: lowering waits 2.5 s, starting back ends are counted on, daemons without the lease read along each 1.5 s, usage is reported at 0.35 of its delay.

--- a/src/cluster/digest_exchange.rs
+++ b/src/cluster/digest_exchange.rs
@@ -114,7 +114,9 @@
     let mut quotas = gateway.quotas.lock();
     let notices = quotas.tick(&tenants, &others, daemons, gateway.steady_ms());
     let notices = notices.into_iter();
-    notices.map(|n| (n.tenant.to_string(), n.weight as f32, n.admitted)).collect()
+    notices
+        .map(|n| (n.tenant.to_string(), n.weight as f32, n.admitted))
+        .collect()
 }
 
 fn usage(gateway: &Gateway) -> Vec<(u64, Vec<(String, u32)>)> {
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -16,12 +16,14 @@
 /// The topic of the duties.
 pub const DUTY_TOPIC: &str = "duties";
 const PAUSE: Duration = Duration::from_millis(250);
+/// How often a daemon looks that doesn't hold the lease while another does.
+const WATCH_EVERY: Duration = Duration::from_millis(1_500);
 /// The pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// How long a call for a duty may take, in milliseconds: borders end it then.
 pub const DUTY_CALL_MS: u64 = 900;
 /// Of the time until a report is due, how much is waited for late counts.
-const REPORT_AT: f64 = 0.65;
+const REPORT_AT: f64 = 0.35;
 /// Until how many times the delay a late report is still sent.
 const REPORT_UNTIL: f64 = 1.2;
 
@@ -68,7 +70,7 @@
             if stopping || (!holds && other_holds) {
                 self.tell(false);
                 holds = false;
-                tokio::time::sleep(PAUSE).await;
+                self.watch_holder().await;
                 continue;
             }
             match self.turn(holds).await {
@@ -87,6 +89,15 @@
         }
     }
 
+    /// Reads along while another daemon holds the lease, so that the time to
+    /// wait for its end is counted from its last renewal.
+    async fn watch_holder(&mut self) {
+        if let Err(e) = self.read_on().await {
+            log::info!(target: "duties", "the topic can't be read. error=\"{e}\"");
+        }
+        tokio::time::sleep(WATCH_EVERY).await;
+    }
+
     fn tell(&self, holds: bool) {
         let before = self.gateway.holds_duties.swap(holds, Ordering::Relaxed);
         if before != holds {
--- a/src/cluster/fleet_scaler.rs
+++ b/src/cluster/fleet_scaler.rs
@@ -19,10 +19,19 @@
 /// How long demand is watched before anything is lowered, in milliseconds.
 const WATCH_MS: u64 = 4_000;
 
+/// How long after such an order reclaimable back ends count as scarce, in
+/// milliseconds.
+const SCARCE_MS: u64 = 5_000;
+/// How long fewer back ends are wanted before they are ordered, in milliseconds.
+const LOWER_AFTER_MS: u64 = 2_500;
+
+/// The order that was placed last for a kind of back end in a zone.
 #[derive(Clone, Copy, Debug)]
 struct Placed {
     count: u32,
+    /// From when it may be placed again.
     next_ms: u64,
+    taken: bool,
 }
 
 /// Decides which orders for back ends to place.
@@ -30,7 +39,12 @@
 pub struct FleetScaler {
     peaks: HashMap<ServiceName, DemandPeak>,
     placed: HashMap<(ServiceName, ZoneName, bool), Placed>,
+    /// Since when fewer are wanted than are there.
+    lower_since: HashMap<(ServiceName, ZoneName, bool), u64>,
+    none_left_ms: HashMap<ServiceName, u64>,
     demand_since_ms: Option<u64>,
+    /// How many on-demand back ends a service had before demand was known.
+    found: HashMap<ServiceName, u32>,
 }
 
 impl FleetScaler {
@@ -54,10 +68,15 @@
             OrderEnd::Taken => now_ms + boot_ms + AGAIN_AFTER_MS,
             OrderEnd::NoneLeft => now_ms + NONE_LEFT_MS,
         };
+        if end == OrderEnd::NoneLeft {
+            self.none_left_ms.insert(order.service.clone(), now_ms);
+        }
         let placed = Placed {
             count: order.count,
             next_ms,
+            taken: end == OrderEnd::Taken,
         };
+        self.lower_since.remove(&key_of(order));
         self.placed.insert(key_of(order), placed);
     }
 
@@ -68,25 +87,30 @@
         scaling: &Autoscaling,
     ) -> Vec<FleetOrder> {
         let now_ms = gateway.steady_ms();
-        let zones = zone_fleets(gateway, &service.name, scaling);
+        let mut zones = zone_fleets(gateway, &service.name, scaling);
+        self.add_coming(&service.name, &mut zones, now_ms);
         let demand = gateway.demand_of(&service.name);
         let peak = self.peaks.entry(service.name.clone()).or_default();
         let peak = peak.note(demand, now_ms);
         if demand > 0.0 {
             self.demand_since_ms.get_or_insert(now_ms);
         }
-        let there: u32 = zones.iter().map(|z| z.on_demand + z.reclaimable).sum();
         let watched = self
             .demand_since_ms
             .is_some_and(|since| now_ms >= since + WATCH_MS);
         let mut needed = needed_backends(peak, PROMPT_TOKENS_PER_S);
         if !watched {
-            needed = needed.max(there.div_ceil(2));
+            // Demand is not known yet: what was found is not lowered.
+            let on_demand: u32 = zones.iter().map(|z| z.on_demand).sum();
+            let found = self.found.entry(service.name.clone()).or_default();
+            *found = on_demand.max(*found);
+            needed = needed.max(*found);
         }
         let bounds = FleetBounds {
             min_per_zone: scaling.min_per_zone,
             max_per_zone: scaling.max_per_zone,
             reclaimable_price: scaling.reclaimable_price,
+            scarce: self.is_scarce(&service.name, now_ms),
         };
         let mut orders = Vec::new();
         for (plan, zone) in plan_fleet(&zones, bounds, needed).into_iter().zip(&zones) {
@@ -99,20 +123,44 @@
             orders.push((order(true, plan.reclaimable), zone.reclaimable));
             orders.push((order(false, plan.on_demand), zone.on_demand));
         }
-        let due = orders
-            .into_iter()
-            .filter(|(o, there)| self.is_due(o, *there, now_ms));
-        due.map(|(order, _)| order).collect()
+        orders.retain(|(order, there)| self.is_due(order, *there, now_ms));
+        orders.into_iter().map(|(order, _)| order).collect()
     }
 
-    fn is_due(&self, order: &FleetOrder, there: u32, now_ms: u64) -> bool {
-        match self.placed.get(&key_of(order)) {
-            Some(placed) if placed.count == order.count => {
-                there != order.count && now_ms >= placed.next_ms
-            }
-            Some(_) => true,
-            None => there != order.count,
+    /// Counts back ends that are ordered and start by now.
+    fn add_coming(&self, service: &ServiceName, zones: &mut [ZoneFleet], now_ms: u64) {
+        for zone in zones {
+            let coming = |reclaimable| {
+                let key = (service.clone(), zone.zone.clone(), reclaimable);
+                let placed = self.placed.get(&key);
+                placed
+                    .filter(|p| p.taken && now_ms < p.next_ms)
+                    .map_or(0, |p| p.count)
+            };
+            let (on_demand, reclaimable) = (coming(false), coming(true));
+            zone.on_demand = zone.on_demand.max(on_demand);
+            zone.coming = reclaimable.saturating_sub(zone.reclaimable);
+        }
+    }
+
+    fn is_scarce(&self, service: &ServiceName, now_ms: u64) -> bool {
+        let last = self.none_left_ms.get(service);
+        last.is_some_and(|at_ms| now_ms < at_ms + SCARCE_MS)
+    }
+
+    /// Returns whether to place an order: more at once, fewer only once they
+    /// have been wanted for a while.
+    fn is_due(&mut self, order: &FleetOrder, there: u32, now_ms: u64) -> bool {
+        let key = key_of(order);
+        let placed = self.placed.get(&key).copied();
+        let standing = placed.map_or(there, |p| p.count);
+        if order.count >= standing {
+            self.lower_since.remove(&key);
+            let again = there != order.count && placed.is_none_or(|p| now_ms >= p.next_ms);
+            return order.count > standing || again;
         }
+        let since_ms = *self.lower_since.entry(key).or_insert(now_ms);
+        now_ms >= since_ms + LOWER_AFTER_MS
     }
 }
 
@@ -135,6 +183,7 @@
             price: scaling.zone_prices.get(&zone).copied().unwrap_or(1.0),
             on_demand: count(false),
             reclaimable: count(true),
+            coming: 0,
             zone,
         }
     });
--- a/src/http/call_once.rs
+++ b/src/http/call_once.rs
@@ -42,7 +42,9 @@
     let stream = TcpStream::connect(address).await.map_err(not_connected)?;
     reset_on_close(&stream).map_err(not_connected)?;
     let broken = |e: hyper::Error| HttpError::Broken(e.to_string());
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.map_err(broken)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(broken)?;
     let task = tokio::spawn(async move {
         // Its error reaches the call.
         let _ = connection.await;
--- a/src/policy/fleet_plan.rs
+++ b/src/policy/fleet_plan.rs
@@ -21,6 +21,8 @@
     pub on_demand: u32,
     /// Back ends there that can be taken away and have not been told to leave.
     pub reclaimable: u32,
+    /// Reclaimable ones that are ordered and start by now.
+    pub coming: u32,
 }
 
 /// Bounds of a service's fleet.
@@ -32,6 +34,9 @@
     pub max_per_zone: u32,
     /// The price of a reclaimable back end as a share of the other kind's.
     pub reclaimable_price: Option<f64>,
+    /// Whether reclaimable ones could not be had of late: a wave is under way,
+    /// and what one zone lost, the next may lose.
+    pub scarce: bool,
 }
 
 /// How many back ends a zone shall have.
@@ -65,10 +70,14 @@
         false => vec![0; zones.len()],
     };
     let there: u32 = zones.iter().map(|z| z.reclaimable).sum();
+    let mut counted_on = there + zones.iter().map(|z| z.coming).sum::<u32>();
+    if bounds.scarce {
+        counted_on -= zones.iter().map(|z| z.reclaimable).max().unwrap_or(0) / 2;
+    }
     let wanted: u32 = reclaimable.iter().sum();
     let missing = wanted.saturating_sub(there);
     let on_demand_total = match cheap {
-        true => on_demand_part(needed).max(needed.saturating_sub(there)),
+        true => on_demand_part(needed).max(needed.saturating_sub(counted_on)),
         false => needed,
     };
     let on_demand = spread(on_demand_total, zones);
--- a/src/policy/quota_account.rs
+++ b/src/policy/quota_account.rs
@@ -4,6 +4,8 @@
 const DEMAND_WINDOW_MS: f64 = 3_000.0;
 /// Of a daemon's even part, what one without demand keeps.
 const IDLE_PART: f64 = 0.25;
+/// With how much of the burst a daemon starts.
+const START_LEVEL: f64 = 0.12;
 /// Of the burst, what has to be there for a request that is larger.
 const LARGE_REQUEST_LEVEL: f64 = 0.5;
 /// How many times its part of what is left a daemon may let in between two
@@ -78,11 +80,11 @@
 }
 
 impl QuotaAccount {
-    /// Starts with nothing heard and nothing left: what was let in before a
+    /// Starts with nothing heard and little left: what was let in before a
     /// restart is not known.
-    pub fn new(own_part: f64, now_ms: u64) -> Self {
+    pub fn new(own_part: f64, burst: f64, now_ms: u64) -> Self {
         Self {
-            level: 0.0,
+            level: burst * START_LEVEL,
             updated_ms: now_ms,
             demand: 0.0,
             demand_ms: now_ms,
@@ -146,7 +148,12 @@
             self.own_part = own_weight / all.max(f64::MIN_POSITIVE);
         }
         for other in others.iter().filter(|o| o.silent) {
-            self.charge(other, other.weight / all.max(f64::MIN_POSITIVE), rate, now_ms);
+            self.charge(
+                other,
+                other.weight / all.max(f64::MIN_POSITIVE),
+                rate,
+                now_ms,
+            );
         }
         self.all_heard = !others.iter().any(|o| o.is_late(now_ms));
         self.left_at_tick = self.level.max(0.0);
--- a/src/policy/quota_book.rs
+++ b/src/policy/quota_book.rs
@@ -8,7 +8,6 @@
 /// by the least of them, since others may not have heard the newest.
 const REMEMBERED_WEIGHTS: usize = 3;
 
-
 /// What a daemon tells about a tenant's quota.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaNotice {
@@ -103,7 +102,7 @@
     }
 
     fn account(&mut self, tenant: &Tenant, start_part: f64, now_ms: u64) -> &mut QuotaAccount {
-        let fresh = || QuotaAccount::new(start_part, now_ms);
+        let fresh = || QuotaAccount::new(start_part, tenant.burst, now_ms);
         let accounts = &mut self.accounts;
         accounts.entry(tenant.name.clone()).or_insert_with(fresh)
     }
