--- a/src/cluster/fleet_scaler.rs
+++ b/src/cluster/fleet_scaler.rs
@@ -19,9 +19,6 @@
 /// How long demand is watched before anything is lowered, in milliseconds.
 const WATCH_MS: u64 = 4_000;
 
-/// How long after such an order reclaimable back ends count as scarce, in
-/// milliseconds.
-const SCARCE_MS: u64 = 5_000;
 /// How long fewer back ends are wanted before they are ordered, in milliseconds.
 const LOWER_AFTER_MS: u64 = 2_500;
 
@@ -41,7 +38,6 @@
     placed: HashMap<(ServiceName, ZoneName, bool), Placed>,
     /// Since when fewer are wanted than are there.
     lower_since: HashMap<(ServiceName, ZoneName, bool), u64>,
-    none_left_ms: HashMap<ServiceName, u64>,
     demand_since_ms: Option<u64>,
     /// How many on-demand back ends a service had before demand was known.
     found: HashMap<ServiceName, u32>,
@@ -68,9 +64,6 @@
             OrderEnd::Taken => now_ms + boot_ms + AGAIN_AFTER_MS,
             OrderEnd::NoneLeft => now_ms + NONE_LEFT_MS,
         };
-        if end == OrderEnd::NoneLeft {
-            self.none_left_ms.insert(order.service.clone(), now_ms);
-        }
         let placed = Placed {
             count: order.count,
             next_ms,
@@ -110,7 +103,6 @@
             min_per_zone: scaling.min_per_zone,
             max_per_zone: scaling.max_per_zone,
             reclaimable_price: scaling.reclaimable_price,
-            scarce: self.is_scarce(&service.name, now_ms),
         };
         let mut orders = Vec::new();
         for (plan, zone) in plan_fleet(&zones, bounds, needed).into_iter().zip(&zones) {
@@ -143,11 +135,6 @@
         }
     }
 
-    fn is_scarce(&self, service: &ServiceName, now_ms: u64) -> bool {
-        let last = self.none_left_ms.get(service);
-        last.is_some_and(|at_ms| now_ms < at_ms + SCARCE_MS)
-    }
-
     /// Returns whether to place an order: more at once, fewer only once they
     /// have been wanted for a while.
     fn is_due(&mut self, order: &FleetOrder, there: u32, now_ms: u64) -> bool {
--- a/src/policy/fleet_plan.rs
+++ b/src/policy/fleet_plan.rs
@@ -34,9 +34,6 @@
     pub max_per_zone: u32,
     /// The price of a reclaimable back end as a share of the other kind's.
     pub reclaimable_price: Option<f64>,
-    /// Whether reclaimable ones could not be had of late: a wave is under way,
-    /// and what one zone lost, the next may lose.
-    pub scarce: bool,
 }
 
 /// How many back ends a zone shall have.
@@ -70,10 +67,7 @@
         false => vec![0; zones.len()],
     };
     let there: u32 = zones.iter().map(|z| z.reclaimable).sum();
-    let mut counted_on = there + zones.iter().map(|z| z.coming).sum::<u32>();
-    if bounds.scarce {
-        counted_on -= zones.iter().map(|z| z.reclaimable).max().unwrap_or(0) / 2;
-    }
+    let counted_on = there + zones.iter().map(|z| z.coming).sum::<u32>();
     let wanted: u32 = reclaimable.iter().sum();
     let missing = wanted.saturating_sub(there);
     let on_demand_total = match cheap {
