Log decisions as JSON lines on standard output; serve metrics; explain a request

Cause: on-call engineers have only logs and metrics; the routed path wrote text to standard error and had no figures.

Now: one line for each placement, failed send, answer, stream end, refusal and change of belief; bounded a second with a count of what was dropped, written by a thread of its own; counters and a latency histogram on the metrics address; saddlepulley explain ID tells a request's story across daemons.

--- a/src/backends/send_failure.rs
+++ b/src/backends/send_failure.rs
@@ -12,6 +12,15 @@
 }
 
 impl SendFailure {
+    /// Returns what is known of the run, as a word.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not-sent",
+            Self::Refused(_) => "refused",
+            Self::MayHaveRun(_) => "may-have-run",
+        }
+    }
+
     /// Returns whether the request certainly did not run there.
     pub fn is_not_run(&self) -> bool {
         !matches!(self, Self::MayHaveRun(_))
--- /dev/null
+++ b/src/cli/explain.rs
@@ -0,0 +1,35 @@
+use {
+    super::{CliError, finish},
+    crate::logs::tell_story,
+    pico_args::Arguments,
+    std::{
+        fs::File,
+        io::{BufRead, BufReader, stdin},
+        path::PathBuf,
+    },
+};
+
+/// Runs `explain`.
+pub fn explain(mut args: Arguments) -> Result<(), CliError> {
+    let request: String = args.free_from_str()?;
+    let mut files: Vec<PathBuf> = Vec::new();
+    while let Some(file) = args.opt_free_from_str()? {
+        files.push(file);
+    }
+    finish(args)?;
+    let mut sources: Vec<(String, Box<dyn BufRead>)> = Vec::new();
+    for path in &files {
+        let name = path.display().to_string();
+        let file = File::open(path).map_err(|e| CliError::Failed(format!("{name}: {e}")))?;
+        sources.push((name, Box::new(BufReader::new(file))));
+    }
+    if files.is_empty() {
+        sources.push(("-".into(), Box::new(BufReader::new(stdin()))));
+    }
+    let story = tell_story(&request, sources)?;
+    if story.is_empty() {
+        return Err(CliError::Failed(format!("no line names request {request}")));
+    }
+    print!("{story}");
+    Ok(())
+}
--- a/src/cli/gateway_command.rs
+++ b/src/cli/gateway_command.rs
@@ -1,8 +1,9 @@
 use {
     super::{CliError, finish},
     crate::{
-        conf::{GatewaySettings, LogFormat, LogSettings, SourceSettings},
+        conf::{GatewaySettings, SourceSettings},
         gateway::{Gateway, GatewayProcess, HeaderNames, follow_file},
+        logs::LogWriter,
         platform::{attach_platform, platform_headers},
     },
     pico_args::Arguments,
@@ -22,11 +23,7 @@
         CliError::Usage(format!("expected --settings FILE or {SETTINGS_VARIABLE}"))
     })?;
     let settings = GatewaySettings::read(&path)?;
-    let logs = LogSettings {
-        format: LogFormat::Json,
-        ..LogSettings::default()
-    };
-    super::start_logs(&logs).map_err(|e| CliError::Failed(e.to_string()))?;
+    LogWriter::install().map_err(|e| CliError::Failed(e.to_string()))?;
     // One machine has a fraction of one core: more threads would only wait.
     tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -14,6 +14,7 @@
   table log      list the edits in the log and what became of them
   status         show boxes, failure domains and versions in force
   report         show how each policy did
+  explain        tell the story of one request from logs
   drain          stop a daemon as planned
   demo           stand-ins and three daemons in one process
 
@@ -33,6 +34,16 @@
 Example: saddlepulley gateway --settings gateway.toml
 ";
 
+/// Help for `explain`.
+pub const EXPLAIN: &str = "\
+Usage: saddlepulley explain REQUEST [FILE...]
+
+Prints each line of the logs that names the request, in the order of time.
+Without files, reads standard input. Exit code 1 if no line names it.
+
+Example: saddlepulley explain 9c41d07be2a35f68 edge-1.log edge-2.log
+";
+
 /// Help for `serve`.
 pub const SERVE: &str = "\
 Usage: saddlepulley serve --settings FILE
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod cli_error;
 mod demo;
 mod demo_world;
+mod explain;
 mod gateway_command;
 mod help;
 mod logs;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,6 +1,7 @@
 use {
     super::{
-        CliError, check, demo, gateway_command, help, report_command, serve, status, table_command,
+        CliError, check, demo, explain, gateway_command, help, report_command, serve, status,
+        table_command,
     },
     pico_args::Arguments,
     std::{ffi::OsString, process::ExitCode},
@@ -43,6 +44,7 @@
     let found: (&'static str, Command) = match name {
         "serve" => (help::SERVE, serve::serve),
         "gateway" => (help::GATEWAY, gateway_command::gateway),
+        "explain" => (help::EXPLAIN, explain::explain),
         "check" => (help::CHECK, check::check),
         "table" => (help::TABLE, table_command::table),
         "status" => (help::STATUS, status::status),
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -114,7 +114,8 @@
     fn break_off(&mut self) -> Option<io::Result<Bytes>> {
         self.done = true;
         self.current = None;
-        log::info!(
+        metrics::counter!(BROKEN_STREAMS).increment(1);
+        log::warn!(
             target: "gateway",
             "stream broken off. request={} sends={} last_event={:?} cause=\"{:?}\"",
             self.context.id_text(),
@@ -235,6 +236,14 @@
             Step::End => {
                 self.done = true;
                 if let Some(sent) = self.current.take() {
+                    log::info!(
+                        target: "stream",
+                        "ended whole. request={} backend={} sends={} last_event={:?}",
+                        self.context.id_text(),
+                        sent.backend.id,
+                        self.attempts.sends + 1,
+                        self.last_id
+                    );
                     let failed = sent.answer.head.status.is_server_error();
                     self.gateway.note_outcome(&sent.backend.id, failed);
                 }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -195,7 +195,24 @@
         let mut rng = self.rng.lock();
         let chosen = choose_backend(&candidates, PROMPT_TOKENS_PER_MS, &mut *rng)?;
         drop(rng);
-        let unread_tokens = candidates[chosen].unread_tokens;
+        let Candidate {
+            unread_tokens,
+            waiting_tokens,
+            active,
+            failure_rate,
+            avoided,
+            ..
+        } = candidates[chosen];
+        log::info!(
+            target: "place",
+            "placed. request={} service={} backend={} of={} home={} unread={unread_tokens} waiting={waiting_tokens} active={active} failure_rate={failure_rate:.2} avoided={avoided} directory={}",
+            context.id_text(),
+            context.service,
+            ready[chosen].id,
+            ready.len(),
+            home.as_ref() == Some(&ready[chosen].id),
+            self.directory.read().revision()
+        );
         self.note_demand(&context.service, unread_tokens);
         Some(Placement {
             backend: ready[chosen].clone(),
@@ -336,10 +353,11 @@
         backend: &Backend,
         failure: &SendFailure,
     ) {
+        metrics::counter!(FAILED_SENDS, "run" => failure.kind()).increment(1);
         if !matches!(failure, SendFailure::NotSent(_)) {
             self.note_outcome(&backend.id, true);
         }
-        log::info!(
+        log::warn!(
             target: "send",
             "failed. request={} backend={} zone={} cause=\"{failure}\"",
             context.id_text(),
@@ -369,7 +387,7 @@
         attempts: &Attempts,
         timed_out: bool,
     ) -> Response<AnswerBody> {
-        log::info!(
+        log::warn!(
             target: "gateway",
             "given up. request={} service={} sends={} tried={} may_have_run={} timed_out={timed_out} cause=\"{:?}\"",
             context.id_text(),
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -2,7 +2,10 @@
     super::{forward_stream::forward_stream, forward_whole::forward_whole, *},
     crate::routing::{Route, RouteKind, RouteTable, Tenant},
     bytes::Bytes,
-    http::{HeaderMap, HeaderName, Request, Response, StatusCode, Uri, header, request::Parts},
+    http::{
+        HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Uri, header,
+        request::Parts,
+    },
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::Incoming,
     std::{
@@ -40,13 +43,44 @@
 ) -> Response<AnswerBody> {
     let open = OpenRequest::start(&gateway);
     let started = Instant::now();
-    let answer = match take_in(&gateway, request, started).await {
-        Ok(context) => forward(&gateway, context).await,
-        Err(answer) => *answer,
+    let id = request.headers().get(&gateway.names.attempt_id).cloned();
+    let (kind, answer) = match take_in(&gateway, request, started).await {
+        Ok(context) => (
+            context.route.kind.as_str(),
+            forward(&gateway, context).await,
+        ),
+        Err(answer) => ("none", *answer),
     };
+    record_answer(kind, answer.status(), started.elapsed());
+    log_answer(&gateway, id.as_ref(), &answer, started);
     keep_open(answer, open)
 }
 
+/// Logs the head of an answer: who gave it, after how long, by which
+/// configuration.
+fn log_answer(
+    gateway: &Gateway,
+    id: Option<&HeaderValue>,
+    answer: &Response<AnswerBody>,
+    started: Instant,
+) {
+    let status = answer.status();
+    let level = match status.is_success() {
+        true => log::Level::Info,
+        false => log::Level::Warn,
+    };
+    let is_own = !answer.headers().contains_key(&gateway.names.signature);
+    log::log!(
+        target: "answer",
+        level,
+        "answered. request={} status={} own={is_own} after_ms={} config={}",
+        id.and_then(|v| v.to_str().ok()).unwrap_or("-"),
+        status.as_u16(),
+        started.elapsed().as_millis(),
+        gateway.table().map_or(0, |t| t.version())
+    );
+}
+
 /// Ties a request's count to its answer's body.
 fn keep_open(answer: Response<AnswerBody>, open: OpenRequest) -> Response<AnswerBody> {
     answer.map(|body| {
@@ -87,7 +121,8 @@
     let prompt = Prompt::from_headers(&head.headers, &gateway.names);
     if let Some(tenant) = &tenant {
         let cost = tenant.cost(prompt.tokens());
-        admit(gateway, tenant, cost)?;
+        let id = head.headers.get(&gateway.names.attempt_id);
+        admit(gateway, tenant, cost, id)?;
     }
     let wait_ms = number(&head.headers, &gateway.names.deadline_ms);
     let wait_ms = wait_ms.map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
@@ -151,12 +186,28 @@
     }
 }
 
-fn admit(gateway: &Gateway, tenant: &Tenant, cost: f64) -> Result<(), Box<Response<AnswerBody>>> {
+fn admit(
+    gateway: &Gateway,
+    tenant: &Tenant,
+    cost: f64,
+    id: Option<&HeaderValue>,
+) -> Result<(), Box<Response<AnswerBody>>> {
     let admitted = gateway.admit(tenant, cost);
     admitted.map_err(|wait| {
         let wait = wait.min(MAX_QUOTA_RETRY_AFTER);
-        log::info!(target: "quota", "refused. tenant={} cost={cost} wait_ms={}", tenant.name, wait.as_millis());
-        Box::new(refusal(StatusCode::TOO_MANY_REQUESTS, "the quota is used up", wait))
+        metrics::counter!(QUOTA_REFUSALS).increment(1);
+        log::warn!(
+            target: "quota",
+            "refused. request={} tenant={} cost={cost} wait_ms={}",
+            id.and_then(|v| v.to_str().ok()).unwrap_or("-"),
+            tenant.name,
+            wait.as_millis()
+        );
+        Box::new(refusal(
+            StatusCode::TOO_MANY_REQUESTS,
+            "the quota is used up",
+            wait,
+        ))
     })
 }
 
--- /dev/null
+++ b/src/gateway/metrics_page.rs
@@ -0,0 +1,82 @@
+use {
+    super::{own_answer, serve_plain, whole_body},
+    http::{Response, StatusCode},
+    metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle},
+    std::{sync::LazyLock, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// Counts answers to clients, by route kind and class of the status.
+pub const ANSWERS: &str = "saddlepulley_answers_total";
+/// The time to the head of an answer, in seconds, by route kind.
+pub const ANSWER_SECONDS: &str = "saddlepulley_answer_seconds";
+/// Counts sends to back ends that failed, by what is known of the run.
+pub const FAILED_SENDS: &str = "saddlepulley_failed_sends_total";
+/// Counts requests refused for their tenant's quota.
+pub const QUOTA_REFUSALS: &str = "saddlepulley_quota_refusals_total";
+/// Counts streams that were broken off before their end.
+pub const BROKEN_STREAMS: &str = "saddlepulley_broken_streams_total";
+/// Requests in flight.
+pub const OPEN_REQUESTS: &str = "saddlepulley_open_requests";
+/// The version of the configuration in force.
+pub const CONFIG_VERSION: &str = "saddlepulley_config_version";
+/// How long ago the source of configuration answered, in seconds.
+pub const SOURCE_AGE: &str = "saddlepulley_source_age_seconds";
+/// Other daemons that were heard from lately.
+pub const LIVE_PEERS: &str = "saddlepulley_live_peers";
+/// Whether this daemon has the duties.
+pub const HOLDS_DUTIES: &str = "saddlepulley_holds_duties";
+
+const PAGE_PATH: &str = "/metrics";
+const BUCKETS: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2.0, 4.0, 8.0];
+
+/// The process's recorder; none where another was installed before.
+static RECORDER: LazyLock<Option<PrometheusHandle>> = LazyLock::new(|| {
+    let matcher = Matcher::Full(ANSWER_SECONDS.to_string());
+    let builder = PrometheusBuilder::new().set_buckets_for_metric(matcher, &BUCKETS);
+    let recorder = builder.ok()?.build_recorder();
+    let handle = recorder.handle();
+    metrics::set_global_recorder(recorder).ok()?;
+    Some(handle)
+});
+
+/// Starts recording, and serves the figures as text where an address is given.
+pub async fn serve_metrics(listener: TcpListener) {
+    serve_plain(listener, |request| match request.uri().path() {
+        PAGE_PATH => page(),
+        _ => own_answer(StatusCode::NOT_FOUND, "no such path"),
+    })
+    .await;
+}
+
+fn page() -> Response<super::AnswerBody> {
+    match RECORDER.as_ref() {
+        Some(handle) => Response::new(whole_body(handle.render())),
+        None => own_answer(StatusCode::SERVICE_UNAVAILABLE, "nothing is recorded"),
+    }
+}
+
+/// Installs the recorder.
+pub fn start_recording() {
+    LazyLock::force(&RECORDER);
+}
+
+/// Folds what was recorded, to keep its memory bounded.
+pub fn fold_records() {
+    if let Some(handle) = RECORDER.as_ref() {
+        handle.run_upkeep();
+    }
+}
+
+/// Records an answer's head.
+pub fn record_answer(kind: &'static str, status: StatusCode, after: Duration) {
+    let class = match status.as_u16() / 100 {
+        2 => "2xx",
+        3 => "3xx",
+        4 => "4xx",
+        5 => "5xx",
+        _ => "other",
+    };
+    metrics::counter!(ANSWERS, "kind" => kind, "status" => class).increment(1);
+    metrics::histogram!(ANSWER_SECONDS, "kind" => kind).record(after.as_secs_f64());
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod header_names;
 mod intake;
 mod listen;
+mod metrics_page;
 mod process;
 mod prompt;
 mod request_context;
@@ -18,5 +19,5 @@
 
 pub use {
     answer::*, event_border::*, follow_file::*, gateway_state::*, header_names::*, intake::*,
-    listen::*, process::*, prompt::*, request_context::*,
+    listen::*, metrics_page::*, process::*, prompt::*, request_context::*,
 };
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -41,6 +41,11 @@
         let readiness = listen_on(listen.readiness).await?;
         let peers = listen_on(listen.peers).await?;
         let digests = UdpSocket::bind(listen.peers).await?;
+        let metrics = match listen.metrics {
+            Some(address) => Some(listen_on(address).await?),
+            None => None,
+        };
+        start_recording();
         let connections = Arc::new(ClientConnections::default());
         log::info!(
             target: "gateway",
@@ -56,6 +61,9 @@
         tasks.spawn(cluster::exchange_digests(digests, gateway.clone()));
         tasks.spawn(cluster::follow_peers(gateway.clone()));
         tasks.spawn(sweep(gateway.clone()));
+        if let Some(listener) = metrics {
+            tasks.spawn(serve_metrics(listener));
+        }
         Ok(Self {
             gateway,
             connections,
@@ -108,5 +116,20 @@
     loop {
         tokio::time::sleep(SWEEP_EVERY).await;
         gateway.sweep();
+        record_state(&gateway);
+        fold_records();
     }
 }
+
+fn record_state(gateway: &Gateway) {
+    let open = gateway.open_requests.load(Ordering::Relaxed);
+    metrics::gauge!(OPEN_REQUESTS).set(open as f64);
+    let version = gateway.table().map_or(0, |t| t.version());
+    metrics::gauge!(CONFIG_VERSION).set(version as f64);
+    let source_age_ms = cluster::source_age_ms(gateway);
+    metrics::gauge!(SOURCE_AGE).set(source_age_ms as f64 / 1_000.0);
+    let live = gateway.peers.lock().live_addresses().len();
+    metrics::gauge!(LIVE_PEERS).set(live as f64);
+    let holds = gateway.holds_duties.load(Ordering::Relaxed);
+    metrics::gauge!(HOLDS_DUTIES).set(f64::from(u8::from(holds)));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod gateway;
 pub mod http;
 pub mod links;
+pub mod logs;
 pub mod names;
 pub mod peer;
 #[path = "../platform/mod.rs"]
--- /dev/null
+++ b/src/logs/log_writer.rs
@@ -0,0 +1,119 @@
+use {
+    super::{LineBudget, LogLine},
+    crate::names::now_ms,
+    log::{Level, Log, Metadata, Record, SetLoggerError},
+    parking_lot::Mutex,
+    std::{
+        io::Write,
+        sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
+        thread,
+    },
+};
+
+/// How many lines may wait for a reader of standard output.
+const MAX_WAITING: usize = 1_024;
+/// The part that tells of dropped lines.
+const OWN_PART: &str = "log";
+
+/// Writes lines from a thread of its own: whoever logs never waits.
+#[derive(Debug)]
+pub struct LogWriter {
+    budget: Mutex<LineBudget>,
+    lines: SyncSender<String>,
+}
+
+impl LogWriter {
+    /// Starts writing to an output.
+    pub fn start(output: impl Write + Send + 'static) -> Self {
+        let (lines, waiting) = sync_channel(MAX_WAITING);
+        thread::spawn(move || write_lines(output, &waiting));
+        Self {
+            budget: Mutex::default(),
+            lines,
+        }
+    }
+
+    /// Makes this the process's log, on standard output.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a log was set up before.
+    pub fn install() -> Result<(), SetLoggerError> {
+        log::set_boxed_logger(Box::new(Self::start(std::io::stdout())))?;
+        log::set_max_level(log::LevelFilter::Info);
+        Ok(())
+    }
+
+    /// Writes a line, or drops and counts it.
+    pub fn write(&self, level: Level, part: &str, message: impl FnOnce() -> String) {
+        let now = now_ms();
+        let mut budget = self.budget.lock();
+        let verdict = budget.take(part, level <= Level::Warn, now);
+        for (part, lines) in verdict.dropped {
+            let message = format!("dropped. of={part} lines={lines}");
+            self.send(&mut budget, now, Level::Warn, OWN_PART, message);
+        }
+        if verdict.write {
+            self.send(&mut budget, now, level, part, message());
+        }
+    }
+
+    fn send(
+        &self,
+        budget: &mut LineBudget,
+        time_ms: u64,
+        level: Level,
+        part: &str,
+        message: String,
+    ) {
+        let line = LogLine {
+            time_ms,
+            level: level.to_string(),
+            part: part.to_string(),
+            message,
+        };
+        let Ok(text) = serde_json::to_string(&line) else {
+            return;
+        };
+        if let Err(TrySendError::Full(_)) = self.lines.try_send(text) {
+            budget.note_dropped(part, 1);
+        }
+    }
+}
+
+impl Log for LogWriter {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        // Our parts have short names; libraries log by their module paths.
+        metadata.level() <= Level::Info && !metadata.target().contains("::")
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if self.enabled(record.metadata()) {
+            self.write(record.level(), record.target(), || {
+                record.args().to_string()
+            });
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+fn write_lines(mut output: impl Write, waiting: &Receiver<String>) {
+    while let Ok(mut text) = waiting.recv() {
+        text.push('\n');
+        // What stands ready goes out in one write.
+        while text.len() < 32 * 1024
+            && let Ok(next) = waiting.try_recv()
+        {
+            text.push_str(&next);
+            text.push('\n');
+        }
+        if output
+            .write_all(text.as_bytes())
+            .and_then(|()| output.flush())
+            .is_err()
+        {
+            return;
+        }
+    }
+}
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -16,6 +16,17 @@
     Streaming,
 }
 
+impl RouteKind {
+    /// Returns the kind's name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::NonIdempotent => "non-idempotent",
+            Self::Streaming => "streaming",
+        }
+    }
+}
+
 /// A service with its share of a route's requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
