Test the routed path with real daemons against stand-ins of runners and the store

One test failed once while they were written (a daemon not ready in 20 s): the tests took ports from the range of clients' connections; they have a range of their own now.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod load;
 pub mod plain;
 pub mod platform;
+pub mod runner;
+pub mod store;
--- /dev/null
+++ b/standin/src/runner/behaviour.rs
@@ -0,0 +1,20 @@
+/// What a runner does with its requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Runs them.
+    Serve,
+    /// Refuses them before their start.
+    Refuse,
+    /// Runs them, and closes the connection without an answer.
+    LoseAnswer,
+    /// Runs them, and closes the connection inside the event with this number.
+    CutStream(u64),
+    /// Runs them, and says nothing any more.
+    Hang,
+    /// Runs them, and answers that it failed.
+    Fail,
+    /// Runs them, and answers 503 without saying that it did not.
+    BareUnavailable,
+    /// Runs them, and answers in the name of another request.
+    OtherRequest,
+}
--- /dev/null
+++ b/standin/src/runner/service.rs
@@ -0,0 +1,281 @@
+use {
+    super::Behaviour,
+    bytes::Bytes,
+    futures_util::stream,
+    http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
+    hyper::{
+        HeaderMap, Request, Response, StatusCode,
+        body::{Frame, Incoming},
+        header::HeaderValue,
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::TokioIo,
+    parking_lot::Mutex,
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        task::AbortHandle,
+    },
+};
+
+const EVENT_PAUSE: Duration = Duration::from_millis(15);
+
+type RunnerBody = UnsyncBoxBody<Bytes, io::Error>;
+
+/// A request that a runner began to run.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The client's attempt.
+    pub attempt: String,
+    /// Path and query.
+    pub target: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Bytes,
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    behaviour: Mutex<Behaviour>,
+    events: u64,
+    runs: Mutex<Vec<Run>>,
+    /// Answers that were dropped by the other side before their end.
+    abandoned: Mutex<u64>,
+}
+
+/// A runner; it stops when dropped.
+#[derive(Debug)]
+pub struct Runner {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Drop for Runner {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Runner {
+    /// Starts a runner whose streams hold some events.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of listening.
+    pub async fn start(id: &str, events: u64) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            id: id.to_string(),
+            behaviour: Mutex::new(Behaviour::Serve),
+            events,
+            runs: Mutex::default(),
+            abandoned: Mutex::default(),
+        });
+        let task = tokio::spawn(accept(listener, shared.clone()));
+        Ok(Self {
+            shared,
+            address,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Returns its id.
+    pub fn id(&self) -> &str {
+        &self.shared.id
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what it does with requests that come from now on.
+    pub fn behave(&self, behaviour: Behaviour) {
+        *self.shared.behaviour.lock() = behaviour;
+    }
+
+    /// Returns what it began to run.
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared.runs.lock().clone()
+    }
+
+    /// Returns how many answers were dropped before their end.
+    pub fn abandoned(&self) -> u64 {
+        *self.shared.abandoned.lock()
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve(stream, shared.clone()));
+    }
+}
+
+async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let service = service_fn(move |request| answer(request, shared.clone()));
+    // An answer that fails closes the connection: that is what is wanted.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    shared: Arc<Shared>,
+) -> io::Result<Response<RunnerBody>> {
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let text = |name: &str| {
+        let value = head.headers.get(name).and_then(|v| v.to_str().ok());
+        value.unwrap_or_default().to_string()
+    };
+    let attempt = text("saddlepulley-attempt");
+    let expected = text("saddlepulley-expected-backend");
+    if expected != shared.id {
+        return Ok(refused(StatusCode::MISDIRECTED_REQUEST));
+    }
+    let behaviour = *shared.behaviour.lock();
+    if behaviour == Behaviour::Refuse {
+        return Ok(refused(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    shared.runs.lock().push(Run {
+        attempt: attempt.clone(),
+        target: head.uri.to_string(),
+        headers: head.headers.clone(),
+        body: body.clone(),
+    });
+    let is_stream = head.uri.path().starts_with("/stream/");
+    match behaviour {
+        Behaviour::LoseAnswer => Err(io::ErrorKind::ConnectionReset.into()),
+        Behaviour::Hang => std::future::pending().await,
+        Behaviour::Fail => Ok(whole(
+            &shared,
+            &attempt,
+            StatusCode::INTERNAL_SERVER_ERROR,
+            "failed",
+        )),
+        Behaviour::BareUnavailable => Ok(whole(
+            &shared,
+            &attempt,
+            StatusCode::SERVICE_UNAVAILABLE,
+            "busy",
+        )),
+        Behaviour::OtherRequest => Ok(whole(&shared, "another", StatusCode::OK, "not yours")),
+        _ if is_stream => {
+            let after = text("last-event-id").parse().unwrap_or(0);
+            Ok(event_stream(&shared, &attempt, after, behaviour))
+        }
+        _ => {
+            let echo = format!(
+                "{} {} {}",
+                shared.id,
+                head.uri,
+                String::from_utf8_lossy(&body)
+            );
+            Ok(whole(&shared, &attempt, StatusCode::OK, &echo))
+        }
+    }
+}
+
+fn refused(status: StatusCode) -> Response<RunnerBody> {
+    let mut answer = Response::new(full("not started"));
+    *answer.status_mut() = status;
+    let yes = HeaderValue::from_static("1");
+    answer.headers_mut().insert("x-not-started", yes);
+    answer
+}
+
+fn whole(shared: &Shared, attempt: &str, status: StatusCode, body: &str) -> Response<RunnerBody> {
+    let mut answer = Response::new(full(body));
+    *answer.status_mut() = status;
+    sign(&mut answer, shared, attempt);
+    answer
+}
+
+fn full(body: &str) -> RunnerBody {
+    let bytes = Bytes::copy_from_slice(body.as_bytes());
+    Full::new(bytes)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+fn sign(answer: &mut Response<RunnerBody>, shared: &Shared, attempt: &str) {
+    let headers = answer.headers_mut();
+    let signature = format!("{}.{attempt}", shared.id);
+    if let Ok(value) = HeaderValue::from_str(&signature) {
+        headers.insert("saddlepulley-signature", value);
+    }
+    if let Ok(value) = HeaderValue::from_str(attempt) {
+        headers.insert("saddlepulley-attempt", value);
+    }
+}
+
+/// Counts an answer that is dropped before its end.
+struct Watched {
+    shared: Arc<Shared>,
+    next: u64,
+    done: bool,
+}
+
+impl Watched {
+    /// Notes that the answer reached its end.
+    fn finish(&mut self) {
+        self.done = true;
+    }
+}
+
+impl Drop for Watched {
+    fn drop(&mut self) {
+        if !self.done {
+            *self.shared.abandoned.lock() += 1;
+        }
+    }
+}
+
+fn event_stream(
+    shared: &Arc<Shared>,
+    attempt: &str,
+    after: u64,
+    behaviour: Behaviour,
+) -> Response<RunnerBody> {
+    let state = Watched {
+        shared: shared.clone(),
+        next: after + 1,
+        done: false,
+    };
+    let events = stream::unfold(state, move |mut state| async move {
+        if state.next > state.shared.events || state.done {
+            state.finish();
+            return None;
+        }
+        tokio::time::sleep(EVENT_PAUSE).await;
+        let number = state.next;
+        state.next += 1;
+        let event = format!("id: {number}\ndata: event {number}\n\n");
+        if behaviour == Behaviour::CutStream(number) {
+            state.finish();
+            let half = Bytes::from(event[..event.len() / 2].to_string());
+            return Some((
+                vec![
+                    Ok(Frame::data(half)),
+                    Err(io::ErrorKind::ConnectionReset.into()),
+                ],
+                state,
+            ));
+        }
+        Some((vec![Ok(Frame::data(Bytes::from(event)))], state))
+    });
+    let frames = futures_util::StreamExt::flat_map(events, stream::iter);
+    let mut answer = Response::new(StreamBody::new(frames).boxed_unsync());
+    let kind = HeaderValue::from_static("text/event-stream");
+    answer
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    sign(&mut answer, shared, attempt);
+    answer
+}
--- /dev/null
+++ b/standin/src/store/mod.rs
@@ -0,0 +1,8 @@
+//! The users' store and API for duties, as far as their published protocol is
+//! spoken here: topics, keyed topics, appends under a condition, usage, orders.
+
+mod duty_call;
+mod service;
+mod topics;
+
+pub use {duty_call::*, service::*, topics::*};
--- /dev/null
+++ b/standin/src/store/service.rs
@@ -0,0 +1,228 @@
+use {
+    super::{DutyCall, Topics},
+    base64::{Engine, engine::general_purpose::STANDARD},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    },
+    hyper_util::rt::TokioIo,
+    parking_lot::Mutex,
+    serde_json::{Value, json},
+    std::{
+        collections::HashMap, convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration,
+    },
+    tokio::{net::TcpListener, sync::watch, task::AbortHandle},
+};
+
+type StoreAnswer = Response<Full<Bytes>>;
+
+#[derive(Debug)]
+struct Shared {
+    topics: Mutex<Topics>,
+    changed: watch::Sender<u64>,
+    calls: Mutex<Vec<DutyCall>>,
+    down: Mutex<bool>,
+}
+
+/// A store; it stops when dropped.
+#[derive(Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    task: AbortHandle,
+}
+
+impl Drop for Store {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Store {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of listening.
+    pub async fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            topics: Mutex::default(),
+            changed: watch::Sender::new(0),
+            calls: Mutex::default(),
+            down: Mutex::new(false),
+        });
+        let task = tokio::spawn(accept(listener, shared.clone()));
+        Ok(Self {
+            shared,
+            address,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Returns where it listens, for both the store and the API for duties.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Writes a key of a keyed topic.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        let value = value.to_string();
+        self.shared.topics.lock().put(topic, key, value.as_bytes());
+        self.shared.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Drops a key of a keyed topic.
+    pub fn drop_key(&self, topic: &str, key: &str) {
+        self.shared.topics.lock().put(topic, key, &[]);
+        self.shared.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Answers 503 to everything, or stops doing so.
+    pub fn set_down(&self, down: bool) {
+        *self.shared.down.lock() = down;
+    }
+
+    /// Returns the calls for duties that were taken.
+    pub fn duty_calls(&self) -> Vec<DutyCall> {
+        self.shared.calls.lock().clone()
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = shared.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| answer(request, shared.clone()));
+            // A caller that goes away is no matter.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+async fn answer(
+    request: Request<Incoming>,
+    shared: Arc<Shared>,
+) -> Result<StoreAnswer, Infallible> {
+    if *shared.down.lock() {
+        return Ok(status(StatusCode::SERVICE_UNAVAILABLE));
+    }
+    let (head, body) = request.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map(|b| b.to_bytes())
+        .unwrap_or_default();
+    let query: HashMap<String, String> = head
+        .uri
+        .query()
+        .unwrap_or_default()
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(k, v)| (k.to_string(), v.to_string()))
+        .collect();
+    Ok(match head.uri.path() {
+        "/log-append" => append(&shared, &query, &body),
+        "/log-read" => read(&shared, &query).await,
+        "/log-newest" => newest(&shared, &query),
+        "/usage" => duty(&shared, "usage", &head.headers, &body),
+        "/scale" => duty(&shared, "scale", &head.headers, &body),
+        _ => status(StatusCode::NOT_FOUND),
+    })
+}
+
+fn status(status: StatusCode) -> StoreAnswer {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+fn json_answer(code: StatusCode, value: &Value) -> StoreAnswer {
+    let mut answer = Response::new(Full::new(Bytes::from(value.to_string())));
+    *answer.status_mut() = code;
+    answer
+}
+
+fn number(query: &HashMap<String, String>, key: &str) -> Option<u64> {
+    query.get(key)?.parse().ok()
+}
+
+fn topic(query: &HashMap<String, String>) -> &str {
+    query.get("topic").map_or("", String::as_str)
+}
+
+fn append(shared: &Shared, query: &HashMap<String, String>, body: &Bytes) -> StoreAnswer {
+    let mut topics = shared.topics.lock();
+    let end = topics.end(topic(query));
+    if number(query, "at").is_some_and(|at| at != end) {
+        return json_answer(StatusCode::PRECONDITION_FAILED, &json!({ "end": end }));
+    }
+    let mut at = 0;
+    while at + 4 <= body.len() {
+        let length = body[at..at + 4]
+            .iter()
+            .fold(0, |n, b| (n << 8) | usize::from(*b));
+        let Some(record) = body.get(at + 4..at + 4 + length) else {
+            return status(StatusCode::BAD_REQUEST);
+        };
+        topics.append(topic(query), record);
+        at += 4 + length;
+    }
+    let new_end = topics.end(topic(query));
+    shared.changed.send_modify(|n| *n += 1);
+    json_answer(StatusCode::OK, &json!({ "offset": end, "end": new_end }))
+}
+
+async fn read(shared: &Shared, query: &HashMap<String, String>) -> StoreAnswer {
+    let from = number(query, "source").unwrap_or(0);
+    let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0));
+    let mut changed = shared.changed.subscribe();
+    let has_news = |_: &u64| shared.topics.lock().end(topic(query)) > from;
+    // Without news in time, the answer holds no records.
+    let _ = tokio::time::timeout(wait, changed.wait_for(has_news)).await;
+    let topics = shared.topics.lock();
+    let mut bytes = topics.end(topic(query)).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&0_u64.to_be_bytes());
+    for record in topics.read(topic(query), from) {
+        bytes.extend_from_slice(&(record.len() as u32).to_be_bytes());
+        bytes.extend_from_slice(record);
+    }
+    Response::new(Full::new(Bytes::from(bytes)))
+}
+
+fn newest(shared: &Shared, query: &HashMap<String, String>) -> StoreAnswer {
+    let topics = shared.topics.lock();
+    let newest = topics.newest(topic(query));
+    let entries: Vec<Value> = newest
+        .iter()
+        .map(|(key, value)| json!({ "key_file": key, "data": STANDARD.encode(value), "offset": 0 }))
+        .collect();
+    let end = topics.end(topic(query));
+    json_answer(
+        StatusCode::OK,
+        &json!({ "entries": entries, "more": false, "end": end }),
+    )
+}
+
+fn duty(shared: &Shared, duty: &str, headers: &hyper::HeaderMap, body: &Bytes) -> StoreAnswer {
+    let text = |name: &str| {
+        headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+    };
+    let Ok(body) = serde_json::from_slice(body) else {
+        return status(StatusCode::BAD_REQUEST);
+    };
+    shared.calls.lock().push(DutyCall {
+        duty: duty.to_string(),
+        holder: text("x-lease-holder").to_string(),
+        fence: text("x-fencing-token").parse().unwrap_or(0),
+        body,
+    });
+    status(StatusCode::OK)
+}
--- /dev/null
+++ b/standin/src/store/topics.rs
@@ -0,0 +1,51 @@
+use std::collections::BTreeMap;
+
+/// Topics of one partition each.
+#[derive(Clone, Debug, Default)]
+pub struct Topics {
+    topics: BTreeMap<String, Vec<Vec<u8>>>,
+}
+
+impl Topics {
+    /// Returns where a topic ends.
+    pub fn end(&self, topic: &str) -> u64 {
+        self.topics
+            .get(topic)
+            .map_or(0, |records| records.len() as u64)
+    }
+
+    /// Appends a record.
+    pub fn append(&mut self, topic: &str, record: &[u8]) -> u64 {
+        let records = self.topics.entry(topic.to_string()).or_default();
+        records.push(record.to_vec());
+        records.len() as u64 - 1
+    }
+
+    /// Appends a record of a keyed topic; without a value the key is dropped.
+    pub fn put(&mut self, topic: &str, key: &str, value: &[u8]) -> u64 {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value);
+        self.append(topic, &record)
+    }
+
+    /// Returns a topic's records from an offset on.
+    pub fn read(&self, topic: &str, from: u64) -> &[Vec<u8>] {
+        let records = self.topics.get(topic).map_or(&[][..], Vec::as_slice);
+        &records[(from as usize).min(records.len())..]
+    }
+
+    /// Returns the newest value of each key of a keyed topic.
+    pub fn newest(&self, topic: &str) -> BTreeMap<String, Vec<u8>> {
+        let mut newest = BTreeMap::new();
+        for record in self.read(topic, 0) {
+            let length = usize::from(record[0]);
+            let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
+            match &record[1 + length..] {
+                [] => newest.remove(&key),
+                value => newest.insert(key, value.to_vec()),
+            };
+        }
+        newest
+    }
+}
--- /dev/null
+++ b/tests/gateway/answers.rs
@@ -0,0 +1,113 @@
+//! Requests and answers pass byte for byte, for those who may send them.
+
+use {
+    crate::support::*,
+    http::StatusCode,
+    saddlepulley_standin::runner::{Behaviour, Runner},
+};
+
+#[tokio::test]
+async fn a_request_and_its_answer_pass_unchanged() {
+    let runner = Runner::start("b1", 3).await.unwrap();
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&IDEMPOTENT], &[&runner])).await;
+    let mut client = daemon.client().await;
+    let request = request("a1", "/look/x?y=%20z")
+        .header("x-other", "travels")
+        .header("saddlepulley-tenant", "forged");
+    let answer = client.send(request, "body").await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.body, "b1 /look/x?y=%20z body");
+    assert_eq!(answer.header("saddlepulley-signature"), "b1.a1");
+    let run = &runner.runs()[0];
+    let header = |name: &str| {
+        run.headers
+            .get(name)
+            .map(|v| v.to_str().unwrap().to_string())
+    };
+    assert_eq!(header("x-other").as_deref(), Some("travels"));
+    assert_eq!(
+        header("saddlepulley-tenant").as_deref(),
+        Some("t"),
+        "what the system knows"
+    );
+    assert_eq!(header("saddlepulley-key"), None, "runners don't see keys");
+    assert_eq!(
+        header("saddlepulley-expected-backend").as_deref(),
+        Some("b1")
+    );
+    let left_ms: u64 = header("saddlepulley-deadline-ms").unwrap().parse().unwrap();
+    assert!((1..=4_000).contains(&left_ms), "{left_ms}");
+}
+
+#[tokio::test]
+async fn what_the_configuration_does_not_allow_is_refused() {
+    let runner = Runner::start("b1", 3).await.unwrap();
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&IDEMPOTENT], &[&runner])).await;
+    let mut client = daemon.client().await;
+    assert_eq!(
+        client.ask("a1", "/nowhere/", "").await.status,
+        StatusCode::NOT_FOUND
+    );
+    let keyless = http::Request::post("/look/x").header("host", "h.example");
+    let answer = client.send(keyless, "").await.unwrap();
+    assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
+    assert!(runner.runs().is_empty());
+}
+
+#[tokio::test]
+async fn without_a_configuration_it_tells_when_to_come_back() {
+    let daemon = GatewayDaemon::start_unready("");
+    eventually("listens", async || {
+        daemon.readiness_status().await.is_some()
+    })
+    .await;
+    assert_eq!(
+        daemon.readiness_status().await,
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+    let answer = daemon.client().await.ask("a1", "/look/x", "").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.header("retry-after").parse::<f64>().unwrap() > 0.0);
+}
+
+#[tokio::test]
+async fn an_answer_of_another_request_is_not_passed_on() {
+    let runner = Runner::start("b1", 3).await.unwrap();
+    runner.behave(Behaviour::OtherRequest);
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&ONCE], &[&runner])).await;
+    let answer = daemon.client().await.ask("a1", "/once/x", "").await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    assert!(!answer.body.contains("not yours"));
+}
+
+#[tokio::test]
+async fn a_bare_unavailable_is_no_promise() {
+    let runner = Runner::start("b1", 3).await.unwrap();
+    runner.behave(Behaviour::BareUnavailable);
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&ONCE, &STREAM_ONCE], &[&runner])).await;
+    let mut client = daemon.client().await;
+    for path in ["/once/x", "/stream/once/x"] {
+        let answer = client.ask("a1", path, "").await;
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{path}");
+        assert_eq!(answer.header("saddlepulley-signature"), "", "{path}");
+    }
+}
+
+#[tokio::test]
+async fn a_tenant_beyond_its_quota_is_told_when_to_come_back() {
+    let runner = Runner::start("b1", 3).await.unwrap();
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&IDEMPOTENT], &[&runner])).await;
+    let mut client = daemon.client().await;
+    let mut refused = None;
+    for n in 0..200 {
+        let large =
+            request(&format!("a{n}"), "/look/x").header("saddlepulley-token-count", "49000,1000");
+        let answer = client.send(large, "").await.unwrap();
+        if answer.status == StatusCode::TOO_MANY_REQUESTS {
+            refused = Some(answer);
+            break;
+        }
+    }
+    let refused = refused.expect("200 requests of 50,000 tokens exceed any burst");
+    assert!(refused.header("retry-after").parse::<f64>().unwrap() > 0.0);
+}
--- /dev/null
+++ b/tests/gateway/duties.rs
@@ -0,0 +1,251 @@
+//! Duties and the users' platform, against a stand-in of its store and API.
+
+use {
+    crate::support::*,
+    http::StatusCode,
+    nix::sys::signal::Signal,
+    saddlepulley_standin::store::{DutyCall, Store},
+    serde_json::json,
+    std::{collections::BTreeMap, net::SocketAddr, process::Stdio},
+    tempfile::TempDir,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+    },
+};
+
+/// Serves one fixed answer to each request, as a runner of the platform.
+async fn fixed_runner() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut buffer = [0; 4_096];
+                while stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {
+                    let answer = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok";
+                    if stream.write_all(answer).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+fn config(version: u64, prefix: &str) -> serde_json::Value {
+    json!({
+        "version": version,
+        "route_table": [{
+            "name": "r", "host": "h.example", "path_prefix": prefix, "route_type": "idempotent",
+            "timeout_ms": 2000, "target_latency_ms": 500, "priority": 0, "service": "s",
+            "max_attempts": 2, "public": false
+        }],
+        "services": [{
+            "name": "s", "max_connections": 100,
+            "autoscaling": { "min_replicas": 1, "max_replicas": 4, "boot_time_s": 0.1,
+                "spot_price": 0.2, "zone_prices": { "a": 1.0, "b": 0.8 } }
+        }],
+        "limits": { "max_header_bytes": 16384, "max_body_bytes": 1000000, "idle_timeout_ms": 15000 },
+        "tenants": [{ "name": "t", "api_keys": ["k"], "rate_per_s": 0, "burst": 0 }]
+    })
+}
+
+fn entry(address: SocketAddr, state: &str, sequence: u64) -> serde_json::Value {
+    json!({ "service": "s", "address": address, "zone": "a", "slots": 8, "state": state, "sequence": sequence })
+}
+
+async fn filled_store() -> Store {
+    let store = Store::start().await.unwrap();
+    store.put("keyed.op", "config", &config(3, "/p/"));
+    store.put(
+        "keyed.servers",
+        "i-1",
+        &entry(fixed_runner().await, "ready", 1),
+    );
+    store
+}
+
+fn daemon(name: &'static str, store: &Store, seeds: &[&GatewayDaemon]) -> GatewayDaemon {
+    let address = store.address();
+    let settings = DaemonSettings {
+        name,
+        source: format!("kind = \"platform\"\nstore = \"{address}\"\ncloud = \"{address}\""),
+        more: "[duties]\nusage = true\nscaling = true\nlease_ms = 1500\nusage_window_s = 1\nusage_delay_s = 4\n".into(),
+        seeds: seeds.iter().map(|d| d.peers).collect(),
+        stdout: Stdio::null(),
+    };
+    GatewayDaemon::spawn(TempDir::new().unwrap(), settings)
+}
+
+async fn ask(daemon: &GatewayDaemon, path: &str) -> StatusCode {
+    let request = http::Request::get(path)
+        .header("host", "h.example")
+        .header("x-attempt-id", "a1")
+        .header("x-credential", "k")
+        .header("x-deadline-ms", "1000");
+    let mut client = daemon.client().await;
+    client
+        .send(request, "")
+        .await
+        .map_or(StatusCode::IM_A_TEAPOT, |a| a.status)
+}
+
+/// Checks what holds for all duty calls together: fences only rise, one holder
+/// has each, and reports of one window are alike.
+fn check_calls(calls: &[DutyCall]) {
+    let mut holders: BTreeMap<u64, &str> = BTreeMap::new();
+    let mut reports: BTreeMap<u64, &serde_json::Value> = BTreeMap::new();
+    for pair in calls.windows(2) {
+        assert!(pair[0].fence <= pair[1].fence, "{pair:?}");
+    }
+    for call in calls {
+        let holder = holders.entry(call.fence).or_insert(&call.holder);
+        assert_eq!(*holder, call.holder, "one holder for a fence");
+        if call.duty == "usage" {
+            let window = call.body["window_id"].as_u64().unwrap();
+            let report = reports.entry(window).or_insert(&call.body);
+            assert_eq!(*report, &call.body, "one report for a window");
+        }
+    }
+}
+
+fn usage_of(calls: &[DutyCall], holder: &str) -> usize {
+    calls
+        .iter()
+        .filter(|c| c.duty == "usage" && c.holder == holder)
+        .count()
+}
+
+#[tokio::test]
+async fn configuration_and_runners_come_from_the_store() {
+    let store = filled_store().await;
+    let daemon = daemon("n1", &store, &[]);
+    daemon.wait_ready().await;
+    assert_eq!(ask(&daemon, "/p/x").await, StatusCode::OK);
+    store.put("keyed.op", "config", &config(8, "/q/"));
+    eventually("in force", async || {
+        ask(&daemon, "/q/x").await == StatusCode::OK
+    })
+    .await;
+    assert_eq!(ask(&daemon, "/p/x").await, StatusCode::NOT_FOUND);
+    // The only runner leaves: nothing is sent to it any more.
+    let dead: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    store.put("keyed.servers", "i-1", &entry(dead, "draining", 2));
+    eventually("refused", async || {
+        ask(&daemon, "/q/x").await == StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+    store.drop_key("keyed.servers", "i-1");
+    store.put(
+        "keyed.servers",
+        "i-2",
+        &entry(fixed_runner().await, "ready", 1),
+    );
+    eventually("the next runner", async || {
+        ask(&daemon, "/q/x").await == StatusCode::OK
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_store_that_is_down_stops_no_request() {
+    let store = filled_store().await;
+    let daemon = daemon("n1", &store, &[]);
+    daemon.wait_ready().await;
+    store.set_down(true);
+    for _ in 0..20 {
+        assert_eq!(ask(&daemon, "/p/x").await, StatusCode::OK);
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    store.set_down(false);
+    store.put("keyed.op", "config", &config(9, "/q/"));
+    eventually("in force", async || {
+        ask(&daemon, "/q/x").await == StatusCode::OK
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn usage_is_reported_once_a_window_through_the_loss_of_its_holder() {
+    let store = filled_store().await;
+    let first = daemon("n1", &store, &[]);
+    first.wait_ready().await;
+    eventually("n1 reports", async || {
+        usage_of(&store.duty_calls(), "n1") >= 1
+    })
+    .await;
+    let second = daemon("n2", &store, &[&first]);
+    second.wait_ready().await;
+    for _ in 0..10 {
+        ask(&second, "/p/x").await;
+        ask(&first, "/p/x").await;
+    }
+    eventually("both daemons' requests in one report", async || {
+        let counted = |c: &DutyCall| c.body["counts"]["t"].as_u64().unwrap_or(0);
+        store.duty_calls().iter().map(counted).sum::<u64>() >= 20
+    })
+    .await;
+    assert_eq!(
+        usage_of(&store.duty_calls(), "n2"),
+        0,
+        "one holder at a time"
+    );
+    first.signal(Signal::SIGKILL);
+    eventually("n2 takes over", async || {
+        usage_of(&store.duty_calls(), "n2") >= 2
+    })
+    .await;
+    check_calls(&store.duty_calls());
+}
+
+#[tokio::test]
+async fn a_holder_that_was_frozen_acts_no_more_when_it_wakes() {
+    let store = filled_store().await;
+    let first = daemon("n1", &store, &[]);
+    first.wait_ready().await;
+    eventually("n1 reports", async || {
+        usage_of(&store.duty_calls(), "n1") >= 1
+    })
+    .await;
+    let second = daemon("n2", &store, &[&first]);
+    second.wait_ready().await;
+    first.signal(Signal::SIGSTOP);
+    eventually("n2 takes over", async || {
+        usage_of(&store.duty_calls(), "n2") >= 1
+    })
+    .await;
+    let by_first = store
+        .duty_calls()
+        .iter()
+        .filter(|c| c.holder == "n1")
+        .count();
+    first.signal(Signal::SIGCONT);
+    eventually("n2 goes on", async || {
+        usage_of(&store.duty_calls(), "n2") >= 4
+    })
+    .await;
+    let calls = store.duty_calls();
+    assert_eq!(calls.iter().filter(|c| c.holder == "n1").count(), by_first);
+    check_calls(&calls);
+}
+
+#[tokio::test]
+async fn back_ends_are_ordered_in_each_zone() {
+    let store = filled_store().await;
+    let daemon = daemon("n1", &store, &[]);
+    daemon.wait_ready().await;
+    eventually("orders", async || {
+        let calls = store.duty_calls();
+        let zones = ["a", "b"].map(|zone| {
+            let mut orders = calls
+                .iter()
+                .filter(|c| c.duty == "scale" && c.body["zone"] == zone);
+            orders.any(|c| c.body["spot"] == true && c.body["desired_count"].as_u64() >= Some(1))
+        });
+        zones == [true, true]
+    })
+    .await;
+    check_calls(&store.duty_calls());
+}
--- /dev/null
+++ b/tests/gateway/logs.rs
@@ -0,0 +1,118 @@
+//! Logs: bounded, never waited for, and enough to explain a request.
+
+use {
+    crate::support::*,
+    http::StatusCode,
+    saddlepulley::logs::{LineBudget, LogLine, tell_story},
+    saddlepulley_standin::runner::{Behaviour, Runner},
+    std::{fs::File, io::BufReader, process::Stdio},
+    tempfile::TempDir,
+};
+
+async fn logging_daemon(stdout: Stdio, routes: &str) -> GatewayDaemon {
+    let dir = TempDir::new().unwrap();
+    let path = dir.path().join("routes.toml");
+    std::fs::write(&path, routes).unwrap();
+    let settings = DaemonSettings {
+        name: "n1",
+        source: format!("kind = \"file\"\npath = \"{}\"", path.display()),
+        more: String::new(),
+        seeds: Vec::new(),
+        stdout,
+    };
+    let daemon = GatewayDaemon::spawn(dir, settings);
+    daemon.wait_ready().await;
+    daemon
+}
+
+#[tokio::test]
+async fn an_output_that_nobody_reads_holds_up_no_request() {
+    let runner = Runner::start("b1", 3).await.unwrap();
+    let routes = routes_file(1, &[&IDEMPOTENT], &[&runner]);
+    // The pipe's buffer is full after some hundred lines.
+    let daemon = logging_daemon(Stdio::piped(), &routes).await;
+    let mut client = daemon.client().await;
+    for n in 0..3_000 {
+        let answer = client.ask(&format!("a{n}"), "/nowhere/x", "").await;
+        assert_eq!(answer.status, StatusCode::NOT_FOUND);
+    }
+    assert_eq!(
+        client.ask("last", "/look/x", "").await.status,
+        StatusCode::OK
+    );
+}
+
+#[tokio::test]
+async fn the_story_of_a_lost_answer_names_its_cause() {
+    let runner = Runner::start("b1", 3).await.unwrap();
+    runner.behave(Behaviour::LoseAnswer);
+    let out = TempDir::new().unwrap();
+    let path = out.path().join("log");
+    let routes = routes_file(1, &[&ONCE], &[&runner]);
+    let daemon = logging_daemon(File::create(&path).unwrap().into(), &routes).await;
+    let answer = daemon.client().await.ask("a77", "/once/x", "").await;
+    assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+    let story = || {
+        let file: Box<dyn std::io::BufRead> = Box::new(BufReader::new(File::open(&path).unwrap()));
+        tell_story("a77", vec![("log".into(), file)]).unwrap()
+    };
+    eventually("written", async || story().contains("answered.")).await;
+    let story = story();
+    let order =
+        ["placed.", "failed.", "given up.", "answered."].map(|word| story.find(word).expect(word));
+    assert!(order.is_sorted(), "{story}");
+    assert!(
+        story.contains("backend=b1") && story.contains("may_have_run=true"),
+        "{story}"
+    );
+}
+
+#[test]
+fn lines_of_a_second_are_bounded_and_the_rest_is_counted() {
+    let mut budget = LineBudget::default();
+    let written = (0..10_000)
+        .filter(|_| budget.take("place", false, 1_000).write)
+        .count();
+    assert!(written < 1_000, "{written}");
+    assert!(
+        budget.take("answer", true, 1_500).write,
+        "important ones still pass"
+    );
+    let next = budget.take("place", false, 2_000);
+    assert!(next.write);
+    assert_eq!(next.dropped["place"], 10_000 - written as u64);
+    assert!(
+        budget.take("place", false, 3_000).dropped.is_empty(),
+        "told once"
+    );
+}
+
+#[test]
+fn a_story_is_told_in_order_across_daemons() {
+    let line = |time_ms, message: &str| {
+        let line = LogLine {
+            time_ms,
+            level: "INFO".into(),
+            part: "p".into(),
+            message: message.into(),
+        };
+        serde_json::to_string(&line).unwrap()
+    };
+    let first = format!(
+        "{}\nnot a line\n{}\n",
+        line(20, "b. request=r1"),
+        line(5, "x. request=r11")
+    );
+    let second = format!("collector: {}\n", line(10, "a. request=r1 cause=\"k\""));
+    let source =
+        |text: String| -> Box<dyn std::io::BufRead> { Box::new(std::io::Cursor::new(text)) };
+    let sources = vec![
+        ("one".to_string(), source(first)),
+        ("two".to_string(), source(second)),
+    ];
+    let story = tell_story("r1", sources).unwrap();
+    assert_eq!(
+        story,
+        "+0 ms collector: p: a. request=r1 cause=\"k\"\n+10 ms one p: b. request=r1\n"
+    );
+}
--- /dev/null
+++ b/tests/gateway/main.rs
@@ -0,0 +1,11 @@
+//! The routed request path: real daemons as processes, runners and a store as
+//! stand-ins.
+
+mod answers;
+mod configuration;
+mod duties;
+mod logs;
+mod repeats;
+mod stops;
+mod streams;
+mod support;
--- /dev/null
+++ b/tests/gateway/repeats.rs
@@ -0,0 +1,123 @@
+//! What may run again does, what may not does not, and "not run" is true.
+
+use {
+    crate::support::*,
+    http::StatusCode,
+    saddlepulley_standin::runner::{Behaviour, Runner},
+};
+
+async fn two_runners(first: Behaviour, second: Behaviour) -> [Runner; 2] {
+    let runners = [
+        Runner::start("b1", 5).await.unwrap(),
+        Runner::start("b2", 5).await.unwrap(),
+    ];
+    runners[0].behave(first);
+    runners[1].behave(second);
+    runners
+}
+
+fn total_runs(runners: &[Runner], attempt: &str) -> usize {
+    let runs = runners.iter().flat_map(Runner::runs);
+    runs.filter(|run| run.attempt == attempt).count()
+}
+
+#[tokio::test]
+async fn a_request_that_may_not_be_repeated_runs_once_when_its_answer_is_lost() {
+    for behaviour in [Behaviour::LoseAnswer, Behaviour::CutStream(1)] {
+        let runners = two_runners(behaviour, behaviour).await;
+        let routes = [&ONCE, &STREAM_ONCE];
+        let [a, b] = &runners;
+        let daemon = GatewayDaemon::start(&routes_file(1, &routes, &[a, b])).await;
+        let path = match behaviour {
+            Behaviour::LoseAnswer => "/once/x",
+            _ => "/stream/once/x",
+        };
+        for n in 0..10 {
+            let attempt = format!("a{n}");
+            let answer = daemon.client().await.ask(&attempt, path, "").await;
+            assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "no promise");
+            assert_eq!(total_runs(&runners, &attempt), 1);
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_repeatable_request_is_answered_by_another_back_end() {
+    for bad in [
+        Behaviour::LoseAnswer,
+        Behaviour::Fail,
+        Behaviour::Hang,
+        Behaviour::Refuse,
+    ] {
+        let runners = two_runners(bad, Behaviour::Serve).await;
+        let [a, b] = &runners;
+        let daemon = GatewayDaemon::start(&routes_file(1, &[&IDEMPOTENT], &[a, b])).await;
+        for n in 0..4 {
+            let answer = daemon
+                .client()
+                .await
+                .ask(&format!("a{n}"), "/look/x", "")
+                .await;
+            assert_eq!(answer.status, StatusCode::OK, "{bad:?}");
+            assert!(answer.body.starts_with("b2 "), "{bad:?}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_refused_request_has_not_run_and_is_told_when_to_come_back() {
+    let runners = two_runners(Behaviour::Refuse, Behaviour::Refuse).await;
+    let [a, b] = &runners;
+    let routes = [&IDEMPOTENT, &ONCE, &STREAM, &STREAM_ONCE];
+    let daemon = GatewayDaemon::start(&routes_file(1, &routes, &[a, b])).await;
+    let mut client = daemon.client().await;
+    for path in ["/look/x", "/once/x", "/stream/resume/x", "/stream/once/x"] {
+        let answer = client.ask("a1", path, "").await;
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
+        assert!(
+            answer.header("retry-after").parse::<f64>().unwrap() > 0.0,
+            "{path}"
+        );
+    }
+    assert_eq!(total_runs(&runners, "a1"), 0);
+}
+
+#[tokio::test]
+async fn one_that_refuses_is_passed_over_also_for_what_may_run_once() {
+    let runners = two_runners(Behaviour::Refuse, Behaviour::Serve).await;
+    let [a, b] = &runners;
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&ONCE], &[a, b])).await;
+    for n in 0..4 {
+        let attempt = format!("a{n}");
+        let answer = daemon.client().await.ask(&attempt, "/once/x", "").await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert_eq!(total_runs(&runners, &attempt), 1);
+    }
+}
+
+#[tokio::test]
+async fn a_request_is_sent_to_no_more_back_ends_than_its_route_allows() {
+    let runners = two_runners(Behaviour::Fail, Behaviour::Fail).await;
+    let single = TestRoute {
+        max_attempts: 1,
+        ..IDEMPOTENT
+    };
+    let [a, b] = &runners;
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&single], &[a, b])).await;
+    let answer = daemon.client().await.ask("a1", "/look/x", "").await;
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert_eq!(total_runs(&runners, "a1"), 1);
+}
+
+#[tokio::test]
+async fn a_request_is_answered_when_its_time_is_up() {
+    let runners = two_runners(Behaviour::Hang, Behaviour::Hang).await;
+    let short = TestRoute {
+        timeout_ms: 300,
+        ..ONCE
+    };
+    let [a, b] = &runners;
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&short], &[a, b])).await;
+    let answer = daemon.client().await.ask("a1", "/once/x", "").await;
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+}
--- /dev/null
+++ b/tests/gateway/support.rs
@@ -0,0 +1,348 @@
+//! Daemons, files and clients for the tests of the routed path.
+
+use {
+    bytes::Bytes,
+    http::{HeaderMap, Request, StatusCode},
+    http_body_util::{BodyExt, Full},
+    hyper::client::conn::http1::{self, SendRequest},
+    hyper_util::rt::TokioIo,
+    nix::{
+        sys::signal::{Signal, kill},
+        unistd::Pid,
+    },
+    saddlepulley_standin::runner::Runner,
+    std::{
+        fmt::Write,
+        fs,
+        net::SocketAddr,
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        sync::{
+            LazyLock,
+            atomic::{AtomicU16, Ordering},
+        },
+        time::Duration,
+    },
+    tempfile::TempDir,
+    tokio::net::TcpStream,
+};
+
+/// How long anything may take that is waited for.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Waits until a condition holds.
+pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let wait = async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    if tokio::time::timeout(PATIENCE, wait).await.is_err() {
+        panic!("not in time: {what}");
+    }
+}
+
+/// The ports that the tests' daemons listen on: below those that the kernel
+/// gives to clients' connections, which would else take one now and then.
+const FIRST_PORT: u16 = 18_000;
+const LAST_PORT: u16 = 31_000;
+
+/// Returns an address that no test has been given before and that is free.
+pub fn free_address() -> SocketAddr {
+    static NEXT: LazyLock<AtomicU16> = LazyLock::new(|| {
+        let spread = std::process::id() % u32::from(LAST_PORT - FIRST_PORT);
+        AtomicU16::new(FIRST_PORT + spread as u16)
+    });
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        if port >= LAST_PORT {
+            NEXT.store(FIRST_PORT, Ordering::Relaxed);
+            continue;
+        }
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        let is_free = std::net::TcpListener::bind(address).is_ok();
+        if is_free && std::net::UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+/// What a route of the tests is like.
+pub struct TestRoute {
+    pub prefix: &'static str,
+    pub kind: &'static str,
+    pub max_attempts: u32,
+    pub resumable: bool,
+    pub timeout_ms: u64,
+}
+
+pub const IDEMPOTENT: TestRoute = TestRoute {
+    prefix: "/look/",
+    kind: "idempotent",
+    max_attempts: 2,
+    resumable: false,
+    timeout_ms: 5_000,
+};
+pub const ONCE: TestRoute = TestRoute {
+    prefix: "/once/",
+    kind: "non-idempotent",
+    max_attempts: 2,
+    ..IDEMPOTENT
+};
+pub const STREAM: TestRoute = TestRoute {
+    prefix: "/stream/resume/",
+    kind: "streaming",
+    resumable: true,
+    ..IDEMPOTENT
+};
+pub const STREAM_ONCE: TestRoute = TestRoute {
+    prefix: "/stream/once/",
+    kind: "streaming",
+    ..IDEMPOTENT
+};
+
+/// Writes a configuration with the routes of the tests, one tenant, and the
+/// given runners.
+pub fn routes_file(version: u64, routes: &[&TestRoute], runners: &[&Runner]) -> String {
+    let mut text = format!("[config]\nversion = {version}\n");
+    for route in routes {
+        let TestRoute {
+            prefix,
+            kind,
+            max_attempts,
+            resumable,
+            timeout_ms,
+        } = route;
+        let _ = write!(
+            text,
+            "[[config.routes]]\nname = \"{prefix}\"\nhost = \"h.example\"\npath_prefix = \"{prefix}\"\n\
+             kind = \"{kind}\"\ntimeout_ms = {timeout_ms}\ntarget_latency_ms = 1000\n\
+             max_attempts = {max_attempts}\nresumable = {resumable}\nevent_gap_ms = 500\n\
+             services = [{{ service = \"s\", weight = 1 }}]\n"
+        );
+    }
+    text.push_str("[[config.services]]\nname = \"s\"\nmax_connections = 100\n");
+    text.push_str(
+        "[[config.tenants]]\nname = \"t\"\nkeys = [\"key-1\", \"key-2\"]\nrate_per_s = 100000.0\n\
+         burst = 100000.0\nplain_cost = 1.0\ncounts_tokens = true\n",
+    );
+    for runner in runners {
+        let _ = write!(
+            text,
+            "[[backends]]\nid = \"{}\"\nservice = \"s\"\naddress = \"{}\"\nzone = \"a\"\nslots = 8\n",
+            runner.id(),
+            runner.address()
+        );
+    }
+    text
+}
+
+/// A daemon that runs as a process of its own. It is killed when dropped.
+pub struct GatewayDaemon {
+    pub clients: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+    pub peers: SocketAddr,
+    pub dir: TempDir,
+    child: Child,
+}
+
+impl Drop for GatewayDaemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Settings of a daemon that are not the same in all tests.
+pub struct DaemonSettings {
+    pub name: &'static str,
+    pub source: String,
+    pub more: String,
+    pub seeds: Vec<SocketAddr>,
+    pub stdout: Stdio,
+}
+
+impl GatewayDaemon {
+    /// Starts a daemon on a file of routes and waits until it is ready.
+    pub async fn start(routes: &str) -> Self {
+        let daemon = Self::start_unready(routes);
+        daemon.wait_ready().await;
+        daemon
+    }
+
+    /// Starts a daemon on a file of routes.
+    pub fn start_unready(routes: &str) -> Self {
+        let dir = TempDir::new().unwrap();
+        let path = dir.path().join("routes.toml");
+        if !routes.is_empty() {
+            fs::write(&path, routes).unwrap();
+        }
+        let settings = DaemonSettings {
+            name: "n1",
+            source: format!("kind = \"file\"\npath = \"{}\"", path.display()),
+            more: String::new(),
+            seeds: Vec::new(),
+            stdout: Stdio::null(),
+        };
+        Self::spawn(dir, settings)
+    }
+
+    /// Starts a daemon with given settings.
+    pub fn spawn(dir: TempDir, settings: DaemonSettings) -> Self {
+        let [clients, readiness, peers, metrics] = [(); 4].map(|()| free_address());
+        let seeds: Vec<String> = settings.seeds.iter().map(|s| format!("\"{s}\"")).collect();
+        let text = format!(
+            "[node]\nname = \"{}\"\nzone = \"a\"\n[node.zones]\na = \"r\"\n[listen]\nclients = \"{clients}\"\n\
+             readiness = \"{readiness}\"\npeers = \"{peers}\"\nmetrics = \"{metrics}\"\n[source]\n{}\n\
+             [peers]\nseeds = [{}]\n{}\n",
+            settings.name,
+            settings.source,
+            seeds.join(","),
+            settings.more
+        );
+        let path = dir.path().join("settings.toml");
+        fs::write(&path, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_saddlepulley"))
+            .args(["gateway", "--settings"])
+            .arg(&path)
+            .stdout(settings.stdout)
+            .spawn()
+            .unwrap();
+        Self {
+            clients,
+            readiness,
+            metrics,
+            peers,
+            dir,
+            child,
+        }
+    }
+
+    pub fn routes_path(&self) -> PathBuf {
+        self.dir.path().join("routes.toml")
+    }
+
+    pub async fn wait_ready(&self) {
+        eventually("ready", async || {
+            self.readiness_status().await == Some(StatusCode::OK)
+        })
+        .await;
+    }
+
+    pub async fn readiness_status(&self) -> Option<StatusCode> {
+        let mut client = Client::connect(self.readiness).await?;
+        let answer = client.send(Request::get("/readyz"), "").await.ok()?;
+        Some(answer.status)
+    }
+
+    pub async fn client(&self) -> Client {
+        Client::connect(self.clients)
+            .await
+            .expect("the daemon listens")
+    }
+
+    pub fn signal(&self, signal: Signal) {
+        kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+
+    /// Waits until the process ends; returns whether it ended well.
+    pub async fn wait_end(&mut self) -> bool {
+        let mut ended = None;
+        eventually("ended", async || {
+            ended = self.child.try_wait().unwrap();
+            ended.is_some()
+        })
+        .await;
+        ended.is_some_and(|status| status.success())
+    }
+}
+
+/// An answer that was read to its end.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub body: String,
+    /// Whether the body reached its end.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or_default()
+    }
+}
+
+/// A client with one connection.
+pub struct Client {
+    sender: SendRequest<Full<Bytes>>,
+}
+
+impl Client {
+    pub async fn connect(address: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        tokio::spawn(connection);
+        Some(Self { sender })
+    }
+
+    /// Sends a request with the headers that all requests of the tests have.
+    pub async fn ask(&mut self, attempt: &str, path: &str, body: &str) -> Answer {
+        self.send(request(attempt, path), body)
+            .await
+            .expect("an answer")
+    }
+
+    pub async fn send(
+        &mut self,
+        request: http::request::Builder,
+        body: &str,
+    ) -> hyper::Result<Answer> {
+        let body = Full::new(Bytes::copy_from_slice(body.as_bytes()));
+        self.sender.ready().await?;
+        let answer = self
+            .sender
+            .send_request(request.body(body).unwrap())
+            .await?;
+        let (head, mut body) = answer.into_parts();
+        let (mut bytes, mut whole) = (Vec::new(), true);
+        while let Some(frame) = body.frame().await {
+            match frame {
+                Ok(frame) => bytes.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d)),
+                Err(_) => {
+                    whole = false;
+                    break;
+                }
+            }
+        }
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body: String::from_utf8_lossy(&bytes).into_owned(),
+            whole,
+        })
+    }
+
+    /// Sends a request and leaves as soon as the answer's head is there.
+    pub async fn ask_and_leave(mut self, attempt: &str, path: &str) {
+        let body = Full::new(Bytes::new());
+        let sent = self
+            .sender
+            .send_request(request(attempt, path).body(body).unwrap());
+        let answer = sent.await.expect("a head");
+        drop(answer);
+    }
+}
+
+/// Makes a request with the headers that all requests of the tests have.
+pub fn request(attempt: &str, path: &str) -> http::request::Builder {
+    Request::post(path)
+        .header("host", "h.example")
+        .header("saddlepulley-attempt", attempt)
+        .header("saddlepulley-key", "key-1")
+        .header("saddlepulley-deadline-ms", "4000")
+}
