Keep digests, calls to the store and shares of budgets bounded as daemons grow

Now: a digest leaves out what doesn't fit, the time between digests grows by 250 ms for each 20 daemons and with it what counts as late or silent, calls to the store spread out likewise, shares of the budget follow the known number.

--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -13,6 +13,9 @@
 /// The largest digest, in bytes: one datagram, not split.
 pub const MAX_DIGEST_BYTES: usize = 1_400;
 
+/// How many other daemons a digest names.
+const MAX_PEERS: usize = 8;
+
 /// Why a datagram is no digest.
 #[derive(Debug, Display, thiserror::Error)]
 pub enum DigestError {
@@ -73,18 +76,28 @@
         }
     }
 
-    /// Encodes the digest.
+    /// Encodes the digest. What doesn't fit into a datagram is left out, the
+    /// least needed first: other daemons, then the smallest loads.
     ///
     /// # Errors
     ///
-    /// Returns [`DigestError::Malformed`] if it is too large for a datagram.
-    pub fn encode(&self) -> Result<Vec<u8>, DigestError> {
-        let bytes = bincode::encode_to_vec(self, bincode::config::standard());
-        let bytes = bytes.map_err(|e| DigestError::Malformed(e.to_string()))?;
-        if bytes.len() > MAX_DIGEST_BYTES {
-            return Err(DigestError::Malformed(format!("{} bytes", bytes.len())));
+    /// Returns [`DigestError::Malformed`] if it is too large even so.
+    pub fn encode(mut self) -> Result<Vec<u8>, DigestError> {
+        self.peers.truncate(MAX_PEERS);
+        self.loads
+            .sort_by_key(|(_, active, tokens)| std::cmp::Reverse((*tokens, *active)));
+        loop {
+            let bytes = bincode::encode_to_vec(&self, bincode::config::standard());
+            let bytes = bytes.map_err(|e| DigestError::Malformed(e.to_string()))?;
+            if bytes.len() <= MAX_DIGEST_BYTES {
+                return Ok(bytes);
+            }
+            let fewer_loads = self.loads.len() / 2;
+            self.loads.truncate(fewer_loads);
+            if self.loads.is_empty() && self.usage.pop().is_none() {
+                return Err(DigestError::Malformed(format!("{} bytes", bytes.len())));
+            }
         }
-        Ok(bytes)
     }
 
     /// Decodes a digest.
--- a/src/cluster/digest_exchange.rs
+++ b/src/cluster/digest_exchange.rs
@@ -9,8 +9,6 @@
     tokio::net::UdpSocket,
 };
 
-/// The time between two digests.
-const DIGEST_EVERY: Duration = Duration::from_millis(250);
 /// The least time between two digests.
 const DIGEST_PAUSE: Duration = Duration::from_millis(50);
 /// How many windows of usage are told: what is lost once comes again.
@@ -67,7 +65,9 @@
         }
         // Sooner, if a tenant at its limit was let in more than others know.
         let early = gateway.tell_early.notified();
-        let _ = tokio::time::timeout(DIGEST_EVERY - DIGEST_PAUSE, early).await;
+        let every_ms = gateway.peers.lock().digest_every_ms();
+        let every = Duration::from_millis(every_ms);
+        let _ = tokio::time::timeout(every - DIGEST_PAUSE, early).await;
         tokio::time::sleep(DIGEST_PAUSE).await;
     }
 }
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -95,7 +95,7 @@
         if let Err(e) = self.read_on().await {
             log::info!(target: "duties", "the topic can't be read. error=\"{e}\"");
         }
-        tokio::time::sleep(WATCH_EVERY).await;
+        tokio::time::sleep(WATCH_EVERY * self.gateway.call_spread()).await;
     }
 
     fn tell(&self, holds: bool) {
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -10,15 +10,22 @@
     },
 };
 
-/// After how long without a digest a daemon counts as silent, in milliseconds.
-pub const SILENT_AFTER_MS: u64 = 700;
+/// The time between two digests in a small system, in milliseconds.
+const DIGEST_EVERY_MS: u64 = 250;
+/// With how many daemons the time between digests begins to grow, so that what
+/// each has to hear stays bounded.
+const SMALL_SYSTEM: usize = 20;
+/// After how many digests that did not come a daemon counts as silent.
+const SILENT_DIGESTS: f64 = 2.8;
+/// After how many it may be cut off.
+const LATE_DIGESTS: f64 = 1.6;
 /// How long a silent daemon's part of the quotas stays its own, in milliseconds.
 const RESERVED_MS: u64 = 30_000;
 /// After how long without a digest an address is no longer written to, in
 /// milliseconds.
 const FORGOTTEN_MS: u64 = 60_000;
-/// How old a digest's loads may be to count, in milliseconds.
-const LOADS_AGE_MS: u64 = 1_000;
+/// How many digests old loads may be to count.
+const LOADS_DIGESTS: f64 = 4.0;
 
 #[derive(Debug)]
 struct Peer {
@@ -91,6 +98,7 @@
                     node: peer.digest.node.clone(),
                     weight: notice.weight,
                     heard_ms: peer.heard_ms,
+                    late: self.is_older(peer, LATE_DIGESTS),
                     silent: self.is_silent(peer),
                 });
             }
@@ -102,7 +110,7 @@
     pub fn loads(&self) -> HashMap<BackendId, (u32, u64)> {
         let mut sums: HashMap<BackendId, (u32, u64)> = HashMap::new();
         let fresh = self.peers.values();
-        let fresh = fresh.filter(|p| self.now_ms < p.heard_ms + LOADS_AGE_MS);
+        let fresh = fresh.filter(|p| !self.is_older(p, LOADS_DIGESTS));
         for (id, active, tokens) in fresh.flat_map(|p| p.digest.typed_loads()) {
             let sum = sums.entry(id).or_default();
             sum.0 += active;
@@ -151,7 +159,19 @@
         self.peers.values().filter(|p| !self.is_silent(p))
     }
 
+    /// Returns the time between two digests of a daemon, in milliseconds.
+    pub fn digest_every_ms(&self) -> u64 {
+        let daemons = self.reserved().count() + 1;
+        DIGEST_EVERY_MS * daemons.div_ceil(SMALL_SYSTEM) as u64
+    }
+
     fn is_silent(&self, peer: &Peer) -> bool {
-        self.now_ms >= peer.heard_ms + SILENT_AFTER_MS
+        self.is_older(peer, SILENT_DIGESTS)
+    }
+
+    /// Returns whether a daemon was heard last some digests ago.
+    fn is_older(&self, peer: &Peer, digests: f64) -> bool {
+        let age_ms = self.now_ms.saturating_sub(peer.heard_ms) as f64;
+        age_ms >= self.digest_every_ms() as f64 * digests
     }
 }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -29,6 +29,8 @@
 const BUDGET_USE: f64 = 0.75;
 /// Daemons of a zone that are reckoned with before any is known.
 const ASSUMED_PER_ZONE: usize = 3;
+/// With how many daemons calls to the shared store begin to be spread out.
+const SMALL_SYSTEM: usize = 20;
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Whether a daemon takes new clients.
@@ -179,6 +181,12 @@
         if known > 1 { known } else { assumed.max(1) }
     }
 
+    /// Returns how many times longer than in a small system to wait between
+    /// calls to what all daemons share.
+    pub fn call_spread(&self) -> u32 {
+        self.daemons().div_ceil(SMALL_SYSTEM) as u32
+    }
+
     /// Chooses a back end for a request; `tried` ones come last.
     pub fn place(&self, context: &RequestContext, tried: &[BackendId]) -> Option<Placement> {
         let ready: Vec<Arc<Backend>> = {
@@ -290,7 +298,9 @@
         let ratio = bounds.retry_ratio * BUDGET_USE;
         let mut retries = self.retries.lock();
         let fresh = || RetryAllowance::new(ratio, slack_share);
-        act(retries.entry(service.clone()).or_insert_with(fresh))
+        let allowance = retries.entry(service.clone()).or_insert_with(fresh);
+        allowance.set_share(slack_share);
+        act(allowance)
     }
 
     /// Notes work that is sent to a service: prompt tokens to read.
--- a/src/policy/quota_account.rs
+++ b/src/policy/quota_account.rs
@@ -13,8 +13,6 @@
 const UNHEARD_PARTS: f64 = 2.0;
 /// What is left above this part of the burst, any daemon may let in unheard.
 const SCARCE_LEVEL: f64 = 0.4;
-/// After how long another daemon's notice is late, in milliseconds.
-const LATE_MS: u64 = 400;
 /// Below this part of the burst, others should hear early of what is let in.
 const LOW_LEVEL: f64 = 0.5;
 /// Of the burst, what may be let in before others should hear of it.
@@ -41,17 +39,12 @@
     pub weight: f64,
     /// When it was heard last.
     pub heard_ms: u64,
+    /// Whether its notice is late: it may be cut off.
+    pub late: bool,
     /// Whether it has been silent for too long since.
     pub silent: bool,
 }
 
-impl OtherDaemon {
-    /// Returns whether its notice is late: it may be cut off.
-    pub fn is_late(&self, now_ms: u64) -> bool {
-        now_ms > self.heard_ms + LATE_MS
-    }
-}
-
 /// One tenant's quota as one daemon sees it.
 ///
 /// All daemons keep the same token bucket: each takes from it what it lets in
@@ -155,7 +148,7 @@
                 now_ms,
             );
         }
-        self.all_heard = !others.iter().any(|o| o.is_late(now_ms));
+        self.all_heard = !others.iter().any(|o| o.late);
         self.left_at_tick = self.level.max(0.0);
         self.since_tick = 0.0;
     }
--- a/src/policy/quota_book.rs
+++ b/src/policy/quota_book.rs
@@ -77,7 +77,7 @@
         let mut notices = Vec::new();
         for tenant in limited {
             let others = others.get(&tenant.name).map_or(&[][..], Vec::as_slice);
-            let any_late = others.iter().any(|o| o.is_late(now_ms));
+            let any_late = others.iter().any(|o| o.late);
             let start_part = 1.0 / daemons.max(1) as f64;
             let account = self.account(tenant, start_part, now_ms);
             let mut weight = account.weight(tenant.rate_per_s, daemons, now_ms);
--- a/src/policy/retry_allowance.rs
+++ b/src/policy/retry_allowance.rs
@@ -21,6 +21,12 @@
         }
     }
 
+    /// Sets the share of the slack: it changes with the number of daemons.
+    pub fn set_share(&mut self, slack_share: f64) {
+        self.cap = slack_share.max(1.0);
+        self.balance = self.balance.min(self.cap);
+    }
+
     /// Notes a first send.
     pub fn earn(&mut self) {
         self.balance = (self.balance + self.ratio).min(self.cap);
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -3,7 +3,7 @@
 use {
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    saddlepulley::{cluster::SILENT_AFTER_MS, names::TenantName, policy::*, routing::Tenant},
+    saddlepulley::{names::TenantName, policy::*, routing::Tenant},
     std::collections::HashMap,
 };
 
@@ -11,6 +11,8 @@
 const BURST: f64 = 100_000.0;
 const TICK_MS: u64 = 250;
 const WINDOW_MS: u64 = 8_000;
+const LATE_MS: u64 = 400;
+const SILENT_MS: u64 = 700;
 
 fn tenant() -> Tenant {
     Tenant {
@@ -93,7 +95,8 @@
                         node: from.to_string(),
                         weight: notice.weight,
                         heard_ms: *heard_ms,
-                        silent: now_ms >= heard_ms + SILENT_AFTER_MS,
+                        late: now_ms > heard_ms + LATE_MS,
+                        silent: now_ms >= heard_ms + SILENT_MS,
                     });
             }
         }
