Decode digests of full size; commented gateway settings; check of both files

Cause: a test of the largest digest found that receivers refused it: the decoder's limit counts the memory that lists claim, not the bytes of the datagram. Daemons of a large system would not have heard each other at all.

--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -1,6 +1,10 @@
 use {
     super::{CliError, finish},
-    crate::{conf::Settings, contracts::TableFile},
+    crate::{
+        conf::{GatewaySettings, Settings},
+        contracts::TableFile,
+        gateway::RoutesFile,
+    },
     pico_args::Arguments,
     std::path::PathBuf,
 };
@@ -9,12 +13,32 @@
 pub fn check(mut args: Arguments) -> Result<(), CliError> {
     let settings: Option<PathBuf> = args.opt_value_from_str("--settings")?;
     let table: Option<PathBuf> = args.opt_value_from_str("--table")?;
+    let gateway: Option<PathBuf> = args.opt_value_from_str("--gateway")?;
+    let routes: Option<PathBuf> = args.opt_value_from_str("--routes")?;
     finish(args)?;
-    if settings.is_none() && table.is_none() {
+    if [&settings, &table, &gateway, &routes]
+        .iter()
+        .all(|path| path.is_none())
+    {
         return Err(CliError::Usage(
-            "expected --settings or --table".to_string(),
+            "expected --settings, --table, --gateway or --routes".to_string(),
         ));
     }
+    if let Some(path) = gateway {
+        let settings = GatewaySettings::read(&path)?;
+        println!("{}: good. node={}", path.display(), settings.node.name);
+    }
+    if let Some(path) = routes {
+        let failed = |e| CliError::Failed(format!("{}: {e}", path.display()));
+        let file = RoutesFile::read(&path).map_err(failed)?;
+        println!(
+            "{}: good. version={} routes={} backends={}",
+            path.display(),
+            file.config.version,
+            file.config.routes.len(),
+            file.backends.len()
+        );
+    }
     if let Some(path) = settings {
         let s = Settings::read(&path)?;
         println!("{}: good. box={}", path.display(), s.this_box.id);
--- a/src/cli/gateway_command.rs
+++ b/src/cli/gateway_command.rs
@@ -1,7 +1,7 @@
 use {
     super::{CliError, finish},
     crate::{
-        conf::{GatewaySettings, SourceSettings},
+        conf::{DEFAULT_GATEWAY_SETTINGS, GatewaySettings, SourceSettings},
         gateway::{Gateway, GatewayProcess, HeaderNames, follow_file},
         logs::LogWriter,
         platform::{attach_platform, platform_headers},
@@ -16,6 +16,10 @@
 
 /// Runs `gateway`.
 pub fn gateway(mut args: Arguments) -> Result<(), CliError> {
+    if args.contains("--default-settings") {
+        print!("{DEFAULT_GATEWAY_SETTINGS}");
+        return Ok(());
+    }
     let path: Option<PathBuf> = args.opt_value_from_str("--settings")?;
     finish(args)?;
     let from_variable = || std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -24,7 +24,7 @@
 
 /// Help for `gateway`.
 pub const GATEWAY: &str = "\
-Usage: saddlepulley gateway [--settings FILE]
+Usage: saddlepulley gateway [--settings FILE | --default-settings]
 
 Runs the daemon that routes requests by host and path to back ends, byte for
 byte, until SIGTERM or SIGINT: then it takes no new clients, finishes what is
--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -13,6 +13,9 @@
 /// The largest digest, in bytes: one datagram, not split.
 pub const MAX_DIGEST_BYTES: usize = 1_400;
 
+/// How much memory a digest may claim when it is decoded, in bytes: lists take
+/// more there than in a datagram.
+const MAX_DECODED_BYTES: usize = 16 * MAX_DIGEST_BYTES;
 /// How many other daemons a digest names.
 const MAX_PEERS: usize = 8;
 
@@ -111,7 +114,7 @@
             Some(other) => return Err(DigestError::OtherVersion(*other)),
             None => return Err(DigestError::Malformed("empty".into())),
         }
-        let config = bincode::config::standard().with_limit::<MAX_DIGEST_BYTES>();
+        let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
         let decoded = bincode::decode_from_slice(bytes, config);
         let (digest, _) = decoded.map_err(|e| DigestError::Malformed(e.to_string()))?;
         Ok(digest)
--- a/tests/decisions/gateway_files.rs
+++ b/tests/decisions/gateway_files.rs
@@ -1,6 +1,9 @@
 //! Settings and route files: what is wrong with them is told with its place.
 
-use saddlepulley::{conf::GatewaySettings, gateway::RoutesFile};
+use saddlepulley::{
+    conf::{DEFAULT_GATEWAY_SETTINGS, GatewaySettings},
+    gateway::RoutesFile,
+};
 
 const SETTINGS: &str = r#"
 [node]
@@ -45,3 +48,17 @@
     let error = RoutesFile::parse(text).unwrap_err().to_string();
     assert!(error.starts_with("line 6"), "{error}");
 }
+
+#[test]
+fn the_commented_settings_are_the_defaults() {
+    let settings = GatewaySettings::parse("f", DEFAULT_GATEWAY_SETTINGS).unwrap();
+    let uncommented = DEFAULT_GATEWAY_SETTINGS
+        .lines()
+        .map(|line| match line.strip_prefix("# ") {
+            Some(rest) if rest.contains(" = ") && !rest.contains('`') => rest,
+            _ => line,
+        });
+    let uncommented: Vec<&str> = uncommented.collect();
+    let same = GatewaySettings::parse("f", &uncommented.join("\n")).unwrap();
+    assert_eq!(settings, same);
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod box_facts;
 mod claim_exploration;
+mod digests;
 mod duties;
 mod files;
 mod fleet;
--- a/tests/decisions/routed.rs
+++ b/tests/decisions/routed.rs
@@ -299,3 +299,11 @@
     assert!(border.push(b"id: 4\ndata").is_none());
     assert!(border.is_inside_event());
 }
+
+#[test]
+fn the_share_of_the_budget_shrinks_as_daemons_become_known() {
+    let mut allowance = RetryAllowance::new(0.2, 6.0);
+    allowance.set_share(2.0);
+    let spent = (0..10).filter(|_| allowance.spend()).count();
+    assert_eq!(spent, 2);
+}
