--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -51,6 +51,9 @@
     pub backend: Arc<Backend>,
     /// The prompt tokens that it is expected to read.
     pub unread_tokens: u64,
+    /// Whether it is a try after one that failed: what broke that one may have
+    /// broken resting connections, too.
+    pub is_repeat: bool,
 }
 
 /// What the parts of a daemon share.
@@ -225,6 +228,7 @@
         Some(Placement {
             backend: ready[chosen].clone(),
             unread_tokens,
+            is_repeat: !tried.is_empty(),
         })
     }
 
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -79,7 +79,7 @@
 ) -> Result<Sent, SendFailure> {
     let backend = &placement.backend;
     let mut active = ActiveSend::start(gateway, &backend.id, placement.unread_tokens);
-    let connection = connect(gateway, context, backend).await?;
+    let connection = connect(gateway, context, placement).await?;
     // What is true now counts, not what was when the back end was chosen.
     if !gateway.directory.read().is_ready(&backend.id) {
         return Err(SendFailure::NotSent("the back end is leaving".into()));
@@ -99,9 +99,11 @@
 async fn connect(
     gateway: &Gateway,
     context: &RequestContext,
-    backend: &Backend,
+    placement: &Placement,
 ) -> Result<BackendConnection, SendFailure> {
+    let backend = &placement.backend;
     let max_rest = match context.route.is_repeatable() {
+        _ if placement.is_repeat => Duration::ZERO,
         true => ANY_REST,
         false => FRESH,
     };
--- a/src/policy/quota_account.rs
+++ b/src/policy/quota_account.rs
@@ -11,6 +11,8 @@
 /// How many times its part of what is left a daemon may let in between two
 /// notices of the others.
 const UNHEARD_PARTS: f64 = 2.0;
+/// After how long a request that is out of turn may come back, in milliseconds.
+const NEXT_TURN_MS: u64 = 150;
 /// What is left above this part of the burst, any daemon may let in unheard.
 const SCARCE_LEVEL: f64 = 0.4;
 /// Below this part of the burst, others should hear early of what is let in.
@@ -197,7 +199,9 @@
         }
         let missing = (needed - self.level).max(0.0);
         let wait_s = missing / (rate * (1.0 - self.unknown_part)).max(1.0);
-        Err((wait_s * 1_000.0).min(60_000.0) as u64 + 1)
+        let wait_ms = (wait_s * 1_000.0).min(60_000.0) as u64 + 1;
+        // One that is out of turn only has to wait for the next notices.
+        Err(wait_ms.max(if in_turn { 0 } else { NEXT_TURN_MS }))
     }
 
     fn refill(&mut self, rate: f64, burst: f64, now_ms: u64) {
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -197,3 +197,20 @@
     assert!((700..=900).contains(&wait_ms), "{wait_ms}");
     assert_eq!(account.admit(200.0, 100.0, 1_000.0, wait_ms), Ok(()));
 }
+
+#[test]
+fn one_that_is_out_of_turn_is_told_to_wait_for_the_next_notices() {
+    let (rate, burst) = (100_000.0, 100_000.0);
+    let mut account = QuotaAccount::new(0.1, burst, 0);
+    let other = OtherDaemon {
+        node: "b".into(),
+        weight: 90_000.0,
+        heard_ms: 5_000,
+        late: true,
+        silent: false,
+    };
+    account.tick(10_000.0, &[other], rate, burst, 5_000);
+    assert_eq!(account.admit(30_000.0, rate, burst, 5_001), Ok(()));
+    let wait_ms = account.admit(30_000.0, rate, burst, 5_002).unwrap_err();
+    assert!((100..=300).contains(&wait_ms), "{wait_ms}");
+}
