Digests name a random sample of daemons, so that all learn of all

Cause: a digest named the first eight live daemons of a sorted map, always the same ones. Ruled out: size of digests (about 940 bytes before loads), lost datagrams. Test: a simulation of 100 tables with three seeds; every one knows 99 others after six rounds.

--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -9,7 +9,7 @@
 };
 
 /// The version of the message; one of another version is not understood.
-const DIGEST_VERSION: u8 = 1;
+const DIGEST_VERSION: u8 = 2;
 /// The largest digest, in bytes: one datagram, not split.
 pub const MAX_DIGEST_BYTES: usize = 1_400;
 
@@ -17,7 +17,7 @@
 /// more there than in a datagram.
 const MAX_DECODED_BYTES: usize = 16 * MAX_DIGEST_BYTES;
 /// How many other daemons a digest names.
-const MAX_PEERS: usize = 8;
+pub const MAX_DIGEST_PEERS: usize = 16;
 
 /// Why a datagram is no digest.
 #[derive(Debug, Display, thiserror::Error)]
@@ -34,6 +34,8 @@
     version: u8,
     /// The daemon.
     pub node: String,
+    /// Its failure domain.
+    pub zone: String,
     /// Which life of it.
     pub incarnation: u64,
     /// Rises with each digest of a life.
@@ -65,6 +67,7 @@
         Self {
             version: DIGEST_VERSION,
             node: node.to_string(),
+            zone: String::new(),
             incarnation,
             sequence,
             address,
@@ -86,7 +89,7 @@
     ///
     /// Returns [`DigestError::Malformed`] if it is too large even so.
     pub fn encode(mut self) -> Result<Vec<u8>, DigestError> {
-        self.peers.truncate(MAX_PEERS);
+        self.peers.truncate(MAX_DIGEST_PEERS);
         self.loads
             .sort_by_key(|(_, active, tokens)| std::cmp::Reverse((*tokens, *active)));
         loop {
--- a/src/cluster/digest_exchange.rs
+++ b/src/cluster/digest_exchange.rs
@@ -1,5 +1,5 @@
 use {
-    super::Digest,
+    super::{Digest, MAX_DIGEST_PEERS},
     crate::{gateway::Gateway, names::now_ms},
     std::{
         net::SocketAddr,
@@ -95,7 +95,8 @@
     digest.usage = usage(gateway);
     digest.loads = loads(gateway);
     digest.demand = gateway.own_demand();
-    digest.peers = gateway.peers.lock().live_addresses();
+    digest.zone = settings.node.zone.to_string();
+    digest.peers = gateway.some_peers(MAX_DIGEST_PEERS);
     digest
 }
 
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -4,6 +4,7 @@
         names::{BackendId, TenantName},
         policy::OtherDaemon,
     },
+    rand::{Rng, seq::IteratorRandom},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
@@ -84,6 +85,13 @@
         self.live().map(|p| p.digest.address).collect()
     }
 
+    /// Returns some live daemons to tell others of: any of them, so that in a
+    /// large system each daemon is named by somebody soon.
+    pub fn sample(&self, count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        let live = self.live().map(|p| p.digest.address);
+        live.choose_multiple(rng, count)
+    }
+
     /// Returns how many others count for the division of quotas.
     pub fn known(&self) -> usize {
         self.reserved().count()
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -14,6 +14,7 @@
     rand_chacha::ChaCha8Rng,
     std::{
         collections::HashMap,
+        net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -177,6 +178,14 @@
         self.rng.lock().random()
     }
 
+    /// Returns the addresses of some other daemons.
+    pub fn some_peers(&self, count: usize) -> Vec<SocketAddr> {
+        let mut rng = self.rng.lock().clone();
+        let sample = self.peers.lock().sample(count, &mut rng);
+        *self.rng.lock() = rng;
+        sample
+    }
+
     /// Returns how many daemons there are, as far as is known.
     pub fn daemons(&self) -> usize {
         let known = self.peers.lock().known() + 1;
--- a/tests/decisions/digests.rs
+++ b/tests/decisions/digests.rs
@@ -1,6 +1,11 @@
 //! What daemons tell each other fits into a datagram and is checked.
 
-use saddlepulley::{cluster::*, names::NodeName};
+use {
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    saddlepulley::{cluster::*, names::NodeName},
+    std::{collections::HashSet, net::SocketAddr},
+};
 
 fn digest(tenants: usize, loads: usize, peers: usize) -> Digest {
     let address = "10.1.2.3:8229".parse().unwrap();
@@ -66,3 +71,65 @@
     peers.tick(40_000);
     assert_eq!(peers.known(), 0);
 }
+
+/// Daemons that know three seeds and tell each other which others they know.
+struct Cluster {
+    tables: Vec<PeerTable>,
+    known: Vec<HashSet<SocketAddr>>,
+    rng: ChaCha8Rng,
+}
+
+const SEEDS: usize = 3;
+const ROUND_MS: u64 = 1_000;
+
+impl Cluster {
+    fn new(daemons: usize) -> Self {
+        Self {
+            tables: (0..daemons).map(|_| PeerTable::default()).collect(),
+            known: (0..daemons)
+                .map(|_| (0..SEEDS).map(address).collect())
+                .collect(),
+            rng: ChaCha8Rng::seed_from_u64(7),
+        }
+    }
+
+    /// Lets each daemon tell all that it knows.
+    fn round(&mut self, sequence: u64) {
+        let now_ms = sequence * ROUND_MS;
+        for from in 0..self.tables.len() {
+            self.tables[from].tick(now_ms);
+            let mut digest = Digest::new(
+                &NodeName::from(format!("n{from}").as_str()),
+                1,
+                sequence,
+                address(from),
+            );
+            digest.peers = self.tables[from].sample(MAX_DIGEST_PEERS, &mut self.rng);
+            let mut to = self.tables[from].addresses();
+            to.extend(&self.known[from]);
+            for (index, table) in self.tables.iter_mut().enumerate() {
+                if index != from && to.contains(&address(index)) {
+                    table.hear(digest.clone(), now_ms);
+                }
+            }
+        }
+    }
+
+    fn least_known(&self) -> usize {
+        self.tables.iter().map(PeerTable::known).min().unwrap()
+    }
+}
+
+fn address(daemon: usize) -> SocketAddr {
+    let [high, low] = (daemon as u16).to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 8_229))
+}
+
+#[test]
+fn in_a_large_system_every_daemon_soon_knows_all_others() {
+    let mut cluster = Cluster::new(100);
+    for sequence in 1..=6 {
+        cluster.round(sequence);
+    }
+    assert_eq!(cluster.least_known(), 99);
+}
