Two daemons of a zone read the store, the others follow them

Cause: every daemon read the store for itself. Change: daemons rank each other by name; two of a zone read, the rest hold a question at one of them, which tells changes of its directory at once (HTTP, bincode). One whose source can't be reached follows a better informed daemon until it can. Only readers watch the lease of the duties. Ruled out: longer waits of each daemon's own reads (entries change all the time, so a read never waits). Tests: decisions/sources (roles, lapse, the follower's directory).

--- a/src/backends/backend_directory.rs
+++ b/src/backends/backend_directory.rs
@@ -1,8 +1,9 @@
 use {
     super::Backend,
     crate::names::{BackendId, ServiceName},
+    serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         sync::Arc,
     },
 };
@@ -18,22 +19,49 @@
 pub struct BackendDirectory {
     by_service: HashMap<ServiceName, BTreeMap<BackendId, Arc<Backend>>>,
     service_of: HashMap<BackendId, ServiceName>,
-    /// The last heartbeat of each that is gone.
-    gone: HashMap<BackendId, u64>,
+    gone: HashMap<BackendId, Gone>,
+    /// With which revision each changed last.
+    changed: HashMap<BackendId, u64>,
+    /// Entries that went while their source was away, with until when they may
+    /// come back, in milliseconds of the daemon's steady clock.
+    lapsed: HashMap<BackendId, u64>,
     revision: u64,
+    /// Before this revision, changes can't be told one by one.
+    told_from: u64,
+}
+
+/// What is remembered of a back end that is gone.
+#[derive(Clone, Copy, Debug)]
+struct Gone {
+    heartbeat: u64,
+    revision: u64,
+}
+
+/// What has changed in a directory since a revision of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DirectoryChanges {
+    /// The revision that the changes lead to.
+    pub revision: u64,
+    /// Whether the back ends are all there are.
+    pub is_whole: bool,
+    /// Back ends as they are now.
+    pub backends: Vec<Backend>,
+    /// Back ends that are gone.
+    pub gone: Vec<BackendId>,
 }
 
 impl BackendDirectory {
     /// Takes in what a back end says; returns whether it changed anything that
     /// matters for routing.
     pub fn upsert(&mut self, mut backend: Backend) -> bool {
-        if let Some(last) = self.gone.get(&backend.id) {
-            if backend.heartbeat <= *last {
+        if let Some(gone) = self.gone.get(&backend.id) {
+            if backend.heartbeat <= gone.heartbeat {
                 return false;
             }
             self.gone.remove(&backend.id);
         }
         let id = backend.id.clone();
+        self.lapsed.remove(&id);
         if let Some(known) = self.get(&id) {
             if backend.heartbeat < known.heartbeat && !backend.draining {
                 return false;
@@ -51,6 +79,7 @@
         }
         self.store(backend);
         self.revision += 1;
+        self.changed.insert(id, self.revision);
         true
     }
 
@@ -59,29 +88,102 @@
         let Some(service) = self.service_of.remove(id) else {
             return false;
         };
+        self.revision += 1;
+        self.changed.remove(id);
+        self.lapsed.remove(id);
         let removed = self.by_service.get_mut(&service).and_then(|b| b.remove(id));
         if let Some(backend) = removed {
             if self.gone.len() >= MAX_GONE {
                 self.gone.clear();
+                self.told_from = self.revision;
             }
-            self.gone.insert(id.clone(), backend.heartbeat);
+            let gone = Gone {
+                heartbeat: backend.heartbeat,
+                revision: self.revision,
+            };
+            self.gone.insert(id.clone(), gone);
         }
-        self.revision += 1;
         true
     }
 
-    /// Replaces all that is known by a whole listing: what it lacks is gone.
-    pub fn replace(&mut self, listing: Vec<Backend>) {
-        let listed: Vec<_> = listing.iter().map(|b| b.id.clone()).collect();
+    /// Takes in that an entry is missing that may only have lapsed while its
+    /// source was away: it counts as gone if it isn't back by `until_ms`. One
+    /// that was leaving is gone at once.
+    pub fn lapse(&mut self, id: &BackendId, until_ms: u64) {
+        match self.is_ready(id) {
+            true => {
+                self.lapsed.entry(id.clone()).or_insert(until_ms);
+            }
+            false => {
+                self.remove(id);
+            }
+        }
+    }
+
+    /// Removes the entries that lapsed and did not come back in time.
+    pub fn expire_lapsed(&mut self, now_ms: u64) {
+        let is_over = |(_, until_ms): &(&BackendId, &u64)| now_ms >= **until_ms;
+        let over: Vec<_> = self.lapsed.iter().filter(is_over).collect();
+        let over: Vec<BackendId> = over.into_iter().map(|(id, _)| id.clone()).collect();
+        for id in over {
+            self.remove(&id);
+        }
+    }
+
+    /// Replaces all that is known by a whole listing. What it lacks is gone,
+    /// or has lapsed if that may be so until `lapsed_until_ms`.
+    pub fn replace(&mut self, listing: Vec<Backend>, lapsed_until_ms: Option<u64>) {
+        let listed: HashSet<_> = listing.iter().map(|b| b.id.clone()).collect();
         let known: Vec<_> = self.service_of.keys().cloned().collect();
         for id in known.into_iter().filter(|id| !listed.contains(id)) {
-            self.remove(&id);
+            match lapsed_until_ms {
+                Some(until_ms) => self.lapse(&id, until_ms),
+                None => {
+                    self.remove(&id);
+                }
+            }
         }
         for backend in listing {
             self.upsert(backend);
         }
     }
 
+    /// Returns what has changed since a revision; everything, if that can't be
+    /// told or no revision is given.
+    pub fn changes_since(&self, revision: Option<u64>) -> DirectoryChanges {
+        let known = revision.filter(|r| *r >= self.told_from && *r <= self.revision);
+        let Some(since) = known else {
+            return DirectoryChanges {
+                revision: self.revision,
+                is_whole: true,
+                backends: self.all().map(|b| b.as_ref().clone()).collect(),
+                gone: Vec::new(),
+            };
+        };
+        let changed = self.changed.iter().filter(|(_, at)| **at > since);
+        let backends = changed.filter_map(|(id, _)| self.get(id));
+        let gone = self.gone.iter().filter(|(_, gone)| gone.revision > since);
+        DirectoryChanges {
+            revision: self.revision,
+            is_whole: false,
+            backends: backends.map(|b| b.as_ref().clone()).collect(),
+            gone: gone.map(|(id, _)| id.clone()).collect(),
+        }
+    }
+
+    /// Takes in what has changed in another daemon's directory.
+    pub fn apply(&mut self, changes: DirectoryChanges) {
+        if changes.is_whole {
+            return self.replace(changes.backends, None);
+        }
+        for id in changes.gone {
+            self.remove(&id);
+        }
+        for backend in changes.backends {
+            self.upsert(backend);
+        }
+    }
+
     /// Returns a back end that is not gone.
     pub fn get(&self, id: &BackendId) -> Option<&Arc<Backend>> {
         let service = self.service_of.get(id)?;
--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -46,6 +46,8 @@
     pub config_version: u64,
     /// How long ago its source of configuration answered, in milliseconds.
     pub source_age_ms: u64,
+    /// Whether it tries to reach the source and can't.
+    pub cut_from_source: bool,
     /// Whether it holds the duties.
     pub holds_duties: bool,
     /// By tenant, the weight with which it asks for a part of the quota and
@@ -73,6 +75,7 @@
             address,
             config_version: 0,
             source_age_ms: u64::MAX,
+            cut_from_source: false,
             holds_duties: false,
             quotas: Vec::new(),
             usage: Vec::new(),
--- a/src/cluster/digest_exchange.rs
+++ b/src/cluster/digest_exchange.rs
@@ -89,7 +89,8 @@
     let address: SocketAddr = settings.listen.peers;
     let mut digest = Digest::new(&settings.node.name, gateway.incarnation, sequence, address);
     digest.config_version = gateway.table().map_or(0, |t| t.version());
-    digest.source_age_ms = source_age_ms(gateway);
+    digest.source_age_ms = gateway.source_age_ms().unwrap_or(u64::MAX);
+    digest.cut_from_source = gateway.is_cut_from_source();
     digest.holds_duties = gateway.holds_duties.load(Ordering::Relaxed);
     digest.quotas = quotas(gateway);
     digest.usage = usage(gateway);
@@ -100,14 +101,6 @@
     digest
 }
 
-/// Returns how long ago the source of configuration answered.
-pub fn source_age_ms(gateway: &Gateway) -> u64 {
-    match gateway.source_heard_ms.load(Ordering::Relaxed) {
-        0 => u64::MAX,
-        heard_ms => gateway.steady_ms().saturating_sub(heard_ms),
-    }
-}
-
 /// Brings the quotas up to date and returns what to tell of them.
 fn quotas(gateway: &Gateway) -> Vec<(String, f32, f64)> {
     let (tenants, daemons) = (gateway.tenants(), gateway.daemons());
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -65,6 +65,10 @@
         tokio::time::sleep(Duration::from_millis(spread_ms)).await;
         let mut holds = false;
         loop {
+            if !holds {
+                // Those that read the source are enough to hold the duties.
+                self.gateway.until_reading_source().await;
+            }
             let stopping = *self.gateway.phase.borrow() != GatewayPhase::Ready;
             let other_holds = self.gateway.peers.lock().has_duty_holder();
             if stopping || (!holds && other_holds) {
@@ -95,7 +99,7 @@
         if let Err(e) = self.read_on().await {
             log::info!(target: "duties", "the topic can't be read. error=\"{e}\"");
         }
-        tokio::time::sleep(WATCH_EVERY * self.gateway.call_spread()).await;
+        tokio::time::sleep(WATCH_EVERY).await;
     }
 
     fn tell(&self, holds: bool) {
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -6,9 +6,10 @@
 mod duty_runner;
 mod fleet_scaler;
 mod peer_table;
-mod state_relay;
+mod state_feed;
+mod state_source;
 
 pub use {
     digest::*, digest_exchange::*, duty_borders::*, duty_runner::*, fleet_scaler::*, peer_table::*,
-    state_relay::*,
+    state_feed::*, state_source::*,
 };
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -2,7 +2,7 @@
     super::Digest,
     crate::{
         names::{BackendId, TenantName},
-        policy::OtherDaemon,
+        policy::{OtherDaemon, ZoneDaemon},
     },
     rand::{Rng, seq::IteratorRandom},
     std::{
@@ -139,17 +139,30 @@
         self.live().any(|p| p.digest.holds_duties)
     }
 
-    /// Returns the live daemon whose source answered last, with its
-    /// configuration's version.
-    pub fn best_informed(&self) -> Option<(SocketAddr, u64, u64)> {
-        let best = self.live().min_by_key(|p| p.digest.source_age_ms);
-        best.map(|p| {
-            (
-                p.digest.address,
-                p.digest.config_version,
-                p.digest.source_age_ms,
-            )
-        })
+    /// Returns the live daemons of a zone.
+    pub fn zone_daemons(&self, zone: &str) -> Vec<ZoneDaemon<SocketAddr>> {
+        let there = self.live().filter(|p| p.digest.zone == zone);
+        let daemons = there.map(|p| ZoneDaemon {
+            name: p.digest.node.clone(),
+            address: p.digest.address,
+            cut_from_source: p.digest.cut_from_source,
+        });
+        daemons.collect()
+    }
+
+    /// Returns the live daemons that can reach their source, or follow one that
+    /// can, with their configurations' versions and the ages of the sources'
+    /// answers: the best informed first.
+    pub fn best_informed(&self) -> Vec<(SocketAddr, u64, u64)> {
+        let informed = self.live().filter(|p| !p.digest.cut_from_source);
+        let mut informed: Vec<_> = informed
+            .map(|p| {
+                let digest = &p.digest;
+                (digest.address, digest.config_version, digest.source_age_ms)
+            })
+            .collect();
+        informed.sort_by_key(|(_, _, age_ms)| *age_ms);
+        informed
     }
 
     /// Returns a live daemon with the newest configuration.
--- /dev/null
+++ b/src/cluster/state_feed.rs
@@ -0,0 +1,213 @@
+use {
+    super::StateSource,
+    crate::{
+        backends::DirectoryChanges,
+        gateway::{AnswerBody, Gateway, own_answer, serve_plain, whole_body},
+        http::{HttpClient, HttpError},
+        routing::RoutingConfig,
+    },
+    bytes::Bytes,
+    displaydoc::Display,
+    http::{Request, Response, StatusCode},
+    http_body_util::{BodyExt, Limited},
+    hyper::body::Incoming,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+const FEED_PATH: &str = "/cluster/feed";
+/// How long a question for news is held at most, in milliseconds.
+const MAX_WAIT_MS: u64 = 700;
+/// How long an answer may take, beside the time that it is held.
+const FEED_TIMEOUT: Duration = Duration::from_millis(500);
+const MAX_ASK_BYTES: usize = 1_024;
+const PAUSE: Duration = Duration::from_millis(300);
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+
+/// A daemon's question what has changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct FeedAsk {
+    /// The life of the daemon that the revision is of.
+    pub life: u64,
+    /// The revision of its directory that is known.
+    pub revision: u64,
+    /// The version of the configuration that is known.
+    pub config_version: u64,
+    /// How long to wait for news, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// What a daemon tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FeedNews {
+    /// Which life of it.
+    pub life: u64,
+    /// How old the newest answer of its source is, in milliseconds.
+    pub source_age_ms: Option<u64>,
+    /// The configuration, if it is newer than the one that is known.
+    pub config: Option<RoutingConfig>,
+    /// What has changed among the back ends.
+    pub changes: DirectoryChanges,
+}
+
+/// How a question for news failed.
+#[derive(Debug, Display, thiserror::Error)]
+pub enum FeedError {
+    /// the call failed: {0}
+    Http(#[from] HttpError),
+    /// can't be encoded: {0}
+    Encode(#[from] bincode::error::EncodeError),
+    /// not understood: {0}
+    Decode(#[from] bincode::error::DecodeError),
+}
+
+/// Tells other daemons what this one knows.
+pub async fn serve_feed(listener: TcpListener, gateway: Arc<Gateway>) {
+    serve_plain(listener, move |request| answer(gateway.clone(), request)).await;
+}
+
+async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() != FEED_PATH {
+        return own_answer(StatusCode::NOT_FOUND, "no such path");
+    }
+    let Ok(body) = Limited::new(request.into_body(), MAX_ASK_BYTES)
+        .collect()
+        .await
+    else {
+        return own_answer(StatusCode::BAD_REQUEST, "expected a short question");
+    };
+    match decode::<FeedAsk>(&body.to_bytes()) {
+        Ok(ask) => {
+            wait_for_news(&gateway, ask).await;
+            encoded(&news_for(&gateway, ask))
+        }
+        Err(e) => own_answer(StatusCode::BAD_REQUEST, &e.to_string()),
+    }
+}
+
+async fn wait_for_news(gateway: &Gateway, ask: FeedAsk) {
+    let mut news = gateway.news.subscribe();
+    let is_new = |_: &u64| {
+        let same_life = ask.life == gateway.incarnation;
+        let same = same_life && ask.revision == gateway.directory.read().revision();
+        let version = gateway.table().map_or(0, |t| t.version());
+        !same || version > ask.config_version
+    };
+    let wait = Duration::from_millis(ask.wait_ms.min(MAX_WAIT_MS));
+    // No news in time is an answer, too.
+    let _ = tokio::time::timeout(wait, news.wait_for(is_new)).await;
+}
+
+fn news_for(gateway: &Gateway, ask: FeedAsk) -> FeedNews {
+    let table = gateway.table();
+    let newer = table.filter(|t| t.version() > ask.config_version);
+    let known = (ask.life == gateway.incarnation).then_some(ask.revision);
+    FeedNews {
+        life: gateway.incarnation,
+        source_age_ms: gateway.source_age_ms(),
+        config: newer.map(|t| t.config().as_ref().clone()),
+        changes: gateway.directory.read().changes_since(known),
+    }
+}
+
+fn encoded(news: &FeedNews) -> Response<AnswerBody> {
+    match encode(news) {
+        Ok(bytes) => Response::new(whole_body(bytes)),
+        Err(e) => own_answer(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+    }
+}
+
+fn encode(message: &impl Serialize) -> Result<Bytes, FeedError> {
+    let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard())?;
+    Ok(bytes.into())
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FeedError> {
+    let (message, _) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())?;
+    Ok(message)
+}
+
+/// Follows other daemons: those of the zone that read the source, unless this
+/// one does; and any that knows more.
+pub async fn follow_daemons(gateway: Arc<Gateway>) {
+    let mut follower = Follower {
+        client: HttpClient::default(),
+        known: None,
+        failures: 0,
+        gateway,
+    };
+    loop {
+        follower.turn().await;
+    }
+}
+
+struct Follower {
+    gateway: Arc<Gateway>,
+    client: HttpClient,
+    /// Whom the last news came from, its life and its directory's revision.
+    known: Option<(SocketAddr, u64, u64)>,
+    failures: usize,
+}
+
+impl Follower {
+    async fn turn(&mut self) {
+        let source = StateSource::choose(&self.gateway, self.failures);
+        self.gateway.set_reads_source(source.reads_shared_source());
+        let Some((daemon, waits)) = source.daemon() else {
+            self.failures = 0;
+            return tokio::time::sleep(PAUSE).await;
+        };
+        match self.ask(daemon, waits).await {
+            Ok(news) => {
+                self.failures = 0;
+                self.take_in(daemon, news);
+                if !waits {
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+            Err(e) => {
+                log::info!(target: "peers", "no news. peer={daemon} error=\"{e}\"");
+                self.failures += 1;
+                tokio::time::sleep(FAILURE_PAUSE * self.failures.min(6) as u32).await;
+            }
+        }
+    }
+
+    async fn ask(&self, daemon: SocketAddr, waits: bool) -> Result<FeedNews, FeedError> {
+        let (life, revision) = match self.known {
+            Some((address, life, revision)) if address == daemon => (life, revision),
+            _ => (0, 0),
+        };
+        let ask = FeedAsk {
+            life,
+            revision,
+            config_version: self.gateway.table().map_or(0, |t| t.version()),
+            wait_ms: if waits { MAX_WAIT_MS } else { 0 },
+        };
+        let timeout = FEED_TIMEOUT + Duration::from_millis(ask.wait_ms);
+        let body = encode(&ask)?;
+        let answer = self.client.post(daemon, FEED_PATH, body, timeout).await?;
+        decode(&answer)
+    }
+
+    fn take_in(&mut self, daemon: SocketAddr, news: FeedNews) {
+        self.known = Some((daemon, news.life, news.changes.revision));
+        if let Some(config) = news.config {
+            self.gateway.apply_config(config);
+        }
+        // What is known at first hand and is newer stays.
+        let own_age_ms = self.gateway.source_age_ms().unwrap_or(u64::MAX);
+        if let Some(age_ms) = news.source_age_ms
+            && (age_ms <= own_age_ms || !*self.gateway.reads_source.borrow())
+        {
+            let changes = news.changes;
+            self.gateway
+                .change_directory(|directory, _| directory.apply(changes));
+            self.gateway.note_relayed(age_ms);
+        } else {
+            self.known = None;
+        }
+        self.gateway.check_ready();
+    }
+}
--- a/src/gateway/follow_file.rs
+++ b/src/gateway/follow_file.rs
@@ -68,7 +68,7 @@
         match RoutesFile::read(&path) {
             Ok(file) => {
                 gateway.apply_config(file.config);
-                gateway.directory.write().replace(file.backends);
+                gateway.change_directory(|directory, _| directory.replace(file.backends, None));
                 gateway.note_source();
                 gateway.check_ready();
                 last_error.clear();
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -17,7 +17,7 @@
         net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize},
         },
         time::{Duration, Instant},
     },
@@ -30,8 +30,6 @@
 const BUDGET_USE: f64 = 0.75;
 /// Daemons of a zone that are reckoned with before any is known.
 const ASSUMED_PER_ZONE: usize = 3;
-/// With how many daemons calls to the shared store begin to be spread out.
-const SMALL_SYSTEM: usize = 20;
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Whether a daemon takes new clients.
@@ -88,8 +86,12 @@
     pub open_requests: AtomicUsize,
     /// Whether this daemon has the duties that one has at a time.
     pub holds_duties: AtomicBool,
-    /// When the source of configuration last answered, by the steady clock.
-    pub source_heard_ms: AtomicU64,
+    /// The contact with the source of configuration and back ends.
+    pub source: Mutex<SourceContact>,
+    /// Whether this daemon reads the source itself.
+    pub reads_source: watch::Sender<bool>,
+    /// Rises with each change of configuration or back ends.
+    pub news: watch::Sender<u64>,
     table: RwLock<Option<Arc<RouteTable>>>,
     retries: Mutex<HashMap<ServiceName, RetryAllowance>>,
     caches: Mutex<CacheMemory>,
@@ -115,7 +117,9 @@
             phase: watch::Sender::new(GatewayPhase::Starting),
             open_requests: AtomicUsize::new(0),
             holds_duties: AtomicBool::new(false),
-            source_heard_ms: AtomicU64::new(0),
+            source: Mutex::default(),
+            reads_source: watch::Sender::new(true),
+            news: watch::Sender::new(0),
             table: RwLock::default(),
             retries: Mutex::default(),
             caches: Mutex::default(),
@@ -146,13 +150,72 @@
         }
         log::info!(target: "config", "in force. version={}", config.version);
         *table = Some(Arc::new(RouteTable::new(config)));
+        drop(table);
+        self.news.send_modify(|n| *n += 1);
         true
     }
 
-    /// Notes that the source of configuration answered.
+    /// Changes the directory of back ends, and tells those who wait for news.
+    pub fn change_directory(&self, change: impl FnOnce(&mut BackendDirectory, Option<u64>)) {
+        let now_ms = self.steady_ms();
+        let lapsed_until_ms = self.source.lock().lapsed_until_ms(now_ms);
+        let mut directory = self.directory.write();
+        let before = directory.revision();
+        change(&mut directory, lapsed_until_ms);
+        directory.expire_lapsed(now_ms);
+        let changed = directory.revision() != before;
+        drop(directory);
+        if changed {
+            self.news.send_modify(|n| *n += 1);
+        }
+    }
+
+    /// Notes that the source answered.
     pub fn note_source(&self) {
-        let now_ms = self.steady_ms().max(1);
-        self.source_heard_ms.store(now_ms, Ordering::Relaxed);
+        self.source.lock().note_answer(self.steady_ms());
+    }
+
+    /// Notes that a call to the source, begun at `began_ms`, failed.
+    pub fn note_source_failure(&self, began_ms: u64) {
+        self.source.lock().note_failure(began_ms);
+    }
+
+    /// Notes what another daemon heard of the source some time ago.
+    pub fn note_relayed(&self, age_ms: u64) {
+        let heard_ms = self.steady_ms().saturating_sub(age_ms);
+        self.source.lock().note_relayed(heard_ms);
+    }
+
+    /// Returns whether calls to the source have been failing for a while.
+    pub fn is_cut_from_source(&self) -> bool {
+        self.source.lock().is_cut(self.steady_ms())
+    }
+
+    /// Returns how old the newest answer of the source is.
+    pub fn source_age_ms(&self) -> Option<u64> {
+        self.source.lock().age_ms(self.steady_ms())
+    }
+
+    /// Sets whether this daemon reads the source itself.
+    pub fn set_reads_source(&self, reads: bool) {
+        if !reads {
+            self.source.lock().note_not_calling();
+        }
+        self.reads_source.send_if_modified(|old| {
+            let changed = *old != reads;
+            *old = reads;
+            if changed {
+                log::info!(target: "source", "role changed. reads={reads}");
+            }
+            changed
+        });
+    }
+
+    /// Waits until this daemon reads the source itself.
+    pub async fn until_reading_source(&self) {
+        let mut reads = self.reads_source.subscribe();
+        // The sender lives as long as this state.
+        let _ = reads.wait_for(|reads| *reads).await;
     }
 
     /// Becomes ready once a configuration and back ends are known.
@@ -193,12 +256,6 @@
         if known > 1 { known } else { assumed.max(1) }
     }
 
-    /// Returns how many times longer than in a small system to wait between
-    /// calls to what all daemons share.
-    pub fn call_spread(&self) -> u32 {
-        self.daemons().div_ceil(SMALL_SYSTEM) as u32
-    }
-
     /// Chooses a back end for a request; `tried` ones come last.
     pub fn place(&self, context: &RequestContext, tried: &[BackendId]) -> Option<Placement> {
         let ready: Vec<Arc<Backend>> = {
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -6,6 +6,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
         convert::Infallible,
+        future::ready,
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -131,22 +132,23 @@
 /// Answers the balancer's question whether this daemon takes new clients.
 pub async fn serve_readiness(listener: TcpListener, gateway: Arc<Gateway>) {
     serve_plain(listener, move |request| {
-        if request.method() != Method::GET {
-            return own_answer(StatusCode::METHOD_NOT_ALLOWED, "expected GET");
-        }
-        match gateway.is_ready() {
+        let is_get = request.method() == Method::GET;
+        ready(match gateway.is_ready() {
+            _ if !is_get => own_answer(StatusCode::METHOD_NOT_ALLOWED, "expected GET"),
             true => own_answer(StatusCode::OK, "ready"),
             false => own_answer(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
-        }
+        })
     })
     .await;
 }
 
-/// Serves small answers that need no waiting.
-pub async fn serve_plain(
+/// Serves small answers, each request's in its turn on its connection.
+pub async fn serve_plain<F>(
     listener: TcpListener,
-    answer: impl Fn(Request<Incoming>) -> Response<AnswerBody> + Send + Sync + 'static,
-) {
+    answer: impl Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+) where
+    F: Future<Output = Response<AnswerBody>> + Send + 'static,
+{
     let answer = Arc::new(answer);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -158,8 +160,8 @@
         }
         let answer = answer.clone();
         let service = service_fn(move |request: Request<Incoming>| {
-            let answer = answer.clone();
-            async move { Ok::<_, Infallible>(answer(request)) }
+            let answer = answer(request);
+            async move { Ok::<_, Infallible>(answer.await) }
         });
         tokio::spawn(async move {
             let connection = http1::Builder::new()
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -2,7 +2,7 @@
     super::{own_answer, serve_plain, whole_body},
     http::{Response, StatusCode},
     metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle},
-    std::{sync::LazyLock, time::Duration},
+    std::{future::ready, sync::LazyLock, time::Duration},
     tokio::net::TcpListener,
 };
 
@@ -42,9 +42,11 @@
 
 /// Starts recording, and serves the figures as text where an address is given.
 pub async fn serve_metrics(listener: TcpListener) {
-    serve_plain(listener, |request| match request.uri().path() {
-        PAGE_PATH => page(),
-        _ => own_answer(StatusCode::NOT_FOUND, "no such path"),
+    serve_plain(listener, |request| {
+        ready(match request.uri().path() {
+            PAGE_PATH => page(),
+            _ => own_answer(StatusCode::NOT_FOUND, "no such path"),
+        })
     })
     .await;
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -57,9 +57,9 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(serve_clients(clients, gateway.clone(), connections.clone()));
         tasks.spawn(serve_readiness(readiness, gateway.clone()));
-        tasks.spawn(cluster::serve_state(peers, gateway.clone()));
+        tasks.spawn(cluster::serve_feed(peers, gateway.clone()));
         tasks.spawn(cluster::exchange_digests(digests, gateway.clone()));
-        tasks.spawn(cluster::follow_peers(gateway.clone()));
+        tasks.spawn(cluster::follow_daemons(gateway.clone()));
         tasks.spawn(sweep(gateway.clone()));
         if let Some(listener) = metrics {
             tasks.spawn(serve_metrics(listener));
@@ -126,8 +126,9 @@
     metrics::gauge!(OPEN_REQUESTS).set(open as f64);
     let version = gateway.table().map_or(0, |t| t.version());
     metrics::gauge!(CONFIG_VERSION).set(version as f64);
-    let source_age_ms = cluster::source_age_ms(gateway);
-    metrics::gauge!(SOURCE_AGE).set(source_age_ms as f64 / 1_000.0);
+    if let Some(age_ms) = gateway.source_age_ms() {
+        metrics::gauge!(SOURCE_AGE).set(age_ms as f64 / 1_000.0);
+    }
     let live = gateway.peers.lock().live_addresses().len();
     metrics::gauge!(LIVE_PEERS).set(live as f64);
     let holds = gateway.holds_duties.load(Ordering::Relaxed);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,6 +25,8 @@
 mod retry;
 mod retry_allowance;
 mod retry_situation;
+mod source_contact;
+mod source_role;
 mod spill;
 mod splice;
 mod stall;
@@ -35,6 +37,6 @@
     claimant::*, concurrency::*, demand_meter::*, duty_log::*, estimate::*, fleet_plan::*,
     holder::*, lease::*, neighbours::*, placement::*, placement_cheapest::*,
     placement_keep_work::*, placement_naive::*, quota_account::*, quota_book::*, reclaim::*,
-    retry::*, retry_allowance::*, retry_situation::*, spill::*, splice::*, stall::*,
-    usage_windows::*,
+    retry::*, retry_allowance::*, retry_situation::*, source_contact::*, source_role::*, spill::*,
+    splice::*, stall::*, usage_windows::*,
 };
--- /dev/null
+++ b/src/policy/source_contact.rs
@@ -0,0 +1,61 @@
+/// For how long calls must have failed before the source counts as away, in
+/// milliseconds.
+const AWAY_AFTER_MS: u64 = 1_000;
+/// How long after its return the source may still lack entries that lapsed
+/// while it was away, in milliseconds.
+const RETURN_MS: u64 = 2_200;
+
+/// What one daemon knows of its contact with the shared source. Times are
+/// milliseconds of its steady clock.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SourceContact {
+    heard_ms: Option<u64>,
+    failing_since_ms: Option<u64>,
+    returned_ms: Option<u64>,
+}
+
+impl SourceContact {
+    /// Notes that the source answered.
+    pub fn note_answer(&mut self, now_ms: u64) {
+        if self.is_cut(now_ms) {
+            self.returned_ms = Some(now_ms);
+        }
+        self.failing_since_ms = None;
+        self.heard_ms = Some(now_ms);
+    }
+
+    /// Notes that a call to the source, begun at `began_ms`, failed.
+    pub fn note_failure(&mut self, began_ms: u64) {
+        self.failing_since_ms.get_or_insert(began_ms);
+    }
+
+    /// Notes what the source told a daemon that this one follows.
+    pub fn note_relayed(&mut self, heard_ms: u64) {
+        self.heard_ms = self.heard_ms.max(Some(heard_ms));
+    }
+
+    /// Notes that the source is no longer called: whether it could be reached
+    /// isn't known then.
+    pub fn note_not_calling(&mut self) {
+        self.failing_since_ms = None;
+    }
+
+    /// Returns how old the newest answer is; none before the first.
+    pub fn age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.heard_ms
+            .map(|heard_ms| now_ms.saturating_sub(heard_ms))
+    }
+
+    /// Returns whether calls have been failing for a while.
+    pub fn is_cut(&self, now_ms: u64) -> bool {
+        self.failing_since_ms
+            .is_some_and(|since_ms| now_ms >= since_ms + AWAY_AFTER_MS)
+    }
+
+    /// Returns until when entries that are missing may only have lapsed while
+    /// the source was away.
+    pub fn lapsed_until_ms(&self, now_ms: u64) -> Option<u64> {
+        let until_ms = self.returned_ms? + RETURN_MS;
+        (now_ms < until_ms).then_some(until_ms)
+    }
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -15,6 +15,7 @@
 mod reclaim;
 mod report;
 mod routed;
+mod sources;
 mod spill;
 mod splice;
 mod support;
--- a/tests/decisions/routed.rs
+++ b/tests/decisions/routed.rs
@@ -53,7 +53,7 @@
     let mut directory = BackendDirectory::default();
     directory.upsert(backend("a", 1, false));
     directory.upsert(backend("b", 1, false));
-    directory.replace(vec![backend("b", 2, false)]);
+    directory.replace(vec![backend("b", 2, false)], None);
     let ready: Vec<_> = directory
         .ready(&ServiceName::from("s"))
         .map(|b| b.id.clone())
--- /dev/null
+++ b/tests/decisions/sources.rs
@@ -0,0 +1,141 @@
+//! Who reads the shared source, what lapses while it is away, and what one
+//! daemon's directory tells another.
+
+use saddlepulley::{
+    backends::{Backend, BackendDirectory},
+    names::{BackendId, ServiceName, ZoneName},
+    policy::*,
+};
+
+fn daemon(index: usize) -> ZoneDaemon<usize> {
+    ZoneDaemon {
+        name: format!("n{index}"),
+        address: index,
+        cut_from_source: false,
+    }
+}
+
+fn others(daemons: &[ZoneDaemon<usize>], own: usize) -> Vec<ZoneDaemon<usize>> {
+    let others = daemons.iter().filter(|d| d.address != own);
+    others.cloned().collect()
+}
+
+fn readers(daemons: &[ZoneDaemon<usize>]) -> Vec<usize> {
+    let reads = |d: &&ZoneDaemon<usize>| {
+        source_role(&d.name, &others(daemons, d.address)) == SourceRole::Reads
+    };
+    daemons.iter().filter(reads).map(|d| d.address).collect()
+}
+
+#[test]
+fn two_daemons_of_a_zone_read_and_all_others_follow_just_these() {
+    let zone: Vec<_> = (0..29).map(daemon).collect();
+    let readers = readers(&zone);
+    assert_eq!(readers.len(), READERS_PER_ZONE);
+    let mut first_choices = [0; 29];
+    for own in (0..29).filter(|n| !readers.contains(n)) {
+        match source_role(&format!("n{own}"), &others(&zone, own)) {
+            SourceRole::Follows(followed) => {
+                assert!(followed.iter().all(|d| readers.contains(d)));
+                first_choices[followed[0]] += 1;
+            }
+            SourceRole::Reads => unreachable!("it is no reader"),
+        }
+    }
+    assert!(readers.iter().all(|d| first_choices[*d] >= 6));
+}
+
+#[test]
+fn a_reader_that_is_cut_off_or_gone_is_replaced() {
+    let mut zone: Vec<_> = (0..8).map(daemon).collect();
+    let before = readers(&zone);
+    zone[before[0]].cut_from_source = true;
+    let with_cut = readers(&zone);
+    assert!(with_cut.contains(&before[0]), "it goes on trying");
+    assert_eq!(with_cut.len(), READERS_PER_ZONE + 1);
+    zone.remove(before[0]);
+    assert_eq!(readers(&zone).len(), READERS_PER_ZONE);
+}
+
+#[test]
+fn one_that_hears_of_nobody_reads() {
+    assert_eq!(source_role::<usize>("n1", &[]), SourceRole::Reads);
+}
+
+#[test]
+fn what_is_missing_right_after_an_outage_may_have_lapsed() {
+    let mut contact = SourceContact::default();
+    contact.note_answer(1_000);
+    assert_eq!(contact.lapsed_until_ms(1_000), None, "no outage yet");
+    contact.note_failure(1_500);
+    contact.note_answer(2_000);
+    assert_eq!(contact.lapsed_until_ms(2_000), None, "one lost call");
+    contact.note_failure(3_000);
+    contact.note_failure(5_000);
+    assert!(contact.is_cut(5_000));
+    contact.note_answer(6_000);
+    assert!(contact.lapsed_until_ms(6_500).is_some());
+    assert_eq!(contact.lapsed_until_ms(8_500), None, "long back");
+}
+
+fn backend(index: u32, heartbeat: u64) -> Backend {
+    Backend {
+        id: BackendId::from(format!("b{index}").as_str()),
+        service: ServiceName::from("s"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: ZoneName::from("a"),
+        slots: 8,
+        draining: false,
+        reclaimable: false,
+        heartbeat,
+    }
+}
+
+#[test]
+fn a_lapsed_entry_gets_work_until_its_time_is_over_unless_it_was_leaving() {
+    let mut directory = BackendDirectory::default();
+    let mut leaving = backend(2, 5);
+    leaving.draining = true;
+    directory.replace(vec![backend(0, 5), backend(1, 5), leaving], None);
+    directory.replace(Vec::new(), Some(2_000));
+    assert!(directory.is_ready(&backend(0, 0).id));
+    assert!(directory.get(&backend(2, 0).id).is_none(), "it was leaving");
+    directory.upsert(backend(0, 6));
+    directory.expire_lapsed(2_000);
+    assert!(directory.is_ready(&backend(0, 0).id), "it came back");
+    assert!(directory.get(&backend(1, 0).id).is_none(), "it did not");
+}
+
+#[test]
+fn a_follower_has_the_same_back_ends_after_each_change() {
+    let mut own = BackendDirectory::default();
+    let mut theirs = BackendDirectory::default();
+    let mut known = None;
+    for step in 0..200_u32 {
+        let index = step * 7 % 13;
+        match step % 3 {
+            0 => {
+                theirs.remove(&backend(index, 0).id);
+            }
+            1 => {
+                let mut leaving = backend(index, u64::from(step));
+                leaving.draining = true;
+                theirs.upsert(leaving);
+            }
+            _ => {
+                theirs.upsert(backend(index, u64::from(step)));
+            }
+        }
+        let changes = theirs.changes_since(known);
+        known = Some(changes.revision);
+        own.apply(changes);
+        let state = |d: &BackendDirectory| {
+            let mut all: Vec<_> = d.all().map(|b| (b.id.clone(), b.draining)).collect();
+            all.sort();
+            all
+        };
+        assert_eq!(state(&own), state(&theirs), "after step {step}");
+    }
+    assert!(!theirs.changes_since(known).is_whole);
+    assert!(theirs.changes_since(None).is_whole);
+}
