Readers of the store always ask one more daemon, too

With a store that is silent to one machine, its reads ended after 2 s, and only then, or at an age of 1.8 s, did it ask another daemon. Change: each reader also holds a question at another informed daemon, the same one while it has news; news older than 1.2 s count as none. A whole listing that is older than what is known takes nothing away. Ruled out: shorter reads (more priced calls, same blindness in a hung call). Test: decisions/sources, an older listing takes nothing away.

--- a/src/backends/backend_directory.rs
+++ b/src/backends/backend_directory.rs
@@ -171,9 +171,10 @@
         }
     }
 
-    /// Takes in what has changed in another daemon's directory.
-    pub fn apply(&mut self, changes: DirectoryChanges) {
-        if changes.is_whole {
+    /// Takes in what has changed in another daemon's directory; `tells_gone`
+    /// says whether what a whole listing lacks is gone.
+    pub fn apply(&mut self, changes: DirectoryChanges, tells_gone: bool) {
+        if changes.is_whole && tells_gone {
             return self.replace(changes.backends, None);
         }
         for id in changes.gone {
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -151,18 +151,16 @@
     }
 
     /// Returns the live daemons that can reach their source, or follow one that
-    /// can, with their configurations' versions and the ages of the sources'
-    /// answers: the best informed first.
-    pub fn best_informed(&self) -> Vec<(SocketAddr, u64, u64)> {
-        let informed = self.live().filter(|p| !p.digest.cut_from_source);
+    /// can, and whose news are younger than `stale_ms`: those of a zone first,
+    /// then by the age of their news.
+    pub fn best_informed(&self, zone: &str, stale_ms: u64) -> Vec<SocketAddr> {
+        let informed = self.live().map(|p| &p.digest);
         let mut informed: Vec<_> = informed
-            .map(|p| {
-                let digest = &p.digest;
-                (digest.address, digest.config_version, digest.source_age_ms)
-            })
+            .filter(|d| !d.cut_from_source && d.source_age_ms < stale_ms)
+            .map(|d| (d.zone != zone, d.source_age_ms, d.address))
             .collect();
-        informed.sort_by_key(|(_, _, age_ms)| *age_ms);
-        informed
+        informed.sort();
+        informed.into_iter().map(|(.., address)| address).collect()
     }
 
     /// Returns a live daemon with the newest configuration.
--- a/src/cluster/state_feed.rs
+++ b/src/cluster/state_feed.rs
@@ -1,5 +1,5 @@
 use {
-    super::StateSource,
+    super::{SOURCE_STALE_MS, StateSource},
     crate::{
         backends::DirectoryChanges,
         gateway::{AnswerBody, Gateway, own_answer, serve_plain, whole_body},
@@ -152,29 +152,35 @@
 
 impl Follower {
     async fn turn(&mut self) {
-        let source = StateSource::choose(&self.gateway, self.failures);
+        let current = self.known.map(|(address, ..)| address);
+        let source = StateSource::choose(&self.gateway, current, self.failures);
         self.gateway.set_reads_source(source.reads_shared_source());
-        let Some((daemon, waits)) = source.daemon() else {
+        let Some(daemon) = source.daemon() else {
             self.failures = 0;
             return tokio::time::sleep(PAUSE).await;
         };
-        match self.ask(daemon, waits).await {
+        match self.ask(daemon).await {
             Ok(news) => {
-                self.failures = 0;
+                let is_stale = news.source_age_ms.is_none_or(|age| age > SOURCE_STALE_MS);
                 self.take_in(daemon, news);
-                if !waits {
-                    tokio::time::sleep(PAUSE).await;
+                match is_stale {
+                    false => self.failures = 0,
+                    true => self.pause_after_failure().await,
                 }
             }
             Err(e) => {
                 log::info!(target: "peers", "no news. peer={daemon} error=\"{e}\"");
-                self.failures += 1;
-                tokio::time::sleep(FAILURE_PAUSE * self.failures.min(6) as u32).await;
+                self.pause_after_failure().await;
             }
         }
     }
 
-    async fn ask(&self, daemon: SocketAddr, waits: bool) -> Result<FeedNews, FeedError> {
+    async fn pause_after_failure(&mut self) {
+        self.failures += 1;
+        tokio::time::sleep(FAILURE_PAUSE * self.failures.min(6) as u32).await;
+    }
+
+    async fn ask(&self, daemon: SocketAddr) -> Result<FeedNews, FeedError> {
         let (life, revision) = match self.known {
             Some((address, life, revision)) if address == daemon => (life, revision),
             _ => (0, 0),
@@ -183,7 +189,8 @@
             life,
             revision,
             config_version: self.gateway.table().map_or(0, |t| t.version()),
-            wait_ms: if waits { MAX_WAIT_MS } else { 0 },
+            // One that can't be reached is asked again soon, one that is stale, too.
+            wait_ms: if self.failures == 0 { MAX_WAIT_MS } else { 0 },
         };
         let timeout = FEED_TIMEOUT + Duration::from_millis(ask.wait_ms);
         let body = encode(&ask)?;
@@ -196,18 +203,17 @@
         if let Some(config) = news.config {
             self.gateway.apply_config(config);
         }
-        // What is known at first hand and is newer stays.
+        let Some(age_ms) = news.source_age_ms else {
+            return;
+        };
+        // A whole listing that is older than what is known doesn't tell what
+        // is gone.
         let own_age_ms = self.gateway.source_age_ms().unwrap_or(u64::MAX);
-        if let Some(age_ms) = news.source_age_ms
-            && (age_ms <= own_age_ms || !*self.gateway.reads_source.borrow())
-        {
-            let changes = news.changes;
-            self.gateway
-                .change_directory(|directory, _| directory.apply(changes));
-            self.gateway.note_relayed(age_ms);
-        } else {
-            self.known = None;
-        }
+        let tells_gone = age_ms <= own_age_ms;
+        let changes = news.changes;
+        self.gateway
+            .change_directory(|directory, _| directory.apply(changes, tells_gone));
+        self.gateway.note_relayed(age_ms);
         self.gateway.check_ready();
     }
 }
--- a/src/cluster/state_source.rs
+++ b/src/cluster/state_source.rs
@@ -6,82 +6,65 @@
     std::net::SocketAddr,
 };
 
-/// After how long without an answer of the source others are asked that may
-/// know more, in milliseconds.
-const SOURCE_STALE_MS: u64 = 1_800;
+/// Older answers of the source are no news, in milliseconds.
+pub const SOURCE_STALE_MS: u64 = 1_200;
 
 /// Whom a daemon learns configuration and back ends from now.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StateSource {
     /// From the shared source alone.
     Shared,
-    /// From the shared source, and from a daemon that knows more.
+    /// From the shared source, and from a daemon that may reach it while this
+    /// one can't.
     SharedAnd(SocketAddr),
-    /// From a daemon that knows more, while the shared source can't be reached.
-    InPlaceOfShared(SocketAddr),
-    /// From a daemon of the zone that reads the shared source.
+    /// From another daemon.
     Daemon(SocketAddr),
-    /// From a daemon that was heard of the source later than those of the zone.
-    BetterInformed(SocketAddr),
 }
 
 impl StateSource {
-    /// Chooses by what other daemons told of themselves, after some failures
-    /// in a row.
-    pub fn choose(gateway: &Gateway, failures: usize) -> Self {
-        let own_age_ms = gateway.source_age_ms().unwrap_or(u64::MAX);
-        let is_cut = gateway.is_cut_from_source() || own_age_ms > SOURCE_STALE_MS;
+    /// Chooses by what other daemons told of themselves. `current` is the
+    /// daemon that was asked last, `failures` how often in a row it had no news.
+    pub fn choose(gateway: &Gateway, current: Option<SocketAddr>, failures: usize) -> Self {
         let own_version = gateway.table().map_or(0, |t| t.version());
+        let own_zone = gateway.settings.node.zone.as_str();
         let peers = gateway.peers.lock();
-        let zone = peers.zone_daemons(gateway.settings.node.zone.as_str());
-        let better: Vec<SocketAddr> = match is_cut {
-            true => peers
-                .best_informed()
-                .into_iter()
-                .filter(|(_, version, age_ms)| *age_ms < SOURCE_STALE_MS || *version > own_version)
-                .map(|(address, ..)| address)
-                .collect(),
-            false => peers
-                .newest_config()
-                .filter(|(_, version)| *version > own_version)
-                .map(|(address, _)| address)
-                .into_iter()
-                .collect(),
-        };
+        let zone = peers.zone_daemons(own_zone);
+        let newer_config = peers
+            .newest_config()
+            .filter(|(_, version)| *version > own_version)
+            .map(|(address, _)| address);
+        let informed = peers.best_informed(own_zone, SOURCE_STALE_MS);
         drop(peers);
-        // After a failure the next one is asked.
-        let better = better.get(failures % better.len().max(1)).copied();
+        let others = match newer_config {
+            Some(address) if failures == 0 => vec![address],
+            _ => informed,
+        };
+        // The same one for as long as it has news: it then tells only changes.
+        let is_listed = |address: &SocketAddr| others.contains(address);
+        let other = match current.filter(is_listed) {
+            Some(current) if failures == 0 => Some(current),
+            _ => others.get(failures % others.len().max(1)).copied(),
+        };
         match source_role(gateway.settings.node.name.as_str(), &zone) {
-            SourceRole::Reads => match better {
-                Some(address) if is_cut => Self::InPlaceOfShared(address),
-                Some(address) => Self::SharedAnd(address),
-                None => Self::Shared,
-            },
-            SourceRole::Follows(readers) if failures < readers.len() => match better {
-                Some(address) if is_cut => Self::BetterInformed(address),
-                _ => Self::Daemon(readers[failures]),
-            },
-            // None of them answers: their silence will be known soon.
-            SourceRole::Follows(readers) => Self::SharedAnd(readers[failures % readers.len()]),
+            SourceRole::Follows(readers) if failures < readers.len() => {
+                Self::Daemon(readers[failures])
+            }
+            // Those that should be followed have no news: their silence will
+            // be known to all soon.
+            _ => other.map_or(Self::Shared, Self::SharedAnd),
         }
     }
 
     /// Returns whether the daemon reads the shared source itself.
     pub fn reads_shared_source(&self) -> bool {
-        matches!(
-            self,
-            Self::Shared | Self::SharedAnd(_) | Self::InPlaceOfShared(_)
-        )
+        !matches!(self, Self::Daemon(_))
     }
 
-    /// Returns the daemon to ask, and whether it is asked to wait for news.
-    pub fn daemon(&self) -> Option<(SocketAddr, bool)> {
+    /// Returns the daemon to ask.
+    pub fn daemon(&self) -> Option<SocketAddr> {
         match self {
             Self::Shared => None,
-            Self::SharedAnd(address) => Some((*address, false)),
-            Self::InPlaceOfShared(address)
-            | Self::BetterInformed(address)
-            | Self::Daemon(address) => Some((*address, true)),
+            Self::SharedAnd(address) | Self::Daemon(address) => Some(*address),
         }
     }
 }
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -128,7 +128,7 @@
         }
         let changes = theirs.changes_since(known);
         known = Some(changes.revision);
-        own.apply(changes);
+        own.apply(changes, true);
         let state = |d: &BackendDirectory| {
             let mut all: Vec<_> = d.all().map(|b| (b.id.clone(), b.draining)).collect();
             all.sort();
@@ -139,3 +139,16 @@
     assert!(!theirs.changes_since(known).is_whole);
     assert!(theirs.changes_since(None).is_whole);
 }
+
+#[test]
+fn an_older_whole_listing_takes_nothing_away() {
+    let mut own = BackendDirectory::default();
+    own.replace(vec![backend(0, 5), backend(1, 5)], None);
+    let mut theirs = BackendDirectory::default();
+    let mut leaving = backend(0, 4);
+    leaving.draining = true;
+    theirs.replace(vec![leaving], None);
+    own.apply(theirs.changes_since(None), false);
+    assert!(own.is_ready(&backend(1, 0).id), "not yet known there");
+    assert!(!own.is_ready(&backend(0, 0).id), "leaving is final");
+}
