Order reclaimable back ends for the loss of two zones, on-demand ones when the last go

Change: reclaimable ones so many that two zones' loss leaves enough (where that costs less than 0.8 of on-demand ones); on demand only what is missing and 0.6 of what the next loss would take, by the demand of 8 s; only first tries count. Ruled out: planning more use of each alone (worst seconds fall).

--- a/src/cluster/fleet_scaler.rs
+++ b/src/cluster/fleet_scaler.rs
@@ -3,7 +3,7 @@
     crate::{
         gateway::Gateway,
         names::{ServiceName, ZoneName},
-        policy::{DemandPeak, FleetBounds, ZoneFleet, needed_backends, plan_fleet},
+        policy::{DemandPeak, FleetBounds, FleetNeed, ZoneFleet, needed_backends, plan_fleet},
         routing::{Autoscaling, Service},
     },
     std::collections::{BTreeSet, HashMap},
@@ -18,7 +18,13 @@
 const NONE_LEFT_MS: u64 = 2_000;
 /// How long demand is watched before anything is lowered, in milliseconds.
 const WATCH_MS: u64 = 4_000;
-
+/// In which time a peak of demand that is not reached again is forgotten, in
+/// milliseconds: for back ends that are cheap, and for those that are dear.
+const STEADY_DECAY_MS: f64 = 30_000.0;
+const NOW_DECAY_MS: f64 = 8_000.0;
+/// How many times the back ends that are needed a fleet is taken to have that
+/// is found before demand is known.
+const FOUND_RESERVE: u32 = 3;
 /// How long fewer back ends are wanted before they are ordered, in milliseconds.
 const LOWER_AFTER_MS: u64 = 2_500;
 
@@ -31,10 +37,26 @@
     taken: bool,
 }
 
+/// A service's highest demand, over a longer and a shorter time.
+#[derive(Clone, Copy, Debug)]
+struct ServicePeaks {
+    steady: DemandPeak,
+    now: DemandPeak,
+}
+
+impl Default for ServicePeaks {
+    fn default() -> Self {
+        Self {
+            steady: DemandPeak::new(STEADY_DECAY_MS),
+            now: DemandPeak::new(NOW_DECAY_MS),
+        }
+    }
+}
+
 /// Decides which orders for back ends to place.
 #[derive(Debug, Default)]
 pub struct FleetScaler {
-    peaks: HashMap<ServiceName, DemandPeak>,
+    peaks: HashMap<ServiceName, ServicePeaks>,
     placed: HashMap<(ServiceName, ZoneName, bool), Placed>,
     /// Since when fewer are wanted than are there.
     lower_since: HashMap<(ServiceName, ZoneName, bool), u64>,
@@ -83,21 +105,25 @@
         let mut zones = zone_fleets(gateway, &service.name, scaling);
         self.add_coming(&service.name, &mut zones, now_ms);
         let demand = gateway.demand_of(&service.name);
-        let peak = self.peaks.entry(service.name.clone()).or_default();
-        let peak = peak.note(demand, now_ms);
         if demand > 0.0 {
             self.demand_since_ms.get_or_insert(now_ms);
         }
         let watched = self
             .demand_since_ms
             .is_some_and(|since| now_ms >= since + WATCH_MS);
-        let mut needed = needed_backends(peak, PROMPT_TOKENS_PER_S);
+        let peaks = self.peaks.entry(service.name.clone()).or_default();
+        let needed = |peak| needed_backends(peak, PROMPT_TOKENS_PER_S);
+        let mut need = FleetNeed {
+            steady: needed(peaks.steady.note(demand, now_ms)),
+            now: needed(peaks.now.note(demand, now_ms)),
+        };
         if !watched {
-            // Demand is not known yet: what was found is not lowered.
+            // Demand is not known yet: what was found was enough so far.
             let on_demand: u32 = zones.iter().map(|z| z.on_demand).sum();
             let found = self.found.entry(service.name.clone()).or_default();
             *found = on_demand.max(*found);
-            needed = needed.max(*found);
+            need.now = need.now.max(*found);
+            need.steady = need.steady.max(found.div_ceil(FOUND_RESERVE));
         }
         let bounds = FleetBounds {
             min_per_zone: scaling.min_per_zone,
@@ -105,7 +131,7 @@
             reclaimable_price: scaling.reclaimable_price,
         };
         let mut orders = Vec::new();
-        for (plan, zone) in plan_fleet(&zones, bounds, needed).into_iter().zip(&zones) {
+        for (plan, zone) in plan_fleet(&zones, bounds, need).into_iter().zip(&zones) {
             let order = |reclaimable, count| FleetOrder {
                 service: service.name.clone(),
                 zone: plan.zone.clone(),
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -290,7 +290,9 @@
             home.as_ref() == Some(&ready[chosen].id),
             self.directory.read().revision()
         );
-        self.note_demand(&context.service, unread_tokens);
+        if tried.is_empty() {
+            self.note_demand(&context.service, unread_tokens);
+        }
         Some(Placement {
             backend: ready[chosen].clone(),
             unread_tokens,
--- a/src/policy/demand_meter.rs
+++ b/src/policy/demand_meter.rs
@@ -22,21 +22,28 @@
     }
 }
 
-/// In which time a peak that is not reached again is forgotten, in milliseconds.
-const PEAK_DECAY_MS: f64 = 30_000.0;
-
 /// The highest demand of late: rises at once, falls slowly.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct DemandPeak {
+    decay_ms: f64,
     peak: f64,
     at_ms: u64,
 }
 
 impl DemandPeak {
+    /// Starts a peak that falls by e in some milliseconds.
+    pub fn new(decay_ms: f64) -> Self {
+        Self {
+            decay_ms,
+            peak: 0.0,
+            at_ms: 0,
+        }
+    }
+
     /// Notes the demand and returns its peak.
     pub fn note(&mut self, demand: f64, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        let decayed = self.peak * (-age_ms / PEAK_DECAY_MS).exp();
+        let decayed = self.peak * (-age_ms / self.decay_ms).exp();
         self.peak = decayed.max(demand);
         self.at_ms = now_ms;
         self.peak
--- a/src/policy/fleet_plan.rs
+++ b/src/policy/fleet_plan.rs
@@ -2,13 +2,22 @@
 
 /// Of what a back end can do, how much is planned with: the rest is for
 /// requests that come in clumps.
-const PLANNED_USE: f64 = 0.45;
-/// Of the back ends that are needed, how many can't be taken away.
-const ON_DEMAND_PART: f64 = 0.3;
+const PLANNED_USE: f64 = 0.5;
 /// Reclaimable back ends are worth their risk below this price.
 const WORTHWHILE_PRICE: f64 = 0.7;
 /// The fewest back ends that are planned for a service.
 const MIN_NEEDED: f64 = 3.0;
+/// In how many zones reclaimable back ends may be taken away before others are
+/// to be had again.
+const ZONES_TAKEN: u32 = 2;
+/// What reclaimable back ends for all of the load may cost together, beside
+/// on-demand ones for the same load.
+const MAX_RECLAIMABLE_COST: f64 = 0.8;
+/// Of the back ends that the next zone's loss would take, how many on-demand
+/// ones are ordered ahead.
+const NEXT_LOSS_COVER: f64 = 0.6;
+/// Where one zone has all back ends, how many of those needed can't be taken away.
+const LONE_ZONE_PART: f64 = 0.5;
 
 /// A zone as the planner sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -53,51 +62,65 @@
     needed.max(MIN_NEEDED).ceil() as u32
 }
 
+/// How many back ends the demand needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetNeed {
+    /// By the highest demand of late: what cheap back ends are ordered for.
+    pub steady: u32,
+    /// By the demand of now: what dear back ends are ordered for.
+    pub now: u32,
+}
+
 /// Plans a service's fleet.
 ///
-/// Reclaimable back ends carry the load where they are cheap: as many as are
-/// needed stay when any one zone's are taken away. A part is on demand, in the
-/// cheapest zones. A kind is only lowered while enough of both are there.
-pub fn plan_fleet(zones: &[ZoneFleet], bounds: FleetBounds, needed: u32) -> Vec<ZonePlan> {
-    let cheap = bounds
-        .reclaimable_price
-        .is_some_and(|p| p < WORTHWHILE_PRICE);
-    let reclaimable = match cheap {
-        true => spread(needed_with_a_zone_lost(needed, zones.len()), zones),
-        false => vec![0; zones.len()],
-    };
-    let there: u32 = zones.iter().map(|z| z.reclaimable).sum();
-    let counted_on = there + zones.iter().map(|z| z.coming).sum::<u32>();
-    let wanted: u32 = reclaimable.iter().sum();
-    let missing = wanted.saturating_sub(there);
-    let on_demand_total = match cheap {
-        true => on_demand_part(needed).max(needed.saturating_sub(counted_on)),
-        false => needed,
-    };
-    let on_demand = spread(on_demand_total, zones);
+/// Reclaimable back ends carry the load where they are cheap: so many that
+/// enough are left when those of two zones are taken away, one after the
+/// other. On-demand ones step in for what is missing and, once a zone's are
+/// gone, for a part of what the next loss would take. What is there goes on
+/// until what replaces it serves.
+pub fn plan_fleet(zones: &[ZoneFleet], bounds: FleetBounds, need: FleetNeed) -> Vec<ZonePlan> {
+    let price = bounds.reclaimable_price.unwrap_or(1.0);
+    if price >= WORTHWHILE_PRICE {
+        let on_demand = spread(need.steady, zones);
+        let plans = zones.iter().zip(on_demand);
+        return plans.map(|(z, n)| bounded(z, n, 0, bounds)).collect();
+    }
+    let reclaimable = spread(reclaimable_total(need.steady, zones.len(), price), zones);
+    let on_demand = spread(on_demand_total(zones, need.now), zones);
     let plans = zones.iter().zip(on_demand.into_iter().zip(reclaimable));
-    let plans = plans.map(|(zone, (on_demand, reclaimable))| {
-        let on_demand = match missing > 0 {
-            // What is there goes on until those that replace it serve.
-            true => on_demand.max(zone.on_demand.min(on_demand + missing)),
-            false => on_demand,
-        };
-        bounded(zone, on_demand, reclaimable, bounds)
-    });
-    plans.collect()
+    plans
+        .map(|(zone, (on_demand, reclaimable))| bounded(zone, on_demand, reclaimable, bounds))
+        .collect()
 }
 
-/// The fewest, spread evenly, of which enough are left without one zone's.
-fn needed_with_a_zone_lost(needed: u32, zones: usize) -> u32 {
-    let zones = zones as u32;
-    match zones {
-        0 | 1 => needed,
-        _ => (needed * zones).div_ceil(zones - 1),
-    }
+/// The fewest, spread evenly, of which enough are left without some zones'.
+fn reclaimable_total(needed: u32, zones: usize, price: f64) -> u32 {
+    let zones = zones.max(1) as u32;
+    let total_without = |taken: u32| (needed * zones).div_ceil(zones - taken);
+    let affordable = |taken: &u32| {
+        let cost = f64::from(total_without(*taken)) * price;
+        cost <= f64::from(needed) * MAX_RECLAIMABLE_COST
+    };
+    let most = ZONES_TAKEN.min(zones - 1);
+    let taken = (1..=most).rev().find(affordable);
+    taken.map_or(needed, total_without)
 }
 
-fn on_demand_part(needed: u32) -> u32 {
-    (f64::from(needed) * ON_DEMAND_PART).ceil() as u32
+fn on_demand_total(zones: &[ZoneFleet], needed: u32) -> u32 {
+    let there: u32 = zones.iter().map(|z| z.reclaimable).sum();
+    let coming: u32 = zones.iter().map(|z| z.coming).sum();
+    let on_demand: u32 = zones.iter().map(|z| z.on_demand).sum();
+    let missing = needed.saturating_sub(there + coming);
+    let next_loss = zones.iter().map(|z| z.reclaimable + z.coming).max();
+    let left = (there + coming).saturating_sub(next_loss.unwrap_or(0));
+    let at_risk = match zones.len() {
+        0 | 1 => f64::from(needed) * LONE_ZONE_PART,
+        _ => f64::from(needed.saturating_sub(left)) * NEXT_LOSS_COVER,
+    };
+    let ordered = missing.max(at_risk.ceil() as u32);
+    // What is there goes on until those that start by now serve.
+    let held = needed.saturating_sub(there).min(on_demand);
+    ordered.max(held)
 }
 
 /// Spreads a number evenly; what is left over goes to the cheapest zones.
