What is gone stays gone: last heartbeats are told, leaving is final after the end

Changes that daemons tell each other leave out plain heartbeats, so a follower's record of a back end that is gone held an older heartbeat than its last; a late entry of the store (heartbeats arrive again there) brought it back as ready. Change: changes tell the last heartbeat of what is gone; one that had said that it leaves never comes back under its id. Tests: decisions/sources, two that failed before.

--- a/src/backends/backend_directory.rs
+++ b/src/backends/backend_directory.rs
@@ -33,7 +33,10 @@
 /// What is remembered of a back end that is gone.
 #[derive(Clone, Copy, Debug)]
 struct Gone {
+    /// Its last heartbeat.
     heartbeat: u64,
+    /// Whether it had said that it leaves: this life of it never comes back.
+    was_leaving: bool,
     revision: u64,
 }
 
@@ -46,8 +49,8 @@
     pub is_whole: bool,
     /// Back ends as they are now.
     pub backends: Vec<Backend>,
-    /// Back ends that are gone.
-    pub gone: Vec<BackendId>,
+    /// Back ends that are gone, with their last heartbeats.
+    pub gone: Vec<(BackendId, u64)>,
 }
 
 impl BackendDirectory {
@@ -55,7 +58,7 @@
     /// matters for routing.
     pub fn upsert(&mut self, mut backend: Backend) -> bool {
         if let Some(gone) = self.gone.get(&backend.id) {
-            if backend.heartbeat <= gone.heartbeat {
+            if gone.was_leaving || backend.heartbeat <= gone.heartbeat {
                 return false;
             }
             self.gone.remove(&backend.id);
@@ -99,6 +102,7 @@
             }
             let gone = Gone {
                 heartbeat: backend.heartbeat,
+                was_leaving: backend.draining,
                 revision: self.revision,
             };
             self.gone.insert(id.clone(), gone);
@@ -167,7 +171,9 @@
             revision: self.revision,
             is_whole: false,
             backends: backends.map(|b| b.as_ref().clone()).collect(),
-            gone: gone.map(|(id, _)| id.clone()).collect(),
+            gone: gone
+                .map(|(id, gone)| (id.clone(), gone.heartbeat))
+                .collect(),
         }
     }
 
@@ -177,8 +183,12 @@
         if changes.is_whole && tells_gone {
             return self.replace(changes.backends, None);
         }
-        for id in changes.gone {
+        for (id, heartbeat) in changes.gone {
             self.remove(&id);
+            // Heartbeats that only the other daemon heard are old ones, too.
+            if let Some(gone) = self.gone.get_mut(&id) {
+                gone.heartbeat = gone.heartbeat.max(heartbeat);
+            }
         }
         for backend in changes.backends {
             self.upsert(backend);
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -152,3 +152,31 @@
     assert!(own.is_ready(&backend(1, 0).id), "not yet known there");
     assert!(!own.is_ready(&backend(0, 0).id), "leaving is final");
 }
+
+#[test]
+fn old_heartbeats_bring_nothing_back_that_is_gone_elsewhere() {
+    let mut theirs = BackendDirectory::default();
+    theirs.replace(vec![backend(0, 5), backend(1, 5)], None);
+    let mut own = BackendDirectory::default();
+    own.apply(theirs.changes_since(None), true);
+    let known = theirs.revision();
+    // Heartbeats alone are no change that is told.
+    theirs.upsert(backend(0, 9));
+    theirs.remove(&backend(0, 0).id);
+    own.apply(theirs.changes_since(Some(known)), true);
+    own.upsert(backend(0, 8));
+    assert!(!own.is_ready(&backend(0, 0).id), "an old heartbeat");
+    own.upsert(backend(0, 10));
+    assert!(own.is_ready(&backend(0, 0).id), "it lives");
+}
+
+#[test]
+fn one_that_was_leaving_never_comes_back() {
+    let mut directory = BackendDirectory::default();
+    let mut leaving = backend(0, 5);
+    leaving.draining = true;
+    directory.upsert(leaving);
+    directory.remove(&backend(0, 0).id);
+    directory.upsert(backend(0, 50));
+    assert!(!directory.is_ready(&backend(0, 0).id));
+}
