--- a/src/cli/check.rs
+++ b/src/cli/check.rs
@@ -32,11 +32,11 @@
         let failed = |e| CliError::Failed(format!("{}: {e}", path.display()));
         let file = RoutesFile::read(&path).map_err(failed)?;
         println!(
-            "{}: good. version={} routes={} backends={}",
+            "{}: good. version={} routes={} upstreams={}",
             path.display(),
             file.config.version,
             file.config.routes.len(),
-            file.backends.len()
+            file.upstreams.len()
         );
     }
     if let Some(path) = settings {
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -26,7 +26,7 @@
 pub const GATEWAY: &str = "\
 Usage: saddlepulley gateway [--settings FILE | --default-settings]
 
-Runs the daemon that routes requests by host and path to back ends, byte for
+Runs the daemon that routes requests by host and path to upstreams, byte for
 byte, until SIGTERM or SIGINT: then it takes no new clients, finishes what is
 in flight and leaves. Without --settings, the file is the one that the variable
 SADDLEPULLEY_NODE_FILE names.
--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        names::{BackendId, NodeName, TenantName},
+        names::{BoxId, ClientAccount, UpstreamId},
         policy::{QuotaNotice, TenantCounts},
     },
     bincode::{Decode, Encode},
@@ -55,7 +55,7 @@
     pub quotas: Vec<(String, f32, f64)>,
     /// Requests that began there, by window and tenant.
     pub usage: Vec<(u64, Vec<(String, u32)>)>,
-    /// Requests and waiting prompt tokens that it has at back ends.
+    /// Requests and waiting prompt tokens that it has at upstreams.
     pub loads: Vec<(String, u32, u32)>,
     /// By service, the work that it was offered, a second.
     pub demand: Vec<(String, f32)>,
@@ -65,7 +65,7 @@
 
 impl Digest {
     /// Starts a digest that tells nothing but who sends it.
-    pub fn new(node: &NodeName, incarnation: u64, sequence: u64, address: SocketAddr) -> Self {
+    pub fn new(node: &BoxId, incarnation: u64, sequence: u64, address: SocketAddr) -> Self {
         Self {
             version: DIGEST_VERSION,
             node: node.to_string(),
@@ -130,7 +130,7 @@
     pub fn quota_notices(&self) -> Vec<QuotaNotice> {
         let quotas = self.quotas.iter();
         let typed = quotas.map(|(tenant, weight, admitted)| QuotaNotice {
-            tenant: TenantName::from(tenant.as_str()),
+            tenant: ClientAccount::from(tenant.as_str()),
             weight: f64::from(*weight),
             admitted: *admitted,
         });
@@ -142,7 +142,7 @@
         let typed = |counts: &Vec<(String, u32)>| {
             let counts = counts.iter();
             counts
-                .map(|(t, n)| (TenantName::from(t.as_str()), u64::from(*n)))
+                .map(|(t, n)| (ClientAccount::from(t.as_str()), u64::from(*n)))
                 .collect()
         };
         self.usage
@@ -151,10 +151,10 @@
             .collect()
     }
 
-    /// Returns a back end's name and figures, typed.
-    pub fn typed_loads(&self) -> impl Iterator<Item = (BackendId, u32, u32)> + '_ {
+    /// Returns an upstream's name and figures, typed.
+    pub fn typed_loads(&self) -> impl Iterator<Item = (UpstreamId, u32, u32)> + '_ {
         self.loads
             .iter()
-            .map(|(id, active, tokens)| (BackendId::from(id.as_str()), *active, *tokens))
+            .map(|(id, active, tokens)| (UpstreamId::from(id.as_str()), *active, *tokens))
     }
 }
--- a/src/cluster/duty_borders.rs
+++ b/src/cluster/duty_borders.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        names::{NodeName, ServiceName, ZoneName},
+        names::{BoxId, FailureDomain, ServiceName},
         policy::TenantCounts,
     },
     async_trait::async_trait,
@@ -64,19 +64,19 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DutyClaim {
     /// The daemon.
-    pub holder: NodeName,
+    pub holder: BoxId,
     /// The fencing token.
     pub fence: u64,
 }
 
-/// An order for the number of a service's back ends in a zone.
+/// An order for the number of a service's upstreams in a zone.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FleetOrder {
     /// The service.
     pub service: ServiceName,
     /// The zone.
-    pub zone: ZoneName,
-    /// Whether back ends are meant that may be taken away.
+    pub zone: FailureDomain,
+    /// Whether upstreams are meant that may be taken away.
     pub reclaimable: bool,
     /// How many there shall be.
     pub count: u32,
@@ -87,7 +87,7 @@
 pub enum OrderEnd {
     /// It was taken.
     Taken,
-    /// No such back ends are to be had there now.
+    /// No such upstreams are to be had there now.
     NoneLeft,
 }
 
@@ -106,7 +106,7 @@
         counts: &TenantCounts,
     ) -> Result<(), BorderError>;
 
-    /// Orders back ends.
+    /// Orders upstreams.
     ///
     /// # Errors
     ///
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -119,7 +119,7 @@
             LeaseStep::Append(lease) => self.take_lease(lease).await,
             LeaseStep::Act { .. } => {
                 self.report_usage().await?;
-                self.order_backends().await?;
+                self.order_upstreams().await?;
                 Ok(true)
             }
         }
@@ -216,8 +216,8 @@
         Ok(())
     }
 
-    /// Places the orders for back ends that are due.
-    async fn order_backends(&mut self) -> Result<(), BorderError> {
+    /// Places the orders for upstreams that are due.
+    async fn order_upstreams(&mut self) -> Result<(), BorderError> {
         if !self.gateway.settings.duties.scaling {
             return Ok(());
         }
--- a/src/cluster/fleet_scaler.rs
+++ b/src/cluster/fleet_scaler.rs
@@ -2,33 +2,33 @@
     super::{FleetOrder, OrderEnd},
     crate::{
         gateway::Gateway,
-        names::{ServiceName, ZoneName},
-        policy::{DemandPeak, FleetBounds, FleetNeed, ZoneFleet, needed_backends, plan_fleet},
+        names::{FailureDomain, ServiceName},
+        policy::{DemandPeak, FleetBounds, FleetNeed, ZoneFleet, needed_upstreams, plan_fleet},
         routing::{Autoscaling, Service},
     },
     std::collections::{BTreeSet, HashMap},
 };
 
-/// What a model back end can do: prompt tokens a second.
+/// What a model upstream can do: prompt tokens a second.
 const PROMPT_TOKENS_PER_S: f64 = 30_000.0;
 /// After how long an order that shows no effect is placed again, beside the
-/// time that back ends take to start, in milliseconds.
+/// time that upstreams take to start, in milliseconds.
 const AGAIN_AFTER_MS: u64 = 2_000;
 /// After how long an order is placed again where none were left, in milliseconds.
 const NONE_LEFT_MS: u64 = 2_000;
 /// How long demand is watched before anything is lowered, in milliseconds.
 const WATCH_MS: u64 = 4_000;
 /// In which time a peak of demand that is not reached again is forgotten, in
-/// milliseconds: for back ends that are cheap, and for those that are dear.
+/// milliseconds: for upstreams that are cheap, and for those that are dear.
 const STEADY_DECAY_MS: f64 = 30_000.0;
 const NOW_DECAY_MS: f64 = 8_000.0;
-/// How many times the back ends that are needed a fleet is taken to have that
+/// How many times the upstreams that are needed a fleet is taken to have that
 /// is found before demand is known.
 const FOUND_RESERVE: u32 = 2;
-/// How long fewer back ends are wanted before they are ordered, in milliseconds.
+/// How long fewer upstreams are wanted before they are ordered, in milliseconds.
 const LOWER_AFTER_MS: u64 = 2_500;
 
-/// The order that was placed last for a kind of back end in a zone.
+/// The order that was placed last for a kind of upstream in a zone.
 #[derive(Clone, Copy, Debug)]
 struct Placed {
     count: u32,
@@ -53,15 +53,15 @@
     }
 }
 
-/// Decides which orders for back ends to place.
+/// Decides which orders for upstreams to place.
 #[derive(Debug, Default)]
 pub struct FleetScaler {
     peaks: HashMap<ServiceName, ServicePeaks>,
-    placed: HashMap<(ServiceName, ZoneName, bool), Placed>,
+    placed: HashMap<(ServiceName, FailureDomain, bool), Placed>,
     /// Since when fewer are wanted than are there.
-    lower_since: HashMap<(ServiceName, ZoneName, bool), u64>,
+    lower_since: HashMap<(ServiceName, FailureDomain, bool), u64>,
     demand_since_ms: Option<u64>,
-    /// How many on-demand back ends a service had before demand was known.
+    /// How many on-demand upstreams a service had before demand was known.
     found: HashMap<ServiceName, u32>,
 }
 
@@ -112,7 +112,7 @@
             .demand_since_ms
             .is_some_and(|since| now_ms >= since + WATCH_MS);
         let peaks = self.peaks.entry(service.name.clone()).or_default();
-        let needed = |peak| needed_backends(peak, PROMPT_TOKENS_PER_S);
+        let needed = |peak| needed_upstreams(peak, PROMPT_TOKENS_PER_S);
         let mut need = FleetNeed {
             steady: needed(peaks.steady.note(demand, now_ms)),
             now: needed(peaks.now.note(demand, now_ms)),
@@ -145,7 +145,7 @@
         orders.into_iter().map(|(order, _)| order).collect()
     }
 
-    /// Counts back ends that are ordered and start by now.
+    /// Counts upstreams that are ordered and start by now.
     fn add_coming(&self, service: &ServiceName, zones: &mut [ZoneFleet], now_ms: u64) {
         for zone in zones {
             let coming = |reclaimable| {
@@ -177,16 +177,17 @@
     }
 }
 
-fn key_of(order: &FleetOrder) -> (ServiceName, ZoneName, bool) {
+fn key_of(order: &FleetOrder) -> (ServiceName, FailureDomain, bool) {
     (order.service.clone(), order.zone.clone(), order.reclaimable)
 }
 
-/// Counts a service's back ends, in the zones that have a price or any of them.
+/// Counts a service's upstreams, in the zones that have a price or any of them.
 fn zone_fleets(gateway: &Gateway, service: &ServiceName, scaling: &Autoscaling) -> Vec<ZoneFleet> {
     let directory = gateway.directory.read();
     let of_service = || directory.ready(service);
     let priced = scaling.zone_prices.keys().cloned();
-    let names: BTreeSet<ZoneName> = priced.chain(of_service().map(|b| b.zone.clone())).collect();
+    let names: BTreeSet<FailureDomain> =
+        priced.chain(of_service().map(|b| b.zone.clone())).collect();
     let fleets = names.into_iter().map(|zone| {
         let count = |reclaimable| {
             let there = of_service().filter(|b| b.zone == zone && b.reclaimable == reclaimable);
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -1,7 +1,7 @@
 use {
     super::Digest,
     crate::{
-        names::{BackendId, TenantName},
+        names::{ClientAccount, UpstreamId},
         policy::{OtherDaemon, ZoneDaemon},
     },
     rand::{Rng, seq::IteratorRandom},
@@ -98,8 +98,8 @@
     }
 
     /// Returns what is known of the other daemons, by tenant.
-    pub fn quota_daemons(&self) -> HashMap<TenantName, Vec<OtherDaemon>> {
-        let mut daemons: HashMap<TenantName, Vec<OtherDaemon>> = HashMap::new();
+    pub fn quota_daemons(&self) -> HashMap<ClientAccount, Vec<OtherDaemon>> {
+        let mut daemons: HashMap<ClientAccount, Vec<OtherDaemon>> = HashMap::new();
         for peer in self.reserved() {
             for notice in peer.digest.quota_notices() {
                 daemons.entry(notice.tenant).or_default().push(OtherDaemon {
@@ -114,9 +114,9 @@
         daemons
     }
 
-    /// Returns requests and waiting tokens that others have at back ends.
-    pub fn loads(&self) -> HashMap<BackendId, (u32, u64)> {
-        let mut sums: HashMap<BackendId, (u32, u64)> = HashMap::new();
+    /// Returns requests and waiting tokens that others have at upstreams.
+    pub fn loads(&self) -> HashMap<UpstreamId, (u32, u64)> {
+        let mut sums: HashMap<UpstreamId, (u32, u64)> = HashMap::new();
         let fresh = self.peers.values();
         let fresh = fresh.filter(|p| !self.is_older(p, LOADS_DIGESTS));
         for (id, active, tokens) in fresh.flat_map(|p| p.digest.typed_loads()) {
--- a/src/cluster/state_feed.rs
+++ b/src/cluster/state_feed.rs
@@ -1,10 +1,10 @@
 use {
     super::{SOURCE_STALE_MS, StateSource},
     crate::{
-        backends::DirectoryChanges,
         gateway::{AnswerBody, Gateway, own_answer, serve_plain, whole_body},
         http::{HttpClient, HttpError},
         routing::RoutingConfig,
+        upstreams::DirectoryChanges,
     },
     bytes::Bytes,
     displaydoc::Display,
@@ -55,7 +55,7 @@
     /// The configuration, if it is newer than the one that is known, and small
     /// or needed from here.
     pub config: Option<RoutingConfig>,
-    /// What has changed among the back ends.
+    /// What has changed among the upstreams.
     pub changes: DirectoryChanges,
 }
 
--- a/src/cluster/state_source.rs
+++ b/src/cluster/state_source.rs
@@ -9,7 +9,7 @@
 /// Older answers of the source are no news, in milliseconds.
 pub const SOURCE_STALE_MS: u64 = 1_200;
 
-/// Whom a daemon learns configuration and back ends from now.
+/// Whom a daemon learns configuration and upstreams from now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StateSource {
     /// From the shared source alone.
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -2,7 +2,7 @@
     super::ConfError,
     crate::{
         contracts::line_of,
-        names::{NodeName, ZoneName},
+        names::{BoxId, FailureDomain},
     },
     serde::Deserialize,
     std::{
@@ -21,7 +21,7 @@
     pub node: NodeSettings,
     /// Where it listens.
     pub listen: GatewayListen,
-    /// Where configuration and back ends come from.
+    /// Where configuration and upstreams come from.
     pub source: SourceSettings,
     /// Other daemons.
     #[serde(default)]
@@ -39,12 +39,12 @@
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Its name.
-    pub name: NodeName,
+    pub name: BoxId,
     /// Its zone.
-    pub zone: ZoneName,
+    pub zone: FailureDomain,
     /// All zones, with their regions.
     #[serde(default)]
-    pub zones: BTreeMap<ZoneName, String>,
+    pub zones: BTreeMap<FailureDomain, String>,
 }
 
 /// Where the daemon listens.
@@ -62,11 +62,11 @@
     pub metrics: Option<SocketAddr>,
 }
 
-/// Where configuration and back ends come from.
+/// Where configuration and upstreams come from.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case", tag = "kind")]
 pub enum SourceSettings {
-    /// A file of routes and back ends, read again when it changes.
+    /// A file of routes and upstreams, read again when it changes.
     File {
         /// Its path.
         path: PathBuf,
@@ -117,7 +117,7 @@
 pub struct DutySettings {
     /// Whether usage is reported.
     pub usage: bool,
-    /// Whether back ends are ordered.
+    /// Whether upstreams are ordered.
     pub scaling: bool,
     /// How long the lease of the duties lasts, in milliseconds.
     pub lease_ms: u64,
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -61,7 +61,7 @@
     answer
 }
 
-/// Makes an answer with a back end's head.
+/// Makes an answer with an upstream's head.
 pub fn relayed(mut head: Parts, body: AnswerBody) -> Response<AnswerBody> {
     strip_connection_headers(&mut head.headers);
     head.version = http::Version::HTTP_11;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -1,14 +1,14 @@
 use {
     super::{Gateway, Placement, RequestContext},
-    crate::{backends::*, names::BackendId, policy::*},
+    crate::{names::UpstreamId, policy::*, upstreams::*},
 };
 
 /// What has been tried for one request.
 #[derive(Debug, Default)]
 pub struct Attempts {
-    /// The back ends that it was sent to or that could not be reached.
-    pub tried: Vec<BackendId>,
-    /// How many back ends it reached.
+    /// The upstreams that it was sent to or that could not be reached.
+    pub tried: Vec<UpstreamId>,
+    /// How many upstreams it reached.
     pub sends: u32,
     /// Whether it may have run somewhere.
     pub may_have_run: bool,
@@ -27,10 +27,10 @@
         &mut self,
         gateway: &Gateway,
         context: &RequestContext,
-        backend: &BackendId,
+        upstream: &UpstreamId,
         failure: SendFailure,
     ) -> bool {
-        self.tried.push(backend.clone());
+        self.tried.push(upstream.clone());
         let reached = !matches!(failure, SendFailure::NotSent(_));
         if reached {
             self.sends += 1;
--- a/src/gateway/event_border.rs
+++ b/src/gateway/event_border.rs
@@ -9,7 +9,7 @@
 /// An event stream's bytes, cut at the ends of events.
 ///
 /// Only whole events leave it, so that a stream that breaks off is known up to
-/// an event, from which another back end can go on.
+/// an event, from which another upstream can go on.
 #[derive(Debug, Default)]
 pub struct EventBorder {
     rest: BytesMut,
--- a/src/gateway/follow_file.rs
+++ b/src/gateway/follow_file.rs
@@ -1,6 +1,6 @@
 use {
     super::Gateway,
-    crate::{backends::Backend, contracts::line_of, routing::RoutingConfig},
+    crate::{contracts::line_of, routing::RoutingConfig, upstreams::Upstream},
     displaydoc::Display,
     serde::Deserialize,
     std::{
@@ -13,15 +13,15 @@
 
 const LOOK_EVERY: Duration = Duration::from_millis(500);
 
-/// A file of routes and back ends.
+/// A file of routes and upstreams.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct RoutesFile {
     /// The configuration.
     pub config: RoutingConfig,
-    /// The back ends.
+    /// The upstreams.
     #[serde(default)]
-    pub backends: Vec<Backend>,
+    pub upstreams: Vec<Upstream>,
 }
 
 /// What is wrong with a file of routes.
@@ -72,7 +72,7 @@
         match routes {
             Ok(file) => {
                 gateway.apply_config(file.config);
-                gateway.change_directory(|directory, _| directory.replace(file.backends, None));
+                gateway.change_directory(|directory, _| directory.replace(file.upstreams, None));
                 gateway.note_source();
                 gateway.check_ready();
                 last_error.clear();
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -1,6 +1,6 @@
 use {
     super::{attempts::Attempts, forward_whole::speaks_for_itself, send::*, *},
-    crate::{backends::*, policy::StallLimits},
+    crate::{policy::StallLimits, upstreams::*},
     bytes::Bytes,
     futures_util::stream,
     http::{Response, response::Parts},
@@ -10,7 +10,7 @@
     tokio::time::Instant,
 };
 
-/// How often a silent back end is looked at.
+/// How often a silent upstream is looked at.
 const STALL_CHECK: Duration = Duration::from_millis(200);
 
 /// Forwards a request whose answer is a series of events.
@@ -28,7 +28,7 @@
     }
 }
 
-/// An answer on its way from one back end after the other to its client.
+/// An answer on its way from one upstream after the other to its client.
 /// Dropping it cancels the request.
 struct StreamRelay {
     gateway: Arc<Gateway>,
@@ -44,7 +44,7 @@
     done: bool,
 }
 
-/// What a back end sent next.
+/// What an upstream sent next.
 enum Step {
     Events(EventRun),
     Raw(Bytes),
@@ -126,11 +126,11 @@
         Some(Err(io::ErrorKind::ConnectionAborted.into()))
     }
 
-    /// Sends the request to a back end, and on to others as long as it may.
+    /// Sends the request to an upstream, and on to others as long as it may.
     async fn open(&mut self) -> Option<()> {
         loop {
             let placement = self.attempts.place(&self.gateway, &self.context)?;
-            let backend = &placement.backend;
+            let upstream = &placement.upstream;
             match self.send_patiently(&placement).await {
                 Ok(sent) => {
                     let status = sent.answer.head.status;
@@ -140,7 +140,7 @@
                     if unfit || retry || !speaks_for_itself(status) {
                         drop(sent);
                         let failure = SendFailure::MayHaveRun(status.to_string());
-                        self.fail_at(backend, failure)?;
+                        self.fail_at(upstream, failure)?;
                         continue;
                     }
                     self.is_events = is_success && is_event_stream(&sent.answer.head);
@@ -148,13 +148,13 @@
                     self.current = Some(sent);
                     return Some(());
                 }
-                Err(failure) => self.fail_at(backend, failure)?,
+                Err(failure) => self.fail_at(upstream, failure)?,
             }
         }
     }
 
     /// Sends the request; while it could still go elsewhere, not longer than a
-    /// silent back end is waited for.
+    /// silent upstream is waited for.
     async fn send_patiently(&self, placement: &Placement) -> Result<Sent, SendFailure> {
         let send = send(&self.gateway, &self.context, placement, self.last_id);
         if !self.can_move() {
@@ -165,12 +165,12 @@
         loop {
             match tokio::time::timeout(STALL_CHECK, &mut send).await {
                 Ok(sent) => return sent,
-                Err(_) => self.check_stall(&placement.backend, started_ms)?,
+                Err(_) => self.check_stall(&placement.upstream, started_ms)?,
             }
         }
     }
 
-    /// Waits for what the back end sends next.
+    /// Waits for what the upstream sends next.
     async fn step(&mut self) -> Result<Step, SendFailure> {
         let waiting_since = self.gateway.steady_ms();
         loop {
@@ -188,8 +188,8 @@
                 if Instant::now() >= give_up_at {
                     return Err(SendFailure::MayHaveRun("the time is up".into()));
                 }
-                let backend = sent.backend.clone();
-                self.check_stall(&backend, waiting_since)?;
+                let upstream = sent.upstream.clone();
+                self.check_stall(&upstream, waiting_since)?;
                 continue;
             };
             let Some(piece) = piece else {
@@ -238,14 +238,14 @@
                 if let Some(sent) = self.current.take() {
                     log::info!(
                         target: "stream",
-                        "ended whole. request={} backend={} sends={} last_event={:?}",
+                        "ended whole. request={} upstream={} sends={} last_event={:?}",
                         self.context.id_text(),
-                        sent.backend.id,
+                        sent.upstream.id,
                         self.attempts.sends + 1,
                         self.last_id
                     );
                     let failed = sent.answer.head.status.is_server_error();
-                    self.gateway.note_outcome(&sent.backend.id, failed);
+                    self.gateway.note_outcome(&sent.upstream.id, failed);
                 }
                 Bytes::new()
             }
@@ -257,12 +257,12 @@
             && self.attempts.sends + 1 < self.context.route.max_attempts
     }
 
-    /// Gives a back end up that has been silent for too long.
-    fn check_stall(&self, backend: &Backend, waiting_since_ms: u64) -> Result<(), SendFailure> {
+    /// Gives an upstream up that has been silent for too long.
+    fn check_stall(&self, upstream: &Upstream, waiting_since_ms: u64) -> Result<(), SendFailure> {
         let now_ms = self.gateway.steady_ms();
         let last_ms = {
             let loads = self.gateway.loads.lock();
-            loads.get(&backend.id).map_or(0, |l| l.last_progress_ms)
+            loads.get(&upstream.id).map_or(0, |l| l.last_progress_ms)
         };
         let limits = StallLimits::of(&self.context.route, self.began);
         let waited_ms = now_ms.saturating_sub(waiting_since_ms);
@@ -273,25 +273,25 @@
         self.gateway
             .loads
             .lock()
-            .entry(&backend.id)
+            .entry(&upstream.id)
             .note_unreachable(now_ms);
-        Err(SendFailure::MayHaveRun("the back end is silent".into()))
+        Err(SendFailure::MayHaveRun("the upstream is silent".into()))
     }
 
     fn fail(&mut self, failure: SendFailure) -> Option<()> {
         // The old run is cancelled before a new one starts.
         let sent = self.current.take()?;
-        let backend = sent.backend.clone();
+        let upstream = sent.upstream.clone();
         drop(sent);
-        self.fail_at(&backend, failure)
+        self.fail_at(&upstream, failure)
     }
 
-    fn fail_at(&mut self, backend: &Arc<Backend>, failure: SendFailure) -> Option<()> {
+    fn fail_at(&mut self, upstream: &Arc<Upstream>, failure: SendFailure) -> Option<()> {
         self.gateway
-            .note_send_failure(&self.context, backend, &failure);
+            .note_send_failure(&self.context, upstream, &failure);
         let goes_on = self
             .attempts
-            .may_go_on(&self.gateway, &self.context, &backend.id, failure);
+            .may_go_on(&self.gateway, &self.context, &upstream.id, failure);
         goes_on.then_some(())
     }
 
--- a/src/gateway/forward_whole.rs
+++ b/src/gateway/forward_whole.rs
@@ -1,6 +1,6 @@
 use {
     super::{attempts::Attempts, send::*, *},
-    crate::backends::*,
+    crate::upstreams::*,
     bytes::Bytes,
     http::{Response, StatusCode, response::Parts},
     std::{sync::Arc, time::Duration},
@@ -19,7 +19,7 @@
     context: &RequestContext,
 ) -> Response<AnswerBody> {
     let mut attempts = Attempts::default();
-    let forward = try_back_ends(gateway, context, &mut attempts);
+    let forward = try_upstreams(gateway, context, &mut attempts);
     let answer = tokio::time::timeout_at(context.give_up_at, forward).await;
     match answer {
         Ok(Some((head, body))) => relayed(head, whole_body(body)),
@@ -28,21 +28,21 @@
     }
 }
 
-async fn try_back_ends(
+async fn try_upstreams(
     gateway: &Arc<Gateway>,
     context: &RequestContext,
     attempts: &mut Attempts,
 ) -> Option<(Parts, Bytes)> {
     loop {
         let placement = attempts.place(gateway, context)?;
-        let backend = &placement.backend;
+        let upstream = &placement.upstream;
         let failure = match send_in_time(gateway, context, &placement, attempts).await {
             Ok((head, body)) => {
                 let failed = head.status.is_server_error();
-                gateway.note_outcome(&backend.id, failed);
+                gateway.note_outcome(&upstream.id, failed);
                 let retry = failed && context.route.is_repeatable();
                 let failure = SendFailure::MayHaveRun(head.status.to_string());
-                if retry && attempts.may_go_on(gateway, context, &backend.id, failure) {
+                if retry && attempts.may_go_on(gateway, context, &upstream.id, failure) {
                     continue;
                 }
                 if !speaks_for_itself(head.status) {
@@ -54,8 +54,8 @@
             }
             Err(failure) => failure,
         };
-        gateway.note_send_failure(context, backend, &failure);
-        if !attempts.may_go_on(gateway, context, &backend.id, failure) {
+        gateway.note_send_failure(context, upstream, &failure);
+        if !attempts.may_go_on(gateway, context, &upstream.id, failure) {
             return None;
         }
     }
@@ -84,7 +84,7 @@
 }
 
 /// Returns whether a status can be passed on as it is: these promise that a
-/// request has not run, which only the back end's own header may say.
+/// request has not run, which only the upstream's own header may say.
 pub(super) fn speaks_for_itself(status: StatusCode) -> bool {
     !matches!(
         status,
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,12 +1,12 @@
 use {
     super::{attempts::Attempts, *},
     crate::{
-        backends::*,
         cluster::PeerTable,
         conf::GatewaySettings,
-        names::{BackendId, ServiceName, ZoneName},
+        names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
         routing::{RouteTable, RoutingConfig, Tenant},
+        upstreams::*,
     },
     http::{Response, StatusCode},
     parking_lot::{Mutex, RwLock},
@@ -24,7 +24,7 @@
     tokio::sync::{Notify, watch},
 };
 
-/// How fast a back end is taken to read a prompt, in tokens a millisecond.
+/// How fast an upstream is taken to read a prompt, in tokens a millisecond.
 const PROMPT_TOKENS_PER_MS: f64 = 30.0;
 /// Of the budget for repeated sends, how much is used.
 const BUDGET_USE: f64 = 0.75;
@@ -35,7 +35,7 @@
 /// Whether a daemon takes new clients.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GatewayPhase {
-    /// It lacks a configuration or back ends.
+    /// It lacks a configuration or upstreams.
     Starting,
     /// It takes clients.
     Ready,
@@ -46,8 +46,8 @@
 /// Where a request is sent.
 #[derive(Clone, Debug)]
 pub struct Placement {
-    /// The back end.
-    pub backend: Arc<Backend>,
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
     /// The prompt tokens that it is expected to read.
     pub unread_tokens: u64,
     /// Whether it is a try after one that failed: what broke that one may have
@@ -66,12 +66,12 @@
     pub names: HeaderNames,
     /// Which life of this daemon.
     pub incarnation: u64,
-    /// The back ends.
-    pub directory: RwLock<BackendDirectory>,
+    /// The upstreams.
+    pub directory: RwLock<UpstreamDirectory>,
     /// How they fare.
     pub loads: Mutex<LoadTable>,
     /// Connections to them.
-    pub pool: Arc<BackendPool>,
+    pub pool: Arc<UpstreamPool>,
     /// The other daemons.
     pub peers: Mutex<PeerTable>,
     /// Requests that began, by window and tenant.
@@ -88,11 +88,11 @@
     pub open_requests: AtomicUsize,
     /// Whether this daemon has the duties that one has at a time.
     pub holds_duties: AtomicBool,
-    /// The contact with the source of configuration and back ends.
+    /// The contact with the source of configuration and upstreams.
     pub source: Mutex<SourceContact>,
     /// Whether this daemon reads the source itself.
     pub reads_source: watch::Sender<bool>,
-    /// Rises with each change of configuration or back ends.
+    /// Rises with each change of configuration or upstreams.
     pub news: watch::Sender<u64>,
     /// The newest version of the configuration that is known of.
     pub newest_config: watch::Sender<u64>,
@@ -166,8 +166,8 @@
         true
     }
 
-    /// Changes the directory of back ends, and tells those who wait for news.
-    pub fn change_directory(&self, change: impl FnOnce(&mut BackendDirectory, Option<u64>)) {
+    /// Changes the directory of upstreams, and tells those who wait for news.
+    pub fn change_directory(&self, change: impl FnOnce(&mut UpstreamDirectory, Option<u64>)) {
         let now_ms = self.steady_ms();
         let lapsed_until_ms = self.source.lock().lapsed_until_ms(now_ms);
         let mut directory = self.directory.write();
@@ -258,7 +258,7 @@
         let _ = reads.wait_for(|reads| *reads).await;
     }
 
-    /// Becomes ready once a configuration and back ends are known.
+    /// Becomes ready once a configuration and upstreams are known.
     pub fn check_ready(&self) {
         let known = self.table().is_some() && self.directory.read().revision() > 0;
         self.phase.send_if_modified(|phase| {
@@ -296,9 +296,9 @@
         if known > 1 { known } else { assumed.max(1) }
     }
 
-    /// Chooses a back end for a request; `tried` ones come last.
-    pub fn place(&self, context: &RequestContext, tried: &[BackendId]) -> Option<Placement> {
-        let ready: Vec<Arc<Backend>> = {
+    /// Chooses an upstream for a request; `tried` ones come last.
+    pub fn place(&self, context: &RequestContext, tried: &[UpstreamId]) -> Option<Placement> {
+        let ready: Vec<Arc<Upstream>> = {
             let directory = self.directory.read();
             let ready = directory.ready(&context.service);
             ready.filter(|b| !tried.contains(&b.id)).cloned().collect()
@@ -310,10 +310,10 @@
             .map(|b| self.candidate(context, b, home.as_ref(), &peer_loads))
             .collect();
         let mut rng = self.rng.lock();
-        let chosen = choose_backend(&candidates, PROMPT_TOKENS_PER_MS, &mut *rng);
+        let chosen = choose_upstream(&candidates, PROMPT_TOKENS_PER_MS, &mut *rng);
         drop(rng);
         if tried.is_empty() {
-            // What finds no back end is demand, too.
+            // What finds no upstream is demand, too.
             let unread = chosen.map(|index| candidates[index].unread_tokens);
             let all_tokens = context.prompt.tokens();
             self.note_demand(&context.service, unread.or(all_tokens).unwrap_or(0));
@@ -329,7 +329,7 @@
         } = candidates[chosen];
         log::info!(
             target: "place",
-            "placed. request={} service={} backend={} of={} home={} unread={unread_tokens} waiting={waiting_tokens} active={active} failure_rate={failure_rate:.2} avoided={avoided} directory={}",
+            "placed. request={} service={} upstream={} of={} home={} unread={unread_tokens} waiting={waiting_tokens} active={active} failure_rate={failure_rate:.2} avoided={avoided} directory={}",
             context.id_text(),
             context.service,
             ready[chosen].id,
@@ -338,7 +338,7 @@
             self.directory.read().revision()
         );
         Some(Placement {
-            backend: ready[chosen].clone(),
+            upstream: ready[chosen].clone(),
             unread_tokens,
             is_repeat: !tried.is_empty(),
         })
@@ -347,51 +347,51 @@
     fn candidate(
         &self,
         context: &RequestContext,
-        backend: &Backend,
-        home: Option<&BackendId>,
-        peer_loads: &HashMap<BackendId, (u32, u64)>,
+        upstream: &Upstream,
+        home: Option<&UpstreamId>,
+        peer_loads: &HashMap<UpstreamId, (u32, u64)>,
     ) -> Candidate {
         let now_ms = self.steady_ms();
-        let is_home = home == Some(&backend.id);
+        let is_home = home == Some(&upstream.id);
         let unread_tokens = match is_home {
             true => own_tokens(context),
-            false => self.unread_tokens(context, backend),
+            false => self.unread_tokens(context, upstream),
         };
-        let (peer_active, peer_tokens) = peer_loads.get(&backend.id).copied().unwrap_or_default();
+        let (peer_active, peer_tokens) = peer_loads.get(&upstream.id).copied().unwrap_or_default();
         let loads = self.loads.lock();
-        let load = loads.get(&backend.id).cloned().unwrap_or_default();
+        let load = loads.get(&upstream.id).cloned().unwrap_or_default();
         Candidate {
-            avoided: load.is_avoided(now_ms) || self.is_out_of_reach(&backend.zone),
+            avoided: load.is_avoided(now_ms) || self.is_out_of_reach(&upstream.zone),
             waiting_tokens: load.waiting_tokens + peer_tokens,
             unread_tokens,
             active: load.active + peer_active,
-            slots: backend.slots,
+            slots: upstream.slots,
             failure_rate: load.failure_rate(now_ms),
-            same_zone: backend.zone == self.settings.node.zone,
+            same_zone: upstream.zone == self.settings.node.zone,
         }
     }
 
-    /// Finds the back end that all daemons send a chain of parts to, as long
+    /// Finds the upstream that all daemons send a chain of parts to, as long
     /// as its load allows.
-    fn home_of(&self, context: &RequestContext, ready: &[Arc<Backend>]) -> Option<BackendId> {
+    fn home_of(&self, context: &RequestContext, ready: &[Arc<Upstream>]) -> Option<UpstreamId> {
         let chain = context.prompt.shared_chain()?;
         let home = ready.iter().max_by_key(|b| home_rank(chain, b.id.as_str()));
         home.map(|b| b.id.clone())
     }
 
-    /// Returns how many prompt tokens a back end would have to read.
-    fn unread_tokens(&self, context: &RequestContext, backend: &Backend) -> u64 {
+    /// Returns how many prompt tokens an upstream would have to read.
+    fn unread_tokens(&self, context: &RequestContext, upstream: &Upstream) -> u64 {
         let now_ms = self.steady_ms();
         let caches = self.caches.lock();
-        let is_kept = |part: &PromptPart| caches.is_kept(&backend.id, part.chain, now_ms);
+        let is_kept = |part: &PromptPart| caches.is_kept(&upstream.id, part.chain, now_ms);
         context.prompt.unread_tokens(is_kept)
     }
 
-    /// Notes that a back end reads a request's prompt.
-    pub fn note_cached(&self, context: &RequestContext, backend: &Backend) {
+    /// Notes that an upstream reads a request's prompt.
+    pub fn note_cached(&self, context: &RequestContext, upstream: &Upstream) {
         let parts = context.prompt.parts.iter().map(|p| p.chain);
         let now_ms = self.steady_ms();
-        self.caches.lock().note(&backend.id, parts, now_ms);
+        self.caches.lock().note(&upstream.id, parts, now_ms);
     }
 
     /// Notes a first send to a service.
@@ -463,32 +463,32 @@
         admitted.map_err(Duration::from_millis)
     }
 
-    /// Notes whether a connection to a back end came up.
-    pub fn note_reach(&self, backend: &Backend, reached: bool) {
+    /// Notes whether a connection to an upstream came up.
+    pub fn note_reach(&self, upstream: &Upstream, reached: bool) {
         let now_ms = self.steady_ms();
         if reached {
-            return self.zone_reach.lock().note_reached(&backend.zone);
+            return self.zone_reach.lock().note_reached(&upstream.zone);
         }
         self.loads
             .lock()
-            .entry(&backend.id)
+            .entry(&upstream.id)
             .note_unreachable(now_ms);
         self.zone_reach
             .lock()
-            .note_unreachable(&backend.zone, &backend.id, now_ms);
+            .note_unreachable(&upstream.zone, &upstream.id, now_ms);
     }
 
     /// Returns whether another zone is cut off from this daemon.
-    fn is_out_of_reach(&self, zone: &ZoneName) -> bool {
+    fn is_out_of_reach(&self, zone: &FailureDomain) -> bool {
         zone != self.zone() && self.zone_reach.lock().is_avoided(zone, self.steady_ms())
     }
 
-    /// Notes how a request ended at a back end.
-    pub fn note_outcome(&self, backend: &BackendId, failed: bool) {
+    /// Notes how a request ended at an upstream.
+    pub fn note_outcome(&self, upstream: &UpstreamId, failed: bool) {
         let now_ms = self.steady_ms();
         self.loads
             .lock()
-            .entry(backend)
+            .entry(upstream)
             .note_outcome(failed, now_ms);
     }
 
@@ -496,19 +496,19 @@
     pub fn note_send_failure(
         &self,
         context: &RequestContext,
-        backend: &Backend,
+        upstream: &Upstream,
         failure: &SendFailure,
     ) {
         metrics::counter!(FAILED_SENDS, "run" => failure.kind()).increment(1);
         if !matches!(failure, SendFailure::NotSent(_)) {
-            self.note_outcome(&backend.id, true);
+            self.note_outcome(&upstream.id, true);
         }
         log::warn!(
             target: "send",
-            "failed. request={} backend={} zone={} cause=\"{failure}\"",
+            "failed. request={} upstream={} zone={} cause=\"{failure}\"",
             context.id_text(),
-            backend.id,
-            backend.zone
+            upstream.id,
+            upstream.zone
         );
     }
 
@@ -551,13 +551,13 @@
         }
         refusal(
             StatusCode::SERVICE_UNAVAILABLE,
-            "no back end took the request",
+            "no upstream took the request",
             SHORT_RETRY_AFTER,
         )
     }
 
     /// Returns the zone of this daemon.
-    pub fn zone(&self) -> &ZoneName {
+    pub fn zone(&self) -> &FailureDomain {
         &self.settings.node.zone
     }
 
@@ -567,13 +567,13 @@
         table.map_or_else(Vec::new, |t| t.config().tenants.clone())
     }
 
-    /// Forgets what concerns back ends that are gone.
+    /// Forgets what concerns upstreams that are gone.
     pub fn sweep(&self) {
-        let known: Vec<BackendId> = {
+        let known: Vec<UpstreamId> = {
             let directory = self.directory.read();
             directory.all().map(|b| b.id.clone()).collect()
         };
-        let is_known = |id: &BackendId| known.contains(id);
+        let is_known = |id: &UpstreamId| known.contains(id);
         self.pool.sweep(is_known);
         self.loads.lock().retain(is_known);
         self.caches.lock().retain(is_known);
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -1,6 +1,6 @@
 use http::HeaderName;
 
-/// The names of the headers by which clients, daemons and back ends tell each
+/// The names of the headers by which clients, daemons and upstreams tell each
 /// other about a request. The product has its own; an adapter may bring others.
 #[derive(Clone, Debug)]
 pub struct HeaderNames {
@@ -10,7 +10,7 @@
     pub deadline_ms: HeaderName,
     /// The client's key.
     pub api_key: HeaderName,
-    /// The tenant that the key belongs to; set for back ends.
+    /// The tenant that the key belongs to; set for upstreams.
     pub tenant: HeaderName,
     /// The prompt's parts in order, as `id:tokens` joined by commas.
     pub prompt_parts: HeaderName,
@@ -18,13 +18,13 @@
     pub token_count: HeaderName,
     /// The last event that the receiver has.
     pub last_event_id: HeaderName,
-    /// Set by a back end that did not run the request.
+    /// Set by an upstream that did not run the request.
     pub not_run: HeaderName,
-    /// The life of a back end that shall run the request.
-    pub expected_backend: HeaderName,
-    /// The rank of the request at a back end; 0 is first.
+    /// The life of an upstream that shall run the request.
+    pub expected_upstream: HeaderName,
+    /// The rank of the request at an upstream; 0 is first.
     pub priority: HeaderName,
-    /// The back end's signature of its answer.
+    /// The upstream's signature of its answer.
     pub signature: HeaderName,
 }
 
@@ -40,7 +40,7 @@
             token_count: name("saddlepulley-token-count"),
             last_event_id: name("last-event-id"),
             not_run: name("x-not-started"),
-            expected_backend: name("saddlepulley-expected-backend"),
+            expected_upstream: name("saddlepulley-expected-upstream"),
             priority: name("saddlepulley-priority"),
             signature: name("saddlepulley-signature"),
         }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -233,7 +233,7 @@
         &names.api_key,
         &names.tenant,
         &names.deadline_ms,
-        &names.expected_backend,
+        &names.expected_upstream,
         &names.priority,
     ];
     for name in ours {
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,6 +1,6 @@
 use {
     super::*,
-    crate::backends::set_socket_options,
+    crate::upstreams::set_socket_options,
     http::{HeaderValue, Method, Request, Response, StatusCode, header},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -10,7 +10,7 @@
 pub const ANSWERS: &str = "saddlepulley_answers_total";
 /// The time to the head of an answer, in seconds, by route kind.
 pub const ANSWER_SECONDS: &str = "saddlepulley_answer_seconds";
-/// Counts sends to back ends that failed, by what is known of the run.
+/// Counts sends to upstreams that failed, by what is known of the run.
 pub const FAILED_SENDS: &str = "saddlepulley_failed_sends_total";
 /// Counts requests refused for their tenant's quota.
 pub const QUOTA_REFUSALS: &str = "saddlepulley_quota_refusals_total";
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -30,7 +30,7 @@
 }
 
 impl GatewayProcess {
-    /// Starts listening; configuration and back ends are fed to the state.
+    /// Starts listening; configuration and upstreams are fed to the state.
     ///
     /// # Errors
     ///
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -1,7 +1,7 @@
 use {
     super::Prompt,
     crate::{
-        names::{ServiceName, TenantName},
+        names::{ClientAccount, ServiceName},
         routing::Route,
     },
     bytes::Bytes,
@@ -20,7 +20,7 @@
     /// The service that it goes to.
     pub service: ServiceName,
     /// Whose it is; none on public routes.
-    pub tenant: Option<TenantName>,
+    pub tenant: Option<ClientAccount>,
     /// Its rank; 0 is the most urgent.
     pub priority: u8,
     /// The method.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,45 +1,45 @@
 use {
     super::{Gateway, Placement, RequestContext},
-    crate::{backends::*, names::BackendId},
+    crate::{names::UpstreamId, upstreams::*},
     http::{HeaderValue, Request, StatusCode, Version},
     http_body_util::Full,
     std::{sync::Arc, time::Duration},
 };
 
-/// How long opening a connection to a back end may take.
+/// How long opening a connection to an upstream may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// A request that may run once only goes out on a connection that has rested
 /// less than this: one that rested longer may just be closing.
 const FRESH: Duration = Duration::from_secs(2);
 const ANY_REST: Duration = Duration::from_secs(60);
 
-/// Counts a request at a back end for as long as it is there.
+/// Counts a request at an upstream for as long as it is there.
 #[derive(Debug)]
 pub struct ActiveSend {
     gateway: Arc<Gateway>,
-    backend: BackendId,
+    upstream: UpstreamId,
     waiting_tokens: u64,
 }
 
 impl ActiveSend {
-    fn start(gateway: &Arc<Gateway>, backend: &BackendId, waiting_tokens: u64) -> Self {
+    fn start(gateway: &Arc<Gateway>, upstream: &UpstreamId, waiting_tokens: u64) -> Self {
         let mut loads = gateway.loads.lock();
-        let load = loads.entry(backend);
+        let load = loads.entry(upstream);
         load.active += 1;
         load.waiting_tokens += waiting_tokens;
         drop(loads);
         Self {
             gateway: gateway.clone(),
-            backend: backend.clone(),
+            upstream: upstream.clone(),
             waiting_tokens,
         }
     }
 
-    /// Notes that the back end sent something.
+    /// Notes that the upstream sent something.
     pub fn progress(&mut self) {
         let now_ms = self.gateway.steady_ms();
         let mut loads = self.gateway.loads.lock();
-        let load = loads.entry(&self.backend);
+        let load = loads.entry(&self.upstream);
         load.note_progress(now_ms);
         load.waiting_tokens = load.waiting_tokens.saturating_sub(self.waiting_tokens);
         self.waiting_tokens = 0;
@@ -49,24 +49,24 @@
 impl Drop for ActiveSend {
     fn drop(&mut self) {
         let mut loads = self.gateway.loads.lock();
-        let load = loads.entry(&self.backend);
+        let load = loads.entry(&self.upstream);
         load.active = load.active.saturating_sub(1);
         load.waiting_tokens = load.waiting_tokens.saturating_sub(self.waiting_tokens);
     }
 }
 
-/// A request that is out at a back end.
+/// A request that is out at an upstream.
 #[derive(Debug)]
 pub struct Sent {
-    /// The back end.
-    pub backend: Arc<Backend>,
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
     /// The answer, its body still to be read.
     pub answer: OpenAnswer,
-    /// Counts the request at the back end.
+    /// Counts the request at the upstream.
     pub active: ActiveSend,
 }
 
-/// Sends a request to a back end and waits for the answer's head.
+/// Sends a request to an upstream and waits for the answer's head.
 ///
 /// # Errors
 ///
@@ -77,20 +77,20 @@
     placement: &Placement,
     last_event_id: Option<u64>,
 ) -> Result<Sent, SendFailure> {
-    let backend = &placement.backend;
-    let mut active = ActiveSend::start(gateway, &backend.id, placement.unread_tokens);
+    let upstream = &placement.upstream;
+    let mut active = ActiveSend::start(gateway, &upstream.id, placement.unread_tokens);
     let connection = connect(gateway, context, placement).await?;
-    // What is true now counts, not what was when the back end was chosen.
-    if !gateway.directory.read().is_ready(&backend.id) {
-        return Err(SendFailure::NotSent("the back end is leaving".into()));
+    // What is true now counts, not what was when the upstream was chosen.
+    if !gateway.directory.read().is_ready(&upstream.id) {
+        return Err(SendFailure::NotSent("the upstream is leaving".into()));
     }
-    gateway.note_cached(context, backend);
-    let request = build_request(gateway, context, backend, last_event_id);
-    let answer = OpenAnswer::open(&gateway.pool, &backend.id, connection, request).await?;
+    gateway.note_cached(context, upstream);
+    let request = build_request(gateway, context, upstream, last_event_id);
+    let answer = OpenAnswer::open(&gateway.pool, &upstream.id, connection, request).await?;
     active.progress();
     check_head(gateway, context, &answer)?;
     Ok(Sent {
-        backend: backend.clone(),
+        upstream: upstream.clone(),
         answer,
         active,
     })
@@ -100,26 +100,26 @@
     gateway: &Gateway,
     context: &RequestContext,
     placement: &Placement,
-) -> Result<BackendConnection, SendFailure> {
-    let backend = &placement.backend;
+) -> Result<UpstreamConnection, SendFailure> {
+    let upstream = &placement.upstream;
     let max_rest = match context.route.is_repeatable() {
         _ if placement.is_repeat => Duration::ZERO,
         true => ANY_REST,
         false => FRESH,
     };
-    if let Some(connection) = gateway.pool.take(&backend.id, max_rest) {
+    if let Some(connection) = gateway.pool.take(&upstream.id, max_rest) {
         return Ok(connection);
     }
     let timeout = CONNECT_TIMEOUT.min(context.time_left());
-    let connected = BackendPool::connect(backend.address, timeout).await;
-    gateway.note_reach(backend, connected.is_ok());
+    let connected = UpstreamPool::connect(upstream.address, timeout).await;
+    gateway.note_reach(upstream, connected.is_ok());
     connected
 }
 
 fn build_request(
     gateway: &Gateway,
     context: &RequestContext,
-    backend: &Backend,
+    upstream: &Upstream,
     last_event_id: Option<u64>,
 ) -> Request<Full<bytes::Bytes>> {
     let names = &gateway.names;
@@ -135,8 +135,8 @@
         &names.priority,
         HeaderValue::from(u16::from(context.priority)),
     );
-    if let Ok(id) = HeaderValue::from_str(backend.id.as_str()) {
-        headers.insert(&names.expected_backend, id);
+    if let Ok(id) = HeaderValue::from_str(upstream.id.as_str()) {
+        headers.insert(&names.expected_upstream, id);
     }
     if let Some(tenant) = &context.tenant
         && let Ok(tenant) = HeaderValue::from_str(tenant.as_str())
@@ -149,7 +149,7 @@
     request
 }
 
-/// Checks that an answer belongs to the request and that the back end ran it.
+/// Checks that an answer belongs to the request and that the upstream ran it.
 fn check_head(
     gateway: &Gateway,
     context: &RequestContext,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,7 +2,6 @@
 //! services on cheap, reclaimable boxes.
 
 pub mod app;
-pub mod backends;
 pub mod boxes;
 pub mod caller;
 pub mod cli;
@@ -24,3 +23,4 @@
 pub mod report;
 pub mod requests;
 pub mod routing;
+pub mod upstreams;
--- a/src/names/name.rs
+++ b/src/names/name.rs
@@ -58,18 +58,6 @@
     PolicyName
 }
 name_type! {
-    /// The id of one life of a back end: a restart brings a new one.
-    BackendId
-}
-name_type! {
-    /// The name of a zone: machines that can be lost or cut off together.
-    ZoneName
-}
-name_type! {
-    /// The name of a tenant, as it stands in the configuration.
-    TenantName
-}
-name_type! {
-    /// The name of a daemon's machine.
-    NodeName
+    /// The id of one life of an upstream: a restart brings a new one.
+    UpstreamId
 }
--- a/src/policy/choose_backend.rs
+++ b/src/policy/choose_upstream.rs
@@ -1,17 +1,17 @@
 use rand::Rng;
 
-/// How much a request that runs at a back end slows a new one, in milliseconds.
+/// How much a request that runs at an upstream slows a new one, in milliseconds.
 const PER_ACTIVE_MS: f64 = 3.0;
-/// What a back end costs that fails every request, in milliseconds.
+/// What an upstream costs that fails every request, in milliseconds.
 const FAILURE_PENALTY_MS: f64 = 3_000.0;
 /// What a send into another zone costs, in milliseconds.
 const OTHER_ZONE_MS: f64 = 4.0;
 /// Spreads daemons that see the same figures, in milliseconds.
 const JITTER_MS: f64 = 4.0;
-/// What a back end costs that has no free slot, in milliseconds.
+/// What an upstream costs that has no free slot, in milliseconds.
 const FULL_PENALTY_MS: f64 = 500.0;
 
-/// A back end that a request could be sent to.
+/// An upstream that a request could be sent to.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
     /// Whether it should be left alone if there is another.
@@ -48,7 +48,7 @@
 }
 
 /// Chooses the cheapest candidate; returns its index.
-pub fn choose_backend(
+pub fn choose_upstream(
     candidates: &[Candidate],
     tokens_per_ms: f64,
     rng: &mut impl Rng,
@@ -64,10 +64,10 @@
     cheapest.map(|(index, _)| index)
 }
 
-/// Returns the rank of a back end for a chain of prompt parts: the one with the
+/// Returns the rank of an upstream for a chain of prompt parts: the one with the
 /// highest rank is the chain's home, on every daemon that knows the same ones.
-pub fn home_rank(chain: u64, backend: &str) -> u64 {
+pub fn home_rank(chain: u64, upstream: &str) -> u64 {
     let mut bytes = chain.to_le_bytes().to_vec();
-    bytes.extend_from_slice(backend.as_bytes());
+    bytes.extend_from_slice(upstream.as_bytes());
     rapidhash::v3::rapidhash_v3(&bytes)
 }
--- a/src/policy/fleet_plan.rs
+++ b/src/policy/fleet_plan.rs
@@ -1,37 +1,37 @@
-use crate::names::ZoneName;
+use crate::names::FailureDomain;
 
-/// Of what a back end can do, how much is planned with: the rest is for
+/// Of what an upstream can do, how much is planned with: the rest is for
 /// requests that come in clumps.
 const PLANNED_USE: f64 = 0.4;
-/// Reclaimable back ends are worth their risk below this price.
+/// Reclaimable upstreams are worth their risk below this price.
 const WORTHWHILE_PRICE: f64 = 0.7;
-/// The fewest back ends that are planned for a service.
+/// The fewest upstreams that are planned for a service.
 const MIN_NEEDED: f64 = 3.0;
-/// In how many zones reclaimable back ends may be taken away before others are
+/// In how many zones reclaimable upstreams may be taken away before others are
 /// to be had again.
 const ZONES_TAKEN: u32 = 2;
-/// What reclaimable back ends for all of the load may cost together, beside
+/// What reclaimable upstreams for all of the load may cost together, beside
 /// on-demand ones for the same load.
 const MAX_RECLAIMABLE_COST: f64 = 0.8;
-/// Of the back ends that the next zone's loss would take, how many on-demand
+/// Of the upstreams that the next zone's loss would take, how many on-demand
 /// ones are ordered ahead.
 const NEXT_LOSS_COVER: f64 = 0.8;
-/// While reclaimable back ends are missing, what starts in their place has to
+/// While reclaimable upstreams are missing, what starts in their place has to
 /// read prompts anew that they had at hand: so many times the work.
 const COLD_WORK: f64 = 1.3;
-/// Where one zone has all back ends, how many of those needed can't be taken away.
+/// Where one zone has all upstreams, how many of those needed can't be taken away.
 const LONE_ZONE_PART: f64 = 0.5;
 
 /// A zone as the planner sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ZoneFleet {
     /// The zone.
-    pub zone: ZoneName,
-    /// What a second of a back end costs there.
+    pub zone: FailureDomain,
+    /// What a second of an upstream costs there.
     pub price: f64,
-    /// Back ends there that can't be taken away.
+    /// Upstreams there that can't be taken away.
     pub on_demand: u32,
-    /// Back ends there that can be taken away and have not been told to leave.
+    /// Upstreams there that can be taken away and have not been told to leave.
     pub reclaimable: u32,
     /// Reclaimable ones that are ordered and start by now.
     pub coming: u32,
@@ -40,43 +40,43 @@
 /// Bounds of a service's fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetBounds {
-    /// The least back ends of a zone, of both kinds together.
+    /// The least upstreams of a zone, of both kinds together.
     pub min_per_zone: u32,
-    /// The most back ends of a zone, of both kinds together.
+    /// The most upstreams of a zone, of both kinds together.
     pub max_per_zone: u32,
-    /// The price of a reclaimable back end as a share of the other kind's.
+    /// The price of a reclaimable upstream as a share of the other kind's.
     pub reclaimable_price: Option<f64>,
 }
 
-/// How many back ends a zone shall have.
+/// How many upstreams a zone shall have.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ZonePlan {
     /// The zone.
-    pub zone: ZoneName,
+    pub zone: FailureDomain,
     /// Those that can't be taken away.
     pub on_demand: u32,
     /// Those that can.
     pub reclaimable: u32,
 }
 
-/// Returns how many back ends the demand needs; `capacity` is what one can do.
-pub fn needed_backends(demand: f64, capacity: f64) -> u32 {
+/// Returns how many upstreams the demand needs; `capacity` is what one can do.
+pub fn needed_upstreams(demand: f64, capacity: f64) -> u32 {
     let needed = demand / (capacity * PLANNED_USE).max(f64::MIN_POSITIVE);
     needed.max(MIN_NEEDED).ceil() as u32
 }
 
-/// How many back ends the demand needs.
+/// How many upstreams the demand needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FleetNeed {
-    /// By the highest demand of late: what cheap back ends are ordered for.
+    /// By the highest demand of late: what cheap upstreams are ordered for.
     pub steady: u32,
-    /// By the demand of now: what dear back ends are ordered for.
+    /// By the demand of now: what dear upstreams are ordered for.
     pub now: u32,
 }
 
 /// Plans a service's fleet.
 ///
-/// Reclaimable back ends carry the load where they are cheap: so many that
+/// Reclaimable upstreams carry the load where they are cheap: so many that
 /// enough are left when those of two zones are taken away, one after the
 /// other. On-demand ones step in for what is missing and, once a zone's are
 /// gone, for a part of what the next loss would take. What is there goes on
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -3,7 +3,7 @@
 mod admission;
 mod box_state;
 mod cache_memory;
-mod choose_backend;
+mod choose_upstream;
 mod claim;
 mod claim_fold;
 mod claimant;
@@ -34,7 +34,7 @@
 mod zone_reach;
 
 pub use {
-    admission::*, box_state::*, cache_memory::*, choose_backend::*, claim::*, claim_fold::*,
+    admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
     claimant::*, concurrency::*, demand_meter::*, duty_log::*, estimate::*, fleet_plan::*,
     holder::*, lease::*, neighbours::*, placement::*, placement_cheapest::*,
     placement_keep_work::*, placement_naive::*, quota_account::*, quota_book::*, reclaim::*,
--- a/src/policy/quota_book.rs
+++ b/src/policy/quota_book.rs
@@ -1,6 +1,6 @@
 use {
     super::{OtherDaemon, QuotaAccount},
-    crate::{names::TenantName, routing::Tenant},
+    crate::{names::ClientAccount, routing::Tenant},
     std::collections::{HashMap, VecDeque},
 };
 
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaNotice {
     /// The tenant.
-    pub tenant: TenantName,
+    pub tenant: ClientAccount,
     /// The weight with which it asks for a part of the rate.
     pub weight: f64,
     /// What it has let in since it started.
@@ -22,9 +22,9 @@
 /// All tenants' quotas as one daemon sees them.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaBook {
-    accounts: HashMap<TenantName, QuotaAccount>,
+    accounts: HashMap<ClientAccount, QuotaAccount>,
     /// The weights that were announced last, the newest at the end.
-    announced: HashMap<TenantName, VecDeque<f64>>,
+    announced: HashMap<ClientAccount, VecDeque<f64>>,
 }
 
 impl QuotaBook {
@@ -76,7 +76,7 @@
     pub fn tick(
         &mut self,
         tenants: &[Tenant],
-        others: &HashMap<TenantName, Vec<OtherDaemon>>,
+        others: &HashMap<ClientAccount, Vec<OtherDaemon>>,
         daemons: usize,
         now_ms: u64,
     ) -> Vec<QuotaNotice> {
--- a/src/policy/retry_situation.rs
+++ b/src/policy/retry_situation.rs
@@ -1,6 +1,6 @@
 /// The least time in which it makes sense to send a request again, in milliseconds.
 const MIN_TIME_LEFT_MS: u64 = 30;
-/// How many back ends are tried at most, unreachable ones included.
+/// How many upstreams are tried at most, unreachable ones included.
 const MAX_TRIED: usize = 6;
 
 /// Where a request stands after a try that failed.
@@ -10,7 +10,7 @@
     pub may_have_run: bool,
     /// Whether it may run more than once.
     pub repeatable: bool,
-    /// How many back ends it has reached.
+    /// How many upstreams it has reached.
     pub sends: u32,
     /// How many it may reach.
     pub max_sends: u32,
@@ -21,7 +21,7 @@
 }
 
 impl RetrySituation {
-    /// Returns whether the request may be sent to another back end.
+    /// Returns whether the request may be sent to another upstream.
     pub fn allows_another(&self) -> bool {
         let safe = self.repeatable || !self.may_have_run;
         safe && self.sends < self.max_sends
--- a/src/policy/stall.rs
+++ b/src/policy/stall.rs
@@ -3,19 +3,19 @@
 /// The pause between events that is expected where a route names none, in
 /// milliseconds.
 const DEFAULT_GAP_MS: u64 = 1_000;
-/// How many times the wanted pause a back end may be silent on all connections.
+/// How many times the wanted pause an upstream may be silent on all connections.
 const SILENT_GAPS: f64 = 1.4;
-/// How many times the wanted pause a stream may pause while its back end
+/// How many times the wanted pause a stream may pause while its upstream
 /// serves others.
 const PAUSED_GAPS: f64 = 4.0;
 /// How many times the wanted latency a first event may take.
 const FIRST_SILENT: f64 = 0.8;
 const FIRST_PAUSED: f64 = 3.0;
 
-/// How long a stream is waited for before it is moved to another back end.
+/// How long a stream is waited for before it is moved to another upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StallLimits {
-    /// While the back end sends nothing to anybody, in milliseconds.
+    /// While the upstream sends nothing to anybody, in milliseconds.
     pub silent_ms: u64,
     /// While it serves others, in milliseconds.
     pub paused_ms: u64,
--- a/src/policy/usage_windows.rs
+++ b/src/policy/usage_windows.rs
@@ -1,10 +1,10 @@
-use {crate::names::TenantName, std::collections::BTreeMap};
+use {crate::names::ClientAccount, std::collections::BTreeMap};
 
 /// How many windows are kept.
 const KEPT_WINDOWS: usize = 8;
 
 /// Requests that began to run, by tenant.
-pub type TenantCounts = BTreeMap<TenantName, u64>;
+pub type TenantCounts = BTreeMap<ClientAccount, u64>;
 
 /// Counts of requests that began to run, by window of the wall clock.
 #[derive(Clone, Debug, Default)]
@@ -16,7 +16,7 @@
 
 impl UsageWindows {
     /// Notes a request that began here.
-    pub fn note(&mut self, window: u64, tenant: &TenantName) {
+    pub fn note(&mut self, window: u64, tenant: &ClientAccount) {
         let counts = self.own.entry(window).or_default();
         *counts.entry(tenant.clone()).or_default() += 1;
         trim(&mut self.own);
--- a/src/routing/route.rs
+++ b/src/routing/route.rs
@@ -58,12 +58,12 @@
     pub priority: u8,
     /// Where the requests go.
     pub services: Vec<WeightedService>,
-    /// How many back ends one request may be sent to.
+    /// How many upstreams one request may be sent to.
     pub max_attempts: u32,
     /// Whether requests need no key.
     #[serde(default)]
     pub public: bool,
-    /// Whether a broken stream may be taken up at another back end.
+    /// Whether a broken stream may be taken up at another upstream.
     #[serde(default)]
     pub resumable: bool,
     /// The longest wanted pause between events, in milliseconds.
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -1,50 +1,50 @@
 use {
-    crate::names::{ServiceName, ZoneName},
+    crate::names::{FailureDomain, ServiceName},
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
 
-/// What a model service's back ends can hold.
+/// What a model service's upstreams can hold.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EngineShape {
-    /// How many requests a back end runs at once.
+    /// How many requests an upstream runs at once.
     pub slots: u32,
     /// How many tokens its memory holds.
     pub memory_tokens: u64,
 }
 
-/// Within which bounds, and at which prices, a service's back ends are ordered.
+/// Within which bounds, and at which prices, a service's upstreams are ordered.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Autoscaling {
-    /// The least back ends of a zone.
+    /// The least upstreams of a zone.
     pub min_per_zone: u32,
-    /// The most back ends of a zone.
+    /// The most upstreams of a zone.
     pub max_per_zone: u32,
-    /// How long a new back end takes to serve, in seconds.
+    /// How long a new upstream takes to serve, in seconds.
     pub boot_s: f64,
-    /// What a reclaimable back end costs, as a share of an on-demand one;
+    /// What a reclaimable upstream costs, as a share of an on-demand one;
     /// none, if none are offered.
     #[serde(default)]
     pub reclaimable_price: Option<f64>,
-    /// What a second of a back end costs, by zone.
+    /// What a second of an upstream costs, by zone.
     #[serde(default)]
-    pub zone_prices: BTreeMap<ZoneName, f64>,
+    pub zone_prices: BTreeMap<FailureDomain, f64>,
 }
 
-/// A set of back ends that can serve the same requests.
+/// A set of upstreams that can serve the same requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// The name.
     pub name: ServiceName,
-    /// How many connections a back end takes from all daemons together.
+    /// How many connections an upstream takes from all daemons together.
     pub max_connections: u32,
     /// Set for model services.
     #[serde(default)]
     pub engine: Option<EngineShape>,
-    /// Set if its back ends are ordered by the system.
+    /// Set if its upstreams are ordered by the system.
     #[serde(default)]
     pub autoscaling: Option<Autoscaling>,
 }
--- a/src/routing/tenant.rs
+++ b/src/routing/tenant.rs
@@ -1,5 +1,5 @@
 use {
-    crate::names::TenantName,
+    crate::names::ClientAccount,
     serde::{Deserialize, Serialize},
 };
 
@@ -8,7 +8,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Tenant {
     /// The name.
-    pub name: TenantName,
+    pub name: ClientAccount,
     /// The keys that name the tenant.
     pub keys: Vec<String>,
     /// The rank of its requests; goes before the route's.
--- a/src/backends/exchange.rs
+++ b/src/upstreams/exchange.rs
@@ -1,6 +1,6 @@
 use {
-    super::{BackendConnection, BackendPool, SendFailure},
-    crate::names::BackendId,
+    super::{SendFailure, UpstreamConnection, UpstreamPool},
+    crate::names::UpstreamId,
     bytes::Bytes,
     http::{HeaderMap, Request, header, response::Parts},
     http_body_util::{BodyExt, Full},
@@ -9,15 +9,15 @@
 };
 
 /// An answer whose body is still being read. Dropping it before the end
-/// closes the connection, which cancels the request at its back end.
+/// closes the connection, which cancels the request at its upstream.
 #[derive(Debug)]
 pub struct OpenAnswer {
     /// Status and headers.
     pub head: Parts,
     body: Incoming,
-    connection: Option<BackendConnection>,
-    backend: BackendId,
-    pool: Arc<BackendPool>,
+    connection: Option<UpstreamConnection>,
+    upstream: UpstreamId,
+    pool: Arc<UpstreamPool>,
 }
 
 impl OpenAnswer {
@@ -27,9 +27,9 @@
     ///
     /// Returns whether the request may have run.
     pub async fn open(
-        pool: &Arc<BackendPool>,
-        backend: &BackendId,
-        mut connection: BackendConnection,
+        pool: &Arc<UpstreamPool>,
+        upstream: &UpstreamId,
+        mut connection: UpstreamConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<Self, SendFailure> {
         let answer = connection.sender.try_send_request(request).await;
@@ -47,7 +47,7 @@
             head,
             body,
             connection: Some(connection),
-            backend: backend.clone(),
+            upstream: upstream.clone(),
             pool: pool.clone(),
         })
     }
@@ -103,7 +103,7 @@
             return;
         }
         let kept = keep_alive(&self.head.headers);
-        self.pool.put(&self.backend, connection, kept);
+        self.pool.put(&self.upstream, connection, kept);
     }
 }
 
@@ -117,7 +117,7 @@
         && !headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-/// Reads how long the back end keeps an idle connection.
+/// Reads how long the upstream keeps an idle connection.
 fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let mut parts = text.split(',').map(str::trim);
--- /dev/null
+++ b/src/upstreams/mod.rs
@@ -0,0 +1,13 @@
+//! Upstreams: which there are, how they fare, and connections to them.
+
+mod exchange;
+mod send_failure;
+mod upstream;
+mod upstream_directory;
+mod upstream_load;
+mod upstream_pool;
+
+pub use {
+    exchange::*, send_failure::*, upstream::*, upstream_directory::*, upstream_load::*,
+    upstream_pool::*,
+};
--- a/src/backends/backend.rs
+++ b/src/upstreams/upstream.rs
@@ -1,21 +1,21 @@
 use {
-    crate::names::{BackendId, ServiceName, ZoneName},
+    crate::names::{FailureDomain, ServiceName, UpstreamId},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
 
-/// What a back end says of itself.
+/// What an upstream says of itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Backend {
+pub struct Upstream {
     /// Which life of it.
-    pub id: BackendId,
+    pub id: UpstreamId,
     /// The service that it belongs to.
     pub service: ServiceName,
     /// Where it listens.
     pub address: SocketAddr,
     /// The zone that it stands in.
-    pub zone: ZoneName,
+    pub zone: FailureDomain,
     /// How many requests it works on at once.
     pub slots: u32,
     /// Whether it is about to leave: no new work.
--- a/src/backends/backend_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -1,6 +1,6 @@
 use {
-    super::Backend,
-    crate::names::{BackendId, ServiceName},
+    super::Upstream,
+    crate::names::{ServiceName, UpstreamId},
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -8,29 +8,29 @@
     },
 };
 
-/// How many back ends that are gone are remembered.
+/// How many upstreams that are gone are remembered.
 const MAX_GONE: usize = 4_096;
 
-/// The back ends that are known, by service.
+/// The upstreams that are known, by service.
 ///
-/// Facts about one life of a back end only move forward: draining is final,
+/// Facts about one life of an upstream only move forward: draining is final,
 /// and one that is gone comes back only with a later heartbeat.
 #[derive(Debug, Default)]
-pub struct BackendDirectory {
-    by_service: HashMap<ServiceName, BTreeMap<BackendId, Arc<Backend>>>,
-    service_of: HashMap<BackendId, ServiceName>,
-    gone: HashMap<BackendId, Gone>,
+pub struct UpstreamDirectory {
+    by_service: HashMap<ServiceName, BTreeMap<UpstreamId, Arc<Upstream>>>,
+    service_of: HashMap<UpstreamId, ServiceName>,
+    gone: HashMap<UpstreamId, Gone>,
     /// With which revision each changed last.
-    changed: HashMap<BackendId, u64>,
+    changed: HashMap<UpstreamId, u64>,
     /// Entries that went while their source was away, with until when they may
     /// come back, in milliseconds of the daemon's steady clock.
-    lapsed: HashMap<BackendId, u64>,
+    lapsed: HashMap<UpstreamId, u64>,
     revision: u64,
     /// Before this revision, changes can't be told one by one.
     told_from: u64,
 }
 
-/// What is remembered of a back end that is gone.
+/// What is remembered of an upstream that is gone.
 #[derive(Clone, Copy, Debug)]
 struct Gone {
     /// Its last heartbeat.
@@ -45,49 +45,49 @@
 pub struct DirectoryChanges {
     /// The revision that the changes lead to.
     pub revision: u64,
-    /// Whether the back ends are all there are.
+    /// Whether the upstreams are all there are.
     pub is_whole: bool,
-    /// Back ends as they are now.
-    pub backends: Vec<Backend>,
-    /// Back ends that are gone, with their last heartbeats.
-    pub gone: Vec<(BackendId, u64)>,
+    /// Upstreams as they are now.
+    pub upstreams: Vec<Upstream>,
+    /// Upstreams that are gone, with their last heartbeats.
+    pub gone: Vec<(UpstreamId, u64)>,
 }
 
-impl BackendDirectory {
-    /// Takes in what a back end says; returns whether it changed anything that
+impl UpstreamDirectory {
+    /// Takes in what an upstream says; returns whether it changed anything that
     /// matters for routing.
-    pub fn upsert(&mut self, mut backend: Backend) -> bool {
-        if let Some(gone) = self.gone.get(&backend.id) {
-            if gone.was_leaving || backend.heartbeat <= gone.heartbeat {
+    pub fn upsert(&mut self, mut upstream: Upstream) -> bool {
+        if let Some(gone) = self.gone.get(&upstream.id) {
+            if gone.was_leaving || upstream.heartbeat <= gone.heartbeat {
                 return false;
             }
-            self.gone.remove(&backend.id);
+            self.gone.remove(&upstream.id);
         }
-        let id = backend.id.clone();
+        let id = upstream.id.clone();
         self.lapsed.remove(&id);
         if let Some(known) = self.get(&id) {
-            if backend.heartbeat < known.heartbeat && !backend.draining {
+            if upstream.heartbeat < known.heartbeat && !upstream.draining {
                 return false;
             }
-            backend.draining |= known.draining;
-            backend.heartbeat = backend.heartbeat.max(known.heartbeat);
-            let same_but_heartbeat = Backend {
+            upstream.draining |= known.draining;
+            upstream.heartbeat = upstream.heartbeat.max(known.heartbeat);
+            let same_but_heartbeat = Upstream {
                 heartbeat: known.heartbeat,
-                ..backend.clone()
+                ..upstream.clone()
             } == **known;
             if same_but_heartbeat {
-                self.store(backend);
+                self.store(upstream);
                 return false;
             }
         }
-        self.store(backend);
+        self.store(upstream);
         self.revision += 1;
         self.changed.insert(id, self.revision);
         true
     }
 
-    /// Takes in that a back end's entry is gone.
-    pub fn remove(&mut self, id: &BackendId) -> bool {
+    /// Takes in that an upstream's entry is gone.
+    pub fn remove(&mut self, id: &UpstreamId) -> bool {
         let Some(service) = self.service_of.remove(id) else {
             return false;
         };
@@ -95,14 +95,14 @@
         self.changed.remove(id);
         self.lapsed.remove(id);
         let removed = self.by_service.get_mut(&service).and_then(|b| b.remove(id));
-        if let Some(backend) = removed {
+        if let Some(upstream) = removed {
             if self.gone.len() >= MAX_GONE {
                 self.gone.clear();
                 self.told_from = self.revision;
             }
             let gone = Gone {
-                heartbeat: backend.heartbeat,
-                was_leaving: backend.draining,
+                heartbeat: upstream.heartbeat,
+                was_leaving: upstream.draining,
                 revision: self.revision,
             };
             self.gone.insert(id.clone(), gone);
@@ -113,7 +113,7 @@
     /// Takes in that an entry is missing that may only have lapsed while its
     /// source was away: it counts as gone if it isn't back by `until_ms`. One
     /// that was leaving is gone at once.
-    pub fn lapse(&mut self, id: &BackendId, until_ms: u64) {
+    pub fn lapse(&mut self, id: &UpstreamId, until_ms: u64) {
         match self.is_ready(id) {
             true => {
                 self.lapsed.entry(id.clone()).or_insert(until_ms);
@@ -126,9 +126,9 @@
 
     /// Removes the entries that lapsed and did not come back in time.
     pub fn expire_lapsed(&mut self, now_ms: u64) {
-        let is_over = |(_, until_ms): &(&BackendId, &u64)| now_ms >= **until_ms;
+        let is_over = |(_, until_ms): &(&UpstreamId, &u64)| now_ms >= **until_ms;
         let over: Vec<_> = self.lapsed.iter().filter(is_over).collect();
-        let over: Vec<BackendId> = over.into_iter().map(|(id, _)| id.clone()).collect();
+        let over: Vec<UpstreamId> = over.into_iter().map(|(id, _)| id.clone()).collect();
         for id in over {
             self.remove(&id);
         }
@@ -136,7 +136,7 @@
 
     /// Replaces all that is known by a whole listing. What it lacks is gone,
     /// or has lapsed if that may be so until `lapsed_until_ms`.
-    pub fn replace(&mut self, listing: Vec<Backend>, lapsed_until_ms: Option<u64>) {
+    pub fn replace(&mut self, listing: Vec<Upstream>, lapsed_until_ms: Option<u64>) {
         let listed: HashSet<_> = listing.iter().map(|b| b.id.clone()).collect();
         let known: Vec<_> = self.service_of.keys().cloned().collect();
         for id in known.into_iter().filter(|id| !listed.contains(id)) {
@@ -147,8 +147,8 @@
                 }
             }
         }
-        for backend in listing {
-            self.upsert(backend);
+        for upstream in listing {
+            self.upsert(upstream);
         }
     }
 
@@ -160,17 +160,17 @@
             return DirectoryChanges {
                 revision: self.revision,
                 is_whole: true,
-                backends: self.all().map(|b| b.as_ref().clone()).collect(),
+                upstreams: self.all().map(|b| b.as_ref().clone()).collect(),
                 gone: Vec::new(),
             };
         };
         let changed = self.changed.iter().filter(|(_, at)| **at > since);
-        let backends = changed.filter_map(|(id, _)| self.get(id));
+        let upstreams = changed.filter_map(|(id, _)| self.get(id));
         let gone = self.gone.iter().filter(|(_, gone)| gone.revision > since);
         DirectoryChanges {
             revision: self.revision,
             is_whole: false,
-            backends: backends.map(|b| b.as_ref().clone()).collect(),
+            upstreams: upstreams.map(|b| b.as_ref().clone()).collect(),
             gone: gone
                 .map(|(id, gone)| (id.clone(), gone.heartbeat))
                 .collect(),
@@ -181,7 +181,7 @@
     /// says whether what a whole listing lacks is gone.
     pub fn apply(&mut self, changes: DirectoryChanges, tells_gone: bool) {
         if changes.is_whole && tells_gone {
-            return self.replace(changes.backends, None);
+            return self.replace(changes.upstreams, None);
         }
         for (id, heartbeat) in changes.gone {
             self.remove(&id);
@@ -190,30 +190,30 @@
                 gone.heartbeat = gone.heartbeat.max(heartbeat);
             }
         }
-        for backend in changes.backends {
-            self.upsert(backend);
+        for upstream in changes.upstreams {
+            self.upsert(upstream);
         }
     }
 
-    /// Returns a back end that is not gone.
-    pub fn get(&self, id: &BackendId) -> Option<&Arc<Backend>> {
+    /// Returns an upstream that is not gone.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Arc<Upstream>> {
         let service = self.service_of.get(id)?;
         self.by_service.get(service)?.get(id)
     }
 
-    /// Returns whether a back end may get new work.
-    pub fn is_ready(&self, id: &BackendId) -> bool {
+    /// Returns whether an upstream may get new work.
+    pub fn is_ready(&self, id: &UpstreamId) -> bool {
         self.get(id).is_some_and(|b| !b.draining)
     }
 
-    /// Returns the back ends of a service that may get new work.
-    pub fn ready(&self, service: &ServiceName) -> impl Iterator<Item = &Arc<Backend>> {
+    /// Returns the upstreams of a service that may get new work.
+    pub fn ready(&self, service: &ServiceName) -> impl Iterator<Item = &Arc<Upstream>> {
         let all = self.by_service.get(service).into_iter();
         all.flat_map(|b| b.values()).filter(|b| !b.draining)
     }
 
-    /// Returns all back ends that are not gone.
-    pub fn all(&self) -> impl Iterator<Item = &Arc<Backend>> {
+    /// Returns all upstreams that are not gone.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.by_service.values().flat_map(|b| b.values())
     }
 
@@ -222,16 +222,18 @@
         self.revision
     }
 
-    fn store(&mut self, backend: Backend) {
-        let moved = self.service_of.get(&backend.id);
-        if let Some(old) = moved.filter(|s| **s != backend.service).cloned() {
-            self.by_service.get_mut(&old).map(|b| b.remove(&backend.id));
+    fn store(&mut self, upstream: Upstream) {
+        let moved = self.service_of.get(&upstream.id);
+        if let Some(old) = moved.filter(|s| **s != upstream.service).cloned() {
+            self.by_service
+                .get_mut(&old)
+                .map(|b| b.remove(&upstream.id));
         }
         self.service_of
-            .insert(backend.id.clone(), backend.service.clone());
+            .insert(upstream.id.clone(), upstream.service.clone());
         self.by_service
-            .entry(backend.service.clone())
+            .entry(upstream.service.clone())
             .or_default()
-            .insert(backend.id.clone(), Arc::new(backend));
+            .insert(upstream.id.clone(), Arc::new(upstream));
     }
 }
--- a/src/backends/backend_load.rs
+++ b/src/upstreams/upstream_load.rs
@@ -1,20 +1,20 @@
 use {
-    crate::names::BackendId,
+    crate::names::UpstreamId,
     std::{collections::HashMap, time::Duration},
 };
 
-/// How much one more outcome moves a back end's failure rate.
+/// How much one more outcome moves an upstream's failure rate.
 const FAILURE_WEIGHT: f64 = 0.2;
 /// After how long without failures a failure rate has halved.
 const FAILURE_HALF_LIFE: Duration = Duration::from_secs(3);
-/// How long a back end that could not be reached is left alone at first.
+/// How long an upstream that could not be reached is left alone at first.
 const FIRST_BACKOFF_MS: u64 = 400;
 const MAX_BACKOFF_MS: u64 = 2_000;
 
-/// How a back end fares, as seen from this daemon. Times are milliseconds of
+/// How an upstream fares, as seen from this daemon. Times are milliseconds of
 /// the daemon's steady clock.
 #[derive(Clone, Debug, Default)]
-pub struct BackendLoad {
+pub struct UpstreamLoad {
     /// Requests that are there now.
     pub active: u32,
     /// Prompt tokens of requests that have not begun to answer.
@@ -27,7 +27,7 @@
     avoid_until_ms: u64,
 }
 
-impl BackendLoad {
+impl UpstreamLoad {
     /// Notes that it could not be reached or fell silent.
     pub fn note_unreachable(&mut self, now_ms: u64) {
         if now_ms < self.avoid_until_ms {
@@ -67,30 +67,30 @@
     }
 }
 
-/// How all back ends fare.
+/// How all upstreams fare.
 #[derive(Debug, Default)]
 pub struct LoadTable {
-    loads: HashMap<BackendId, BackendLoad>,
+    loads: HashMap<UpstreamId, UpstreamLoad>,
 }
 
 impl LoadTable {
-    /// Returns a back end's figures, to change them.
-    pub fn entry(&mut self, id: &BackendId) -> &mut BackendLoad {
+    /// Returns an upstream's figures, to change them.
+    pub fn entry(&mut self, id: &UpstreamId) -> &mut UpstreamLoad {
         self.loads.entry(id.clone()).or_default()
     }
 
-    /// Returns a back end's figures.
-    pub fn get(&self, id: &BackendId) -> Option<&BackendLoad> {
+    /// Returns an upstream's figures.
+    pub fn get(&self, id: &UpstreamId) -> Option<&UpstreamLoad> {
         self.loads.get(id)
     }
 
     /// Returns all figures.
-    pub fn iter(&self) -> impl Iterator<Item = (&BackendId, &BackendLoad)> {
+    pub fn iter(&self) -> impl Iterator<Item = (&UpstreamId, &UpstreamLoad)> {
         self.loads.iter()
     }
 
-    /// Forgets back ends that `is_known` doesn't know and that do nothing.
-    pub fn retain(&mut self, is_known: impl Fn(&BackendId) -> bool) {
+    /// Forgets upstreams that `is_known` doesn't know and that do nothing.
+    pub fn retain(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
         self.loads
             .retain(|id, load| load.active > 0 || is_known(id));
     }
--- a/src/backends/backend_pool.rs
+++ b/src/upstreams/upstream_pool.rs
@@ -1,6 +1,6 @@
 use {
     super::SendFailure,
-    crate::{http::reset_on_close, names::BackendId},
+    crate::{http::reset_on_close, names::UpstreamId},
     bytes::Bytes,
     http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
@@ -20,18 +20,18 @@
 const KEEPALIVE_PROBE: Duration = Duration::from_secs(1);
 /// How long a connection rests at most before it is closed.
 const MAX_IDLE: Duration = Duration::from_secs(20);
-const MAX_IDLE_PER_BACKEND: usize = 32;
-/// The most of a head that is read from a back end, in bytes.
+const MAX_IDLE_PER_UPSTREAM: usize = 32;
+/// The most of a head that is read from an upstream, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// A connection to a back end. Dropping it closes it.
+/// A connection to an upstream. Dropping it closes it.
 #[derive(Debug)]
-pub struct BackendConnection {
+pub struct UpstreamConnection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
 
-impl Drop for BackendConnection {
+impl Drop for UpstreamConnection {
     fn drop(&mut self) {
         self.task.abort();
     }
@@ -39,20 +39,20 @@
 
 #[derive(Debug)]
 struct IdleConnection {
-    connection: BackendConnection,
+    connection: UpstreamConnection,
     since: Instant,
     until: Instant,
 }
 
-/// Connections to back ends that rest until they are used again.
+/// Connections to upstreams that rest until they are used again.
 #[derive(Debug, Default)]
-pub struct BackendPool {
-    idle: Mutex<HashMap<BackendId, Vec<IdleConnection>>>,
+pub struct UpstreamPool {
+    idle: Mutex<HashMap<UpstreamId, Vec<IdleConnection>>>,
 }
 
-impl BackendPool {
+impl UpstreamPool {
     /// Takes a connection that has rested for less than `max_rest`.
-    pub fn take(&self, id: &BackendId, max_rest: Duration) -> Option<BackendConnection> {
+    pub fn take(&self, id: &UpstreamId, max_rest: Duration) -> Option<UpstreamConnection> {
         let mut idle = self.idle.lock();
         let rested = idle.get_mut(id)?;
         let now = Instant::now();
@@ -66,13 +66,13 @@
         None
     }
 
-    /// Lets a connection rest, for as long as its back end said that it keeps it.
-    pub fn put(&self, id: &BackendId, connection: BackendConnection, kept: Option<Duration>) {
+    /// Lets a connection rest, for as long as its upstream said that it keeps it.
+    pub fn put(&self, id: &UpstreamId, connection: UpstreamConnection, kept: Option<Duration>) {
         let now = Instant::now();
         let rest = kept.map_or(MAX_IDLE, |kept| kept.mul_f64(0.8).min(MAX_IDLE));
         let mut idle = self.idle.lock();
         let rested = idle.entry(id.clone()).or_default();
-        if rested.len() >= MAX_IDLE_PER_BACKEND {
+        if rested.len() >= MAX_IDLE_PER_UPSTREAM {
             rested.remove(0);
         }
         rested.push(IdleConnection {
@@ -82,9 +82,9 @@
         });
     }
 
-    /// Closes the resting connections of back ends that `is_known` doesn't
+    /// Closes the resting connections of upstreams that `is_known` doesn't
     /// know, and those that have rested for too long.
-    pub fn sweep(&self, is_known: impl Fn(&BackendId) -> bool) {
+    pub fn sweep(&self, is_known: impl Fn(&UpstreamId) -> bool) {
         let now = Instant::now();
         self.idle.lock().retain(|id, rested| {
             rested.retain(|entry| now < entry.until && !entry.connection.sender.is_closed());
@@ -100,7 +100,7 @@
     pub async fn connect(
         address: SocketAddr,
         timeout: Duration,
-    ) -> Result<BackendConnection, SendFailure> {
+    ) -> Result<UpstreamConnection, SendFailure> {
         let not_sent = |e: &dyn std::fmt::Display| SendFailure::NotSent(e.to_string());
         let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
             .await
@@ -118,7 +118,7 @@
             // An error of the connection reaches the request that is on it.
             let _ = connection.await;
         });
-        Ok(BackendConnection {
+        Ok(UpstreamConnection {
             sender,
             task: task.abort_handle(),
         })
--- a/standin/src/runner/mod.rs
+++ b/standin/src/runner/mod.rs
@@ -1,4 +1,4 @@
-//! A back end of the routed path: answers requests byte for byte, streams
+//! An upstream of the routed path: answers requests byte for byte, streams
 //! numbered events, and misbehaves on order.
 
 mod behaviour;
--- a/standin/src/runner/service.rs
+++ b/standin/src/runner/service.rs
@@ -135,7 +135,7 @@
         value.unwrap_or_default().to_string()
     };
     let attempt = text("saddlepulley-attempt");
-    let expected = text("saddlepulley-expected-backend");
+    let expected = text("saddlepulley-expected-upstream");
     if expected != shared.id {
         return Ok(refused(StatusCode::MISDIRECTED_REQUEST));
     }
--- a/tests/decisions/digests.rs
+++ b/tests/decisions/digests.rs
@@ -3,13 +3,13 @@
 use {
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    saddlepulley::{cluster::*, names::NodeName},
+    saddlepulley::{cluster::*, names::BoxId},
     std::{collections::HashSet, net::SocketAddr},
 };
 
 fn digest(tenants: usize, loads: usize, peers: usize) -> Digest {
     let address = "10.1.2.3:8229".parse().unwrap();
-    let mut digest = Digest::new(&NodeName::from("edge-zone-a-17"), u64::MAX, 99, address);
+    let mut digest = Digest::new(&BoxId::from("edge-zone-a-17"), u64::MAX, 99, address);
     let tenant = |n: usize| format!("tenant-{n}");
     digest.quotas = (0..tenants).map(|n| (tenant(n), 1e5, 1e9)).collect();
     let counts: Vec<_> = (0..tenants).map(|n| (tenant(n), 4_000)).collect();
@@ -99,7 +99,7 @@
         for from in 0..self.tables.len() {
             self.tables[from].tick(now_ms);
             let mut digest = Digest::new(
-                &NodeName::from(format!("n{from}").as_str()),
+                &BoxId::from(format!("n{from}").as_str()),
                 1,
                 sequence,
                 address(from),
--- a/tests/decisions/duties.rs
+++ b/tests/decisions/duties.rs
@@ -2,7 +2,7 @@
 
 use {
     saddlepulley::{
-        names::{BoxId, TenantName},
+        names::{BoxId, ClientAccount},
         policy::*,
     },
     std::collections::BTreeMap,
@@ -18,7 +18,7 @@
 }
 
 fn counts(n: u64) -> TenantCounts {
-    BTreeMap::from([(TenantName::from("t"), n)])
+    BTreeMap::from([(ClientAccount::from("t"), n)])
 }
 
 /// Takes or renews the lease; `records` is the topic.
@@ -132,7 +132,7 @@
 
 #[test]
 fn usage_is_the_sum_of_what_each_life_counted() {
-    let tenant = TenantName::from("t");
+    let tenant = ClientAccount::from("t");
     let mut usage = UsageWindows::default();
     usage.note(3, &tenant);
     usage.merge("b", 1, &[(3, counts(5))]);
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -1,10 +1,10 @@
-//! How many back ends are ordered, where, and of which kind.
+//! How many upstreams are ordered, where, and of which kind.
 
-use saddlepulley::{names::ZoneName, policy::*};
+use saddlepulley::{names::FailureDomain, policy::*};
 
 fn zone(name: &str, price: f64, on_demand: u32, reclaimable: u32) -> ZoneFleet {
     ZoneFleet {
-        zone: ZoneName::from(name),
+        zone: FailureDomain::from(name),
         price,
         on_demand,
         reclaimable,
--- a/tests/decisions/platform.rs
+++ b/tests/decisions/platform.rs
@@ -75,10 +75,10 @@
             r#"{{"service":"s","address":"10.0.0.9:8080","zone":"a","slots":128,"sequence":4{more}}}"#
         )
     };
-    let ready = backend_from_entry("i-1", entry(r#","state":"ready""#).as_bytes()).unwrap();
+    let ready = upstream_from_entry("i-1", entry(r#","state":"ready""#).as_bytes()).unwrap();
     assert!(!ready.draining);
     let leaving = entry(r#","state":"draining","spot":true,"leaves_ms":2400"#);
-    let leaving = backend_from_entry("i-1", leaving.as_bytes()).unwrap();
+    let leaving = upstream_from_entry("i-1", leaving.as_bytes()).unwrap();
     assert!(leaving.draining && leaving.reclaimable);
-    assert!(backend_from_entry("i-1", b"{}").is_err());
+    assert!(upstream_from_entry("i-1", b"{}").is_err());
 }
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -3,7 +3,7 @@
 use {
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    saddlepulley::{names::TenantName, policy::*, routing::Tenant},
+    saddlepulley::{names::ClientAccount, policy::*, routing::Tenant},
     std::collections::HashMap,
 };
 
@@ -16,7 +16,7 @@
 
 fn tenant() -> Tenant {
     Tenant {
-        name: TenantName::from("t"),
+        name: ClientAccount::from("t"),
         keys: vec!["k".into()],
         priority: None,
         rate_per_s: RATE,
@@ -88,8 +88,8 @@
         }
     }
 
-    fn others_of(&self, at: usize, now_ms: u64) -> HashMap<TenantName, Vec<OtherDaemon>> {
-        let mut others: HashMap<TenantName, Vec<OtherDaemon>> = HashMap::new();
+    fn others_of(&self, at: usize, now_ms: u64) -> HashMap<ClientAccount, Vec<OtherDaemon>> {
+        let mut others: HashMap<ClientAccount, Vec<OtherDaemon>> = HashMap::new();
         for (from, (heard_ms, notices)) in &self.heard[at] {
             for notice in notices {
                 others
--- a/tests/decisions/routed.rs
+++ b/tests/decisions/routed.rs
@@ -5,15 +5,15 @@
     proptest::prelude::*,
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
-    saddlepulley::{backends::*, gateway::*, names::*, policy::*, routing::*},
+    saddlepulley::{gateway::*, names::*, policy::*, routing::*, upstreams::*},
 };
 
-fn backend(id: &str, heartbeat: u64, draining: bool) -> Backend {
-    Backend {
-        id: BackendId::from(id),
+fn upstream(id: &str, heartbeat: u64, draining: bool) -> Upstream {
+    Upstream {
+        id: UpstreamId::from(id),
         service: ServiceName::from("s"),
         address: "127.0.0.1:1".parse().unwrap(),
-        zone: ZoneName::from("z"),
+        zone: FailureDomain::from("z"),
         slots: 4,
         draining,
         reclaimable: false,
@@ -23,46 +23,46 @@
 
 #[test]
 fn draining_is_final_and_old_heartbeats_bring_nothing_back() {
-    let mut directory = BackendDirectory::default();
-    let id = BackendId::from("b");
-    directory.upsert(backend("b", 1, false));
-    directory.upsert(backend("b", 3, true));
-    directory.upsert(backend("b", 2, false));
-    directory.upsert(backend("b", 4, false));
+    let mut directory = UpstreamDirectory::default();
+    let id = UpstreamId::from("b");
+    directory.upsert(upstream("b", 1, false));
+    directory.upsert(upstream("b", 3, true));
+    directory.upsert(upstream("b", 2, false));
+    directory.upsert(upstream("b", 4, false));
     assert!(!directory.is_ready(&id));
     directory.remove(&id);
-    directory.upsert(backend("b", 4, false));
+    directory.upsert(upstream("b", 4, false));
     assert!(directory.get(&id).is_none(), "an old heartbeat");
-    directory.upsert(backend("b", 5, false));
+    directory.upsert(upstream("b", 5, false));
     assert!(!directory.is_ready(&id), "a later one: it was leaving");
-    directory.upsert(backend("c", 4, false));
-    let id = BackendId::from("c");
+    directory.upsert(upstream("c", 4, false));
+    let id = UpstreamId::from("c");
     directory.remove(&id);
-    directory.upsert(backend("c", 4, false));
+    directory.upsert(upstream("c", 4, false));
     assert!(directory.get(&id).is_none(), "an old heartbeat");
-    directory.upsert(backend("c", 5, false));
+    directory.upsert(upstream("c", 5, false));
     assert!(directory.is_ready(&id), "only the entry had gone");
 }
 
 #[test]
 fn draining_said_in_an_old_heartbeat_still_counts() {
-    let mut directory = BackendDirectory::default();
-    directory.upsert(backend("b", 9, false));
-    directory.upsert(backend("b", 8, true));
-    assert!(!directory.is_ready(&BackendId::from("b")));
+    let mut directory = UpstreamDirectory::default();
+    directory.upsert(upstream("b", 9, false));
+    directory.upsert(upstream("b", 8, true));
+    assert!(!directory.is_ready(&UpstreamId::from("b")));
 }
 
 #[test]
 fn a_listing_drops_what_it_lacks() {
-    let mut directory = BackendDirectory::default();
-    directory.upsert(backend("a", 1, false));
-    directory.upsert(backend("b", 1, false));
-    directory.replace(vec![backend("b", 2, false)], None);
+    let mut directory = UpstreamDirectory::default();
+    directory.upsert(upstream("a", 1, false));
+    directory.upsert(upstream("b", 1, false));
+    directory.replace(vec![upstream("b", 2, false)], None);
     let ready: Vec<_> = directory
         .ready(&ServiceName::from("s"))
         .map(|b| b.id.clone())
         .collect();
-    assert_eq!(ready, [BackendId::from("b")]);
+    assert_eq!(ready, [UpstreamId::from("b")]);
 }
 
 fn route(host: &str, prefix: &str, kind: RouteKind) -> Route {
@@ -182,11 +182,11 @@
 }
 
 fn choose(candidates: &[Candidate]) -> Option<usize> {
-    choose_backend(candidates, 30.0, &mut ChaCha8Rng::seed_from_u64(1))
+    choose_upstream(candidates, 30.0, &mut ChaCha8Rng::seed_from_u64(1))
 }
 
 #[test]
-fn a_back_end_that_has_the_prompt_is_chosen_unless_others_wait_there() {
+fn a_upstream_that_has_the_prompt_is_chosen_unless_others_wait_there() {
     let home = Candidate {
         unread_tokens: 300,
         ..candidate()
@@ -219,8 +219,8 @@
 }
 
 #[test]
-fn a_back_end_that_fails_requests_gets_fewer() {
-    let mut load = BackendLoad::default();
+fn a_upstream_that_fails_requests_gets_fewer() {
+    let mut load = UpstreamLoad::default();
     for _ in 0..10 {
         load.note_outcome(true, 100);
     }
@@ -234,8 +234,8 @@
 }
 
 #[test]
-fn an_unreachable_back_end_is_left_alone_and_then_gets_one_request_at_a_time() {
-    let mut load = BackendLoad::default();
+fn an_unreachable_upstream_is_left_alone_and_then_gets_one_request_at_a_time() {
+    let mut load = UpstreamLoad::default();
     load.note_unreachable(1_000);
     assert!(load.is_avoided(1_100));
     assert!(!load.is_avoided(1_500));
@@ -246,7 +246,7 @@
 }
 
 #[test]
-fn a_stream_is_moved_from_a_back_end_that_is_silent_to_all() {
+fn a_stream_is_moved_from_a_upstream_that_is_silent_to_all() {
     let limits = StallLimits::of(&route("h", "/", RouteKind::Streaming), true);
     assert!(limits.is_stalled(800, 800));
     assert!(!limits.is_stalled(800, 100), "it serves others");
@@ -313,14 +313,14 @@
 }
 
 #[test]
-fn a_zone_whose_back_ends_are_out_of_reach_is_left_alone_as_a_whole() {
+fn a_zone_whose_upstreams_are_out_of_reach_is_left_alone_as_a_whole() {
     let mut reach = ZoneReach::default();
-    let zone = ZoneName::from("far");
-    let id = |n: u32| BackendId::from(n.to_string().as_str());
+    let zone = FailureDomain::from("far");
+    let id = |n: u32| UpstreamId::from(n.to_string().as_str());
     for _ in 0..5 {
         reach.note_unreachable(&zone, &id(0), 100);
     }
-    assert!(!reach.is_avoided(&zone, 100), "one back end may be dead");
+    assert!(!reach.is_avoided(&zone, 100), "one upstream may be dead");
     reach.note_unreachable(&zone, &id(1), 200);
     reach.note_unreachable(&zone, &id(2), 300);
     assert!(reach.is_avoided(&zone, 400));
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -2,9 +2,9 @@
 //! daemon's directory tells another.
 
 use saddlepulley::{
-    backends::{Backend, BackendDirectory},
-    names::{BackendId, ServiceName, ZoneName},
+    names::{FailureDomain, ServiceName, UpstreamId},
     policy::*,
+    upstreams::{Upstream, UpstreamDirectory},
 };
 
 fn daemon(index: usize) -> ZoneDaemon<usize> {
@@ -78,12 +78,12 @@
     assert_eq!(contact.lapsed_until_ms(8_500), None, "long back");
 }
 
-fn backend(index: u32, heartbeat: u64) -> Backend {
-    Backend {
-        id: BackendId::from(format!("b{index}").as_str()),
+fn upstream(index: u32, heartbeat: u64) -> Upstream {
+    Upstream {
+        id: UpstreamId::from(format!("b{index}").as_str()),
         service: ServiceName::from("s"),
         address: "10.0.0.1:80".parse().unwrap(),
-        zone: ZoneName::from("a"),
+        zone: FailureDomain::from("a"),
         slots: 8,
         draining: false,
         reclaimable: false,
@@ -93,43 +93,46 @@
 
 #[test]
 fn a_lapsed_entry_gets_work_until_its_time_is_over_unless_it_was_leaving() {
-    let mut directory = BackendDirectory::default();
-    let mut leaving = backend(2, 5);
+    let mut directory = UpstreamDirectory::default();
+    let mut leaving = upstream(2, 5);
     leaving.draining = true;
-    directory.replace(vec![backend(0, 5), backend(1, 5), leaving], None);
+    directory.replace(vec![upstream(0, 5), upstream(1, 5), leaving], None);
     directory.replace(Vec::new(), Some(2_000));
-    assert!(directory.is_ready(&backend(0, 0).id));
-    assert!(directory.get(&backend(2, 0).id).is_none(), "it was leaving");
-    directory.upsert(backend(0, 6));
+    assert!(directory.is_ready(&upstream(0, 0).id));
+    assert!(
+        directory.get(&upstream(2, 0).id).is_none(),
+        "it was leaving"
+    );
+    directory.upsert(upstream(0, 6));
     directory.expire_lapsed(2_000);
-    assert!(directory.is_ready(&backend(0, 0).id), "it came back");
-    assert!(directory.get(&backend(1, 0).id).is_none(), "it did not");
+    assert!(directory.is_ready(&upstream(0, 0).id), "it came back");
+    assert!(directory.get(&upstream(1, 0).id).is_none(), "it did not");
 }
 
 #[test]
-fn a_follower_has_the_same_back_ends_after_each_change() {
-    let mut own = BackendDirectory::default();
-    let mut theirs = BackendDirectory::default();
+fn a_follower_has_the_same_upstreams_after_each_change() {
+    let mut own = UpstreamDirectory::default();
+    let mut theirs = UpstreamDirectory::default();
     let mut known = None;
     for step in 0..200_u32 {
         let index = step * 7 % 13;
         match step % 3 {
             0 => {
-                theirs.remove(&backend(index, 0).id);
+                theirs.remove(&upstream(index, 0).id);
             }
             1 => {
-                let mut leaving = backend(index, u64::from(step));
+                let mut leaving = upstream(index, u64::from(step));
                 leaving.draining = true;
                 theirs.upsert(leaving);
             }
             _ => {
-                theirs.upsert(backend(index, u64::from(step)));
+                theirs.upsert(upstream(index, u64::from(step)));
             }
         }
         let changes = theirs.changes_since(known);
         known = Some(changes.revision);
         own.apply(changes, true);
-        let state = |d: &BackendDirectory| {
+        let state = |d: &UpstreamDirectory| {
             let mut all: Vec<_> = d.all().map(|b| (b.id.clone(), b.draining)).collect();
             all.sort();
             all
@@ -142,41 +145,41 @@
 
 #[test]
 fn an_older_whole_listing_takes_nothing_away() {
-    let mut own = BackendDirectory::default();
-    own.replace(vec![backend(0, 5), backend(1, 5)], None);
-    let mut theirs = BackendDirectory::default();
-    let mut leaving = backend(0, 4);
+    let mut own = UpstreamDirectory::default();
+    own.replace(vec![upstream(0, 5), upstream(1, 5)], None);
+    let mut theirs = UpstreamDirectory::default();
+    let mut leaving = upstream(0, 4);
     leaving.draining = true;
     theirs.replace(vec![leaving], None);
     own.apply(theirs.changes_since(None), false);
-    assert!(own.is_ready(&backend(1, 0).id), "not yet known there");
-    assert!(!own.is_ready(&backend(0, 0).id), "leaving is final");
+    assert!(own.is_ready(&upstream(1, 0).id), "not yet known there");
+    assert!(!own.is_ready(&upstream(0, 0).id), "leaving is final");
 }
 
 #[test]
 fn old_heartbeats_bring_nothing_back_that_is_gone_elsewhere() {
-    let mut theirs = BackendDirectory::default();
-    theirs.replace(vec![backend(0, 5), backend(1, 5)], None);
-    let mut own = BackendDirectory::default();
+    let mut theirs = UpstreamDirectory::default();
+    theirs.replace(vec![upstream(0, 5), upstream(1, 5)], None);
+    let mut own = UpstreamDirectory::default();
     own.apply(theirs.changes_since(None), true);
     let known = theirs.revision();
     // Heartbeats alone are no change that is told.
-    theirs.upsert(backend(0, 9));
-    theirs.remove(&backend(0, 0).id);
+    theirs.upsert(upstream(0, 9));
+    theirs.remove(&upstream(0, 0).id);
     own.apply(theirs.changes_since(Some(known)), true);
-    own.upsert(backend(0, 8));
-    assert!(!own.is_ready(&backend(0, 0).id), "an old heartbeat");
-    own.upsert(backend(0, 10));
-    assert!(own.is_ready(&backend(0, 0).id), "it lives");
+    own.upsert(upstream(0, 8));
+    assert!(!own.is_ready(&upstream(0, 0).id), "an old heartbeat");
+    own.upsert(upstream(0, 10));
+    assert!(own.is_ready(&upstream(0, 0).id), "it lives");
 }
 
 #[test]
 fn one_that_was_leaving_never_comes_back() {
-    let mut directory = BackendDirectory::default();
-    let mut leaving = backend(0, 5);
+    let mut directory = UpstreamDirectory::default();
+    let mut leaving = upstream(0, 5);
     leaving.draining = true;
     directory.upsert(leaving);
-    directory.remove(&backend(0, 0).id);
-    directory.upsert(backend(0, 50));
-    assert!(!directory.is_ready(&backend(0, 0).id));
+    directory.remove(&upstream(0, 0).id);
+    directory.upsert(upstream(0, 50));
+    assert!(!directory.is_ready(&upstream(0, 0).id));
 }
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -32,7 +32,7 @@
     );
     assert_eq!(header("saddlepulley-key"), None, "runners don't see keys");
     assert_eq!(
-        header("saddlepulley-expected-backend").as_deref(),
+        header("saddlepulley-expected-upstream").as_deref(),
         Some("b1")
     );
     let left_ms: u64 = header("saddlepulley-deadline-ms").unwrap().parse().unwrap();
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -23,14 +23,14 @@
     })
     .await;
     assert_eq!(status_of(&daemon, "/look/x").await, StatusCode::NOT_FOUND);
-    // An older version with a new back end: the back end is taken, the version not.
+    // An older version with a new upstream: the upstream is taken, the version not.
     let other = Runner::start("b2", 3).await.unwrap();
     fs::write(
         daemon.routes_path(),
         routes_file(7, &[&IDEMPOTENT, &ONCE], &[&other]),
     )
     .unwrap();
-    eventually("the new back end", async || {
+    eventually("the new upstream", async || {
         status_of(&daemon, "/once/x").await;
         !other.runs().is_empty()
     })
--- a/tests/gateway/duties.rs
+++ b/tests/gateway/duties.rs
@@ -232,7 +232,7 @@
 }
 
 #[tokio::test]
-async fn back_ends_are_ordered_in_each_zone() {
+async fn upstreams_are_ordered_in_each_zone() {
     let store = filled_store().await;
     let daemon = daemon("n1", &store, &[]);
     daemon.wait_ready().await;
--- a/tests/gateway/logs.rs
+++ b/tests/gateway/logs.rs
@@ -62,7 +62,7 @@
         ["placed.", "failed.", "given up.", "answered."].map(|word| story.find(word).expect(word));
     assert!(order.is_sorted(), "{story}");
     assert!(
-        story.contains("backend=b1") && story.contains("may_have_run=true"),
+        story.contains("upstream=b1") && story.contains("may_have_run=true"),
         "{story}"
     );
 }
--- a/tests/gateway/repeats.rs
+++ b/tests/gateway/repeats.rs
@@ -42,7 +42,7 @@
 }
 
 #[tokio::test]
-async fn a_repeatable_request_is_answered_by_another_back_end() {
+async fn a_repeatable_request_is_answered_by_another_upstream() {
     for bad in [
         Behaviour::LoseAnswer,
         Behaviour::Fail,
@@ -96,7 +96,7 @@
 }
 
 #[tokio::test]
-async fn a_request_is_sent_to_no_more_back_ends_than_its_route_allows() {
+async fn a_request_is_sent_to_no_more_upstreams_than_its_route_allows() {
     let runners = two_runners(Behaviour::Fail, Behaviour::Fail).await;
     let single = TestRoute {
         max_attempts: 1,
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -28,7 +28,7 @@
 }
 
 #[tokio::test]
-async fn a_stream_that_breaks_goes_on_at_another_back_end() {
+async fn a_stream_that_breaks_goes_on_at_another_upstream() {
     let runners = [
         Runner::start("b1", 8).await.unwrap(),
         Runner::start("b2", 8).await.unwrap(),
@@ -49,7 +49,7 @@
         let at_a = a.runs().iter().any(|run| run.attempt == attempt);
         moved += u64::from(at_a);
     }
-    assert!(moved > 0, "8 choices between two equal back ends");
+    assert!(moved > 0, "8 choices between two equal upstreams");
 }
 
 #[tokio::test]
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -129,7 +129,7 @@
     for runner in runners {
         let _ = write!(
             text,
-            "[[backends]]\nid = \"{}\"\nservice = \"s\"\naddress = \"{}\"\nzone = \"a\"\nslots = 8\n",
+            "[[upstreams]]\nid = \"{}\"\nservice = \"s\"\naddress = \"{}\"\nzone = \"a\"\nslots = 8\n",
             runner.id(),
             runner.address()
         );
