A fault soak of the routed path: kills, freezes, planned stops, spoiled runners

Cause: the soak of the older path doesn't touch the routed one. Change: four daemons as processes, four runners, twelve callers, a seeded schedule; checked from what runners ran and callers got: at most once, not run means not run, whole own answers, attempts by route, planned stops cut nothing.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod logs;
 mod repeats;
+mod soak;
 mod stops;
 mod streams;
 mod support;
