A follower drops what an older listing lacks, after 0.6 s

A daemon that can't reach the store and changes the daemon that it follows gets a whole listing; where that was older by some milliseconds than what it knew, what it lacked was kept, and no later change named it: it stayed until the own source's return, and 2.2 s on as lapsed. Test: decisions/sources, an older listing drops what it lacks after a while.

--- a/src/cluster/state_feed.rs
+++ b/src/cluster/state_feed.rs
@@ -4,7 +4,7 @@
         gateway::{AnswerBody, Gateway, own_answer, serve_plain, whole_body},
         http::{HttpClient, HttpError},
         routing::RoutingConfig,
-        upstreams::DirectoryChanges,
+        upstreams::{DirectoryChanges, Missing},
     },
     bytes::Bytes,
     displaydoc::Display,
@@ -24,6 +24,9 @@
 /// Larger configurations are read from the source by each daemon: its link is
 /// made for that, that of a daemon isn't. Routes and tenants together.
 const MAX_TOLD_CONFIG: usize = 100;
+/// After how long an upstream is gone that a listing lacks which is older than
+/// what is known, in milliseconds: changes since then are told at once.
+const OLDER_LISTING_MS: u64 = 600;
 const MAX_ASK_BYTES: usize = 1_024;
 const PAUSE: Duration = Duration::from_millis(300);
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
@@ -224,13 +227,16 @@
         let Some(age_ms) = news.source_age_ms else {
             return;
         };
-        // A whole listing that is older than what is known doesn't tell what
-        // is gone.
         let own_age_ms = self.gateway.source_age_ms().unwrap_or(u64::MAX);
-        let tells_gone = age_ms <= own_age_ms;
+        let reads = *self.gateway.reads_source.borrow() && !self.gateway.is_cut_from_source();
+        let missing = match age_ms <= own_age_ms {
+            true => Missing::Gone,
+            false if reads => Missing::NotYetKnown,
+            false => Missing::GoneAt(self.gateway.steady_ms() + OLDER_LISTING_MS),
+        };
         let changes = news.changes;
         self.gateway
-            .change_directory(|directory, _| directory.apply(changes, tells_gone));
+            .change_directory(|directory, _| directory.apply(changes, missing));
         self.gateway.note_relayed(age_ms);
         self.gateway.check_ready();
     }
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -40,6 +40,18 @@
     revision: u64,
 }
 
+/// What it means that a whole listing of another daemon lacks an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Missing {
+    /// It is gone.
+    Gone,
+    /// It is gone, unless a change tells of it until a time, in milliseconds of
+    /// the daemon's steady clock: the listing may be older than what is known.
+    GoneAt(u64),
+    /// Nothing: this daemon hears of it from the source itself.
+    NotYetKnown,
+}
+
 /// What has changed in a directory since a revision of it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DirectoryChanges {
@@ -177,11 +189,16 @@
         }
     }
 
-    /// Takes in what has changed in another daemon's directory; `tells_gone`
-    /// says whether what a whole listing lacks is gone.
-    pub fn apply(&mut self, changes: DirectoryChanges, tells_gone: bool) {
-        if changes.is_whole && tells_gone {
-            return self.replace(changes.upstreams, None);
+    /// Takes in what has changed in another daemon's directory.
+    pub fn apply(&mut self, changes: DirectoryChanges, missing: Missing) {
+        if changes.is_whole {
+            match missing {
+                Missing::Gone => return self.replace(changes.upstreams, None),
+                Missing::GoneAt(until_ms) => {
+                    return self.replace(changes.upstreams, Some(until_ms));
+                }
+                Missing::NotYetKnown => {}
+            }
         }
         for (id, heartbeat) in changes.gone {
             self.remove(&id);
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -4,7 +4,7 @@
 use saddlepulley::{
     names::{FailureDomain, ServiceName, UpstreamId},
     policy::*,
-    upstreams::{Upstream, UpstreamDirectory},
+    upstreams::{Missing, Upstream, UpstreamDirectory},
 };
 
 fn daemon(index: usize) -> ZoneDaemon<usize> {
@@ -131,7 +131,7 @@
         }
         let changes = theirs.changes_since(known);
         known = Some(changes.revision);
-        own.apply(changes, true);
+        own.apply(changes, Missing::Gone);
         let state = |d: &UpstreamDirectory| {
             let mut all: Vec<_> = d.all().map(|b| (b.id.clone(), b.draining)).collect();
             all.sort();
@@ -151,7 +151,7 @@
     let mut leaving = upstream(0, 4);
     leaving.draining = true;
     theirs.replace(vec![leaving], None);
-    own.apply(theirs.changes_since(None), false);
+    own.apply(theirs.changes_since(None), Missing::NotYetKnown);
     assert!(own.is_ready(&upstream(1, 0).id), "not yet known there");
     assert!(!own.is_ready(&upstream(0, 0).id), "leaving is final");
 }
@@ -161,12 +161,12 @@
     let mut theirs = UpstreamDirectory::default();
     theirs.replace(vec![upstream(0, 5), upstream(1, 5)], None);
     let mut own = UpstreamDirectory::default();
-    own.apply(theirs.changes_since(None), true);
+    own.apply(theirs.changes_since(None), Missing::Gone);
     let known = theirs.revision();
     // Heartbeats alone are no change that is told.
     theirs.upsert(upstream(0, 9));
     theirs.remove(&upstream(0, 0).id);
-    own.apply(theirs.changes_since(Some(known)), true);
+    own.apply(theirs.changes_since(Some(known)), Missing::Gone);
     own.upsert(upstream(0, 8));
     assert!(!own.is_ready(&upstream(0, 0).id), "an old heartbeat");
     own.upsert(upstream(0, 10));
@@ -183,3 +183,19 @@
     directory.upsert(upstream(0, 50));
     assert!(!directory.is_ready(&upstream(0, 0).id));
 }
+
+#[test]
+fn an_older_whole_listing_drops_what_it_lacks_after_a_while_without_a_source() {
+    let mut own = UpstreamDirectory::default();
+    own.replace(vec![upstream(0, 5), upstream(1, 5), upstream(2, 5)], None);
+    let mut theirs = UpstreamDirectory::default();
+    theirs.replace(vec![upstream(0, 5)], None);
+    own.apply(theirs.changes_since(None), Missing::GoneAt(1_000));
+    assert!(own.is_ready(&upstream(1, 0).id), "it may be new");
+    let known = theirs.revision();
+    theirs.upsert(upstream(2, 5));
+    own.apply(theirs.changes_since(Some(known)), Missing::GoneAt(9_000));
+    own.expire_lapsed(1_000);
+    assert!(own.is_ready(&upstream(2, 0).id), "it was new");
+    assert!(own.get(&upstream(1, 0).id).is_none(), "it was gone there");
+}
