Headers that only the system sets never reach an upstream as a client sent them

Now one list, HeaderNames::set_by_system; a test with forged headers failed before. Ruled out: a list of what may pass; other headers of a client have to travel.

--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -26,6 +26,38 @@
     pub priority: HeaderName,
     /// The upstream's signature of its answer.
     pub signature: HeaderName,
+    /// The weights that an upstream shall have that runs the request.
+    pub expected_weights: HeaderName,
+    /// For how long an upstream keeps a request's memory after its run.
+    pub keep_memory: HeaderName,
+    /// A reservation of room at an upstream that the request uses.
+    pub reservation: HeaderName,
+    /// Another upstream that a run's memory is copied to as it grows.
+    pub backup_to: HeaderName,
+    /// The copy of a run's memory that a request goes on from.
+    pub continue_from: HeaderName,
+    /// Another upstream that a prompt's memory is fetched from.
+    pub fetch_from: HeaderName,
+}
+
+impl HeaderNames {
+    /// Returns the headers that only the system sets: one that a client sent
+    /// never reaches an upstream.
+    pub fn set_by_system(&self) -> [&HeaderName; 11] {
+        [
+            &self.api_key,
+            &self.tenant,
+            &self.deadline_ms,
+            &self.expected_upstream,
+            &self.priority,
+            &self.expected_weights,
+            &self.keep_memory,
+            &self.reservation,
+            &self.backup_to,
+            &self.continue_from,
+            &self.fetch_from,
+        ]
+    }
 }
 
 impl Default for HeaderNames {
@@ -43,6 +75,12 @@
             expected_upstream: name("saddlepulley-expected-upstream"),
             priority: name("saddlepulley-priority"),
             signature: name("saddlepulley-signature"),
+            expected_weights: name("saddlepulley-expected-weights"),
+            keep_memory: name("saddlepulley-keep-memory"),
+            reservation: name("saddlepulley-reservation"),
+            backup_to: name("saddlepulley-backup-to"),
+            continue_from: name("saddlepulley-continue-from"),
+            fetch_from: name("saddlepulley-fetch-from"),
         }
     }
 }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -229,14 +229,7 @@
 /// may say.
 fn forwarded_headers(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
     strip_connection_headers(&mut headers);
-    let ours = [
-        &names.api_key,
-        &names.tenant,
-        &names.deadline_ms,
-        &names.expected_upstream,
-        &names.priority,
-    ];
-    for name in ours {
+    for name in names.set_by_system() {
         headers.remove(name);
     }
     // The body goes out whole, with its own length.
--- a/tests/gateway/answers.rs
+++ b/tests/gateway/answers.rs
@@ -39,6 +39,34 @@
     assert!((1..=4_000).contains(&left_ms), "{left_ms}");
 }
 
+#[tokio::test]
+async fn what_only_the_system_sets_never_passes_as_a_client_sent_it() {
+    let runner = Runner::start("b1", 3).await.unwrap();
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&IDEMPOTENT], &[&runner])).await;
+    let mut client = daemon.client().await;
+    let forged = [
+        "saddlepulley-expected-weights",
+        "saddlepulley-keep-memory",
+        "saddlepulley-reservation",
+        "saddlepulley-backup-to",
+        "saddlepulley-continue-from",
+        "saddlepulley-fetch-from",
+        "saddlepulley-expected-upstream",
+        "saddlepulley-priority",
+        "saddlepulley-tenant",
+        "saddlepulley-deadline-ms",
+    ];
+    let mut request = request("a1", "/look/x");
+    for name in forged {
+        request = request.header(name, "forged");
+    }
+    let answer = client.send(request, "").await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK);
+    let run = &runner.runs()[0];
+    let passed = run.headers.iter().filter(|(_, value)| *value == "forged");
+    assert_eq!(passed.count(), 0, "{:?}", run.headers);
+}
+
 #[tokio::test]
 async fn what_the_configuration_does_not_allow_is_refused() {
     let runner = Runner::start("b1", 3).await.unwrap();
