Engines' reading speed is learned from answers, shared in digests, and no longer written down

Now: a weighted median of the slopes between answers of small and large prompts that nothing waited before (policy/engine_model.rs); the time of a first event and of a stay are averaged beside it. Placement weighs a full upstream by the wait for a slot, a failing one by the latency that the route wants. Load is reading or slots, whichever is scarcer. Before answers are seen, the fleet found is held and placement goes by the settings' first guess. Ruled out: unread tokens over the whole time (counts ways and steps as reading: a third too slow); samples behind waiting requests (overload would make engines look slow and order more). The tests learn four speeds, follow a change, and bear a fifth of late answers.

--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         names::{BoxId, ClientAccount, UpstreamId},
-        policy::{QuotaNotice, TenantCounts},
+        policy::{QuotaNotice, ReadingSpeed, TenantCounts},
     },
     bincode::{Decode, Encode},
     displaydoc::Display,
@@ -9,7 +9,7 @@
 };
 
 /// The version of the message; one of another version is not understood.
-const DIGEST_VERSION: u8 = 2;
+const DIGEST_VERSION: u8 = 3;
 /// The largest digest, in bytes: one datagram, not split.
 pub const MAX_DIGEST_BYTES: usize = 1_400;
 
@@ -59,6 +59,9 @@
     pub loads: Vec<(String, u32, u32)>,
     /// By service, the work that it was offered, a second.
     pub demand: Vec<(String, f32)>,
+    /// By service, how long its engines take to read a prompt token, in
+    /// milliseconds, and on how many comparisons that rests.
+    pub reading: Vec<(String, f32, u32)>,
     /// Other daemons that it knows.
     pub peers: Vec<SocketAddr>,
 }
@@ -81,6 +84,7 @@
             usage: Vec::new(),
             loads: Vec::new(),
             demand: Vec::new(),
+            reading: Vec::new(),
             peers: Vec::new(),
         }
     }
@@ -151,6 +155,16 @@
             .collect()
     }
 
+    /// Returns what it tells of how fast a service's engines read.
+    pub fn reading_speed(&self, service: &str) -> Option<ReadingSpeed> {
+        let told = self.reading.iter().find(|(name, ..)| name == service);
+        let speed = told.map(|(_, ms_per_token, comparisons)| ReadingSpeed {
+            ms_per_token: f64::from(*ms_per_token),
+            comparisons: *comparisons,
+        });
+        speed.filter(|s| s.ms_per_token > 0.0 && s.ms_per_token.is_finite())
+    }
+
     /// Returns an upstream's name and figures, typed.
     pub fn typed_loads(&self) -> impl Iterator<Item = (UpstreamId, u32, u32)> + '_ {
         self.loads
--- a/src/cluster/digest_exchange.rs
+++ b/src/cluster/digest_exchange.rs
@@ -104,6 +104,7 @@
     digest.usage = usage(gateway);
     digest.loads = loads(gateway);
     digest.demand = gateway.own_demand();
+    digest.reading = reading_speeds(gateway);
     digest.zone = settings.node.zone.to_string();
     digest.peers = gateway.some_peers(MAX_DIGEST_PEERS);
     digest
@@ -137,6 +138,13 @@
     named.collect()
 }
 
+fn reading_speeds(gateway: &Gateway) -> Vec<(String, f32, u32)> {
+    let speeds = gateway.own_reading_speeds().into_iter();
+    speeds
+        .map(|(service, s)| (service.to_string(), s.ms_per_token as f32, s.comparisons))
+        .collect()
+}
+
 fn loads(gateway: &Gateway) -> Vec<(String, u32, u32)> {
     let loads = gateway.loads.lock();
     let busy = loads.iter().filter(|(_, load)| load.active > 0);
--- a/src/cluster/fleet_scaler.rs
+++ b/src/cluster/fleet_scaler.rs
@@ -3,14 +3,15 @@
     crate::{
         gateway::Gateway,
         names::{FailureDomain, ServiceName},
-        policy::{DemandPeak, FleetBounds, FleetNeed, ZoneFleet, needed_upstreams, plan_fleet},
+        policy::{
+            DemandPeak, FleetBounds, FleetNeed, ReadingSpeed, ZoneFleet, needed_upstreams,
+            plan_fleet,
+        },
         routing::{Autoscaling, Service},
     },
     std::collections::{BTreeSet, HashMap},
 };
 
-/// What a model upstream can do: prompt tokens a second.
-const PROMPT_TOKENS_PER_S: f64 = 30_000.0;
 /// After how long an order that shows no effect is placed again, beside the
 /// time that upstreams take to start, in milliseconds.
 const AGAIN_AFTER_MS: u64 = 2_000;
@@ -111,13 +112,14 @@
         let watched = self
             .demand_since_ms
             .is_some_and(|since| now_ms >= since + WATCH_MS);
+        let speed = gateway.reading_speed(&service.name);
+        let load = offered_load(gateway, service, demand, speed);
         let peaks = self.peaks.entry(service.name.clone()).or_default();
-        let needed = |peak| needed_upstreams(peak, PROMPT_TOKENS_PER_S);
         let mut need = FleetNeed {
-            steady: needed(peaks.steady.note(demand, now_ms)),
-            now: needed(peaks.now.note(demand, now_ms)),
+            steady: needed_upstreams(peaks.steady.note(load, now_ms)),
+            now: needed_upstreams(peaks.now.note(load, now_ms)),
         };
-        if !watched {
+        if !watched || speed.is_none() {
             // Demand is not known yet: what was found was enough so far.
             let on_demand: u32 = zones.iter().map(|z| z.on_demand).sum();
             let found = self.found.entry(service.name.clone()).or_default();
@@ -177,6 +179,23 @@
     }
 }
 
+/// Returns how many upstreams would be busy all the time with what is offered:
+/// with reading prompts, or with all of their slots.
+fn offered_load(
+    gateway: &Gateway,
+    service: &Service,
+    tokens_per_s: f64,
+    speed: Option<ReadingSpeed>,
+) -> f64 {
+    let reading = speed.map_or(0.0, |s| tokens_per_s / s.tokens_per_s());
+    let slots = service.engine.as_ref().map_or(0, |e| e.slots);
+    let running = match slots {
+        0 => 0.0,
+        slots => f64::from(gateway.running_at(&service.name)) / f64::from(slots),
+    };
+    reading.max(running)
+}
+
 fn key_of(order: &FleetOrder) -> (ServiceName, FailureDomain, bool) {
     (order.service.clone(), order.zone.clone(), order.reclaimable)
 }
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -2,7 +2,7 @@
     super::Digest,
     crate::{
         names::{ClientAccount, UpstreamId},
-        policy::{OtherDaemon, ZoneDaemon},
+        policy::{OtherDaemon, ReadingSpeed, ZoneDaemon},
     },
     rand::{Rng, seq::IteratorRandom},
     std::{
@@ -134,6 +134,13 @@
         told.map(|(_, per_s)| f64::from(*per_s)).sum()
     }
 
+    /// Returns what other live daemons learned of how fast a service's engines
+    /// read.
+    pub fn reading_speeds(&self, service: &str) -> Vec<ReadingSpeed> {
+        let told = self.live().filter_map(|p| p.digest.reading_speed(service));
+        told.collect()
+    }
+
     /// Returns whether another live daemon says that it holds the duties.
     pub fn has_duty_holder(&self) -> bool {
         self.live().any(|p| p.digest.holds_duties)
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -32,6 +32,9 @@
     /// Duties that one daemon has at a time.
     #[serde(default)]
     pub duties: DutySettings,
+    /// What is reckoned with before any answer was seen.
+    #[serde(default)]
+    pub first_guess: FirstGuess,
 }
 
 /// Who this machine is.
@@ -139,6 +142,29 @@
     }
 }
 
+/// What a daemon reckons with at upstreams before it has seen answers: it only
+/// sets off the parts of an estimate against each other for the first second.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct FirstGuess {
+    /// How long an engine takes to read a prompt token, in milliseconds.
+    pub ms_per_token: f64,
+    /// How long a first event takes where nothing waits, in milliseconds.
+    pub first_event_ms: f64,
+    /// How long a request stays at an upstream, in milliseconds.
+    pub stay_ms: f64,
+}
+
+impl Default for FirstGuess {
+    fn default() -> Self {
+        Self {
+            ms_per_token: 0.02,
+            first_event_ms: 100.0,
+            stay_ms: 500.0,
+        }
+    }
+}
+
 impl GatewaySettings {
     /// Reads and checks a file.
     ///
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -74,6 +74,11 @@
             match self.step().await {
                 Ok(step) => {
                     self.gateway.note_run(&self.context);
+                    if matches!(step, Step::Events(_))
+                        && let Some(sent) = &self.current
+                    {
+                        sent.active.first_event();
+                    }
                     self.began = true;
                     return Some((head, self.pass_on(step)));
                 }
@@ -244,6 +249,7 @@
                         self.attempts.sends + 1,
                         self.last_id
                     );
+                    sent.active.ended_whole();
                     let failed = sent.answer.head.status.is_server_error();
                     self.gateway.note_outcome(&sent.upstream.id, failed);
                 }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -46,6 +46,8 @@
     pub upstream: Arc<Upstream>,
     /// The prompt tokens that it is expected to read.
     pub unread_tokens: u64,
+    /// The prompt tokens of other requests that it is known to read first.
+    pub waiting_tokens: u64,
     /// Whether it is a try after one that failed: what broke that one may have
     /// broken resting connections, too.
     pub is_repeat: bool,
@@ -99,6 +101,7 @@
     pub(super) retries: Mutex<HashMap<ServiceName, RetryAllowance>>,
     pub(super) caches: Mutex<CacheMemory>,
     pub(super) demand: Mutex<HashMap<ServiceName, DemandMeter>>,
+    pub(super) engines: Mutex<HashMap<ServiceName, EngineModel>>,
     pub(super) rng: Mutex<ChaCha8Rng>,
     started: Instant,
 }
@@ -131,6 +134,7 @@
             retries: Mutex::default(),
             caches: Mutex::default(),
             demand: Mutex::default(),
+            engines: Mutex::default(),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
             started: Instant::now(),
         }
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -8,9 +8,6 @@
     std::{collections::HashMap, sync::Arc},
 };
 
-/// How fast an upstream is taken to read a prompt, in tokens a millisecond.
-const PROMPT_TOKENS_PER_MS: f64 = 30.0;
-
 /// Where requests are sent, and what is learned from how they fare.
 impl Gateway {
     /// Chooses an upstream for a request; `tried` ones come last.
@@ -26,8 +23,10 @@
             .iter()
             .map(|b| self.candidate(context, b, home.as_ref(), &peer_loads))
             .collect();
+        let times = self.engine_times(&context.service);
+        let target_ms = context.route.target_latency_ms as f64;
         let mut rng = self.rng.lock();
-        let chosen = choose_upstream(&candidates, PROMPT_TOKENS_PER_MS, &mut *rng);
+        let chosen = choose_upstream(&candidates, &times, target_ms, &mut *rng);
         drop(rng);
         if tried.is_empty() {
             // What finds no upstream is demand, too.
@@ -57,6 +56,7 @@
         Some(Placement {
             upstream: ready[chosen].clone(),
             unread_tokens,
+            waiting_tokens,
             is_repeat: !tried.is_empty(),
         })
     }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,9 +1,10 @@
 use {
     super::{Gateway, Placement, RequestContext},
-    crate::{names::UpstreamId, upstreams::*},
+    crate::{policy::FirstEvent, upstreams::*},
     http::{HeaderValue, Request, StatusCode, Version},
     http_body_util::Full,
     std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
 };
 
 /// How long opening a connection to an upstream may take.
@@ -17,21 +18,30 @@
 #[derive(Debug)]
 pub struct ActiveSend {
     gateway: Arc<Gateway>,
-    upstream: UpstreamId,
+    upstream: Arc<Upstream>,
     waiting_tokens: u64,
+    /// The prompt tokens that it reads for this request.
+    unread_tokens: u64,
+    /// Whether nothing else is known to wait there, and this is the first try.
+    is_alone: bool,
+    started: Instant,
 }
 
 impl ActiveSend {
-    fn start(gateway: &Arc<Gateway>, upstream: &UpstreamId, waiting_tokens: u64) -> Self {
+    fn start(gateway: &Arc<Gateway>, placement: &Placement) -> Self {
+        let unread_tokens = placement.unread_tokens;
         let mut loads = gateway.loads.lock();
-        let load = loads.entry(upstream);
+        let load = loads.entry(&placement.upstream.id);
         load.active += 1;
-        load.waiting_tokens += waiting_tokens;
+        load.waiting_tokens += unread_tokens;
         drop(loads);
         Self {
             gateway: gateway.clone(),
-            upstream: upstream.clone(),
-            waiting_tokens,
+            upstream: placement.upstream.clone(),
+            waiting_tokens: unread_tokens,
+            unread_tokens,
+            is_alone: placement.waiting_tokens == 0 && !placement.is_repeat,
+            started: Instant::now(),
         }
     }
 
@@ -39,17 +49,39 @@
     pub fn progress(&mut self) {
         let now_ms = self.gateway.steady_ms();
         let mut loads = self.gateway.loads.lock();
-        let load = loads.entry(&self.upstream);
+        let load = loads.entry(&self.upstream.id);
         load.note_progress(now_ms);
         load.waiting_tokens = load.waiting_tokens.saturating_sub(self.waiting_tokens);
         self.waiting_tokens = 0;
     }
+
+    /// Notes that the upstream sent the request's first event.
+    pub fn first_event(&self) {
+        if !self.is_alone {
+            return;
+        }
+        let event = FirstEvent {
+            unread_tokens: self.unread_tokens,
+            after_ms: self.age_ms(),
+        };
+        self.gateway.note_first_event(&self.upstream.service, event);
+    }
+
+    /// Notes that the request ended whole.
+    pub fn ended_whole(&self) {
+        let service = &self.upstream.service;
+        self.gateway.note_stay(service, self.age_ms());
+    }
+
+    fn age_ms(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1_000.0
+    }
 }
 
 impl Drop for ActiveSend {
     fn drop(&mut self) {
         let mut loads = self.gateway.loads.lock();
-        let load = loads.entry(&self.upstream);
+        let load = loads.entry(&self.upstream.id);
         load.active = load.active.saturating_sub(1);
         load.waiting_tokens = load.waiting_tokens.saturating_sub(self.waiting_tokens);
     }
@@ -78,7 +110,7 @@
     last_event_id: Option<u64>,
 ) -> Result<Sent, SendFailure> {
     let upstream = &placement.upstream;
-    let mut active = ActiveSend::start(gateway, &upstream.id, placement.unread_tokens);
+    let mut active = ActiveSend::start(gateway, placement);
     let connection = connect(gateway, context, placement).await?;
     // What is true now counts, not what was when the upstream was chosen.
     if !gateway.directory.read().is_ready(&upstream.id) {
--- a/src/policy/choose_upstream.rs
+++ b/src/policy/choose_upstream.rs
@@ -1,15 +1,17 @@
-use rand::Rng;
+use {super::EngineTimes, rand::Rng};
 
-/// How much a request that runs at an upstream slows a new one, in milliseconds.
-const PER_ACTIVE_MS: f64 = 3.0;
-/// What an upstream costs that fails every request, in milliseconds.
-const FAILURE_PENALTY_MS: f64 = 3_000.0;
-/// What a send into another zone costs, in milliseconds.
+/// How much a request that runs at an upstream slows a new one's first event, as
+/// a share of the time that it takes there alone. Small: it only decides between
+/// upstreams that have as much to read.
+const ACTIVE_SLOWDOWN: f64 = 0.03;
+/// What an upstream costs that fails every request, in latencies that the
+/// route wants: a failed request is tried again or lost.
+const FAILURE_PENALTY: f64 = 6.0;
+/// What a send into another zone costs, in milliseconds: some ways there and
+/// back inside a region, and the price of the bytes.
 const OTHER_ZONE_MS: f64 = 4.0;
 /// Spreads daemons that see the same figures, in milliseconds.
 const JITTER_MS: f64 = 4.0;
-/// What an upstream costs that has no free slot, in milliseconds.
-const FULL_PENALTY_MS: f64 = 500.0;
 
 /// An upstream that a request could be sent to.
 #[derive(Clone, Copy, Debug)]
@@ -32,25 +34,32 @@
 
 impl Candidate {
     /// Estimates the time to the first event, penalties included, in milliseconds.
-    fn cost_ms(&self, tokens_per_ms: f64) -> f64 {
+    fn cost_ms(&self, times: &EngineTimes, target_ms: f64) -> f64 {
         let tokens = (self.waiting_tokens + self.unread_tokens) as f64;
-        let mut cost = tokens / tokens_per_ms;
-        cost += f64::from(self.active) * PER_ACTIVE_MS;
-        cost += self.failure_rate * FAILURE_PENALTY_MS;
+        let mut cost = tokens * times.ms_per_token;
+        cost += f64::from(self.active) * times.first_event_ms * ACTIVE_SLOWDOWN;
+        cost += self.failure_rate * target_ms * FAILURE_PENALTY;
         if !self.same_zone {
             cost += OTHER_ZONE_MS;
         }
-        if self.active >= self.slots {
-            cost += FULL_PENALTY_MS;
-        }
-        cost
+        cost + self.slot_wait_ms(times)
+    }
+
+    /// Estimates how long a request waits for a slot: a full upstream frees as
+    /// many as it has in the time that one request stays.
+    fn slot_wait_ms(&self, times: &EngineTimes) -> f64 {
+        let slots = self.slots.max(1);
+        let ahead = (self.active + 1).saturating_sub(slots);
+        f64::from(ahead) * times.stay_ms / f64::from(slots)
     }
 }
 
-/// Chooses the cheapest candidate; returns its index.
+/// Chooses the cheapest candidate for a request that wants its first event
+/// within `target_ms`; returns its index.
 pub fn choose_upstream(
     candidates: &[Candidate],
-    tokens_per_ms: f64,
+    times: &EngineTimes,
+    target_ms: f64,
     rng: &mut impl Rng,
 ) -> Option<usize> {
     let any_sound = candidates.iter().any(|c| !c.avoided);
@@ -58,7 +67,7 @@
     let usable = usable.filter(|(_, c)| !c.avoided || !any_sound);
     let costs = usable.map(|(index, c)| {
         let jitter = rng.random_range(0.0..JITTER_MS);
-        (index, c.cost_ms(tokens_per_ms) + jitter)
+        (index, c.cost_ms(times, target_ms) + jitter)
     });
     let cheapest = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
     cheapest.map(|(index, _)| index)
--- a/src/policy/fleet_plan.rs
+++ b/src/policy/fleet_plan.rs
@@ -59,9 +59,10 @@
     pub reclaimable: u32,
 }
 
-/// Returns how many upstreams the demand needs; `capacity` is what one can do.
-pub fn needed_upstreams(demand: f64, capacity: f64) -> u32 {
-    let needed = demand / (capacity * PLANNED_USE).max(f64::MIN_POSITIVE);
+/// Returns how many upstreams a load needs that would keep `load` of them busy
+/// all the time.
+pub fn needed_upstreams(load: f64) -> u32 {
+    let needed = load / PLANNED_USE;
     needed.max(MIN_NEEDED).ceil() as u32
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod concurrency;
 mod demand_meter;
 mod duty_log;
+mod engine_model;
 mod estimate;
 mod fleet_plan;
 mod holder;
@@ -35,8 +36,8 @@
 
 pub use {
     admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
-    claimant::*, concurrency::*, demand_meter::*, duty_log::*, estimate::*, fleet_plan::*,
-    holder::*, lease::*, neighbours::*, placement::*, placement_cheapest::*,
+    claimant::*, concurrency::*, demand_meter::*, duty_log::*, engine_model::*, estimate::*,
+    fleet_plan::*, holder::*, lease::*, neighbours::*, placement::*, placement_cheapest::*,
     placement_keep_work::*, placement_naive::*, quota_account::*, quota_book::*, reclaim::*,
     retry::*, retry_allowance::*, retry_situation::*, source_contact::*, source_role::*, spill::*,
     splice::*, stall::*, usage_windows::*, zone_reach::*,
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -5,6 +5,7 @@
 mod claim_exploration;
 mod digests;
 mod duties;
+mod engine_model;
 mod files;
 mod fleet;
 mod gateway_files;
--- a/tests/decisions/routed.rs
+++ b/tests/decisions/routed.rs
@@ -182,7 +182,12 @@
 }
 
 fn choose(candidates: &[Candidate]) -> Option<usize> {
-    choose_upstream(candidates, 30.0, &mut ChaCha8Rng::seed_from_u64(1))
+    let times = EngineTimes {
+        ms_per_token: 1.0 / 30.0,
+        first_event_ms: 100.0,
+        stay_ms: 1_000.0,
+    };
+    choose_upstream(candidates, &times, 500.0, &mut ChaCha8Rng::seed_from_u64(1))
 }
 
 #[test]
