--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -50,9 +50,9 @@
     pub cut_from_source: bool,
     /// Whether it holds the duties.
     pub holds_duties: bool,
-    /// By tenant, the weight with which it asks for a part of the quota and
-    /// what it has let in.
-    pub quotas: Vec<(String, f32, f64)>,
+    /// By tenant, the weight with which it asks for a part of the quota, what
+    /// it has let in and what it sees left.
+    pub quotas: Vec<(String, f32, f64, f32)>,
     /// Requests that began there, by window and tenant.
     pub usage: Vec<(u64, Vec<(String, u32)>)>,
     /// Requests and waiting prompt tokens that it has at upstreams.
@@ -133,10 +133,11 @@
     /// Returns what it tells about quotas, typed.
     pub fn quota_notices(&self) -> Vec<QuotaNotice> {
         let quotas = self.quotas.iter();
-        let typed = quotas.map(|(tenant, weight, admitted)| QuotaNotice {
+        let typed = quotas.map(|(tenant, weight, admitted, level)| QuotaNotice {
             tenant: ClientAccount::from(tenant.as_str()),
             weight: f64::from(*weight),
             admitted: *admitted,
+            level: f64::from(*level),
         });
         typed.collect()
     }
--- a/src/cluster/digest_exchange.rs
+++ b/src/cluster/digest_exchange.rs
@@ -50,13 +50,14 @@
     let (node, incarnation) = (digest.node.clone(), digest.incarnation);
     let own_sequence = gateway.digests_told.load(Ordering::Relaxed);
     let is_younger = digest.sequence <= own_sequence + SAME_AGE_DIGESTS;
-    let news = gateway.peers.lock().hear(digest, gateway.steady_ms());
+    let now_ms = gateway.steady_ms();
+    let news = gateway.peers.lock().hear(digest, now_ms);
     if news {
         gateway.usage.lock().merge(&node, incarnation, &usage);
         gateway
             .quotas
             .lock()
-            .hear(&node, incarnation, &quotas, is_younger);
+            .hear(&node, incarnation, &quotas, is_younger, now_ms);
     }
 }
 
@@ -111,14 +112,17 @@
 }
 
 /// Brings the quotas up to date and returns what to tell of them.
-fn quotas(gateway: &Gateway) -> Vec<(String, f32, f64)> {
+fn quotas(gateway: &Gateway) -> Vec<(String, f32, f64, f32)> {
     let (tenants, daemons) = (gateway.tenants(), gateway.daemons());
     let others = gateway.peers.lock().quota_daemons();
     let mut quotas = gateway.quotas.lock();
     let notices = quotas.tick(&tenants, &others, daemons, gateway.steady_ms());
     let notices = notices.into_iter();
     notices
-        .map(|n| (n.tenant.to_string(), n.weight as f32, n.admitted))
+        .map(|n| {
+            let (weight, level) = (n.weight as f32, n.level as f32);
+            (n.tenant.to_string(), weight, n.admitted, level)
+        })
         .collect()
 }
 
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -3,6 +3,7 @@
     crate::{
         contracts::line_of,
         names::{BoxId, FailureDomain},
+        policy::QuotaBounds,
     },
     serde::Deserialize,
     std::{
@@ -102,6 +103,8 @@
     pub retry_slack: f64,
     /// How long a planned stop may take, in seconds.
     pub stop_s: f64,
+    /// How exactly quotas have to hold.
+    pub quotas: QuotaBounds,
 }
 
 impl Default for GatewayBounds {
@@ -110,6 +113,7 @@
             retry_ratio: 0.2,
             retry_slack: 40.0,
             stop_s: 8.0,
+            quotas: QuotaBounds::default(),
         }
     }
 }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -109,6 +109,7 @@
 impl Gateway {
     /// Makes the state of a daemon that starts.
     pub fn new(settings: GatewaySettings, names: HeaderNames, seed: u64) -> Self {
+        let quotas = QuotaBook::new(settings.bounds.quotas);
         Self {
             settings,
             names,
@@ -118,7 +119,7 @@
             pool: Arc::default(),
             peers: Mutex::default(),
             usage: Mutex::default(),
-            quotas: Mutex::default(),
+            quotas: Mutex::new(quotas),
             tell_early: Notify::new(),
             phase: watch::Sender::new(GatewayPhase::Starting),
             digests_told: AtomicU64::new(0),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -22,6 +22,7 @@
 mod placement_naive;
 mod quota_account;
 mod quota_book;
+mod quota_limit;
 mod reclaim;
 mod retry;
 mod retry_allowance;
@@ -38,7 +39,7 @@
     admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
     claimant::*, concurrency::*, demand_meter::*, duty_log::*, engine_model::*, estimate::*,
     fleet_plan::*, holder::*, lease::*, neighbours::*, placement::*, placement_cheapest::*,
-    placement_keep_work::*, placement_naive::*, quota_account::*, quota_book::*, reclaim::*,
-    retry::*, retry_allowance::*, retry_situation::*, source_contact::*, source_role::*, spill::*,
-    splice::*, stall::*, usage_windows::*, zone_reach::*,
+    placement_keep_work::*, placement_naive::*, quota_account::*, quota_book::*, quota_limit::*,
+    reclaim::*, retry::*, retry_allowance::*, retry_situation::*, source_contact::*,
+    source_role::*, spill::*, splice::*, stall::*, usage_windows::*, zone_reach::*,
 };
--- a/src/policy/quota_account.rs
+++ b/src/policy/quota_account.rs
@@ -1,11 +1,21 @@
-use std::collections::HashMap;
+use {super::QuotaLimit, std::collections::HashMap};
 
 /// Over which time demand is averaged, in milliseconds.
 const DEMAND_WINDOW_MS: f64 = 3_000.0;
 /// Of a daemon's even part, what one without demand keeps.
 const IDLE_PART: f64 = 0.25;
-/// With how much of the burst a daemon starts.
+/// Of the burst, what a daemon that starts reckons with until it hears others.
 const START_LEVEL: f64 = 0.12;
+/// Of the slack, what a daemon starts with once it has heard others that are no
+/// older than itself: after a loss of all, the bucket is likely to be full. All
+/// may be lost twice within a window.
+const START_SLACK: f64 = 0.25;
+/// Of the slack, what all daemons together may let in between two notices,
+/// whatever is left: the debt pays it back.
+const UNHEARD_SLACK: f64 = 0.35;
+/// How long a daemon that starts takes over what is left from older ones, in
+/// milliseconds: some notices' time.
+const LEARNING_MS: u64 = 1_000;
 /// Of the burst, what has to be there for a request that is larger.
 const LARGE_REQUEST_LEVEL: f64 = 0.5;
 /// How many times its part of what is left a daemon may let in between two
@@ -75,14 +85,22 @@
     saved_turns: f64,
     /// Whether all others were heard at the last tick.
     all_heard: bool,
+    /// Of the slack, this daemon's part between two notices.
+    own_slack: f64,
+    /// When this account was opened.
+    opened_ms: u64,
+    /// Whether an older daemon has told what is left.
+    is_told: bool,
 }
 
 impl QuotaAccount {
     /// Starts with nothing heard and little left: what was let in before a
     /// restart is not known.
-    pub fn new(own_part: f64, burst: f64, now_ms: u64) -> Self {
+    pub fn new(own_part: f64, limit: &QuotaLimit, now_ms: u64) -> Self {
+        let start = limit.burst * START_LEVEL;
+        let likely = (limit.slack * START_SLACK).min(limit.burst);
         Self {
-            level: burst * START_LEVEL,
+            level: start.max(likely),
             updated_ms: now_ms,
             demand: 0.0,
             demand_ms: now_ms,
@@ -94,9 +112,31 @@
             since_tick: 0.0,
             saved_turns: 0.0,
             all_heard: false,
+            own_slack: 0.0,
+            opened_ms: now_ms,
+            is_told: false,
         }
     }
 
+    /// Returns what is left, as this daemon sees it.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
+    /// Takes over what an older daemon says is left, while this one is new: it
+    /// can't know what was let in before it started.
+    pub fn learn_level(&mut self, told: f64, now_ms: u64) {
+        if now_ms >= self.opened_ms + LEARNING_MS {
+            return;
+        }
+        let told = told - self.admitted;
+        self.level = match self.is_told {
+            true => self.level.min(told),
+            false => told,
+        };
+        self.is_told = true;
+    }
+
     /// Returns what was let in here so far.
     pub fn admitted(&self) -> f64 {
         self.admitted
@@ -138,28 +178,29 @@
         &mut self,
         own_weight: f64,
         others: &[OtherDaemon],
-        rate: f64,
-        burst: f64,
+        limit: &QuotaLimit,
         now_ms: u64,
     ) {
-        self.refill(rate, burst, now_ms);
+        self.refill(limit, now_ms);
         let all: f64 = own_weight + others.iter().map(|o| o.weight).sum::<f64>();
         if !others.is_empty() {
             self.unknown_part = 0.0;
             self.own_part = own_weight / all.max(f64::MIN_POSITIVE);
+            let daemons = (others.len() + 1) as f64;
+            self.own_slack = limit.slack * UNHEARD_SLACK / daemons;
         }
         for other in others.iter().filter(|o| o.silent) {
             self.charge(
                 other,
                 other.weight / all.max(f64::MIN_POSITIVE),
-                rate,
+                limit.rate,
                 now_ms,
             );
         }
         self.all_heard = !others.iter().any(|o| o.late);
         self.left_at_tick = self.level.max(0.0);
         let part = self.left_at_tick * self.own_part * UNHEARD_PARTS;
-        let most = burst * LARGE_REQUEST_LEVEL;
+        let most = limit.burst * LARGE_REQUEST_LEVEL;
         self.saved_turns = (self.saved_turns + part).min(most);
         self.since_tick = 0.0;
     }
@@ -188,16 +229,20 @@
     /// # Errors
     ///
     /// Returns after how many milliseconds it would be let in.
-    pub fn admit(&mut self, cost: f64, rate: f64, burst: f64, now_ms: u64) -> Result<(), u64> {
+    pub fn admit(&mut self, cost: f64, limit: &QuotaLimit, now_ms: u64) -> Result<(), u64> {
         self.note_demand(cost, now_ms);
-        self.refill(rate, burst, now_ms);
-        let needed = cost.min(burst * LARGE_REQUEST_LEVEL);
-        let own = self.left_at_tick.max(self.level) * self.own_part * UNHEARD_PARTS;
+        self.refill(limit, now_ms);
+        let needed = cost.min(limit.burst * LARGE_REQUEST_LEVEL);
+        let left = match self.unknown_part > 0.0 {
+            true => self.level.min(limit.burst * START_LEVEL),
+            false => self.left_at_tick.max(self.level),
+        };
+        let own = left * self.own_part * UNHEARD_PARTS;
         let spare = match self.all_heard {
-            true => self.left_at_tick - burst * SCARCE_LEVEL,
+            true => self.left_at_tick - limit.burst * SCARCE_LEVEL,
             false => 0.0,
         };
-        let unheard = own.max(spare);
+        let unheard = own.max(spare).max(self.own_slack);
         let is_first = self.since_tick <= 0.0;
         let has_saved = is_first && self.saved_turns >= needed;
         let in_turn = has_saved || self.since_tick + cost <= unheard;
@@ -209,16 +254,16 @@
             return Ok(());
         }
         let missing = (needed - self.level).max(0.0);
-        let wait_s = missing / (rate * (1.0 - self.unknown_part)).max(1.0);
+        let wait_s = missing / (limit.rate * (1.0 - self.unknown_part)).max(1.0);
         let wait_ms = (wait_s * 1_000.0).min(60_000.0) as u64 + 1;
         // One that is out of turn only has to wait for the next notices.
         Err(wait_ms.max(if in_turn { 0 } else { NEXT_TURN_MS }))
     }
 
-    fn refill(&mut self, rate: f64, burst: f64, now_ms: u64) {
-        let rate = rate * (1.0 - self.unknown_part);
+    fn refill(&mut self, limit: &QuotaLimit, now_ms: u64) {
+        let rate = limit.rate * (1.0 - self.unknown_part);
         let elapsed_s = now_ms.saturating_sub(self.updated_ms) as f64 / 1_000.0;
-        self.level = (self.level + rate * elapsed_s).min(burst);
+        self.level = (self.level + rate * elapsed_s).min(limit.burst);
         self.updated_ms = self.updated_ms.max(now_ms);
     }
 
--- a/src/policy/quota_book.rs
+++ b/src/policy/quota_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OtherDaemon, QuotaAccount},
+    super::{OtherDaemon, QuotaAccount, QuotaBounds},
     crate::{names::ClientAccount, routing::Tenant},
     std::collections::{HashMap, VecDeque},
 };
@@ -17,17 +17,28 @@
     pub weight: f64,
     /// What it has let in since it started.
     pub admitted: f64,
+    /// What is left of the quota, as it sees it.
+    pub level: f64,
 }
 
 /// All tenants' quotas as one daemon sees them.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaBook {
+    bounds: QuotaBounds,
     accounts: HashMap<ClientAccount, QuotaAccount>,
     /// The weights that were announced last, the newest at the end.
     announced: HashMap<ClientAccount, VecDeque<f64>>,
 }
 
 impl QuotaBook {
+    /// Opens a book whose quotas hold within some bounds.
+    pub fn new(bounds: QuotaBounds) -> Self {
+        Self {
+            bounds,
+            ..Self::default()
+        }
+    }
+
     /// Lets a request of a tenant in; `start_part` is the part of the rate
     /// that a daemon has before it knows others.
     ///
@@ -44,8 +55,9 @@
         if tenant.rate_per_s <= 0.0 {
             return Ok(());
         }
+        let limit = self.bounds.limit_of(tenant);
         let account = self.account(tenant, start_part, now_ms);
-        account.admit(cost, tenant.rate_per_s, tenant.burst, now_ms)
+        account.admit(cost, &limit, now_ms)
     }
 
     /// Takes in what another daemon tells; `is_younger` says that it has not
@@ -56,10 +68,14 @@
         incarnation: u64,
         notices: &[QuotaNotice],
         is_younger: bool,
+        now_ms: u64,
     ) {
         for notice in notices {
             if let Some(account) = self.accounts.get_mut(&notice.tenant) {
                 account.hear(node, incarnation, notice.admitted, is_younger);
+                if !is_younger {
+                    account.learn_level(notice.level, now_ms);
+                }
             }
         }
     }
@@ -96,20 +112,22 @@
             if announced.len() > REMEMBERED_WEIGHTS {
                 announced.pop_front();
             }
+            let limit = self.bounds.limit_of(tenant);
             let account = self.account(tenant, start_part, now_ms);
-            account.tick(weight, others, tenant.rate_per_s, tenant.burst, now_ms);
-            let admitted = account.admitted();
+            account.tick(weight, others, &limit, now_ms);
             notices.push(QuotaNotice {
                 tenant: tenant.name.clone(),
                 weight,
-                admitted,
+                admitted: account.admitted(),
+                level: account.level(),
             });
         }
         notices
     }
 
     fn account(&mut self, tenant: &Tenant, start_part: f64, now_ms: u64) -> &mut QuotaAccount {
-        let fresh = || QuotaAccount::new(start_part, tenant.burst, now_ms);
+        let limit = self.bounds.limit_of(tenant);
+        let fresh = || QuotaAccount::new(start_part, &limit, now_ms);
         let accounts = &mut self.accounts;
         accounts.entry(tenant.name.clone()).or_insert_with(fresh)
     }
--- /dev/null
+++ b/src/policy/quota_limit.rs
@@ -0,0 +1,38 @@
+use {crate::routing::Tenant, serde::Deserialize};
+
+/// How exactly quotas have to hold over all daemons together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct QuotaBounds {
+    /// The length of a window over which they have to hold, in seconds.
+    pub window_s: f64,
+    /// By which share of what a window allows it may be exceeded.
+    pub overshoot: f64,
+    /// By how many units more.
+    pub tolerance: f64,
+}
+
+impl QuotaBounds {
+    /// Returns a tenant's limit.
+    pub fn limit_of(&self, tenant: &Tenant) -> QuotaLimit {
+        let (rate, burst) = (tenant.rate_per_s, tenant.burst);
+        let window = rate * self.window_s + burst;
+        QuotaLimit {
+            rate,
+            burst,
+            slack: window * self.overshoot + self.tolerance,
+        }
+    }
+}
+
+/// A tenant's limit, in units.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaLimit {
+    /// Units a second.
+    pub rate: f64,
+    /// What may come on top of the rate at once.
+    pub burst: f64,
+    /// By how much a window may be exceeded: for what daemons let in before
+    /// they hear of each other, never to be used for good.
+    pub slack: f64,
+}
--- a/tests/decisions/digests.rs
+++ b/tests/decisions/digests.rs
@@ -11,7 +11,7 @@
     let address = "10.1.2.3:8229".parse().unwrap();
     let mut digest = Digest::new(&BoxId::from("edge-zone-a-17"), u64::MAX, 99, address);
     let tenant = |n: usize| format!("tenant-{n}");
-    digest.quotas = (0..tenants).map(|n| (tenant(n), 1e5, 1e9)).collect();
+    digest.quotas = (0..tenants).map(|n| (tenant(n), 1e5, 1e9, 1e5)).collect();
     let counts: Vec<_> = (0..tenants).map(|n| (tenant(n), 4_000)).collect();
     digest.usage = vec![(354_915_479, counts.clone()), (354_915_478, counts)];
     digest.loads = (0..loads)
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -26,9 +26,16 @@
     }
 }
 
+const BOUNDS: QuotaBounds = QuotaBounds {
+    window_s: WINDOW_MS as f64 / 1_000.0,
+    overshoot: 0.1,
+    tolerance: 72_000.0,
+};
+
 /// Daemons that offer `offered` times the rate together; `cut` says which are
 /// cut off from all others at a time. Returns what was let in, by time.
 struct Fleet {
+    tenant: Tenant,
     books: Vec<QuotaBook>,
     lives: Vec<u64>,
     started_ms: Vec<u64>,
@@ -41,7 +48,8 @@
 impl Fleet {
     fn new(daemons: usize, seed: u64) -> Self {
         Self {
-            books: vec![QuotaBook::default(); daemons],
+            tenant: tenant(),
+            books: vec![QuotaBook::new(BOUNDS); daemons],
             lives: (0..daemons as u64).collect(),
             started_ms: vec![0; daemons],
             heard: vec![HashMap::new(); daemons],
@@ -52,7 +60,7 @@
     }
 
     fn restart(&mut self, daemon: usize) {
-        self.books[daemon] = QuotaBook::default();
+        self.books[daemon] = QuotaBook::new(BOUNDS);
         self.lives[daemon] += 1_000;
         self.started_ms[daemon] = self.admitted.last().map_or(0, |(at, _)| *at);
         self.heard[daemon].clear();
@@ -75,14 +83,15 @@
         let daemons = self.books.len();
         for from in 0..daemons {
             let others = self.others_of(from, now_ms);
-            let notices = self.books[from].tick(&[tenant()], &others, daemons, now_ms);
+            let notices = self.books[from].tick(&[self.tenant.clone()], &others, daemons, now_ms);
             for to in (0..daemons).filter(|to| *to != from) {
                 if cut(from, now_ms) || cut(to, now_ms) {
                     continue;
                 }
                 let node = from.to_string();
                 let is_younger = self.started_ms[from] >= self.started_ms[to];
-                self.books[to].hear(&node, self.lives[from], &notices, is_younger);
+                let life = self.lives[from];
+                self.books[to].hear(&node, life, &notices, is_younger, now_ms);
                 self.heard[to].insert(from, (now_ms, notices.clone()));
             }
         }
@@ -109,14 +118,14 @@
 
     fn offer(&mut self, now_ms: u64, offered: f64) {
         let daemons = self.books.len();
-        let mut left = RATE * offered * TICK_MS as f64 / 1_000.0;
+        let mut left = self.tenant.rate_per_s * offered * TICK_MS as f64 / 1_000.0;
         while left > 0.0 {
             let cost = self.rng.random_range(500.0..15_000.0_f64);
             let at = self.rng.random_range(0..daemons);
             left -= cost;
             let start_part = 1.0 / daemons as f64;
             let at_ms = now_ms + self.rng.random_range(0..TICK_MS);
-            match self.books[at].admit(&tenant(), cost, start_part, at_ms) {
+            match self.books[at].admit(&self.tenant, cost, start_part, at_ms) {
                 Ok(()) => self.admitted.push((at_ms, cost)),
                 Err(_) => self.refused += cost,
             }
@@ -135,6 +144,15 @@
     }
 }
 
+/// A limit that may not be exceeded at all.
+fn exact(rate: f64, burst: f64) -> QuotaLimit {
+    QuotaLimit {
+        rate,
+        burst,
+        slack: 0.0,
+    }
+}
+
 /// What a window may hold at most: a tenth and some requests on top.
 fn allowed() -> f64 {
     (RATE * WINDOW_MS as f64 / 1_000.0 + BURST) * 1.1 + 72_000.0
@@ -156,6 +174,55 @@
     }
 }
 
+#[test]
+fn large_requests_of_a_tenant_with_a_small_limit_are_let_in_below_it() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(7, seed);
+        fleet.tenant.rate_per_s = 60_000.0;
+        fleet.tenant.burst = 60_000.0;
+        fleet.run(3_000, 0.5, |_, _| false);
+        fleet.refused = 0.0;
+        fleet.run(30_000, 0.6, |_, _| false);
+        let offered: f64 = fleet.admitted.iter().map(|(_, cost)| cost).sum();
+        assert!(
+            fleet.refused < offered * 0.02,
+            "seed {seed}: {} of {offered}",
+            fleet.refused
+        );
+    }
+}
+
+#[test]
+fn after_a_loss_of_all_daemons_most_offers_below_the_rate_are_let_in_at_once() {
+    let (mut refused, mut offered) = (0.0, 0.0);
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(7, seed);
+        fleet.run(5_000, 0.6, |_, _| false);
+        (0..7).for_each(|daemon| fleet.restart(daemon));
+        fleet.started_ms = vec![5_000; 7];
+        fleet.refused = 0.0;
+        fleet.run(7_000, 0.8, |_, _| false);
+        refused += fleet.refused;
+        offered += RATE * 0.8 * 2.0;
+    }
+    assert!(refused < offered * 0.15, "{}", refused / offered);
+}
+
+#[test]
+fn restarts_one_after_the_other_do_not_add_up() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(7, seed);
+        fleet.run(6_000, 4.0, |_, _| false);
+        for daemon in 0..7 {
+            fleet.restart(daemon);
+            let until_ms = 7_000 + 1_000 * daemon as u64;
+            fleet.run(until_ms, 4.0, |_, _| false);
+        }
+        let worst = fleet.worst_window();
+        assert!(worst <= allowed(), "seed {seed}: {worst} of {}", allowed());
+    }
+}
+
 #[test]
 fn a_tenant_that_sends_many_times_its_quota_is_held_to_it() {
     for seed in 0..20 {
@@ -196,16 +263,17 @@
 
 #[test]
 fn a_refused_request_is_told_when_to_come_back() {
-    let mut account = QuotaAccount::new(1.0, 1_000.0, 0);
-    let wait_ms = account.admit(200.0, 100.0, 1_000.0, 0).unwrap_err();
+    let limit = exact(100.0, 1_000.0);
+    let mut account = QuotaAccount::new(1.0, &limit, 0);
+    let wait_ms = account.admit(200.0, &limit, 0).unwrap_err();
     assert!((700..=900).contains(&wait_ms), "{wait_ms}");
-    assert_eq!(account.admit(200.0, 100.0, 1_000.0, wait_ms), Ok(()));
+    assert_eq!(account.admit(200.0, &limit, wait_ms), Ok(()));
 }
 
 #[test]
 fn one_that_is_out_of_turn_is_told_to_wait_for_the_next_notices() {
-    let (rate, burst) = (100_000.0, 100_000.0);
-    let mut account = QuotaAccount::new(0.1, burst, 0);
+    let limit = exact(100_000.0, 100_000.0);
+    let mut account = QuotaAccount::new(0.1, &limit, 0);
     let other = OtherDaemon {
         node: "b".into(),
         weight: 90_000.0,
@@ -213,18 +281,18 @@
         late: true,
         silent: false,
     };
-    account.tick(10_000.0, std::slice::from_ref(&other), rate, burst, 5_000);
-    let wait_ms = account.admit(30_000.0, rate, burst, 5_001).unwrap_err();
+    account.tick(10_000.0, std::slice::from_ref(&other), &limit, 5_000);
+    let wait_ms = account.admit(30_000.0, &limit, 5_001).unwrap_err();
     assert!(
         (100..=300).contains(&wait_ms),
         "larger than its part: {wait_ms}"
     );
     // What it left unused of its parts lets a larger request in, once.
     for now_ms in [5_250, 5_500] {
-        account.tick(10_000.0, std::slice::from_ref(&other), rate, burst, now_ms);
+        account.tick(10_000.0, std::slice::from_ref(&other), &limit, now_ms);
     }
-    assert_eq!(account.admit(30_000.0, rate, burst, 5_501), Ok(()));
-    let wait_ms = account.admit(30_000.0, rate, burst, 5_502).unwrap_err();
+    assert_eq!(account.admit(30_000.0, &limit, 5_501), Ok(()));
+    let wait_ms = account.admit(30_000.0, &limit, 5_502).unwrap_err();
     assert!((100..=300).contains(&wait_ms), "{wait_ms}");
 }
 
