--- a/src/gateway/budgets.rs
+++ b/src/gateway/budgets.rs
@@ -2,10 +2,14 @@
     super::*,
     crate::{names::ServiceName, policy::*, routing::Tenant},
     std::time::Duration,
+    tokio::time::Instant,
 };
 
 /// Of the budget for repeated sends, how much is used.
 const BUDGET_USE: f64 = 0.75;
+/// How long a request waits that is out of turn before it is tried again: the
+/// least time between two notices, and some for the way.
+const TURN_PAUSE: Duration = Duration::from_millis(30);
 
 /// Repeated sends, demand and quotas.
 impl Gateway {
@@ -121,19 +125,44 @@
         counts.sum()
     }
 
-    /// Lets a tenant's request in.
+    /// Lets a tenant's request in. One that would be let in soon is held for as
+    /// long as `patience`, rather than sent back.
     ///
     /// # Errors
     ///
     /// Returns after how long it would be let in.
-    pub fn admit(&self, tenant: &Tenant, cost: f64) -> Result<(), Duration> {
+    pub async fn admit(
+        &self,
+        tenant: &Tenant,
+        cost: f64,
+        patience: Duration,
+    ) -> Result<(), Duration> {
+        let until = Instant::now() + patience;
         let start_part = 1.0 / self.daemons() as f64;
-        let now_ms = self.steady_ms();
+        self.quotas
+            .lock()
+            .note_demand(tenant, cost, start_part, self.steady_ms());
+        loop {
+            let Err(wait) = self.try_admit(tenant, cost, start_part) else {
+                return Ok(());
+            };
+            let back = match wait {
+                QuotaWait::UsedUp(wait_ms) => Duration::from_millis(wait_ms),
+                QuotaWait::OutOfTurn => TURN_PAUSE,
+            };
+            if Instant::now() + back > until {
+                return Err(Duration::from_millis(wait.retry_after_ms()));
+            }
+            tokio::time::sleep(back).await;
+        }
+    }
+
+    fn try_admit(&self, tenant: &Tenant, cost: f64, start_part: f64) -> Result<(), QuotaWait> {
         let mut quotas = self.quotas.lock();
-        let admitted = quotas.admit(tenant, cost, start_part, now_ms);
+        let admitted = quotas.admit(tenant, cost, start_part, self.steady_ms());
         if quotas.should_tell(tenant) {
             self.tell_early.notify_one();
         }
-        admitted.map_err(Duration::from_millis)
+        admitted
     }
 }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -17,6 +17,12 @@
 
 /// The wait that is told while a daemon has no configuration.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// How long a request is held at the start until a configuration is there: its
+/// first read takes some milliseconds unless the source is in trouble.
+const CONFIG_PATIENCE: Duration = Duration::from_millis(100);
+/// For which part of the wanted latency a request is held that its tenant's
+/// quota would let in soon: enough is left for its answer to be in time.
+const HELD_PART: f64 = 0.2;
 /// The longest wait that is told to a tenant beyond its quota.
 const MAX_QUOTA_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -106,7 +112,7 @@
     request: Request<Incoming>,
     started: Instant,
 ) -> Result<RequestContext, Box<Response<AnswerBody>>> {
-    let Some(table) = gateway.table() else {
+    let Some(table) = first_table(gateway).await else {
         let detail = "no configuration yet";
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(Box::new(refusal(status, detail, NO_CONFIG_RETRY_AFTER)));
@@ -122,7 +128,8 @@
     if let Some(tenant) = &tenant {
         let cost = tenant.cost(prompt.tokens());
         let id = head.headers.get(&gateway.names.attempt_id);
-        admit(gateway, tenant, cost, id)?;
+        let patience = Duration::from_millis(route.target_latency_ms).mul_f64(HELD_PART);
+        admit(gateway, tenant, cost, patience, id).await?;
     }
     let wait_ms = number(&head.headers, &gateway.names.deadline_ms);
     let wait_ms = wait_ms.map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
@@ -143,6 +150,18 @@
     })
 }
 
+/// Returns the routes in force; waits a little for the first ones.
+async fn first_table(gateway: &Gateway) -> Option<Arc<RouteTable>> {
+    if let Some(table) = gateway.table() {
+        return Some(table);
+    }
+    let mut news = gateway.news.subscribe();
+    let known = news.wait_for(|_| gateway.table().is_some());
+    // In vain: the caller answers without a configuration.
+    let _ = tokio::time::timeout(CONFIG_PATIENCE, known).await;
+    gateway.table()
+}
+
 fn own(status: StatusCode, detail: &str) -> Box<Response<AnswerBody>> {
     Box::new(own_answer(status, detail))
 }
@@ -186,13 +205,14 @@
     }
 }
 
-fn admit(
+async fn admit(
     gateway: &Gateway,
     tenant: &Tenant,
     cost: f64,
+    patience: Duration,
     id: Option<&HeaderValue>,
 ) -> Result<(), Box<Response<AnswerBody>>> {
-    let admitted = gateway.admit(tenant, cost);
+    let admitted = gateway.admit(tenant, cost, patience).await;
     admitted.map_err(|wait| {
         let wait = wait.min(MAX_QUOTA_RETRY_AFTER);
         metrics::counter!(QUOTA_REFUSALS).increment(1);
--- a/src/policy/quota_account.rs
+++ b/src/policy/quota_account.rs
@@ -23,6 +23,9 @@
 const UNHEARD_PARTS: f64 = 2.0;
 /// After how long a request that is out of turn may come back, in milliseconds.
 const NEXT_TURN_MS: u64 = 150;
+/// The longest wait that is told, in milliseconds: a tenant without a rate
+/// would wait forever.
+const MAX_WAIT_MS: f64 = 60_000.0;
 /// What is left above this part of the burst, any daemon may let in unheard.
 const SCARCE_LEVEL: f64 = 0.4;
 /// Below this part of the burst, others should hear early of what is let in.
@@ -30,6 +33,26 @@
 /// Of the burst, what may be let in before others should hear of it.
 const UNHEARD_BURST: f64 = 0.05;
 
+/// Why a request is not let in now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuotaWait {
+    /// The quota is used up for so many milliseconds.
+    UsedUp(u64),
+    /// This daemon has let its part in since others last heard of it: after the
+    /// next notice it may go on.
+    OutOfTurn,
+}
+
+impl QuotaWait {
+    /// Returns after how many milliseconds the request may come back.
+    pub fn retry_after_ms(self) -> u64 {
+        match self {
+            Self::UsedUp(wait_ms) => wait_ms,
+            Self::OutOfTurn => NEXT_TURN_MS,
+        }
+    }
+}
+
 /// Another daemon, as a tenant's account sees it.
 #[derive(Clone, Copy, Debug, Default)]
 struct Other {
@@ -91,6 +114,8 @@
     opened_ms: u64,
     /// Whether an older daemon has told what is left.
     is_told: bool,
+    /// Whether a request waits for the next notice.
+    is_turn_awaited: bool,
 }
 
 impl QuotaAccount {
@@ -115,6 +140,7 @@
             own_slack: 0.0,
             opened_ms: now_ms,
             is_told: false,
+            is_turn_awaited: false,
         }
     }
 
@@ -150,7 +176,8 @@
 
     /// Returns whether others should hear now of what was let in.
     pub fn should_tell(&self, burst: f64) -> bool {
-        self.level < burst * LOW_LEVEL && self.since_tick > burst * UNHEARD_BURST
+        let is_low = self.level < burst * LOW_LEVEL;
+        self.is_turn_awaited || (is_low && self.since_tick > burst * UNHEARD_BURST)
     }
 
     /// Takes out what another daemon has let in since it was last heard.
@@ -203,6 +230,7 @@
         let most = limit.burst * LARGE_REQUEST_LEVEL;
         self.saved_turns = (self.saved_turns + part).min(most);
         self.since_tick = 0.0;
+        self.is_turn_awaited = false;
     }
 
     /// Takes out the part of a silent daemon, back to when it was heard last.
@@ -228,9 +256,8 @@
     ///
     /// # Errors
     ///
-    /// Returns after how many milliseconds it would be let in.
-    pub fn admit(&mut self, cost: f64, limit: &QuotaLimit, now_ms: u64) -> Result<(), u64> {
-        self.note_demand(cost, now_ms);
+    /// Returns why it is not let in now.
+    pub fn admit(&mut self, cost: f64, limit: &QuotaLimit, now_ms: u64) -> Result<(), QuotaWait> {
         self.refill(limit, now_ms);
         let needed = cost.min(limit.burst * LARGE_REQUEST_LEVEL);
         let left = match self.unknown_part > 0.0 {
@@ -253,11 +280,14 @@
             self.saved_turns = (self.saved_turns - cost).max(0.0);
             return Ok(());
         }
-        let missing = (needed - self.level).max(0.0);
+        let missing = needed - self.level;
+        if missing <= 0.0 {
+            self.is_turn_awaited = true;
+            return Err(QuotaWait::OutOfTurn);
+        }
         let wait_s = missing / (limit.rate * (1.0 - self.unknown_part)).max(1.0);
-        let wait_ms = (wait_s * 1_000.0).min(60_000.0) as u64 + 1;
-        // One that is out of turn only has to wait for the next notices.
-        Err(wait_ms.max(if in_turn { 0 } else { NEXT_TURN_MS }))
+        let wait_ms = (wait_s * 1_000.0).min(MAX_WAIT_MS) as u64 + 1;
+        Err(QuotaWait::UsedUp(wait_ms))
     }
 
     fn refill(&mut self, limit: &QuotaLimit, now_ms: u64) {
@@ -267,7 +297,8 @@
         self.updated_ms = self.updated_ms.max(now_ms);
     }
 
-    fn note_demand(&mut self, cost: f64, now_ms: u64) {
+    /// Notes what a request asks for, once, whether it is let in or not.
+    pub fn note_demand(&mut self, cost: f64, now_ms: u64) {
         self.demand = self.demand(now_ms) + cost * 1_000.0 / DEMAND_WINDOW_MS;
         self.demand_ms = now_ms;
     }
--- a/src/policy/quota_book.rs
+++ b/src/policy/quota_book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OtherDaemon, QuotaAccount, QuotaBounds},
+    super::{OtherDaemon, QuotaAccount, QuotaBounds, QuotaWait},
     crate::{names::ClientAccount, routing::Tenant},
     std::collections::{HashMap, VecDeque},
 };
@@ -39,19 +39,28 @@
         }
     }
 
+    /// Notes what a tenant's request asks for; `start_part` is the part of the
+    /// rate that a daemon has before it knows others.
+    pub fn note_demand(&mut self, tenant: &Tenant, cost: f64, start_part: f64, now_ms: u64) {
+        if tenant.rate_per_s > 0.0 {
+            let account = self.account(tenant, start_part, now_ms);
+            account.note_demand(cost, now_ms);
+        }
+    }
+
     /// Lets a request of a tenant in; `start_part` is the part of the rate
     /// that a daemon has before it knows others.
     ///
     /// # Errors
     ///
-    /// Returns after how many milliseconds it would be let in.
+    /// Returns why it is not let in now.
     pub fn admit(
         &mut self,
         tenant: &Tenant,
         cost: f64,
         start_part: f64,
         now_ms: u64,
-    ) -> Result<(), u64> {
+    ) -> Result<(), QuotaWait> {
         if tenant.rate_per_s <= 0.0 {
             return Ok(());
         }
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -125,6 +125,7 @@
             left -= cost;
             let start_part = 1.0 / daemons as f64;
             let at_ms = now_ms + self.rng.random_range(0..TICK_MS);
+            self.books[at].note_demand(&self.tenant, cost, start_part, at_ms);
             match self.books[at].admit(&self.tenant, cost, start_part, at_ms) {
                 Ok(()) => self.admitted.push((at_ms, cost)),
                 Err(_) => self.refused += cost,
@@ -265,7 +266,9 @@
 fn a_refused_request_is_told_when_to_come_back() {
     let limit = exact(100.0, 1_000.0);
     let mut account = QuotaAccount::new(1.0, &limit, 0);
-    let wait_ms = account.admit(200.0, &limit, 0).unwrap_err();
+    let wait = account.admit(200.0, &limit, 0).unwrap_err();
+    let wait_ms = wait.retry_after_ms();
+    assert_eq!(wait, QuotaWait::UsedUp(wait_ms));
     assert!((700..=900).contains(&wait_ms), "{wait_ms}");
     assert_eq!(account.admit(200.0, &limit, wait_ms), Ok(()));
 }
@@ -282,18 +285,18 @@
         silent: false,
     };
     account.tick(10_000.0, std::slice::from_ref(&other), &limit, 5_000);
-    let wait_ms = account.admit(30_000.0, &limit, 5_001).unwrap_err();
-    assert!(
-        (100..=300).contains(&wait_ms),
-        "larger than its part: {wait_ms}"
-    );
+    assert!(!account.should_tell(limit.burst));
+    let wait = account.admit(30_000.0, &limit, 5_001).unwrap_err();
+    assert_eq!(wait, QuotaWait::OutOfTurn, "larger than its part");
+    assert!((100..=300).contains(&wait.retry_after_ms()));
+    assert!(account.should_tell(limit.burst), "others should hear soon");
     // What it left unused of its parts lets a larger request in, once.
     for now_ms in [5_250, 5_500] {
         account.tick(10_000.0, std::slice::from_ref(&other), &limit, now_ms);
     }
     assert_eq!(account.admit(30_000.0, &limit, 5_501), Ok(()));
-    let wait_ms = account.admit(30_000.0, &limit, 5_502).unwrap_err();
-    assert!((100..=300).contains(&wait_ms), "{wait_ms}");
+    let wait = account.admit(30_000.0, &limit, 5_502).unwrap_err();
+    assert_eq!(wait, QuotaWait::OutOfTurn);
 }
 
 #[test]
