--- a/src/cluster/fleet_scaler.rs
+++ b/src/cluster/fleet_scaler.rs
@@ -4,8 +4,7 @@
         gateway::Gateway,
         names::{FailureDomain, ServiceName},
         policy::{
-            DemandPeak, FleetBounds, FleetNeed, ReadingSpeed, ZoneFleet, needed_upstreams,
-            plan_fleet,
+            DemandPeak, FleetBounds, FleetNeed, FleetPolicy, ReadingSpeed, ZoneFleet, plan_fleet,
         },
         routing::{Autoscaling, Service},
     },
@@ -19,15 +18,9 @@
 const NONE_LEFT_MS: u64 = 2_000;
 /// How long demand is watched before anything is lowered, in milliseconds.
 const WATCH_MS: u64 = 4_000;
-/// In which time a peak of demand that is not reached again is forgotten, in
-/// milliseconds: for upstreams that are cheap, and for those that are dear.
-const STEADY_DECAY_MS: f64 = 30_000.0;
-const NOW_DECAY_MS: f64 = 8_000.0;
 /// How many times the upstreams that are needed a fleet is taken to have that
 /// is found before demand is known.
 const FOUND_RESERVE: u32 = 2;
-/// How long fewer upstreams are wanted before they are ordered, in milliseconds.
-const LOWER_AFTER_MS: u64 = 2_500;
 
 /// The order that was placed last for a kind of upstream in a zone.
 #[derive(Clone, Copy, Debug)]
@@ -45,11 +38,11 @@
     now: DemandPeak,
 }
 
-impl Default for ServicePeaks {
-    fn default() -> Self {
+impl ServicePeaks {
+    fn new(policy: &FleetPolicy) -> Self {
         Self {
-            steady: DemandPeak::new(STEADY_DECAY_MS),
-            now: DemandPeak::new(NOW_DECAY_MS),
+            steady: DemandPeak::new(policy.steady_decay_ms),
+            now: DemandPeak::new(policy.now_decay_ms),
         }
     }
 }
@@ -114,10 +107,12 @@
             .is_some_and(|since| now_ms >= since + WATCH_MS);
         let speed = gateway.reading_speed(&service.name);
         let load = offered_load(gateway, service, demand, speed);
-        let peaks = self.peaks.entry(service.name.clone()).or_default();
+        let policy = gateway.settings.fleet;
+        let peaks = self.peaks.entry(service.name.clone());
+        let peaks = peaks.or_insert_with(|| ServicePeaks::new(&policy));
         let mut need = FleetNeed {
-            steady: needed_upstreams(peaks.steady.note(load, now_ms)),
-            now: needed_upstreams(peaks.now.note(load, now_ms)),
+            steady: policy.needed(peaks.steady.note(load, now_ms)),
+            now: policy.needed(peaks.now.note(load, now_ms)),
         };
         if !watched || speed.is_none() {
             // Demand is not known yet: what was found was enough so far.
@@ -133,7 +128,10 @@
             reclaimable_price: scaling.reclaimable_price,
         };
         let mut orders = Vec::new();
-        for (plan, zone) in plan_fleet(&zones, bounds, need).into_iter().zip(&zones) {
+        for (plan, zone) in plan_fleet(&zones, bounds, need, &policy)
+            .into_iter()
+            .zip(&zones)
+        {
             let order = |reclaimable, count| FleetOrder {
                 service: service.name.clone(),
                 zone: plan.zone.clone(),
@@ -143,7 +141,7 @@
             orders.push((order(true, plan.reclaimable), zone.reclaimable));
             orders.push((order(false, plan.on_demand), zone.on_demand));
         }
-        orders.retain(|(order, there)| self.is_due(order, *there, now_ms));
+        orders.retain(|(order, there)| self.is_due(order, *there, &policy, now_ms));
         orders.into_iter().map(|(order, _)| order).collect()
     }
 
@@ -165,7 +163,13 @@
 
     /// Returns whether to place an order: more at once, fewer only once they
     /// have been wanted for a while.
-    fn is_due(&mut self, order: &FleetOrder, there: u32, now_ms: u64) -> bool {
+    fn is_due(
+        &mut self,
+        order: &FleetOrder,
+        there: u32,
+        policy: &FleetPolicy,
+        now_ms: u64,
+    ) -> bool {
         let key = key_of(order);
         let placed = self.placed.get(&key).copied();
         let standing = placed.map_or(there, |p| p.count);
@@ -175,7 +179,7 @@
             return order.count > standing || again;
         }
         let since_ms = *self.lower_since.entry(key).or_insert(now_ms);
-        now_ms >= since_ms + LOWER_AFTER_MS
+        now_ms >= since_ms + policy.lower_after_ms
     }
 }
 
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -3,7 +3,7 @@
     crate::{
         contracts::line_of,
         names::{BoxId, FailureDomain},
-        policy::QuotaBounds,
+        policy::{FleetPolicy, QuotaBounds},
     },
     serde::Deserialize,
     std::{
@@ -33,6 +33,9 @@
     /// Duties that one daemon has at a time.
     #[serde(default)]
     pub duties: DutySettings,
+    /// By which weights fleets are planned.
+    #[serde(default)]
+    pub fleet: FleetPolicy,
     /// What is reckoned with before any answer was seen.
     #[serde(default)]
     pub first_guess: FirstGuess,
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -218,9 +218,12 @@
         metrics::counter!(QUOTA_REFUSALS).increment(1);
         log::warn!(
             target: "quota",
-            "refused. request={} tenant={} cost={cost} wait_ms={}",
+            "refused. request={} tenant={} cost={cost} left={:.0} rate={} burst={} wait_ms={}",
             id.and_then(|v| v.to_str().ok()).unwrap_or("-"),
             tenant.name,
+            gateway.quotas.lock().level(tenant),
+            tenant.rate_per_s,
+            tenant.burst,
             wait.as_millis()
         );
         Box::new(refusal(
--- a/src/policy/fleet_plan.rs
+++ b/src/policy/fleet_plan.rs
@@ -1,24 +1,7 @@
-use crate::names::FailureDomain;
+use {super::FleetPolicy, crate::names::FailureDomain};
 
-/// Of what an upstream can do, how much is planned with: the rest is for
-/// requests that come in clumps.
-const PLANNED_USE: f64 = 0.4;
 /// Reclaimable upstreams are worth their risk below this price.
 const WORTHWHILE_PRICE: f64 = 0.7;
-/// The fewest upstreams that are planned for a service.
-const MIN_NEEDED: f64 = 3.0;
-/// In how many zones reclaimable upstreams may be taken away before others are
-/// to be had again.
-const ZONES_TAKEN: u32 = 2;
-/// What reclaimable upstreams for all of the load may cost together, beside
-/// on-demand ones for the same load.
-const MAX_RECLAIMABLE_COST: f64 = 0.8;
-/// Of the upstreams that the next zone's loss would take, how many on-demand
-/// ones are ordered ahead.
-const NEXT_LOSS_COVER: f64 = 0.8;
-/// While reclaimable upstreams are missing, what starts in their place has to
-/// read prompts anew that they had at hand: so many times the work.
-const COLD_WORK: f64 = 1.3;
 /// Where one zone has all upstreams, how many of those needed can't be taken away.
 const LONE_ZONE_PART: f64 = 0.5;
 
@@ -59,13 +42,6 @@
     pub reclaimable: u32,
 }
 
-/// Returns how many upstreams a load needs that would keep `load` of them busy
-/// all the time.
-pub fn needed_upstreams(load: f64) -> u32 {
-    let needed = load / PLANNED_USE;
-    needed.max(MIN_NEEDED).ceil() as u32
-}
-
 /// How many upstreams the demand needs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FleetNeed {
@@ -78,20 +54,27 @@
 /// Plans a service's fleet.
 ///
 /// Reclaimable upstreams carry the load where they are cheap: so many that
-/// enough are left when those of two zones are taken away, one after the
+/// enough are left when those of some zones are taken away, one after the
 /// other. On-demand ones step in for what is missing and, once a zone's are
 /// gone, for a part of what the next loss would take. What is there goes on
 /// until what replaces it serves.
-pub fn plan_fleet(zones: &[ZoneFleet], bounds: FleetBounds, need: FleetNeed) -> Vec<ZonePlan> {
+pub fn plan_fleet(
+    zones: &[ZoneFleet],
+    bounds: FleetBounds,
+    need: FleetNeed,
+    policy: &FleetPolicy,
+) -> Vec<ZonePlan> {
     let price = bounds.reclaimable_price.unwrap_or(1.0);
     if price >= WORTHWHILE_PRICE {
         let on_demand = spread(need.steady, zones);
         let plans = zones.iter().zip(on_demand);
         return plans.map(|(z, n)| bounded(z, n, 0, bounds)).collect();
     }
-    let reclaimable = spread(reclaimable_total(need.steady, zones.len(), price), zones);
-    let wanted: u32 = reclaimable.iter().sum();
-    let on_demand = spread(on_demand_total(zones, wanted, need.now), zones);
+    let reclaimable = spread(
+        reclaimable_total(need.steady, zones.len(), price, policy),
+        zones,
+    );
+    let on_demand = spread(on_demand_total(zones, need.now, policy), zones);
     let plans = zones.iter().zip(on_demand.into_iter().zip(reclaimable));
     plans
         .map(|(zone, (on_demand, reclaimable))| bounded(zone, on_demand, reclaimable, bounds))
@@ -99,33 +82,28 @@
 }
 
 /// The fewest, spread evenly, of which enough are left without some zones'.
-fn reclaimable_total(needed: u32, zones: usize, price: f64) -> u32 {
+fn reclaimable_total(needed: u32, zones: usize, price: f64, policy: &FleetPolicy) -> u32 {
     let zones = zones.max(1) as u32;
     let total_without = |taken: u32| (needed * zones).div_ceil(zones - taken);
     let affordable = |taken: &u32| {
         let cost = f64::from(total_without(*taken)) * price;
-        cost <= f64::from(needed) * MAX_RECLAIMABLE_COST
+        cost <= f64::from(needed) * policy.max_reclaimable_cost
     };
-    let most = ZONES_TAKEN.min(zones - 1);
+    let most = policy.losses_borne.min(zones - 1);
     let taken = (1..=most).rev().find(affordable);
     taken.map_or(needed, total_without)
 }
 
-fn on_demand_total(zones: &[ZoneFleet], wanted: u32, needed: u32) -> u32 {
+fn on_demand_total(zones: &[ZoneFleet], needed: u32, policy: &FleetPolicy) -> u32 {
     let there: u32 = zones.iter().map(|z| z.reclaimable).sum();
     let coming: u32 = zones.iter().map(|z| z.coming).sum();
-    let half_is_gone = 2 * (there + coming) < wanted;
-    let needed = match half_is_gone && zones.len() > 1 {
-        true => (f64::from(needed) * COLD_WORK).ceil() as u32,
-        false => needed,
-    };
     let on_demand: u32 = zones.iter().map(|z| z.on_demand).sum();
     let missing = needed.saturating_sub(there + coming);
     let next_loss = zones.iter().map(|z| z.reclaimable + z.coming).max();
     let left = (there + coming).saturating_sub(next_loss.unwrap_or(0));
     let at_risk = match zones.len() {
         0 | 1 => f64::from(needed) * LONE_ZONE_PART,
-        _ => f64::from(needed.saturating_sub(left)) * NEXT_LOSS_COVER,
+        _ => f64::from(needed.saturating_sub(left)) * policy.next_loss_cover,
     };
     let ordered = missing.max(at_risk.ceil() as u32);
     // What is there goes on until those that start by now serve.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 mod engine_model;
 mod estimate;
 mod fleet_plan;
+mod fleet_policy;
 mod holder;
 mod lease;
 mod neighbours;
@@ -38,8 +39,9 @@
 pub use {
     admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
     claimant::*, concurrency::*, demand_meter::*, duty_log::*, engine_model::*, estimate::*,
-    fleet_plan::*, holder::*, lease::*, neighbours::*, placement::*, placement_cheapest::*,
-    placement_keep_work::*, placement_naive::*, quota_account::*, quota_book::*, quota_limit::*,
-    reclaim::*, retry::*, retry_allowance::*, retry_situation::*, source_contact::*,
-    source_role::*, spill::*, splice::*, stall::*, usage_windows::*, zone_reach::*,
+    fleet_plan::*, fleet_policy::*, holder::*, lease::*, neighbours::*, placement::*,
+    placement_cheapest::*, placement_keep_work::*, placement_naive::*, quota_account::*,
+    quota_book::*, quota_limit::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*,
+    source_contact::*, source_role::*, spill::*, splice::*, stall::*, usage_windows::*,
+    zone_reach::*,
 };
--- a/src/policy/quota_book.rs
+++ b/src/policy/quota_book.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// Returns what is left of a tenant's quota, as this daemon sees it.
+    pub fn level(&self, tenant: &Tenant) -> f64 {
+        let account = self.accounts.get(&tenant.name);
+        account.map_or(tenant.burst, QuotaAccount::level)
+    }
+
     /// Returns whether others should hear now of what was let in.
     pub fn should_tell(&self, tenant: &Tenant) -> bool {
         let account = self.accounts.get(&tenant.name);
