--- /dev/null
+++ b/src/conf/checked_numbers.rs
@@ -0,0 +1,46 @@
+use serde::{Deserialize, Deserializer, de::Error};
+
+/// Reads a share.
+///
+/// # Errors
+///
+/// Returns what was expected if it is not above 0 and at most 1.
+pub fn share<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+    let number = f64::deserialize(deserializer)?;
+    match number > 0.0 && number <= 1.0 {
+        true => Ok(number),
+        false => Err(D::Error::custom(format!(
+            "expected a share above 0 and at most 1, found {number}"
+        ))),
+    }
+}
+
+/// Reads a length, a factor or an amount.
+///
+/// # Errors
+///
+/// Returns what was expected if it is not above 0 or not finite.
+pub fn positive<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+    let number = f64::deserialize(deserializer)?;
+    match number > 0.0 && number.is_finite() {
+        true => Ok(number),
+        false => Err(D::Error::custom(format!(
+            "expected a number above 0, found {number}"
+        ))),
+    }
+}
+
+/// Reads an amount that may be nothing.
+///
+/// # Errors
+///
+/// Returns what was expected if it is below 0 or not finite.
+pub fn not_negative<'de, D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+    let number = f64::deserialize(deserializer)?;
+    match number >= 0.0 && number.is_finite() {
+        true => Ok(number),
+        false => Err(D::Error::custom(format!(
+            "expected 0 or more, found {number}"
+        ))),
+    }
+}
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -1,5 +1,5 @@
 use {
-    super::ConfError,
+    super::{ConfError, Mechanisms, positive},
     crate::{
         contracts::line_of,
         names::{BoxId, FailureDomain},
@@ -39,6 +39,9 @@
     /// What is reckoned with before any answer was seen.
     #[serde(default)]
     pub first_guess: FirstGuess,
+    /// Which mechanisms are on.
+    #[serde(default)]
+    pub mechanisms: Mechanisms,
 }
 
 /// Who this machine is.
@@ -155,10 +158,13 @@
 #[serde(deny_unknown_fields, default)]
 pub struct FirstGuess {
     /// How long an engine takes to read a prompt token, in milliseconds.
+    #[serde(deserialize_with = "positive")]
     pub ms_per_token: f64,
     /// How long a first event takes where nothing waits, in milliseconds.
+    #[serde(deserialize_with = "positive")]
     pub first_event_ms: f64,
     /// How long a request stays at an upstream, in milliseconds.
+    #[serde(deserialize_with = "positive")]
     pub stay_ms: f64,
 }
 
--- a/src/conf/mod.rs
+++ b/src/conf/mod.rs
@@ -1,8 +1,13 @@
 //! Settings of a daemon and of the operator's command line.
 
+mod checked_numbers;
 mod conf_error;
 mod default_settings;
 mod gateway_settings;
+mod mechanisms;
 mod settings;
 
-pub use {conf_error::*, default_settings::*, gateway_settings::*, settings::*};
+pub use {
+    checked_numbers::*, conf_error::*, default_settings::*, gateway_settings::*, mechanisms::*,
+    settings::*,
+};
--- a/src/gateway/budgets.rs
+++ b/src/gateway/budgets.rs
@@ -77,6 +77,12 @@
 
     /// Returns how fast a service's engines read, by what all daemons learned.
     pub fn reading_speed(&self, service: &ServiceName) -> Option<ReadingSpeed> {
+        if !self.settings.mechanisms.learned_speed {
+            return Some(ReadingSpeed {
+                ms_per_token: self.settings.first_guess.ms_per_token,
+                comparisons: 0,
+            });
+        }
         let engines = self.engines.lock();
         let own = engines.get(service).and_then(EngineModel::reading_speed);
         drop(engines);
@@ -137,6 +143,10 @@
         cost: f64,
         patience: Duration,
     ) -> Result<(), Duration> {
+        let patience = match self.settings.mechanisms.held_requests {
+            true => patience,
+            false => Duration::ZERO,
+        };
         let until = Instant::now() + patience;
         let start_part = 1.0 / self.daemons() as f64;
         self.quotas
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -109,7 +109,10 @@
 impl Gateway {
     /// Makes the state of a daemon that starts.
     pub fn new(settings: GatewaySettings, names: HeaderNames, seed: u64) -> Self {
-        let quotas = QuotaBook::new(settings.bounds.quotas);
+        let quotas = match settings.mechanisms.quota_slack {
+            true => QuotaBook::new(settings.bounds.quotas),
+            false => QuotaBook::default(),
+        };
         Self {
             settings,
             names,
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -155,6 +155,9 @@
     if let Some(table) = gateway.table() {
         return Some(table);
     }
+    if !gateway.settings.mechanisms.held_requests {
+        return None;
+    }
     let mut news = gateway.news.subscribe();
     let known = news.wait_for(|_| gateway.table().is_some());
     // In vain: the caller answers without a configuration.
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -91,6 +91,9 @@
     /// Finds the upstream that all daemons send a chain of parts to, as long
     /// as its load allows.
     fn home_of(&self, context: &RequestContext, ready: &[Arc<Upstream>]) -> Option<UpstreamId> {
+        if !self.settings.mechanisms.homes {
+            return None;
+        }
         let chain = context.prompt.shared_chain()?;
         let home = ready.iter().max_by_key(|b| home_rank(chain, b.id.as_str()));
         home.map(|b| b.id.clone())
--- a/src/policy/fleet_policy.rs
+++ b/src/policy/fleet_policy.rs
@@ -1,4 +1,7 @@
-use serde::Deserialize;
+use {
+    crate::conf::{not_negative, positive, share},
+    serde::Deserialize,
+};
 
 /// By which weights a service's fleet is planned. The defaults were chosen by
 /// trials on several deployments (docs/DECISIONS.md).
@@ -7,6 +10,7 @@
 pub struct FleetPolicy {
     /// Of what upstreams can do, how much is planned with; the rest is for
     /// requests that come in clumps.
+    #[serde(deserialize_with = "share")]
     pub planned_use: f64,
     /// The fewest upstreams that are planned for a service.
     pub min_needed: u32,
@@ -15,17 +19,21 @@
     pub losses_borne: u32,
     /// What reclaimable upstreams for all of the load may cost together, beside
     /// on-demand ones for the same load.
+    #[serde(deserialize_with = "positive")]
     pub max_reclaimable_cost: f64,
     /// Of the upstreams that the next failure domain's loss would take, how many
     /// on-demand ones are ordered ahead.
+    #[serde(deserialize_with = "not_negative")]
     pub next_loss_cover: f64,
     /// How long fewer upstreams are wanted before they are ordered, in
     /// milliseconds.
     pub lower_after_ms: u64,
     /// In which time a peak of demand that is not reached again is forgotten for
     /// reclaimable upstreams, in milliseconds.
+    #[serde(deserialize_with = "positive")]
     pub steady_decay_ms: f64,
     /// The same for on-demand ones.
+    #[serde(deserialize_with = "positive")]
     pub now_decay_ms: f64,
 }
 
--- a/tests/decisions/gateway_files.rs
+++ b/tests/decisions/gateway_files.rs
@@ -42,6 +42,25 @@
     assert!(error.starts_with("f:8: "), "{error}");
 }
 
+#[test]
+fn a_weight_out_of_its_range_is_told_with_its_line_and_what_was_expected() {
+    let wrong = [
+        ("[fleet]\nplanned_use = 0.0\n", "above 0 and at most 1"),
+        ("[fleet]\nplanned_use = 1.5\n", "above 0 and at most 1"),
+        ("[fleet]\nnext_loss_cover = -1.0\n", "0 or more"),
+        ("[fleet]\nnow_decay_ms = 0.0\n", "above 0"),
+        ("[bounds.quotas]\novershoot = -0.1\n", "0 or more"),
+        ("[first_guess]\nstay_ms = 0.0\n", "above 0"),
+        ("[mechanisms]\nhomes = 1\n", "a boolean"),
+    ];
+    for (table, expected) in wrong {
+        let text = format!("{SETTINGS}{table}");
+        let error = GatewaySettings::parse("f", &text).unwrap_err().to_string();
+        assert!(error.starts_with("f:15: "), "{table}: {error}");
+        assert!(error.contains(expected), "{table}: {error}");
+    }
+}
+
 #[test]
 fn a_wrong_route_is_told_with_its_line() {
     let text = "[config]\nversion = 1\nservices = []\n[[config.routes]]\nname = \"r\"\nkind = \"sometimes\"\n";
