--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -83,7 +83,8 @@
         let daemons = self.books.len();
         for from in 0..daemons {
             let others = self.others_of(from, now_ms);
-            let notices = self.books[from].tick(&[self.tenant.clone()], &others, daemons, now_ms);
+            let notices =
+                self.books[from].tick(std::slice::from_ref(&self.tenant), &others, daemons, now_ms);
             for to in (0..daemons).filter(|to| *to != from) {
                 if cut(from, now_ms) || cut(to, now_ms) {
                     continue;
