--- /dev/null
+++ b/src/gateway/engines.rs
@@ -0,0 +1,72 @@
+use {
+    super::*,
+    crate::{names::ServiceName, policy::*},
+};
+
+/// What is learned of the engines behind a service, and how busy they are.
+impl Gateway {
+    /// Returns what this daemon learned of how fast engines read, by service.
+    pub fn own_reading_speeds(&self) -> Vec<(ServiceName, ReadingSpeed)> {
+        let engines = self.engines.lock();
+        let speeds = engines.iter();
+        speeds
+            .filter_map(|(name, model)| Some((name.clone(), model.reading_speed()?)))
+            .collect()
+    }
+
+    /// Returns how fast a service's engines read, by what all daemons learned.
+    pub fn reading_speed(&self, service: &ServiceName) -> Option<ReadingSpeed> {
+        if !self.settings.mechanisms.learned_speed {
+            return Some(ReadingSpeed {
+                ms_per_token: self.settings.first_guess.ms_per_token,
+                comparisons: 0,
+            });
+        }
+        let engines = self.engines.lock();
+        let own = engines.get(service).and_then(EngineModel::reading_speed);
+        drop(engines);
+        let told = self.peers.lock().reading_speeds(service.as_str());
+        ReadingSpeed::merged(own.into_iter().chain(told))
+    }
+
+    /// Returns the times to reckon with at a service's upstreams.
+    pub fn engine_times(&self, service: &ServiceName) -> EngineTimes {
+        let speed = self.reading_speed(service);
+        let guess = &self.settings.first_guess;
+        let engines = self.engines.lock();
+        let model = engines.get(service);
+        let stay_ms = model.and_then(EngineModel::stay_ms);
+        let first_event_ms = model.and_then(EngineModel::first_event_ms);
+        EngineTimes {
+            ms_per_token: speed.map_or(guess.ms_per_token, |s| s.ms_per_token),
+            first_event_ms: first_event_ms.or(stay_ms).unwrap_or(guess.first_event_ms),
+            stay_ms: stay_ms.unwrap_or(guess.stay_ms),
+        }
+    }
+
+    /// Notes the first event of an answer that nothing waited before.
+    pub(super) fn note_first_event(&self, service: &ServiceName, event: FirstEvent) {
+        let mut engines = self.engines.lock();
+        let model = engines.entry(service.clone()).or_default();
+        model.note_first_event(event);
+    }
+
+    /// Notes how long a request stayed that ended whole, in milliseconds.
+    pub(super) fn note_stay(&self, service: &ServiceName, stay_ms: f64) {
+        let mut engines = self.engines.lock();
+        let model = engines.entry(service.clone()).or_default();
+        model.note_stay(stay_ms);
+    }
+
+    /// Returns how many requests all daemons have at a service's upstreams.
+    pub fn running_at(&self, service: &ServiceName) -> u32 {
+        let peer_loads = self.peers.lock().loads();
+        let loads = self.loads.lock();
+        let directory = self.directory.read();
+        let counts = directory.ready(service).map(|u| {
+            let own = loads.get(&u.id).map_or(0, |l| l.active);
+            own + peer_loads.get(&u.id).map_or(0, |(active, _)| *active)
+        });
+        counts.sum()
+    }
+}
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempts;
 mod budgets;
+mod engines;
 mod event_border;
 mod follow_file;
 mod forward_stream;
--- a/src/policy/engine_model.rs
+++ b/src/policy/engine_model.rs
@@ -1,4 +1,7 @@
-use std::collections::VecDeque;
+use {
+    super::{FirstEvent, ReadingSpeed},
+    std::collections::VecDeque,
+};
 
 /// How many of the last answers a new one is compared with.
 const COMPARED: usize = 8;
@@ -15,55 +18,6 @@
 /// How much one more answer moves the averages of times.
 const AVERAGE_WEIGHT: f64 = 0.05;
 
-/// How fast a service's engines read prompts.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ReadingSpeed {
-    /// Milliseconds a token.
-    pub ms_per_token: f64,
-    /// How many comparisons it rests on.
-    pub comparisons: u32,
-}
-
-impl ReadingSpeed {
-    /// Returns the average of several estimates by what they rest on.
-    pub fn merged(speeds: impl Iterator<Item = Self>) -> Option<Self> {
-        let (mut sum, mut comparisons) = (0.0, 0);
-        for speed in speeds {
-            sum += speed.ms_per_token * f64::from(speed.comparisons);
-            comparisons += speed.comparisons;
-        }
-        (comparisons > 0).then(|| Self {
-            ms_per_token: sum / f64::from(comparisons),
-            comparisons,
-        })
-    }
-
-    /// Returns the tokens that an engine reads in a second.
-    pub fn tokens_per_s(&self) -> f64 {
-        1_000.0 / self.ms_per_token
-    }
-}
-
-/// What a daemon reckons with when it chooses an upstream.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EngineTimes {
-    /// How long an engine takes to read a prompt token, in milliseconds.
-    pub ms_per_token: f64,
-    /// How long a first event takes where nothing waits, in milliseconds.
-    pub first_event_ms: f64,
-    /// How long a request stays, in milliseconds.
-    pub stay_ms: f64,
-}
-
-/// The first event of an answer, as its daemon saw it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FirstEvent {
-    /// The prompt tokens that the engine had to read for it.
-    pub unread_tokens: u64,
-    /// How long it took, in milliseconds.
-    pub after_ms: f64,
-}
-
 /// How two answers differ: the time that a token more took.
 #[derive(Clone, Copy, Debug)]
 struct Comparison {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -11,7 +11,9 @@
 mod demand_meter;
 mod duty_log;
 mod engine_model;
+mod engine_times;
 mod estimate;
+mod first_event;
 mod fleet_plan;
 mod fleet_policy;
 mod holder;
@@ -23,7 +25,10 @@
 mod placement_naive;
 mod quota_account;
 mod quota_book;
+mod quota_bounds;
 mod quota_limit;
+mod quota_wait;
+mod reading_speed;
 mod reclaim;
 mod retry;
 mod retry_allowance;
@@ -38,10 +43,11 @@
 
 pub use {
     admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
-    claimant::*, concurrency::*, demand_meter::*, duty_log::*, engine_model::*, estimate::*,
-    fleet_plan::*, fleet_policy::*, holder::*, lease::*, neighbours::*, placement::*,
-    placement_cheapest::*, placement_keep_work::*, placement_naive::*, quota_account::*,
-    quota_book::*, quota_limit::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*,
+    claimant::*, concurrency::*, demand_meter::*, duty_log::*, engine_model::*, engine_times::*,
+    estimate::*, first_event::*, fleet_plan::*, fleet_policy::*, holder::*, lease::*,
+    neighbours::*, placement::*, placement_cheapest::*, placement_keep_work::*, placement_naive::*,
+    quota_account::*, quota_book::*, quota_bounds::*, quota_limit::*, quota_wait::*,
+    reading_speed::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*,
     source_contact::*, source_role::*, spill::*, splice::*, stall::*, usage_windows::*,
     zone_reach::*,
 };
--- a/src/policy/quota_account.rs
+++ b/src/policy/quota_account.rs
@@ -1,4 +1,7 @@
-use {super::QuotaLimit, std::collections::HashMap};
+use {
+    super::{QuotaLimit, QuotaWait},
+    std::collections::HashMap,
+};
 
 /// Over which time demand is averaged, in milliseconds.
 const DEMAND_WINDOW_MS: f64 = 3_000.0;
@@ -21,8 +24,6 @@
 /// How many times its part of what is left a daemon may let in between two
 /// notices of the others.
 const UNHEARD_PARTS: f64 = 2.0;
-/// After how long a request that is out of turn may come back, in milliseconds.
-const NEXT_TURN_MS: u64 = 150;
 /// The longest wait that is told, in milliseconds: a tenant without a rate
 /// would wait forever.
 const MAX_WAIT_MS: f64 = 60_000.0;
@@ -33,26 +34,6 @@
 /// Of the burst, what may be let in before others should hear of it.
 const UNHEARD_BURST: f64 = 0.05;
 
-/// Why a request is not let in now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum QuotaWait {
-    /// The quota is used up for so many milliseconds.
-    UsedUp(u64),
-    /// This daemon has let its part in since others last heard of it: after the
-    /// next notice it may go on.
-    OutOfTurn,
-}
-
-impl QuotaWait {
-    /// Returns after how many milliseconds the request may come back.
-    pub fn retry_after_ms(self) -> u64 {
-        match self {
-            Self::UsedUp(wait_ms) => wait_ms,
-            Self::OutOfTurn => NEXT_TURN_MS,
-        }
-    }
-}
-
 /// Another daemon, as a tenant's account sees it.
 #[derive(Clone, Copy, Debug, Default)]
 struct Other {
