--- a/src/cluster/state_feed.rs
+++ b/src/cluster/state_feed.rs
@@ -222,6 +222,7 @@
         self.known = Some((daemon, news.life, news.changes.revision));
         self.gateway.note_newest_config(news.config_version);
         if let Some(config) = news.config {
+            log::info!(target: "config", "told by a daemon. version={} peer={daemon}", config.version);
             self.gateway.apply_config(config);
         }
         let Some(age_ms) = news.source_age_ms else {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -163,8 +163,16 @@
         {
             return false;
         }
-        log::info!(target: "config", "in force. version={}", config.version);
-        *table = Some(Arc::new(RouteTable::new(config)));
+        let indexing = Instant::now();
+        let next = RouteTable::new(config);
+        log::info!(
+            target: "config",
+            "in force. version={} size={} index_ms={}",
+            next.version(),
+            next.config().size(),
+            indexing.elapsed().as_millis()
+        );
+        *table = Some(Arc::new(next));
         drop(table);
         self.news.send_modify(|n| *n += 1);
         true
--- a/src/gateway/source_state.rs
+++ b/src/gateway/source_state.rs
@@ -62,7 +62,10 @@
     pub fn note_newest_config(&self, version: u64) {
         self.newest_config.send_if_modified(|newest| {
             let is_news = version > *newest;
-            *newest = version.max(*newest);
+            if is_news {
+                log::info!(target: "config", "newer version known of. version={version} before={newest}");
+                *newest = version;
+            }
             is_news
         });
     }
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -81,6 +81,9 @@
             if upstream.heartbeat < known.heartbeat && !upstream.draining {
                 return false;
             }
+            if upstream.draining && !known.draining {
+                log::info!(target: "upstreams", "leaves. upstream={id} heartbeat={}", upstream.heartbeat);
+            }
             upstream.draining |= known.draining;
             upstream.heartbeat = upstream.heartbeat.max(known.heartbeat);
             let same_but_heartbeat = Upstream {
@@ -108,6 +111,12 @@
         self.lapsed.remove(id);
         let removed = self.by_service.get_mut(&service).and_then(|b| b.remove(id));
         if let Some(upstream) = removed {
+            log::info!(
+                target: "upstreams",
+                "gone. upstream={id} heartbeat={} was_leaving={}",
+                upstream.heartbeat,
+                upstream.draining
+            );
             if self.gone.len() >= MAX_GONE {
                 self.gone.clear();
                 self.told_from = self.revision;
