A failing test: all daemons read a large configuration from the store at once

Cause: each follower reads the whole from the store as soon as it hears of the version; the store can't begin to answer all within 1.2 s, and each repeated read asks it for the whole again. One that changes from follower to reader lists the whole, too, only to learn where the topic ends.

--- a/standin/src/store/service.rs
+++ b/standin/src/store/service.rs
@@ -24,6 +24,8 @@
     calls: Mutex<Vec<DutyCall>>,
     down: Mutex<bool>,
     delivery: Mutex<Delivery>,
+    /// How often each topic was listed whole.
+    listings: Mutex<HashMap<String, u64>>,
 }
 
 /// A store; it stops when dropped.
@@ -55,6 +57,7 @@
             calls: Mutex::default(),
             down: Mutex::new(false),
             delivery: Mutex::default(),
+            listings: Mutex::default(),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
         Ok(Self {
@@ -92,6 +95,11 @@
         *self.shared.delivery.lock() = delivery;
     }
 
+    /// Returns how often a keyed topic was listed.
+    pub fn listings(&self, topic: &str) -> u64 {
+        self.shared.listings.lock().get(topic).copied().unwrap_or(0)
+    }
+
     /// Returns the calls for duties that were taken.
     pub fn duty_calls(&self) -> Vec<DutyCall> {
         self.shared.calls.lock().clone()
@@ -208,6 +216,8 @@
 }
 
 fn newest(shared: &Shared, query: &HashMap<String, String>) -> StoreAnswer {
+    let listed = topic(query).to_string();
+    *shared.listings.lock().entry(listed).or_default() += 1;
     let topics = shared.topics.lock();
     let newest = topics.newest(topic(query));
     let entries: Vec<Value> = newest
--- a/tests/gateway/configuration.rs
+++ b/tests/gateway/configuration.rs
@@ -77,19 +77,14 @@
     let runner = Runner::start("b1", 3).await.unwrap();
     let daemon = GatewayDaemon::start(&routes_file(3, &[&IDEMPOTENT], &[&runner])).await;
     status_of(&daemon, "/look/x").await;
-    let page = async || {
-        let mut client = Client::connect(daemon.metrics).await.unwrap();
-        client
-            .send(http::Request::get("/metrics"), "")
-            .await
-            .unwrap()
-            .body
-    };
     eventually("the version", async || {
-        page().await.contains("saddlepulley_config_version 3")
+        daemon
+            .metrics_page()
+            .await
+            .contains("saddlepulley_config_version 3")
     })
     .await;
-    let page = page().await;
+    let page = daemon.metrics_page().await;
     assert!(
         page.contains("saddlepulley_answers_total{kind=\"idempotent\",status=\"2xx\"} 1"),
         "{page}"
--- a/tests/gateway/large_configuration.rs
+++ b/tests/gateway/large_configuration.rs
@@ -78,3 +78,34 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn a_large_configuration_is_read_from_the_store_by_few_and_told_to_the_others() {
+    const NAMES: [&str; 8] = ["n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8"];
+    let store = filled_store().await;
+    let mut daemons: Vec<GatewayDaemon> = Vec::new();
+    for name in NAMES {
+        let seeds: Vec<&GatewayDaemon> = daemons.iter().take(2).collect();
+        let daemon = daemon(name, &store, &seeds);
+        daemons.push(daemon);
+    }
+    for daemon in &daemons {
+        daemon.wait_ready().await;
+        eventually("all hear of each other", async || {
+            let page = daemon.metrics_page().await;
+            page.contains(&format!("saddlepulley_live_peers {}", NAMES.len() - 1))
+        })
+        .await;
+    }
+    let before = store.listings("keyed.op");
+    store.put("keyed.op", "config", &large_config(8));
+    for daemon in &daemons {
+        eventually("in force", async || {
+            ask(daemon, "/q/x").await == StatusCode::OK
+        })
+        .await;
+    }
+    // One that is left waiting may still read it itself.
+    let listings = store.listings("keyed.op") - before;
+    assert!(listings <= NAMES.len() as u64 / 2, "{listings} listings");
+}
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -236,6 +236,13 @@
         Some(answer.status)
     }
 
+    /// Returns the figures that the daemon tells of itself.
+    pub async fn metrics_page(&self) -> String {
+        let mut client = Client::connect(self.metrics).await.expect("it listens");
+        let page = client.send(Request::get("/metrics"), "").await;
+        page.expect("a page").body
+    }
+
     pub async fn client(&self) -> Client {
         Client::connect(self.clients)
             .await
