A large configuration is told, packed, by daemons that have it; few read it from the store

Hypothesis: all followers reading a large configuration from the store at once overload it and every small link; told by daemons of the own failure domain, a few at a time and packed, it is in force sooner and the store is left alone. Mend: two daemons of a failure domain read it as before; the others ask those that have it. One tells two at a time, and names those it told last to whoever has to wait, so that telling doubles each round. Followers read the store only if nobody that has it answers for a second. A daemon that becomes a reader reads on where the source's later records stand instead of listing all; daemons tell each other that place. One whose own read hangs asks others after 0.8 s. It is a task of its own, so that news of upstreams don't wait behind it. Calls after failures are drawn out so that daemons don't repeat them in step.

--- a/src/cluster/digest_exchange.rs
+++ b/src/cluster/digest_exchange.rs
@@ -97,7 +97,7 @@
     let settings = &gateway.settings;
     let address: SocketAddr = settings.listen.peers;
     let mut digest = Digest::new(&settings.node.name, gateway.incarnation, sequence, address);
-    digest.config_version = gateway.table().map_or(0, |t| t.version());
+    digest.config_version = gateway.config_version();
     digest.source_age_ms = gateway.source_age_ms().unwrap_or(u64::MAX);
     digest.cut_from_source = gateway.is_cut_from_source();
     digest.holds_duties = gateway.holds_duties.load(Ordering::Relaxed);
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -1,5 +1,6 @@
 //! What equal daemons tell each other, and the duties that one has at a time.
 
+mod config_feed;
 mod digest;
 mod digest_exchange;
 mod duty_borders;
@@ -10,6 +11,6 @@
 mod state_source;
 
 pub use {
-    digest::*, digest_exchange::*, duty_borders::*, duty_runner::*, fleet_scaler::*, peer_table::*,
-    state_feed::*, state_source::*,
+    config_feed::*, digest::*, digest_exchange::*, duty_borders::*, duty_runner::*,
+    fleet_scaler::*, peer_table::*, state_feed::*, state_source::*,
 };
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -170,10 +170,30 @@
         informed.into_iter().map(|(.., address)| address).collect()
     }
 
-    /// Returns a live daemon with the newest configuration.
-    pub fn newest_config(&self) -> Option<(SocketAddr, u64)> {
-        let newest = self.live().max_by_key(|p| p.digest.config_version);
-        newest.map(|p| (p.digest.address, p.digest.config_version))
+    /// Takes in that a daemon has a version of the configuration, or will soon.
+    pub fn hear_config(&mut self, address: SocketAddr, version: u64) {
+        let peers = self.peers.values_mut();
+        for peer in peers.filter(|p| p.digest.address == address) {
+            peer.digest.config_version = peer.digest.config_version.max(version);
+        }
+    }
+
+    /// Returns the newest version of the configuration that a live daemon has.
+    pub fn newest_config(&self) -> Option<u64> {
+        self.live().map(|p| p.digest.config_version).max()
+    }
+
+    /// Returns the live daemons that have the newest configuration, if it is
+    /// later than `version`: those of a zone, or all if none there has it.
+    pub fn config_holders(&self, zone: &str, version: u64) -> Vec<SocketAddr> {
+        let newest = self.newest_config().filter(|newest| *newest > version);
+        let has_it = |p: &&Peer| Some(p.digest.config_version) == newest;
+        let (near, far): (Vec<_>, Vec<_>) = self
+            .live()
+            .filter(has_it)
+            .partition(|p| p.digest.zone == zone);
+        let holders = if near.is_empty() { far } else { near };
+        holders.iter().map(|p| p.digest.address).collect()
     }
 
     fn reserved(&self) -> impl Iterator<Item = &Peer> {
--- a/src/cluster/state_feed.rs
+++ b/src/cluster/state_feed.rs
@@ -1,9 +1,9 @@
 use {
-    super::{SOURCE_STALE_MS, StateSource},
+    super::{CONFIG_PATH, ConfigTeller, SOURCE_STALE_MS, StateSource},
     crate::{
         gateway::{AnswerBody, Gateway, own_answer, serve_plain, whole_body},
         http::{HttpClient, HttpError},
-        routing::RoutingConfig,
+        routing::{PackError, RoutingConfig},
         upstreams::{DirectoryChanges, Missing},
     },
     bytes::Bytes,
@@ -16,18 +16,21 @@
     tokio::net::TcpListener,
 };
 
-const FEED_PATH: &str = "/cluster/feed";
+/// Where daemons ask for news; the number rises when the messages change, so that
+/// daemons of other builds don't misread them.
+const FEED_PATH: &str = "/cluster/feed/2";
 /// How long a question for news is held at most, in milliseconds.
 const MAX_WAIT_MS: u64 = 700;
 /// How long an answer may take, beside the time that it is held.
 const FEED_TIMEOUT: Duration = Duration::from_millis(500);
-/// Larger configurations are read from the source by each daemon: its link is
-/// made for that, that of a daemon isn't. Routes and tenants together.
+/// Larger configurations are read from the source by each daemon, or asked for
+/// apart from the news. Routes and tenants together.
 const MAX_TOLD_CONFIG: usize = 100;
 /// After how long an upstream is gone that a listing lacks which is older than
 /// what is known, in milliseconds: changes since then are told at once.
 const OLDER_LISTING_MS: u64 = 600;
-const MAX_ASK_BYTES: usize = 1_024;
+/// How long a daemon's question may be.
+pub const MAX_ASK_BYTES: usize = 1_024;
 const PAUSE: Duration = Duration::from_millis(300);
 const FAILURE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -40,8 +43,6 @@
     pub revision: u64,
     /// The version of the configuration that is known of.
     pub config_version: u64,
-    /// Whether a newer configuration is wanted from here, however large it is.
-    pub needs_config: bool,
     /// How long to wait for news, in milliseconds.
     pub wait_ms: u64,
 }
@@ -55,9 +56,12 @@
     pub source_age_ms: Option<u64>,
     /// The version of the configuration in force there.
     pub config_version: u64,
-    /// The configuration, if it is newer than the one that is known, and small
-    /// or needed from here.
+    /// The configuration, if it is newer than the one that is known of, and
+    /// small.
     pub config: Option<RoutingConfig>,
+    /// The place in the source from which on later configurations stand, if
+    /// known.
+    pub config_position: Option<u64>,
     /// What has changed among the upstreams.
     pub changes: DirectoryChanges,
 }
@@ -71,17 +75,27 @@
     Encode(#[from] bincode::error::EncodeError),
     /// not understood: {0}
     Decode(#[from] bincode::error::DecodeError),
+    /// a configuration that {0}
+    Pack(#[from] PackError),
 }
 
 /// Tells other daemons what this one knows.
 pub async fn serve_feed(listener: TcpListener, gateway: Arc<Gateway>) {
-    serve_plain(listener, move |request| answer(gateway.clone(), request)).await;
+    let teller = Arc::new(ConfigTeller::new(gateway.clone()));
+    serve_plain(listener, move |request| {
+        let (gateway, teller) = (gateway.clone(), teller.clone());
+        async move {
+            match request.uri().path() {
+                FEED_PATH => answer_news(&gateway, request).await,
+                CONFIG_PATH => teller.answer(request).await,
+                _ => own_answer(StatusCode::NOT_FOUND, "no such path"),
+            }
+        }
+    })
+    .await;
 }
 
-async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<AnswerBody> {
-    if request.uri().path() != FEED_PATH {
-        return own_answer(StatusCode::NOT_FOUND, "no such path");
-    }
+async fn answer_news(gateway: &Gateway, request: Request<Incoming>) -> Response<AnswerBody> {
     let Ok(body) = Limited::new(request.into_body(), MAX_ASK_BYTES)
         .collect()
         .await
@@ -90,8 +104,8 @@
     };
     match decode::<FeedAsk>(&body.to_bytes()) {
         Ok(ask) => {
-            wait_for_news(&gateway, ask).await;
-            encoded(&news_for(&gateway, ask))
+            wait_for_news(gateway, ask).await;
+            encoded(&news_for(gateway, ask))
         }
         Err(e) => own_answer(StatusCode::BAD_REQUEST, &e.to_string()),
     }
@@ -102,7 +116,7 @@
     let is_new = |_: &u64| {
         let same_life = ask.life == gateway.incarnation;
         let same = same_life && ask.revision == gateway.directory.read().revision();
-        let version = gateway.table().map_or(0, |t| t.version());
+        let version = gateway.config_version();
         !same || version > ask.config_version
     };
     let wait = Duration::from_millis(ask.wait_ms.min(MAX_WAIT_MS));
@@ -111,16 +125,19 @@
 }
 
 fn news_for(gateway: &Gateway, ask: FeedAsk) -> FeedNews {
+    // Read before the configuration: it may be too early, but not too late.
+    let config_position = *gateway.config_position.lock();
     let table = gateway.table();
     let config_version = table.as_ref().map_or(0, |t| t.version());
     let newer = table.filter(|t| t.version() > ask.config_version);
-    let newer = newer.filter(|t| ask.needs_config || t.config().size() <= MAX_TOLD_CONFIG);
+    let newer = newer.filter(|t| t.config().size() <= MAX_TOLD_CONFIG);
     let known = (ask.life == gateway.incarnation).then_some(ask.revision);
     FeedNews {
         life: gateway.incarnation,
         source_age_ms: gateway.source_age_ms(),
         config_version,
         config: newer.map(|t| t.config().as_ref().clone()),
+        config_position,
         changes: gateway.directory.read().changes_since(known),
     }
 }
@@ -132,12 +149,22 @@
     }
 }
 
-fn encode(message: &impl Serialize) -> Result<Bytes, FeedError> {
+/// Encodes what daemons ask and tell each other.
+///
+/// # Errors
+///
+/// Returns what can't be encoded.
+pub fn encode(message: &impl Serialize) -> Result<Bytes, FeedError> {
     let bytes = bincode::serde::encode_to_vec(message, bincode::config::standard())?;
     Ok(bytes.into())
 }
 
-fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FeedError> {
+/// Decodes what daemons ask and tell each other.
+///
+/// # Errors
+///
+/// Returns what is wrong with the bytes.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FeedError> {
     let (message, _) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())?;
     Ok(message)
 }
@@ -199,16 +226,11 @@
             Some((address, life, revision)) if address == daemon => (life, revision),
             _ => (0, 0),
         };
-        let own_version = self.gateway.table().map_or(0, |t| t.version());
-        let needs_config = self.gateway.needs_config_of_peers();
+        let newest_config = *self.gateway.newest_config.borrow();
         let ask = FeedAsk {
             life,
             revision,
-            config_version: match needs_config {
-                true => own_version,
-                false => own_version.max(*self.gateway.newest_config.borrow()),
-            },
-            needs_config,
+            config_version: newest_config.max(self.gateway.config_version()),
             // One that can't be reached is asked again soon, one that is stale, too.
             wait_ms: if self.failures == 0 { MAX_WAIT_MS } else { 0 },
         };
@@ -220,11 +242,15 @@
 
     fn take_in(&mut self, daemon: SocketAddr, news: FeedNews) {
         self.known = Some((daemon, news.life, news.changes.revision));
-        self.gateway.note_newest_config(news.config_version);
         if let Some(config) = news.config {
             log::info!(target: "config", "told by a daemon. version={} peer={daemon}", config.version);
             self.gateway.apply_config(config);
+            self.gateway.note_config_position(news.config_position);
         }
+        // What was told just now isn't asked for.
+        let version = news.config_version;
+        self.gateway.peers.lock().hear_config(daemon, version);
+        self.gateway.note_newest_config(version);
         let Some(age_ms) = news.source_age_ms else {
             return;
         };
--- a/src/cluster/state_source.rs
+++ b/src/cluster/state_source.rs
@@ -25,24 +25,15 @@
     /// Chooses by what other daemons told of themselves. `current` is the
     /// daemon that was asked last, `failures` how often in a row it had no news.
     pub fn choose(gateway: &Gateway, current: Option<SocketAddr>, failures: usize) -> Self {
-        let own_version = gateway.table().map_or(0, |t| t.version());
         let own_zone = gateway.settings.node.zone.as_str();
         let peers = gateway.peers.lock();
         let zone = peers.zone_daemons(own_zone);
-        let newer_config = peers
-            .newest_config()
-            .filter(|(_, version)| *version > own_version);
-        if let Some((_, version)) = newer_config {
+        let newest_config = peers.newest_config();
+        let others = peers.best_informed(own_zone, SOURCE_STALE_MS);
+        drop(peers);
+        if let Some(version) = newest_config {
             gateway.note_newest_config(version);
         }
-        let newer_config = newer_config.filter(|_| gateway.needs_config_of_peers());
-        let newer_config = newer_config.map(|(address, _)| address);
-        let informed = peers.best_informed(own_zone, SOURCE_STALE_MS);
-        drop(peers);
-        let others = match newer_config {
-            Some(address) if failures == 0 => vec![address],
-            _ => informed,
-        };
         // The same one for as long as it has news: it then tells only changes.
         let is_listed = |address: &SocketAddr| others.contains(address);
         let other = match current.filter(is_listed) {
--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -1,13 +1,19 @@
 use {
     bytes::Bytes,
+    futures_util::{StreamExt, stream},
     http::{HeaderMap, HeaderValue, Response, StatusCode, header, response::Parts},
-    http_body_util::{BodyExt, Full, combinators::UnsyncBoxBody},
+    http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
+    hyper::body::Frame,
     std::{convert::Infallible, io, time::Duration},
 };
 
 /// The body of an answer to a client.
 pub type AnswerBody = UnsyncBoxBody<Bytes, io::Error>;
 
+/// How large the pieces of a body are that goes out piece by piece, in bytes:
+/// some packets, little beside what a connection buffers.
+const PIECE_BYTES: usize = 16 * 1024;
+
 /// Headers that concern one connection only.
 const CONNECTION_HEADERS: [&str; 8] = [
     "connection",
@@ -44,6 +50,18 @@
         .boxed_unsync()
 }
 
+/// Makes a body of known bytes that goes out piece by piece. It keeps `held`
+/// until the connection has taken the last one.
+pub fn pieces_body(bytes: Bytes, held: impl Send + 'static) -> AnswerBody {
+    let pieces = (0..bytes.len()).step_by(PIECE_BYTES);
+    let pieces = pieces.map(move |at| bytes.slice(at..bytes.len().min(at + PIECE_BYTES)));
+    let frames = stream::iter(pieces).map(move |piece| {
+        let _ = &held;
+        Ok(Frame::data(piece))
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
 /// Makes an answer of our own.
 pub fn own_answer(status: StatusCode, detail: &str) -> Response<AnswerBody> {
     let mut answer = Response::new(whole_body(format!("{detail}\n")));
--- a/src/gateway/follow_file.rs
+++ b/src/gateway/follow_file.rs
@@ -6,7 +6,7 @@
     std::{
         io,
         path::{Path, PathBuf},
-        sync::{Arc, atomic::Ordering},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -66,9 +66,6 @@
     let mut last_error = String::new();
     loop {
         let routes = RoutesFile::read(&path);
-        gateway
-            .config_unreachable
-            .store(routes.is_err(), Ordering::Relaxed);
         match routes {
             Ok(file) => {
                 gateway.apply_config(file.config);
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -94,8 +94,12 @@
     pub news: watch::Sender<u64>,
     /// The newest version of the configuration that is known of.
     pub newest_config: watch::Sender<u64>,
-    /// Whether the source could not be asked for the configuration last.
-    pub config_unreachable: AtomicBool,
+    /// Whether this daemon is to read the configuration from the source even
+    /// if it follows others.
+    pub reads_config: watch::Sender<bool>,
+    /// The place in the source from which on later configurations stand, as far
+    /// as is known.
+    pub config_position: Mutex<Option<u64>>,
     pub(super) zone_reach: Mutex<ZoneReach>,
     pub(super) table: RwLock<Option<Arc<RouteTable>>>,
     pub(super) retries: Mutex<HashMap<ServiceName, RetryAllowance>>,
@@ -132,7 +136,8 @@
             reads_source: watch::Sender::new(true),
             news: watch::Sender::new(0),
             newest_config: watch::Sender::new(0),
-            config_unreachable: AtomicBool::new(false),
+            reads_config: watch::Sender::new(false),
+            config_position: Mutex::default(),
             zone_reach: Mutex::default(),
             table: RwLock::default(),
             retries: Mutex::default(),
@@ -154,6 +159,11 @@
         self.table.read().clone()
     }
 
+    /// Returns the version of the configuration in force; 0 before the first.
+    pub fn config_version(&self) -> u64 {
+        self.table().map_or(0, |t| t.version())
+    }
+
     /// Puts a configuration in force, unless it is older than the one that is.
     pub fn apply_config(&self, config: RoutingConfig) -> bool {
         let mut table = self.table.write();
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -83,7 +83,7 @@
         id.and_then(|v| v.to_str().ok()).unwrap_or("-"),
         status.as_u16(),
         started.elapsed().as_millis(),
-        gateway.table().map_or(0, |t| t.version())
+        gateway.config_version()
     );
 }
 
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -21,6 +21,9 @@
 
 /// How long to wait after a failed accept: descriptors may be short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// How much of an answer of our own is taken before its client reads it, in
+/// bytes: some pieces of a large body.
+const PLAIN_BUFFER: usize = 64 * 1024;
 /// The least rest that a connection is allowed between requests.
 const MIN_IDLE: Duration = Duration::from_secs(10);
 
@@ -142,7 +145,7 @@
     .await;
 }
 
-/// Serves small answers, each request's in its turn on its connection.
+/// Serves answers of our own, each request's in its turn on its connection.
 pub async fn serve_plain<F>(
     listener: TcpListener,
     answer: impl Fn(Request<Incoming>) -> F + Send + Sync + 'static,
@@ -167,6 +170,7 @@
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(MIN_IDLE)
+                .max_buf_size(PLAIN_BUFFER)
                 .serve_connection(TokioIo::new(stream), service);
             // A client that goes away is no matter.
             let _ = connection.await;
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -60,6 +60,7 @@
         tasks.spawn(cluster::serve_feed(peers, gateway.clone()));
         tasks.spawn(cluster::exchange_digests(digests, gateway.clone()));
         tasks.spawn(cluster::follow_daemons(gateway.clone()));
+        tasks.spawn(cluster::follow_config_of_daemons(gateway.clone()));
         tasks.spawn(sweep(gateway.clone()));
         if let Some(listener) = metrics {
             tasks.spawn(serve_metrics(listener));
@@ -124,7 +125,7 @@
 fn record_state(gateway: &Gateway) {
     let open = gateway.open_requests.load(Ordering::Relaxed);
     metrics::gauge!(OPEN_REQUESTS).set(open as f64);
-    let version = gateway.table().map_or(0, |t| t.version());
+    let version = gateway.config_version();
     metrics::gauge!(CONFIG_VERSION).set(version as f64);
     if let Some(age_ms) = gateway.source_age_ms() {
         metrics::gauge!(SOURCE_AGE).set(age_ms as f64 / 1_000.0);
--- a/src/gateway/source_state.rs
+++ b/src/gateway/source_state.rs
@@ -1,4 +1,4 @@
-use {super::Gateway, crate::upstreams::UpstreamDirectory, std::sync::atomic::Ordering};
+use {super::Gateway, crate::upstreams::UpstreamDirectory};
 
 /// What a daemon knows of its source, and who it learns from.
 impl Gateway {
@@ -71,22 +71,46 @@
     }
 
     fn lacks_newest_config(&self, newest: u64) -> bool {
-        newest > self.table().map_or(0, |t| t.version())
+        newest > self.config_version()
     }
 
-    /// Returns whether a newer configuration is to be had from daemons alone.
-    pub fn needs_config_of_peers(&self) -> bool {
-        let newest = *self.newest_config.borrow();
-        self.config_unreachable.load(Ordering::Relaxed) && self.lacks_newest_config(newest)
+    /// Waits until a newer configuration is in force elsewhere than here.
+    pub async fn until_lacking_config(&self) {
+        let mut newest = self.newest_config.subscribe();
+        // The sender lives as long as this state.
+        let lacks = |newest: &u64| self.lacks_newest_config(*newest);
+        let _ = newest.wait_for(lacks).await;
+    }
+
+    /// Returns whether a newer configuration is in force elsewhere than here.
+    pub fn lacks_config(&self) -> bool {
+        self.lacks_newest_config(*self.newest_config.borrow())
+    }
+
+    /// Sets whether the configuration is to be read from the source even if
+    /// this daemon follows others.
+    pub fn set_reads_config(&self, reads: bool) {
+        self.reads_config.send_if_modified(|old| {
+            let changed = *old != reads;
+            *old = reads;
+            changed
+        });
+    }
+
+    /// Notes the place in the source from which on configurations stand that
+    /// are later than the one in force here.
+    pub fn note_config_position(&self, position: Option<u64>) {
+        let mut known = self.config_position.lock();
+        *known = (*known).max(position);
     }
 
     /// Waits until this daemon is to read the configuration from its source.
     pub async fn until_reading_config(&self) {
-        let mut newest = self.newest_config.subscribe();
+        let mut reads_config = self.reads_config.subscribe();
         tokio::select! {
             () = self.until_reading_source() => {}
             // The sender lives as long as this state.
-            _ = newest.wait_for(|newest| self.lacks_newest_config(*newest)) => {}
+            _ = reads_config.wait_for(|reads| *reads) => {}
         }
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod claim_fold;
 mod claimant;
 mod concurrency;
+mod config_lack;
 mod demand_meter;
 mod duty_log;
 mod engine_model;
@@ -43,11 +44,11 @@
 
 pub use {
     admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
-    claimant::*, concurrency::*, demand_meter::*, duty_log::*, engine_model::*, engine_times::*,
-    estimate::*, first_event::*, fleet_plan::*, fleet_policy::*, holder::*, lease::*,
-    neighbours::*, placement::*, placement_cheapest::*, placement_keep_work::*, placement_naive::*,
-    quota_account::*, quota_book::*, quota_bounds::*, quota_limit::*, quota_wait::*,
-    reading_speed::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*,
+    claimant::*, concurrency::*, config_lack::*, demand_meter::*, duty_log::*, engine_model::*,
+    engine_times::*, estimate::*, first_event::*, fleet_plan::*, fleet_policy::*, holder::*,
+    lease::*, neighbours::*, placement::*, placement_cheapest::*, placement_keep_work::*,
+    placement_naive::*, quota_account::*, quota_book::*, quota_bounds::*, quota_limit::*,
+    quota_wait::*, reading_speed::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*,
     source_contact::*, source_role::*, spill::*, splice::*, stall::*, usage_windows::*,
     zone_reach::*,
 };
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,10 +1,14 @@
 //! The routing configuration: which request goes to which service, for whom.
 
 mod client_limits;
+mod packed_config;
 mod route;
 mod route_table;
 mod routing_config;
 mod service;
 mod tenant;
 
-pub use {client_limits::*, route::*, route_table::*, routing_config::*, service::*, tenant::*};
+pub use {
+    client_limits::*, packed_config::*, route::*, route_table::*, routing_config::*, service::*,
+    tenant::*,
+};
--- /dev/null
+++ b/src/routing/packed_config.rs
@@ -0,0 +1,49 @@
+use {
+    super::RoutingConfig,
+    bytes::Bytes,
+    displaydoc::Display,
+    flate2::{Compression, read::DeflateDecoder, write::DeflateEncoder},
+    std::io::{self, Read, Write},
+};
+
+/// The largest configuration that is unpacked, in bytes: what is larger is no
+/// configuration but a fault of the one who sent it.
+const MAX_UNPACKED: u64 = 64 * 1024 * 1024;
+
+/// How a configuration could not be packed or unpacked.
+#[derive(Debug, Display, thiserror::Error)]
+pub enum PackError {
+    /// can't be compressed or decompressed: {0}
+    Compress(#[from] io::Error),
+    /// can't be encoded: {0}
+    Encode(#[from] bincode::error::EncodeError),
+    /// not understood: {0}
+    Decode(#[from] bincode::error::DecodeError),
+}
+
+/// Packs a configuration for its way to other daemons: their links are small,
+/// and most of a large configuration is the same again in each route.
+///
+/// # Errors
+///
+/// Returns what can't be encoded.
+pub fn pack_config(config: &RoutingConfig) -> Result<Bytes, PackError> {
+    let plain = bincode::serde::encode_to_vec(config, bincode::config::standard())?;
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(&plain)?;
+    Ok(encoder.finish()?.into())
+}
+
+/// Unpacks a configuration.
+///
+/// # Errors
+///
+/// Returns what is wrong with the bytes.
+pub fn unpack_config(packed: &[u8]) -> Result<RoutingConfig, PackError> {
+    let mut plain = Vec::new();
+    DeflateDecoder::new(packed)
+        .take(MAX_UNPACKED)
+        .read_to_end(&mut plain)?;
+    let (config, _) = bincode::serde::decode_from_slice(&plain, bincode::config::standard())?;
+    Ok(config)
+}
--- /dev/null
+++ b/tests/decisions/config_spread.rs
@@ -0,0 +1,124 @@
+//! Who is asked for a newer configuration, and when the source is read instead.
+
+use saddlepulley::{
+    cluster::{Digest, PeerTable},
+    names::{BoxId, ServiceName},
+    policy::ConfigLack,
+    routing::*,
+};
+
+/// A daemon as others hear of it.
+fn digest(name: &str, zone: &str, port: u16, config_version: u64) -> Digest {
+    let address = ([10, 0, 0, 1], port).into();
+    let mut digest = Digest::new(&BoxId::from(name), 1, 1, address);
+    digest.zone = zone.to_string();
+    digest.config_version = config_version;
+    digest
+}
+
+fn ports(table: &PeerTable, zone: &str, version: u64) -> Vec<u16> {
+    let holders = table.config_holders(zone, version);
+    holders.iter().map(|address| address.port()).collect()
+}
+
+#[test]
+fn all_that_have_the_newest_version_may_be_asked_those_of_the_own_zone_first() {
+    let mut table = PeerTable::default();
+    for (name, zone, port, version) in [
+        ("n1", "a", 1, 7),
+        ("n2", "a", 2, 8),
+        ("n3", "a", 3, 8),
+        ("n4", "b", 4, 8),
+    ] {
+        table.hear(digest(name, zone, port, version), 0);
+    }
+    assert_eq!(table.newest_config(), Some(8));
+    assert_eq!(ports(&table, "a", 7), [2, 3], "not one alone for all");
+    assert_eq!(ports(&table, "c", 7), [2, 3, 4]);
+    assert!(ports(&table, "a", 8).is_empty(), "nobody has a later one");
+}
+
+#[test]
+fn a_daemon_that_fell_silent_is_not_asked() {
+    let mut table = PeerTable::default();
+    table.hear(digest("n1", "a", 1, 8), 0);
+    table.hear(digest("n2", "a", 2, 8), 2_000);
+    table.tick(2_000);
+    assert_eq!(ports(&table, "a", 7), [2]);
+}
+
+#[test]
+fn one_that_follows_others_asks_daemons_at_once_and_the_source_when_none_answers() {
+    let lack = ConfigLack::new(10_000);
+    assert!(lack.asks_daemons(false, 10_000));
+    assert!(!lack.needs_source(10_500));
+    assert!(lack.needs_source(11_000));
+}
+
+#[test]
+fn the_source_is_left_alone_for_as_long_as_daemons_say_that_they_tell_others_first() {
+    let mut lack = ConfigLack::new(10_000);
+    for at_ms in (10_000..20_000).step_by(400) {
+        lack.note_deferred(at_ms);
+        assert!(!lack.needs_source(at_ms + 400));
+    }
+    assert!(lack.needs_source(21_000), "the last of them are gone");
+}
+
+#[test]
+fn one_that_reads_the_source_asks_daemons_only_if_its_own_read_takes_long() {
+    let lack = ConfigLack::new(10_000);
+    assert!(!lack.asks_daemons(true, 10_700));
+    assert!(lack.asks_daemons(true, 10_800));
+}
+
+#[test]
+fn one_that_is_named_by_a_daemon_that_is_busy_may_be_asked_at_once() {
+    let mut table = PeerTable::default();
+    table.hear(digest("n1", "a", 1, 8), 0);
+    table.hear(digest("n2", "a", 2, 7), 0);
+    table.hear_config(([10, 0, 0, 1], 2).into(), 8);
+    assert_eq!(ports(&table, "a", 7), [1, 2]);
+}
+
+fn config(routes: usize) -> RoutingConfig {
+    let route = |n: usize| Route {
+        name: format!("route-{n}"),
+        host: format!("h{}.example", n * 7_919),
+        path_prefix: format!("/p{}/", n * 104_729),
+        kind: RouteKind::Idempotent,
+        timeout_ms: 600,
+        target_latency_ms: 120,
+        priority: 2,
+        services: vec![WeightedService {
+            service: ServiceName::from("lookup"),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        public: false,
+        resumable: false,
+        event_gap_ms: None,
+    };
+    RoutingConfig {
+        version: 8,
+        routes: (0..routes).map(route).collect(),
+        ..RoutingConfig::default()
+    }
+}
+
+#[test]
+fn a_packed_configuration_is_the_same_after_its_way_and_much_smaller() {
+    let config = config(4_200);
+    let packed = pack_config(&config).unwrap();
+    assert_eq!(unpack_config(&packed).unwrap(), config);
+    let plain = serde_json::to_vec(&config).unwrap();
+    assert!(packed.len() < plain.len() / 8, "{} bytes", packed.len());
+}
+
+#[test]
+fn what_is_no_packed_configuration_is_refused() {
+    let packed = pack_config(&config(10)).unwrap();
+    assert!(unpack_config(&[]).is_err());
+    assert!(unpack_config(&packed[..packed.len() / 2]).is_err());
+    assert!(unpack_config(b"not packed").is_err());
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod box_facts;
 mod claim_exploration;
+mod config_spread;
 mod digests;
 mod duties;
 mod engine_model;
--- a/tests/gateway/large_configuration.rs
+++ b/tests/gateway/large_configuration.rs
@@ -61,6 +61,10 @@
         .await;
         assert_eq!(ask(daemon, "/p/x").await, StatusCode::NOT_FOUND);
     }
+    // One that starts lists it whole over the same small link.
+    let fourth = self::daemon("n4", &store, &[]);
+    fourth.wait_ready().await;
+    assert_eq!(ask(&fourth, "/q/x").await, StatusCode::OK);
 }
 
 #[tokio::test]
