--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -1,6 +1,8 @@
 //! What equal daemons tell each other, and the duties that one has at a time.
 
-mod config_feed;
+mod config_follower;
+mod config_message;
+mod config_teller;
 mod digest;
 mod digest_exchange;
 mod duty_borders;
@@ -11,6 +13,7 @@
 mod state_source;
 
 pub use {
-    config_feed::*, digest::*, digest_exchange::*, duty_borders::*, duty_runner::*,
-    fleet_scaler::*, peer_table::*, state_feed::*, state_source::*,
+    config_follower::*, config_message::*, config_teller::*, digest::*, digest_exchange::*,
+    duty_borders::*, duty_runner::*, fleet_scaler::*, peer_table::*, state_feed::*,
+    state_source::*,
 };
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -76,14 +76,15 @@
             self.gone.remove(&upstream.id);
         }
         let id = upstream.id.clone();
+        if upstream.draining && self.get(&id).is_none_or(|known| !known.draining) {
+            let heartbeat = upstream.heartbeat;
+            log::info!(target: "upstreams", "leaves. upstream={id} heartbeat={heartbeat}");
+        }
         self.lapsed.remove(&id);
         if let Some(known) = self.get(&id) {
             if upstream.heartbeat < known.heartbeat && !upstream.draining {
                 return false;
             }
-            if upstream.draining && !known.draining {
-                log::info!(target: "upstreams", "leaves. upstream={id} heartbeat={}", upstream.heartbeat);
-            }
             upstream.draining |= known.draining;
             upstream.heartbeat = upstream.heartbeat.max(known.heartbeat);
             let same_but_heartbeat = Upstream {
