Charges for silent daemons are given back when they are heard

Cause: an account's bucket is charged for daemons that are silent; hear() took out more than was charged, but never gave back what was charged too much. Ruled out: limits of the configuration (all 40 accounts were below theirs). Tests first: both new ones in decisions/quota failed on the code before (-99,900 in place of 100,000 left; 2.6% refused at half the rate), and pass now. Quotas stay within their bounds in all other tests of the file.

--- a/src/policy/quota_account.rs
+++ b/src/policy/quota_account.rs
@@ -161,7 +161,8 @@
         self.is_turn_awaited || (is_low && self.since_tick > burst * UNHEARD_BURST)
     }
 
-    /// Takes out what another daemon has let in since it was last heard.
+    /// Takes out what another daemon has let in since it was last heard, and
+    /// gives back what was charged for it beyond that while it was silent.
     /// `is_younger` says that it has not run for longer than this one: all that
     /// it let in was let in meanwhile.
     pub fn hear(&mut self, node: &str, incarnation: u64, total: f64, is_younger: bool) {
@@ -173,7 +174,10 @@
             false if first && !is_younger => 0.0,
             false => total,
         };
-        self.level -= (news - other.charged).max(0.0);
+        // Kept, such charges emptied the buckets of 295 daemons that got to know
+        // each other: 2,587 of 2,627 refusals in the first seconds of load stood
+        // below their limits. The next refill cuts what is over the burst.
+        self.level += other.charged - news;
         *other = Other {
             incarnation,
             total,
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -315,3 +315,44 @@
         assert!(worst <= allowed(), "seed {seed}: {worst}");
     }
 }
+
+/// A daemon whose notices came late has let nothing in meanwhile.
+#[test]
+fn what_was_charged_for_a_silent_daemon_is_given_back_when_it_is_heard() {
+    let limit = exact(100_000.0, 100_000.0);
+    let mut account = QuotaAccount::new(0.5, &limit, 0);
+    let others = |heard_ms: u64, silent: bool| {
+        [OtherDaemon {
+            node: "b".into(),
+            weight: 50_000.0,
+            heard_ms,
+            late: silent,
+            silent,
+        }]
+    };
+    account.hear("b", 1, 0.0, false);
+    account.tick(50_000.0, &others(2_000, false), &limit, 2_000);
+    assert_eq!(account.level(), 100_000.0, "the bucket is full");
+    account.tick(50_000.0, &others(2_000, true), &limit, 5_000);
+    assert!(account.level() < 0.0, "charged: {}", account.level());
+    account.hear("b", 1, 0.0, false);
+    account.tick(50_000.0, &others(5_000, false), &limit, 5_001);
+    assert_eq!(account.level(), 100_000.0, "it had let nothing in");
+}
+
+#[test]
+fn daemons_that_seem_silent_while_they_start_cost_their_accounts_nothing() {
+    let (mut refused, mut offered) = (0.0, 0.0);
+    for seed in 0..5 {
+        let mut fleet = Fleet::new(15, seed);
+        // Each seems silent to the others for some seconds: they go by a
+        // shorter period than its own.
+        fleet.run(4_000, 0.1, |daemon, now_ms| now_ms > 500 && daemon % 2 == 0);
+        fleet.run(4_500, 0.0, |_, _| false);
+        fleet.refused = 0.0;
+        fleet.run(10_000, 0.5, |_, _| false);
+        refused += fleet.refused;
+        offered += RATE * 0.5 * 5.5;
+    }
+    assert!(refused < offered * 0.01, "{}", refused / offered);
+}
