--- /dev/null
+++ b/src/cluster/ask.rs
@@ -0,0 +1,86 @@
+use bincode::{Decode, Encode};
+
+/// A daemon's question to a hub of its failure domain: may a request in, and
+/// where shall it run?
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Ask {
+    /// The daemon's name.
+    pub name: String,
+    /// Which life of it.
+    pub life: u64,
+    /// The number of the question: asked again, it is answered the same.
+    pub id: u64,
+    /// The client's id of the attempt, for logs.
+    pub request: String,
+    /// What it would take of a quota, if it is not let in yet.
+    pub quota: Option<AskedQuota>,
+    /// What has to be known to place it.
+    pub place: AskedPlace,
+}
+
+/// What a request would take of a client account's quota.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct AskedQuota {
+    /// The account.
+    pub account: String,
+    /// Units.
+    pub cost: f64,
+    /// How long the request may be held for its turn, in milliseconds.
+    pub patience_ms: u32,
+}
+
+/// What has to be known of a request to place it.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct AskedPlace {
+    /// The service.
+    pub service: String,
+    /// Within how long an answer is wanted, in milliseconds.
+    pub target_ms: u64,
+    /// The prompt's tokens; none, if the request names none.
+    pub tokens_in: Option<u64>,
+    /// The most tokens of the answer.
+    pub tokens_out: u64,
+    /// The prompt's parts: hashes of each with all before it, and tokens.
+    pub parts: Vec<(u64, u64)>,
+    /// Upstreams that were tried.
+    pub tried: Vec<String>,
+    /// Others that the daemon can't reach now.
+    pub avoided: Vec<String>,
+}
+
+/// A hub's answer.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct Answer {
+    /// The number of the question.
+    pub id: u64,
+    /// Which life of the daemon asked.
+    pub life: u64,
+    /// What is to be done.
+    pub verdict: Verdict,
+}
+
+/// What a hub decided.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub enum Verdict {
+    /// It is let in and may run.
+    Placed {
+        /// The upstream.
+        upstream: String,
+        /// The prompt tokens that it is expected to read.
+        unread_tokens: u64,
+        /// The prompt tokens of other requests that it is known to read first.
+        waiting_tokens: u64,
+    },
+    /// It is let in, but no upstream is ready.
+    NoUpstream,
+    /// It is beyond the quota, and may come back after some milliseconds.
+    Refused {
+        /// The time.
+        wait_ms: u64,
+    },
+    /// It is held for its turn; the answer comes later.
+    Held,
+    /// The hub doesn't know the service or the client account: the daemon may
+    /// have a newer configuration.
+    Unknown,
+}
--- a/src/cluster/config_follower.rs
+++ b/src/cluster/config_follower.rs
@@ -62,7 +62,7 @@
     let holders = gateway
         .peers
         .lock()
-        .config_holders(gateway.zone().as_str(), gateway.config_version());
+        .config_holders(gateway.config_version());
     let index = draw.checked_rem(holders.len())?;
     holders.get(index).copied()
 }
--- /dev/null
+++ b/src/cluster/digest_teller.rs
@@ -0,0 +1,183 @@
+use {
+    super::*,
+    crate::gateway::Gateway,
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+        time::Duration,
+    },
+};
+
+/// The least time between two digests.
+const DIGEST_PAUSE: Duration = Duration::from_millis(50);
+/// Each how many digests the seeds are told: those that start ask them.
+const SEEDS_EVERY: u64 = 4;
+/// Each how many digests the silent daemons of the failure domain are told: one
+/// that started again hears of the others even if no seed lives.
+const SILENT_EVERY: u64 = 8;
+/// How often a hub tells those that report to it, in milliseconds.
+pub(super) const MEMBERS_EVERY_MS: u64 = 600;
+
+/// Tells the other hubs about this daemon for as long as it is a hub.
+pub(super) async fn tell_digests(gateway: Arc<Gateway>) {
+    let mut sequence = 0;
+    let mut told = BTreeSet::new();
+    loop {
+        sequence += 1;
+        if gateway.tick_peers() {
+            told = tell_hubs(&gateway, sequence).await;
+        } else if !told.is_empty() {
+            // It no longer is one: whoever took it for a hub hears so.
+            let digest = own_digest(&gateway, gateway.zone().as_str(), MEMBERS_EVERY_MS);
+            let told = std::mem::take(&mut told);
+            send_all(&gateway, &[Datagram::Digest(digest)], &told).await;
+        }
+        // Sooner, if an account at its limit was let in more than others know.
+        let early = gateway.tell_early.notified();
+        let every = Duration::from_millis(gateway.peers.lock().digest_every_ms());
+        let _ = tokio::time::timeout(every - DIGEST_PAUSE, early).await;
+        tokio::time::sleep(DIGEST_PAUSE).await;
+    }
+}
+
+async fn tell_hubs(gateway: &Gateway, sequence: u64) -> BTreeSet<SocketAddr> {
+    let own = gateway.settings.listen.peers;
+    let (mut hubs, silent, every_ms) = {
+        let peers = gateway.peers.lock();
+        (
+            peers.hub_addresses(),
+            peers.silent_neighbours(),
+            peers.digest_every_ms(),
+        )
+    };
+    hubs.remove(&own);
+    let digest = own_digest(gateway, gateway.zone().as_str(), every_ms);
+    let age_ms = gateway.hub_age_ms();
+    let mut datagrams = vec![Datagram::Digest(digest.clone())];
+    datagrams.extend(quotas_parts(
+        gateway,
+        gateway.tick_quotas(),
+        sequence,
+        age_ms,
+    ));
+    datagrams.extend(loads_parts(gateway, &gateway.led_loads(), sequence, 0));
+    send_all(gateway, &datagrams, &hubs).await;
+    // Others hear of this hub more seldom, and are told so: at its own pace it
+    // would seem silent to them.
+    let seeds = gateway.settings.peers.seeds.iter().copied();
+    for (to, each) in [(silent, SILENT_EVERY), (seeds.collect(), SEEDS_EVERY)] {
+        if !sequence.is_multiple_of(each) {
+            continue;
+        }
+        let is_other = |to: &SocketAddr| *to != own && !hubs.contains(to);
+        let to: BTreeSet<SocketAddr> = to.into_iter().filter(is_other).collect();
+        let mut digest = digest.clone();
+        digest.every_ms = (every_ms * each) as u32;
+        send_all(gateway, &[Datagram::Digest(digest)], &to).await;
+    }
+    hubs
+}
+
+async fn send_all(gateway: &Gateway, datagrams: &[Datagram], to: &BTreeSet<SocketAddr>) {
+    for datagram in datagrams {
+        for address in to {
+            gateway.send_datagram(datagram, *address).await;
+        }
+    }
+}
+
+/// Tells a daemon that reports to this one.
+pub(super) async fn tell_member(gateway: &Gateway, report: &Report) {
+    let to = report.daemon.address;
+    let mut digest = own_digest(gateway, &report.daemon.domain, MEMBERS_EVERY_MS);
+    let holders = gateway.peers.lock().duty_holders();
+    let holders = holders.into_iter();
+    digest
+        .duty_holders
+        .extend(holders.map(|(address, life)| DutyHolder { address, life }));
+    if !report.wants_all {
+        digest.known.clear();
+    }
+    gateway.send_datagram(&Datagram::Digest(digest), to).await;
+    if report.wants_all && report.leans_on_you {
+        let sequence = gateway.next_sequence();
+        let told = gateway.told_quotas();
+        for part in quotas_parts(gateway, told, sequence, 0) {
+            gateway.send_datagram(&part, to).await;
+        }
+    }
+}
+
+fn own_digest(gateway: &Gateway, domain: &str, every_ms: u64) -> Digest {
+    let daemon = gateway.peers.lock().own().clone();
+    let mut digest = Digest::new(daemon, gateway.incarnation, gateway.next_sequence());
+    digest.age_ms = gateway.hub_age_ms();
+    digest.every_ms = every_ms as u32;
+    digest.leaning = gateway.members.lock().leaning();
+    digest.daemons = gateway.daemons() as u32;
+    digest.status = gateway.status();
+    if gateway.holds_duties.load(Ordering::Relaxed) {
+        digest.duty_holders.push(DutyHolder {
+            address: gateway.settings.listen.peers,
+            life: gateway.incarnation,
+        });
+    }
+    digest.demand = gateway.own_demand();
+    let speeds = gateway.own_reading_speeds().into_iter();
+    digest.reading = speeds
+        .map(|(service, s)| (service.to_string(), s.ms_per_token as f32, s.comparisons))
+        .collect();
+    digest.known = gateway.named_daemons(domain);
+    digest
+}
+
+fn quotas_parts(
+    gateway: &Gateway,
+    told: Vec<ToldAccount>,
+    sequence: u64,
+    age_ms: u64,
+) -> Vec<Datagram> {
+    let parts = in_parts(told).into_iter().filter(|part| !part.is_empty());
+    parts
+        .map(|quotas| {
+            Datagram::Quotas(QuotasPart {
+                name: gateway.settings.node.name.to_string(),
+                life: gateway.incarnation,
+                sequence,
+                age_ms,
+                quotas,
+            })
+        })
+        .collect()
+}
+
+/// Makes the parts of what a daemon has at upstreams.
+pub(super) fn loads_parts(
+    gateway: &Gateway,
+    loads: &LoadSums,
+    sequence: u64,
+    counted: u64,
+) -> Vec<Datagram> {
+    let told = loads.iter().map(|(id, (active, tokens))| ToldLoad {
+        upstream: id.to_string(),
+        active: *active,
+        waiting_tokens: u32::try_from(*tokens).unwrap_or(u32::MAX),
+    });
+    let parts = in_parts(told.collect());
+    let count = parts.len() as u32;
+    let numbered = parts.into_iter().zip(0..);
+    numbered
+        .map(|(loads, part)| {
+            Datagram::Loads(LoadsPart {
+                name: gateway.settings.node.name.to_string(),
+                life: gateway.incarnation,
+                sequence,
+                part,
+                parts: count,
+                counted,
+                loads,
+            })
+        })
+        .collect()
+}
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -22,8 +22,12 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// How long a call for a duty may take, in milliseconds: borders end it then.
 pub const DUTY_CALL_MS: u64 = 900;
-/// Of the time until a report is due, how much is waited for late counts.
+/// Of the time until a report is due, how much is waited even if all daemons
+/// that are known have told their counts: others may not be known yet.
 const REPORT_AT: f64 = 0.35;
+/// How much is waited for daemons that have not: they may be cut off for some
+/// seconds, or gone.
+const REPORT_LATE: f64 = 0.7;
 /// Until how many times the delay a late report is still sent.
 const REPORT_UNTIL: f64 = 1.2;
 
@@ -192,7 +196,11 @@
         let is_due = |window: &u64| {
             let ended_ms = (window + 1) * length_ms;
             let age_ms = now.saturating_sub(ended_ms) as f64;
-            age_ms >= delay_ms * REPORT_AT
+            let at = match self.is_told_whole(*window) {
+                true => REPORT_AT,
+                false => REPORT_LATE,
+            };
+            age_ms >= delay_ms * at
                 && age_ms <= delay_ms * REPORT_UNTIL
                 && !self.reported.contains(window)
         };
@@ -201,6 +209,14 @@
         (oldest..newest).filter(is_due).collect()
     }
 
+    /// Returns whether all daemons have told what they counted in a window.
+    fn is_told_whole(&self, window: u64) -> bool {
+        let expected_ms = 2_000 * self.gateway.settings.duties.usage_window_s;
+        let since_ms = self.gateway.steady_ms().saturating_sub(expected_ms);
+        let (told, all_whole) = self.gateway.usage.lock().told_whole(window, since_ms);
+        all_whole && told + 1 >= self.gateway.daemons()
+    }
+
     async fn send_report(&mut self, window: u64) -> Result<(), BorderError> {
         let Some(counts) = self.log.report(window).cloned() else {
             return Ok(());
--- /dev/null
+++ b/src/cluster/exchange.rs
@@ -0,0 +1,220 @@
+use {
+    super::*,
+    crate::{gateway::Gateway, names::UpstreamId, policy::FirstEvent},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+    tokio::net::UdpSocket,
+};
+
+/// Daemons whose ages differ by less than this have run for as long, in
+/// milliseconds: some digests' time.
+const SAME_AGE_MS: u64 = 500;
+/// After a failed read of the socket.
+const READ_PAUSE: Duration = Duration::from_millis(20);
+
+/// Tells other daemons about this one, and hears them.
+pub async fn exchange_datagrams(socket: UdpSocket, gateway: Arc<Gateway>) {
+    let socket = Arc::new(socket);
+    gateway.set_datagram_socket(socket.clone());
+    tokio::join!(
+        hear_datagrams(socket, gateway.clone()),
+        tell_digests(gateway.clone()),
+        tell_reports(gateway.clone()),
+        tell_usage(gateway)
+    );
+}
+
+async fn hear_datagrams(socket: Arc<UdpSocket>, gateway: Arc<Gateway>) {
+    let mut buf = vec![0; 2 * MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buf).await {
+            Ok(received) => received,
+            Err(e) => {
+                log::info!(target: "peers", "no datagram. error=\"{e}\"");
+                tokio::time::sleep(READ_PAUSE).await;
+                continue;
+            }
+        };
+        match Datagram::decode(&buf[..length]) {
+            Ok(datagram) => take_in(&gateway, datagram, from).await,
+            Err(e) => log::warn!(target: "peers", "datagram refused. error=\"{e}\""),
+        }
+    }
+}
+
+async fn take_in(gateway: &Arc<Gateway>, datagram: Datagram, from: SocketAddr) {
+    let now_ms = gateway.steady_ms();
+    gateway.hub_desk.note_heard(from);
+    match datagram {
+        Datagram::Digest(digest) => {
+            gateway.peers.lock().hear_digest(digest, now_ms);
+        }
+        Datagram::Quotas(part) => hear_quotas(gateway, &part, now_ms),
+        Datagram::Loads(part) => {
+            let is_hub = gateway.peers.lock().hear_loads(&part);
+            if !is_hub {
+                gateway.members.lock().hear_loads(part, now_ms);
+            }
+        }
+        Datagram::Report(report) => hear_report(gateway, &report, now_ms).await,
+        Datagram::Ask(ask) => answer_ask(gateway, ask, from).await,
+        Datagram::Answer(answer) => {
+            if answer.life == gateway.incarnation {
+                gateway.hub_desk.hear(answer);
+            }
+        }
+        Datagram::Usage(part) => hear_usage(gateway, &part, from, now_ms).await,
+        Datagram::UsageHeard(heard) => {
+            if heard.life == gateway.incarnation {
+                gateway.usage_teller.lock().hear(from, heard);
+            }
+        }
+    }
+}
+
+fn hear_quotas(gateway: &Gateway, part: &QuotasPart, now_ms: u64) {
+    if !gateway.peers.lock().hear_quotas(part, now_ms) {
+        return;
+    }
+    let is_younger = part.age_ms <= gateway.hub_age_ms() + SAME_AGE_MS;
+    let notices: Vec<_> = part.quotas.iter().map(ToldAccount::notice).collect();
+    let mut quotas = gateway.quotas.lock();
+    quotas.hear(&part.name, part.life, &notices, is_younger, now_ms);
+}
+
+async fn hear_report(gateway: &Gateway, report: &Report, now_ms: u64) {
+    if report.daemon.name == gateway.settings.node.name.as_str()
+        || !gateway.peers.lock().hear_report(report, now_ms)
+    {
+        return;
+    }
+    let news = gateway.members.lock().hear_report(report, now_ms);
+    for (account, units) in &news.alone {
+        gateway.quotas.lock().note_admitted(account, *units);
+    }
+    for event in news.events {
+        take_in_event(gateway, &report.daemon.name, event, now_ms);
+    }
+    if report.wants_digest {
+        tell_member(gateway, report).await;
+    }
+}
+
+/// Learns from what happened to another daemon's request as from an own one.
+fn take_in_event(gateway: &Gateway, name: &str, event: MemberEvent, now_ms: u64) {
+    match event {
+        MemberEvent::Ended { upstream, failed } => {
+            let id = UpstreamId::from(upstream.as_str());
+            let mut loads = gateway.loads.lock();
+            loads.entry(&id).note_outcome(failed, now_ms);
+        }
+        MemberEvent::Unreachable { upstream } => {
+            let id = UpstreamId::from(upstream.as_str());
+            let mut members = gateway.members.lock();
+            let is_missed = members.is_missed_by_others(name, &id, now_ms);
+            drop(members);
+            if is_missed {
+                gateway.loads.lock().entry(&id).note_unreachable(now_ms);
+            }
+        }
+        MemberEvent::FirstEvent {
+            service,
+            unread_tokens,
+            after_ms,
+        } => {
+            let event = FirstEvent {
+                unread_tokens: u64::from(unread_tokens),
+                after_ms: f64::from(after_ms),
+            };
+            gateway.learn_first_event(&service.as_str().into(), event);
+        }
+        MemberEvent::Stayed { service, ms } => {
+            gateway.learn_stay(&service.as_str().into(), f64::from(ms));
+        }
+    }
+}
+
+async fn answer_ask(gateway: &Arc<Gateway>, ask: Ask, from: SocketAddr) {
+    let now_ms = gateway.steady_ms();
+    let known = gateway.members.lock().known_answer(&ask, now_ms);
+    let verdict = match known {
+        Some(verdict) => verdict,
+        None => {
+            let mut decision = Box::pin(decide(gateway.clone(), ask.clone()));
+            match futures_util::poll!(decision.as_mut()) {
+                std::task::Poll::Ready(verdict) => verdict,
+                std::task::Poll::Pending => {
+                    // Ends by itself when the request has been held long enough.
+                    tokio::spawn(answer_later(gateway.clone(), ask.clone(), decision, from));
+                    Verdict::Held
+                }
+            }
+        }
+    };
+    answer(gateway, &ask, verdict, from).await;
+}
+
+async fn answer_later(
+    gateway: Arc<Gateway>,
+    ask: Ask,
+    decision: std::pin::Pin<Box<impl Future<Output = Verdict> + Send>>,
+    to: SocketAddr,
+) {
+    let verdict = decision.await;
+    answer(&gateway, &ask, verdict, to).await;
+}
+
+async fn answer(gateway: &Gateway, ask: &Ask, verdict: Verdict, to: SocketAddr) {
+    let now_ms = gateway.steady_ms();
+    gateway.members.lock().note_answer(ask, &verdict, now_ms);
+    let answer = Answer {
+        id: ask.id,
+        life: ask.life,
+        verdict,
+    };
+    gateway.send_datagram(&Datagram::Answer(answer), to).await;
+}
+
+/// Decides for another daemon whether a request is let in, and where it runs.
+async fn decide(gateway: Arc<Gateway>, ask: Ask) -> Verdict {
+    let Some(table) = gateway.table() else {
+        return Verdict::Unknown;
+    };
+    let service = ask.place.service.as_str().into();
+    if table.find_service(&service).is_none() {
+        return Verdict::Unknown;
+    }
+    if let Some(quota) = &ask.quota {
+        let mut accounts = table.config().tenants.iter();
+        let Some(account) = accounts.find(|t| t.name.as_str() == quota.account) else {
+            return Verdict::Unknown;
+        };
+        let patience = Duration::from_millis(u64::from(quota.patience_ms));
+        if let Err(wait) = gateway.admit(account, quota.cost, patience).await {
+            gateway.log_refusal(account, quota.cost, wait, &ask.request);
+            return Verdict::Refused {
+                wait_ms: wait.as_millis() as u64,
+            };
+        }
+    }
+    let domain = gateway.zone().clone();
+    gateway.place_asked(&ask, service, domain)
+}
+
+async fn hear_usage(gateway: &Gateway, part: &UsagePart, from: SocketAddr, now_ms: u64) {
+    let counts = part.counts.iter();
+    let counts = counts.map(|(name, n)| (name.as_str().into(), u64::from(*n)));
+    let told = [(part.window, counts.collect())];
+    {
+        let mut usage = gateway.usage.lock();
+        usage.merge(&part.name, part.life, &told);
+        usage.note_whole(&part.name, part.whole_before, now_ms);
+    }
+    let heard = UsageHeard {
+        holder_life: gateway.incarnation,
+        life: part.life,
+        number: part.number,
+    };
+    gateway
+        .send_datagram(&Datagram::UsageHeard(heard), from)
+        .await;
+}
--- /dev/null
+++ b/src/cluster/hub_desk.rs
@@ -0,0 +1,173 @@
+use {
+    super::{Answer, Ask, AskedPlace, AskedQuota, Datagram, Verdict},
+    crate::{gateway::Gateway, policy::HubContact},
+    parking_lot::Mutex,
+    std::{
+        collections::{BTreeSet, HashMap},
+        net::SocketAddr,
+        time::Duration,
+    },
+    tokio::{sync::mpsc, time::Instant},
+};
+
+/// How many hubs are asked before a daemon decides for itself.
+const ASKED_HUBS: usize = 2;
+/// How often each is asked: a datagram may be lost.
+const ASKED_TIMES: u32 = 2;
+/// How much longer than its hold an answer may take that a hub holds back.
+const HOLD_GRACE: Duration = Duration::from_millis(40);
+
+/// A daemon's questions to the hubs of its failure domain.
+#[derive(Debug, Default)]
+pub struct HubDesk {
+    state: Mutex<DeskState>,
+}
+
+#[derive(Debug, Default)]
+struct DeskState {
+    last_id: u64,
+    /// Questions whose requests are not counted at an upstream yet.
+    open: BTreeSet<u64>,
+    waiting: HashMap<u64, mpsc::UnboundedSender<Verdict>>,
+    hubs: HashMap<SocketAddr, HubContact>,
+}
+
+/// A question that is open until its request is counted, or over.
+#[derive(Debug)]
+struct OpenAsk<'a> {
+    desk: &'a HubDesk,
+    id: u64,
+}
+
+impl Drop for OpenAsk<'_> {
+    fn drop(&mut self) {
+        let mut state = self.desk.state.lock();
+        state.open.remove(&self.id);
+        state.waiting.remove(&self.id);
+    }
+}
+
+impl HubDesk {
+    /// Asks the hubs whether a request may be let in and where it shall run;
+    /// none if none of them answers in time.
+    pub async fn ask(
+        &self,
+        gateway: &Gateway,
+        request: &str,
+        quota: Option<AskedQuota>,
+        place: AskedPlace,
+    ) -> Option<Verdict> {
+        let hubs = self.hubs_to_ask(gateway);
+        let (open, mut answers) = self.open();
+        let ask = Ask {
+            name: gateway.settings.node.name.to_string(),
+            life: gateway.incarnation,
+            id: open.id,
+            request: request.to_string(),
+            quota,
+            place,
+        };
+        let patience_ms = ask.quota.as_ref().map_or(0, |q| q.patience_ms);
+        let hold = Duration::from_millis(u64::from(patience_ms)) + HOLD_GRACE;
+        let datagram = Datagram::Ask(ask);
+        for hub in hubs {
+            for time in 1..=ASKED_TIMES {
+                let asked_at = Instant::now();
+                gateway.send_datagram(&datagram, hub).await;
+                let wait = self.timeout(hub) * time;
+                let answered = tokio::time::timeout(wait, answers.recv()).await;
+                let Ok(Some(verdict)) = answered else {
+                    continue;
+                };
+                self.note_answer(hub, (time == 1).then(|| asked_at.elapsed()));
+                if verdict != Verdict::Held {
+                    return Some(verdict);
+                }
+                match tokio::time::timeout(hold, answers.recv()).await {
+                    Ok(Some(verdict)) if verdict != Verdict::Held => return Some(verdict),
+                    _ => break,
+                }
+            }
+            self.note_silent(hub, gateway);
+        }
+        None
+    }
+
+    fn open(&self) -> (OpenAsk<'_>, mpsc::UnboundedReceiver<Verdict>) {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let mut state = self.state.lock();
+        state.last_id += 1;
+        let id = state.last_id;
+        state.open.insert(id);
+        state.waiting.insert(id, tx);
+        drop(state);
+        (OpenAsk { desk: self, id }, rx)
+    }
+
+    fn hubs_to_ask(&self, gateway: &Gateway) -> Vec<SocketAddr> {
+        let hubs = gateway.peers.lock().own_hubs();
+        let now_ms = gateway.steady_ms();
+        let state = self.state.lock();
+        let is_avoided = |hub: &SocketAddr| {
+            let contact = state.hubs.get(hub);
+            contact.is_some_and(|c| c.is_avoided(now_ms))
+        };
+        let usable = hubs.into_iter().filter(|hub| !is_avoided(hub));
+        usable.take(ASKED_HUBS).collect()
+    }
+
+    /// Returns the hub through which requests are let in now.
+    pub fn leans_on(&self, gateway: &Gateway) -> Option<SocketAddr> {
+        self.hubs_to_ask(gateway).first().copied()
+    }
+
+    /// Returns up to which number all questions are counted in at upstreams, or
+    /// over.
+    pub fn counted(&self) -> u64 {
+        let state = self.state.lock();
+        let first_open = state.open.first().copied();
+        first_open.map_or(state.last_id, |id| id - 1)
+    }
+
+    /// Takes in a hub's answer.
+    pub fn hear(&self, answer: Answer) {
+        let state = self.state.lock();
+        if let Some(tx) = state.waiting.get(&answer.id) {
+            // One that no longer waits has decided otherwise.
+            let _ = tx.send(answer.verdict);
+        }
+    }
+
+    /// Notes that a hub was heard from.
+    pub fn note_heard(&self, hub: SocketAddr) {
+        if let Some(contact) = self.state.lock().hubs.get_mut(&hub) {
+            contact.note_heard();
+        }
+    }
+
+    fn note_answer(&self, hub: SocketAddr, after: Option<Duration>) {
+        let mut state = self.state.lock();
+        let contact = state.hubs.entry(hub).or_default();
+        match after {
+            Some(after) => contact.note_answer(after.as_secs_f64() * 1_000.0),
+            None => contact.note_heard(),
+        }
+    }
+
+    fn note_silent(&self, hub: SocketAddr, gateway: &Gateway) {
+        log::info!(target: "hubs", "a hub does not answer. hub={hub}");
+        metrics::counter!(SILENT_HUBS).increment(1);
+        let mut state = self.state.lock();
+        let contact = state.hubs.entry(hub).or_default();
+        contact.note_silent(gateway.steady_ms());
+    }
+
+    fn timeout(&self, hub: SocketAddr) -> Duration {
+        let state = self.state.lock();
+        let contact = state.hubs.get(&hub).copied().unwrap_or_default();
+        Duration::from_secs_f64(contact.timeout_ms() / 1_000.0)
+    }
+}
+
+/// Counts hubs that did not answer a question in time.
+pub const SILENT_HUBS: &str = "saddlepulley_silent_hubs_total";
--- /dev/null
+++ b/src/cluster/member_table.rs
@@ -0,0 +1,168 @@
+use {
+    super::*,
+    crate::names::{ClientAccount, UpstreamId},
+    std::collections::{HashMap, VecDeque},
+};
+
+/// How long a daemon counts whose reports stay away, in milliseconds: some of
+/// its periods.
+const MEMBER_SILENT_MS: u64 = 2_000;
+/// How long a placement counts that no report has counted in, in milliseconds:
+/// the question may have been answered in vain.
+const BOOKED_MS: u64 = 1_500;
+/// How many answers to a daemon's questions are remembered: asked again, it gets
+/// the same one.
+const REMEMBERED_ANSWERS: usize = 64;
+/// Within how many milliseconds two daemons must miss an upstream for it to
+/// count as gone for all: one may only be cut off itself.
+const MISSED_WITHIN_MS: u64 = 2_000;
+
+/// A daemon that reports to this one.
+#[derive(Debug, Default)]
+struct Member {
+    life: u64,
+    heard_ms: u64,
+    /// Whether it lets its requests in through this daemon.
+    leans: bool,
+    loads: ToldLoads,
+    booked: Vec<Booking>,
+    last_event: u64,
+    last_alone: u64,
+    answers: VecDeque<(u64, Verdict)>,
+}
+
+/// A placement that no report has counted in yet.
+#[derive(Debug)]
+struct Booking {
+    ask: u64,
+    upstream: UpstreamId,
+    tokens: u64,
+    at_ms: u64,
+}
+
+/// What a report told that was not known.
+#[derive(Debug, Default, PartialEq)]
+pub struct ReportNews {
+    /// What happened to requests.
+    pub events: Vec<MemberEvent>,
+    /// What was let in without a hub, by client account.
+    pub alone: Vec<(ClientAccount, f64)>,
+}
+
+/// The daemons that report to a hub. Times are milliseconds of the daemon's
+/// steady clock.
+#[derive(Debug, Default)]
+pub struct MemberTable {
+    members: HashMap<String, Member>,
+    /// Who missed an upstream last, and when.
+    missed: HashMap<UpstreamId, (String, u64)>,
+}
+
+impl MemberTable {
+    /// Takes in a report; returns what is new.
+    pub fn hear_report(&mut self, report: &Report, now_ms: u64) -> ReportNews {
+        let member = self.member(&report.daemon.name, report.life, now_ms);
+        member.leans = report.leans_on_you;
+        if !member.leans {
+            return ReportNews::default();
+        }
+        let last_event = member.last_event;
+        let fresh = report.events.iter().filter(|(n, _)| *n > last_event);
+        let events = fresh.map(|(_, event)| event.clone()).collect();
+        let newest = report.events.iter().map(|(n, _)| *n).max();
+        member.last_event = last_event.max(newest.unwrap_or(0));
+        let mut alone = Vec::new();
+        if report.alone_batch > member.last_alone {
+            member.last_alone = report.alone_batch;
+            let typed = |(name, units): &(String, f64)| (ClientAccount::from(&**name), *units);
+            alone = report.alone.iter().map(typed).collect();
+        }
+        ReportNews { events, alone }
+    }
+
+    /// Takes in what a daemon has at upstreams.
+    pub fn hear_loads(&mut self, part: LoadsPart, now_ms: u64) {
+        let member = self.member(&part.name, part.life, now_ms);
+        if member.loads.hear(part) {
+            let counted = member.loads.counted;
+            member.booked.retain(|b| b.ask > counted);
+        }
+    }
+
+    fn member(&mut self, name: &str, life: u64, now_ms: u64) -> &mut Member {
+        let member = self.members.entry(name.to_string()).or_default();
+        if member.life != life {
+            *member = Member {
+                life,
+                ..Member::default()
+            };
+        }
+        member.heard_ms = now_ms;
+        member
+    }
+
+    /// Returns the answer that a question already got.
+    pub fn known_answer(&mut self, ask: &Ask, now_ms: u64) -> Option<Verdict> {
+        let member = self.member(&ask.name, ask.life, now_ms);
+        member.leans = true;
+        let known = member.answers.iter().find(|(id, _)| *id == ask.id);
+        known.map(|(_, verdict)| verdict.clone())
+    }
+
+    /// Remembers an answer, and counts the request in where it was placed.
+    pub fn note_answer(&mut self, ask: &Ask, verdict: &Verdict, now_ms: u64) {
+        let member = self.member(&ask.name, ask.life, now_ms);
+        if let Verdict::Placed {
+            upstream,
+            unread_tokens,
+            ..
+        } = verdict
+        {
+            member.booked.push(Booking {
+                ask: ask.id,
+                upstream: UpstreamId::from(upstream.as_str()),
+                tokens: *unread_tokens,
+                at_ms: now_ms,
+            });
+        }
+        member.answers.retain(|(id, _)| *id != ask.id);
+        member.answers.push_back((ask.id, verdict.clone()));
+        if member.answers.len() > REMEMBERED_ANSWERS {
+            member.answers.pop_front();
+        }
+    }
+
+    /// Notes that a daemon could not reach an upstream; returns whether another
+    /// one missed it just before.
+    pub fn is_missed_by_others(&mut self, name: &str, id: &UpstreamId, now_ms: u64) -> bool {
+        let before = self.missed.insert(id.clone(), (name.to_string(), now_ms));
+        before.is_some_and(|(by, at_ms)| by != name && now_ms < at_ms + MISSED_WITHIN_MS)
+    }
+
+    /// Forgets daemons that fell silent, and placements that came to nothing.
+    pub fn tick(&mut self, now_ms: u64) {
+        self.members
+            .retain(|_, m| now_ms < m.heard_ms + MEMBER_SILENT_MS);
+        for member in self.members.values_mut() {
+            member.booked.retain(|b| now_ms < b.at_ms + BOOKED_MS);
+        }
+        self.missed
+            .retain(|_, (_, at_ms)| now_ms < *at_ms + MISSED_WITHIN_MS);
+    }
+
+    /// Returns how many daemons let their requests in through this one, itself
+    /// included.
+    pub fn leaning(&self) -> u32 {
+        1 + self.members.values().filter(|m| m.leans).count() as u32
+    }
+
+    /// Adds what those daemons have at upstreams.
+    pub fn add_loads(&self, sums: &mut LoadSums) {
+        for member in self.members.values().filter(|m| m.leans) {
+            member.loads.add_to(sums);
+            for booking in &member.booked {
+                add_load(sums, &booking.upstream, 1, booking.tokens);
+            }
+        }
+    }
+}
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -1,19 +1,36 @@
 //! What equal daemons tell each other, and the duties that one has at a time.
 
+mod ask;
 mod config_follower;
 mod config_message;
 mod config_teller;
+mod daemon_entry;
+mod datagram;
 mod digest;
-mod digest_exchange;
+mod digest_teller;
 mod duty_borders;
 mod duty_runner;
+mod event_log;
+mod exchange;
 mod fleet_scaler;
+mod hub_desk;
+mod loads_part;
+mod lone_quotas;
+mod member_table;
+mod peer;
 mod peer_table;
+mod quotas_part;
+mod report;
+mod report_teller;
 mod state_feed;
 mod state_source;
+mod usage_part;
+mod usage_teller;
 
 pub use {
-    config_follower::*, config_message::*, config_teller::*, digest::*, digest_exchange::*,
-    duty_borders::*, duty_runner::*, fleet_scaler::*, peer_table::*, state_feed::*,
-    state_source::*,
+    ask::*, config_follower::*, config_message::*, config_teller::*, daemon_entry::*, datagram::*,
+    digest::*, duty_borders::*, duty_runner::*, event_log::*, exchange::*, fleet_scaler::*,
+    hub_desk::*, loads_part::*, lone_quotas::*, member_table::*, peer_table::*, quotas_part::*,
+    report::*, state_feed::*, state_source::*, usage_part::*, usage_teller::*,
 };
+use {digest_teller::*, report_teller::*};
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -1,223 +1,433 @@
 use {
-    super::Digest,
+    super::{peer::Peer, *},
     crate::{
-        names::{ClientAccount, UpstreamId},
-        policy::{OtherDaemon, ReadingSpeed, ZoneDaemon},
+        names::ClientAccount,
+        policy::{DaemonRank, DomainDaemon, HUBS_PER_DOMAIN, OtherDaemon, ReadingSpeed, ToldQuota},
     },
     rand::{Rng, seq::IteratorRandom},
     std::{
-        collections::{BTreeMap, HashMap, HashSet},
+        cell::RefCell,
+        collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
     },
 };
 
-/// The time between two digests in a small system, in milliseconds.
+/// The time between two digests of a small system's hub, in milliseconds.
 const DIGEST_EVERY_MS: u64 = 250;
-/// With how many daemons the time between digests begins to grow, so that what
+/// With how many hubs the time between digests begins to grow, so that what
 /// each has to hear stays bounded.
-const SMALL_SYSTEM: usize = 20;
-/// After how many digests that did not come a daemon counts as silent.
-const SILENT_DIGESTS: f64 = 2.8;
-/// After how many it may be cut off.
-const LATE_DIGESTS: f64 = 1.6;
-/// How long a silent daemon's part of the quotas stays its own, in milliseconds.
+const FEW_HUBS: usize = 20;
+/// How long a silent hub's part of the quotas stays its own, in milliseconds.
 const RESERVED_MS: u64 = 30_000;
-/// After how long without a digest an address is no longer written to, in
-/// milliseconds.
+/// After how long without news a daemon is forgotten, in milliseconds.
 const FORGOTTEN_MS: u64 = 60_000;
-/// How many digests old loads may be to count.
-const LOADS_DIGESTS: f64 = 4.0;
-
-#[derive(Debug)]
-struct Peer {
-    digest: Digest,
-    heard_ms: u64,
-}
+/// Of those that let requests in through a hub, how many must have gone over to
+/// another for that one to have taken its place.
+const TAKEN_OVER_PART: f64 = 0.5;
+/// How many daemons of a failure domain are named to one that asks: its hubs,
+/// and those that come next.
+const NAMED_OF_DOMAIN: usize = 6;
 
 /// The other daemons, by what they told last. Times are milliseconds of the
 /// daemon's steady clock.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct PeerTable {
+    own: DaemonEntry,
+    own_rank: DaemonRank,
+    own_leaning: u32,
     peers: BTreeMap<String, Peer>,
-    /// Addresses that were told but not heard from, with when they were told.
-    rumoured: HashMap<SocketAddr, u64>,
+    /// Daemons that were told a configuration lately, by what tellers say.
+    told_config: HashMap<SocketAddr, u64>,
     now_ms: u64,
+    /// The loads of all other hubs; none after a change.
+    loads: RefCell<Option<LoadSums>>,
 }
 
 impl PeerTable {
+    /// Makes the table of a daemon.
+    pub fn new(own: DaemonEntry) -> Self {
+        Self {
+            own_rank: own.rank(),
+            own,
+            own_leaning: 1,
+            peers: BTreeMap::new(),
+            told_config: HashMap::new(),
+            now_ms: 0,
+            loads: RefCell::default(),
+        }
+    }
+
+    /// Returns who this daemon is.
+    pub fn own(&self) -> &DaemonEntry {
+        &self.own
+    }
+
     /// Takes in a digest; returns whether it is news.
-    pub fn hear(&mut self, digest: Digest, now_ms: u64) -> bool {
-        self.now_ms = now_ms;
-        if let Some(known) = self.peers.get(&digest.node) {
-            let same_life = known.digest.incarnation == digest.incarnation;
-            if same_life && digest.sequence <= known.digest.sequence {
-                return false;
-            }
+    pub fn hear_digest(&mut self, digest: Digest, now_ms: u64) -> bool {
+        self.now_ms = self.now_ms.max(now_ms);
+        if digest.daemon.name == self.own.name {
+            return false;
+        }
+        let known = digest.known.clone();
+        let peer = self.peer(&digest.daemon);
+        if !peer.hear_digest(digest, now_ms) {
+            return false;
         }
-        for address in &digest.peers {
-            self.rumoured.entry(*address).or_insert(now_ms);
+        for entry in known {
+            if entry.name != self.own.name {
+                self.peer(&entry).note_told(entry, now_ms);
+            }
         }
-        self.rumoured.remove(&digest.address);
-        let peer = Peer {
-            heard_ms: now_ms,
-            digest,
+        self.loads.take();
+        true
+    }
+
+    /// Takes in a report; returns whether it is news.
+    pub fn hear_report(&mut self, report: &Report, now_ms: u64) -> bool {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.peer(&report.daemon).hear_report(report, now_ms)
+    }
+
+    /// Takes in what a hub tells of quotas; returns whether it is news.
+    pub fn hear_quotas(&mut self, part: &QuotasPart, now_ms: u64) -> bool {
+        let peer = self.peers.get_mut(&part.name);
+        peer.is_some_and(|p| p.hear_quotas(part, now_ms))
+    }
+
+    /// Takes in what a hub has at upstreams; returns whether it is one.
+    pub fn hear_loads(&mut self, part: &LoadsPart) -> bool {
+        let peer = self.peers.get_mut(&part.name);
+        let hub = peer
+            .filter(|p| p.as_hub().is_some())
+            .and_then(|p| p.hub.as_mut());
+        let Some(hub) = hub else {
+            return false;
         };
-        self.peers.insert(peer.digest.node.clone(), peer);
+        if hub.loads.hear(part.clone()) {
+            self.loads.take();
+        }
         true
     }
 
-    /// Notes the time and forgets daemons that have long been silent.
-    pub fn tick(&mut self, now_ms: u64) {
+    fn peer(&mut self, entry: &DaemonEntry) -> &mut Peer {
+        let now_ms = self.now_ms;
+        let peers = &mut self.peers;
+        peers
+            .entry(entry.name.clone())
+            .or_insert_with(|| Peer::told(entry.clone(), now_ms))
+    }
+
+    /// Notes the time and how many daemons let requests in through this one,
+    /// and forgets daemons that have long been silent.
+    pub fn tick(&mut self, leaning: u32, now_ms: u64) {
         self.now_ms = now_ms;
-        self.peers.retain(|_, p| now_ms < p.heard_ms + FORGOTTEN_MS);
-        self.rumoured
-            .retain(|_, told_ms| now_ms < *told_ms + FORGOTTEN_MS);
+        self.own_leaning = leaning;
+        self.peers
+            .retain(|_, p| now_ms < p.last_ms() + FORGOTTEN_MS);
+        self.loads.take();
+    }
+
+    /// Returns whether this daemon is a hub of its failure domain: it decides
+    /// for itself, and for those that ask it.
+    pub fn is_hub(&self) -> bool {
+        let ahead = self.of_domain(&self.own.domain);
+        let ahead = ahead.filter(|p| p.rank > self.own_rank);
+        ahead.count() < HUBS_PER_DOMAIN
+    }
+
+    /// Returns the hubs of the daemon's failure domain, the first to ask first.
+    pub fn own_hubs(&self) -> Vec<SocketAddr> {
+        self.hubs_of(&self.own.domain)
+    }
+
+    fn hubs_of(&self, domain: &str) -> Vec<SocketAddr> {
+        let ranked = self.ranked(domain).into_iter().take(HUBS_PER_DOMAIN);
+        ranked.map(|p| p.entry.address).collect()
+    }
+
+    fn ranked<'a>(&'a self, domain: &'a str) -> Vec<&'a Peer> {
+        let mut peers: Vec<_> = self.of_domain(domain).collect();
+        peers.sort_by_key(|p| std::cmp::Reverse(p.rank));
+        peers
     }
 
-    /// Returns where digests go to.
-    pub fn addresses(&self) -> HashSet<SocketAddr> {
-        let heard = self.peers.values().map(|p| p.digest.address);
-        heard.chain(self.rumoured.keys().copied()).collect()
+    fn of_domain<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a Peer> {
+        let live = self.peers.values().filter(|p| p.is_candidate(self.now_ms));
+        live.filter(move |p| p.entry.domain == domain)
     }
 
-    /// Returns the addresses of daemons that were heard from lately.
+    /// Returns where a hub's digests go to: to the hubs of all failure domains,
+    /// and to those that were, as long as they may only be cut off.
+    pub fn hub_addresses(&self) -> BTreeSet<SocketAddr> {
+        let domains: BTreeSet<&str> = self.peers.values().map(|p| &*p.entry.domain).collect();
+        let ranked = domains.into_iter().flat_map(|d| self.hubs_of(d));
+        let told = self.peers.values().filter(|p| p.as_hub().is_some());
+        ranked.chain(told.map(|p| p.entry.address)).collect()
+    }
+
+    /// Returns the daemons of the own failure domain that fell silent: one that
+    /// starts again hears of the others by being told.
+    pub fn silent_neighbours(&self) -> Vec<SocketAddr> {
+        let silent = self.peers.values().filter(|p| {
+            p.entry.domain == self.own.domain && p.heard_ms.is_some() && p.is_silent(self.now_ms)
+        });
+        silent.map(|p| p.entry.address).collect()
+    }
+
+    /// Returns daemons to name to one of a failure domain: the first ones of
+    /// that domain, and some hubs of the others, drawn anew each time.
+    pub fn named_for(&self, domain: &str, rng: &mut impl Rng) -> Vec<DaemonEntry> {
+        let near = self.ranked(domain).into_iter().take(NAMED_OF_DOMAIN);
+        let mut named: Vec<DaemonEntry> = near.map(|p| p.entry.clone()).collect();
+        let far = self.peers.values().filter(|p| {
+            p.entry.domain != domain && p.is_candidate(self.now_ms) && self.is_hub_there(p)
+        });
+        let left = MAX_DIGEST_DAEMONS.saturating_sub(named.len());
+        let drawn = far.choose_multiple(rng, left);
+        named.extend(drawn.into_iter().map(|p| p.entry.clone()));
+        named
+    }
+
+    fn is_hub_there(&self, peer: &Peer) -> bool {
+        peer.as_hub().is_some()
+            || self
+                .hubs_of(&peer.entry.domain)
+                .contains(&peer.entry.address)
+    }
+
+    /// Returns the addresses of daemons that are alive.
     pub fn live_addresses(&self) -> Vec<SocketAddr> {
-        self.live().map(|p| p.digest.address).collect()
+        self.live().map(|p| p.entry.address).collect()
     }
 
-    /// Returns some live daemons to tell others of: any of them, so that in a
-    /// large system each daemon is named by somebody soon.
-    pub fn sample(&self, count: usize, rng: &mut impl Rng) -> Vec<SocketAddr> {
-        let live = self.live().map(|p| p.digest.address);
-        live.choose_multiple(rng, count)
+    /// Returns whether any hub's digest came lately.
+    pub fn hears_hubs(&self) -> bool {
+        self.live().any(|p| p.as_hub().is_some())
     }
 
-    /// Returns how many others count for the division of quotas.
-    pub fn known(&self) -> usize {
-        self.reserved().count()
+    /// Returns whether a digest is due from a hub at an address, if the newest
+    /// is `wanted_ms` old.
+    pub fn wants_digest(&self, hub: SocketAddr, wanted_ms: u64) -> bool {
+        let peer = self.peers.values().find(|p| p.entry.address == hub);
+        let heard_ms = peer.and_then(|p| p.heard_ms);
+        heard_ms.is_none_or(|heard| self.now_ms >= heard + wanted_ms)
     }
 
-    /// Returns what is known of the other daemons, by tenant.
+    /// Returns how many daemons there are, this one included, as far as is
+    /// known.
+    pub fn daemons(&self) -> usize {
+        let hubs: Vec<&Peer> = self.reserved().collect();
+        if self.is_hub() {
+            let others: u32 = hubs.iter().map(|p| p.leaning().max(1)).sum();
+            return (others + self.own_leaning) as usize;
+        }
+        let told = self.live().filter_map(|p| p.as_hub());
+        let told = told.map(|hub| hub.digest.daemons as usize).max();
+        told.unwrap_or(0).max(hubs.len() + 1)
+    }
+
+    /// Returns what is known of the other hubs, by client account.
     pub fn quota_daemons(&self) -> HashMap<ClientAccount, Vec<OtherDaemon>> {
         let mut daemons: HashMap<ClientAccount, Vec<OtherDaemon>> = HashMap::new();
         for peer in self.reserved() {
-            for notice in peer.digest.quota_notices() {
-                daemons.entry(notice.tenant).or_default().push(OtherDaemon {
-                    node: peer.digest.node.clone(),
-                    weight: notice.weight,
-                    heard_ms: peer.heard_ms,
-                    late: self.is_older(peer, LATE_DIGESTS),
-                    silent: self.is_silent(peer),
-                });
+            let Some(hub) = peer.as_hub() else { continue };
+            let replaced = self.is_replaced_here(peer);
+            for (account, told) in &hub.quotas {
+                let other = OtherDaemon {
+                    node: peer.entry.name.clone(),
+                    weight: f64::from(told.weight),
+                    heard_ms: peer.heard_ms.unwrap_or(0),
+                    late: !replaced && peer.is_late(self.now_ms),
+                    silent: !replaced && peer.is_silent(self.now_ms),
+                    replaced,
+                };
+                match daemons.get_mut(account) {
+                    Some(others) => others.push(other),
+                    None => {
+                        daemons.insert(account.clone(), vec![other]);
+                    }
+                }
             }
         }
         daemons
     }
 
-    /// Returns requests and waiting tokens that others have at upstreams.
-    pub fn loads(&self) -> HashMap<UpstreamId, (u32, u64)> {
-        let mut sums: HashMap<UpstreamId, (u32, u64)> = HashMap::new();
-        let fresh = self.peers.values();
-        let fresh = fresh.filter(|p| !self.is_older(p, LOADS_DIGESTS));
-        for (id, active, tokens) in fresh.flat_map(|p| p.digest.typed_loads()) {
-            let sum = sums.entry(id).or_default();
-            sum.0 += active;
-            sum.1 += u64::from(tokens);
+    /// Returns what this daemon was told of an account's quota by the hub that
+    /// told it last.
+    pub fn told_quota(&self, account: &ClientAccount) -> Option<ToldQuota> {
+        let hubs = self.peers.values().filter_map(|p| p.as_hub());
+        let told = hubs.filter_map(|hub| Some((hub.quotas_ms, hub.quotas.get(account)?)));
+        let (at_ms, told) = told.max_by_key(|(at_ms, _)| *at_ms)?;
+        Some(ToldQuota {
+            level: f64::from(told.level),
+            demand: f64::from(told.demand),
+            at_ms,
+        })
+    }
+
+    /// Returns whether most of those that let requests in through a hub that is
+    /// late do so through this one now: its part of the quotas is this one's.
+    fn is_replaced_here(&self, peer: &Peer) -> bool {
+        peer.entry.domain == self.own.domain
+            && peer.is_late(self.now_ms)
+            && took_over(self.own_leaning, peer.leaning())
+    }
+
+    /// The same for any other hub of its failure domain.
+    fn is_replaced_there(&self, peer: &Peer) -> bool {
+        peer.is_late(self.now_ms)
+            && self.live().any(|other| {
+                other.entry.domain == peer.entry.domain
+                    && !other.is_late(self.now_ms)
+                    && took_over(other.leaning(), peer.leaning())
+            })
+    }
+
+    /// Returns requests and waiting tokens that other hubs, and those that ask
+    /// them, have at upstreams.
+    pub fn add_loads(&self, sums: &mut LoadSums) {
+        let mut cached = self.loads.borrow_mut();
+        let told = cached.get_or_insert_with(|| {
+            let mut told = LoadSums::new();
+            let fresh = self.peers.values();
+            let fresh = fresh.filter(|p| p.has_fresh_loads(self.now_ms));
+            for hub in fresh.filter_map(|p| p.as_hub()) {
+                hub.loads.add_to(&mut told);
+            }
+            told
+        });
+        for (id, (active, tokens)) in told.iter() {
+            add_load(sums, id, *active, *tokens);
         }
-        sums
     }
 
-    /// Returns the work that other live daemons were offered a second.
+    /// Returns the work that other live hubs were offered a second.
     pub fn demand_of(&self, service: &str) -> f64 {
-        let told = self.live().flat_map(|p| &p.digest.demand);
+        let told = self.live_hubs().flat_map(|d| &d.demand);
         let told = told.filter(|(name, _)| name == service);
         told.map(|(_, per_s)| f64::from(*per_s)).sum()
     }
 
-    /// Returns what other live daemons learned of how fast a service's engines
+    /// Returns what other live hubs learned of how fast a service's engines
     /// read.
     pub fn reading_speeds(&self, service: &str) -> Vec<ReadingSpeed> {
-        let told = self.live().filter_map(|p| p.digest.reading_speed(service));
+        let told = self.live_hubs().filter_map(|d| d.reading_speed(service));
         told.collect()
     }
 
+    /// Returns the daemons that hold the duties, by what live hubs say.
+    pub fn duty_holders(&self) -> BTreeSet<(SocketAddr, u64)> {
+        let told = self.live_hubs().flat_map(|d| &d.duty_holders);
+        told.map(|h| (h.address, h.life)).collect()
+    }
+
     /// Returns whether another live daemon says that it holds the duties.
     pub fn has_duty_holder(&self) -> bool {
-        self.live().any(|p| p.digest.holds_duties)
+        let mut live = self.live().filter_map(|p| p.as_hub().map(|hub| (p, hub)));
+        live.any(|(peer, hub)| {
+            let own = |h: &DutyHolder| h.address == peer.entry.address && h.life == peer.life;
+            hub.digest.duty_holders.iter().any(own)
+        })
     }
 
-    /// Returns the live daemons of a zone.
-    pub fn zone_daemons(&self, zone: &str) -> Vec<ZoneDaemon<SocketAddr>> {
-        let there = self.live().filter(|p| p.digest.zone == zone);
-        let daemons = there.map(|p| ZoneDaemon {
-            name: p.digest.node.clone(),
-            address: p.digest.address,
-            cut_from_source: p.digest.cut_from_source,
+    /// Returns the live daemons of the own failure domain that could read the
+    /// shared source.
+    pub fn domain_daemons(&self) -> Vec<DomainDaemon<SocketAddr>> {
+        let there = self.of_domain(&self.own.domain);
+        let daemons = there.map(|p| DomainDaemon {
+            rank: p.rank,
+            address: p.entry.address,
+            cut_from_source: p.status.cut_from_source,
         });
         daemons.collect()
     }
 
     /// Returns the live daemons that can reach their source, or follow one that
-    /// can, and whose news are younger than `stale_ms`: those of a zone first,
-    /// then by the age of their news.
-    pub fn best_informed(&self, zone: &str, stale_ms: u64) -> Vec<SocketAddr> {
-        let informed = self.live().map(|p| &p.digest);
+    /// can, and whose news are younger than `stale_ms`: those of the own failure
+    /// domain first, then by the age of their news.
+    pub fn best_informed(&self, stale_ms: u64) -> Vec<SocketAddr> {
+        let informed = self
+            .live()
+            .filter(|p| !p.status.cut_from_source && p.status.source_age_ms < stale_ms);
         let mut informed: Vec<_> = informed
-            .filter(|d| !d.cut_from_source && d.source_age_ms < stale_ms)
-            .map(|d| (d.zone != zone, d.source_age_ms, d.address))
+            .map(|p| {
+                let is_far = p.entry.domain != self.own.domain;
+                (is_far, p.status.source_age_ms, p.entry.address)
+            })
             .collect();
         informed.sort();
-        informed.into_iter().map(|(.., address)| address).collect()
+        let mut addresses: Vec<_> = informed.into_iter().map(|(.., a)| a).collect();
+        // Of those that are only told of, nothing is known: they come last.
+        let told = self.live().filter(|p| p.heard_ms.is_none());
+        addresses.extend(told.map(|p| p.entry.address));
+        addresses
     }
 
     /// Takes in that a daemon has a version of the configuration, or will soon.
     pub fn hear_config(&mut self, address: SocketAddr, version: u64) {
+        let told = self.told_config.entry(address).or_default();
+        *told = version.max(*told);
+        let newest = self.told_config.values().copied().max();
+        self.told_config.retain(|_, told| Some(*told) == newest);
         let peers = self.peers.values_mut();
-        for peer in peers.filter(|p| p.digest.address == address) {
-            peer.digest.config_version = peer.digest.config_version.max(version);
+        for peer in peers.filter(|p| p.entry.address == address) {
+            peer.status.config_version = peer.status.config_version.max(version);
         }
     }
 
     /// Returns the newest version of the configuration that a live daemon has.
     pub fn newest_config(&self) -> Option<u64> {
-        self.live().map(|p| p.digest.config_version).max()
+        self.live().map(|p| p.status.config_version).max()
     }
 
-    /// Returns the live daemons that have the newest configuration, if it is
-    /// later than `version`: those of a zone, or all if none there has it.
-    pub fn config_holders(&self, zone: &str, version: u64) -> Vec<SocketAddr> {
-        let newest = self.newest_config().filter(|newest| *newest > version);
-        let has_it = |p: &&Peer| Some(p.digest.config_version) == newest;
+    /// Returns the daemons that have the newest configuration, if it is later
+    /// than `version`: those of the own failure domain and those told of it
+    /// lately, or all if there are none.
+    pub fn config_holders(&self, version: u64) -> Vec<SocketAddr> {
+        let told = self.told_config.values().copied().max();
+        let newest = self.newest_config().max(told).filter(|n| *n > version);
+        let has_it = |p: &&Peer| Some(p.status.config_version) == newest;
         let (near, far): (Vec<_>, Vec<_>) = self
             .live()
             .filter(has_it)
-            .partition(|p| p.digest.zone == zone);
-        let holders = if near.is_empty() { far } else { near };
-        holders.iter().map(|p| p.digest.address).collect()
+            .partition(|p| p.entry.domain == self.own.domain);
+        let told = self.told_config.iter().filter(|(_, v)| Some(**v) == newest);
+        let mut holders: BTreeSet<SocketAddr> = told.map(|(address, _)| *address).collect();
+        holders.extend(near.iter().map(|p| p.entry.address));
+        if holders.is_empty() {
+            holders.extend(far.iter().map(|p| p.entry.address));
+        }
+        holders.remove(&self.own.address);
+        holders.into_iter().collect()
     }
 
+    /// Hubs whose part of the quotas is their own.
     fn reserved(&self) -> impl Iterator<Item = &Peer> {
-        let peers = self.peers.values();
-        peers.filter(|p| self.now_ms < p.heard_ms + RESERVED_MS)
+        let hubs = self.peers.values().filter(|p| p.as_hub().is_some());
+        let heard = hubs.filter(|p| {
+            p.heard_ms
+                .is_some_and(|heard| self.now_ms < heard + RESERVED_MS)
+        });
+        heard.filter(|p| !self.is_replaced_there(p))
     }
 
     fn live(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(|p| !self.is_silent(p))
+        self.peers.values().filter(|p| p.is_live(self.now_ms))
     }
 
-    /// Returns the time between two digests of a daemon, in milliseconds.
-    pub fn digest_every_ms(&self) -> u64 {
-        let daemons = self.reserved().count() + 1;
-        DIGEST_EVERY_MS * daemons.div_ceil(SMALL_SYSTEM) as u64
+    fn live_hubs(&self) -> impl Iterator<Item = &Digest> {
+        self.live()
+            .filter_map(|p| p.as_hub().map(|hub| &hub.digest))
     }
 
-    fn is_silent(&self, peer: &Peer) -> bool {
-        self.is_older(peer, SILENT_DIGESTS)
+    /// Returns the time between two digests of a hub, in milliseconds.
+    pub fn digest_every_ms(&self) -> u64 {
+        let hubs = self.reserved().count() + 1;
+        DIGEST_EVERY_MS * hubs.div_ceil(FEW_HUBS) as u64
     }
+}
 
-    /// Returns whether a daemon was heard last some digests ago.
-    fn is_older(&self, peer: &Peer, digests: f64) -> bool {
-        let age_ms = self.now_ms.saturating_sub(peer.heard_ms) as f64;
-        age_ms >= self.digest_every_ms() as f64 * digests
-    }
+fn took_over(leaning: u32, before: u32) -> bool {
+    // One that nobody else lets requests in through has nothing to take over.
+    before > 1 && f64::from(leaning) >= f64::from(before) * TAKEN_OVER_PART
 }
--- a/src/cluster/state_source.rs
+++ b/src/cluster/state_source.rs
@@ -25,11 +25,11 @@
     /// Chooses by what other daemons told of themselves. `current` is the
     /// daemon that was asked last, `failures` how often in a row it had no news.
     pub fn choose(gateway: &Gateway, current: Option<SocketAddr>, failures: usize) -> Self {
-        let own_zone = gateway.settings.node.zone.as_str();
         let peers = gateway.peers.lock();
-        let zone = peers.zone_daemons(own_zone);
+        let own_rank = peers.own().rank();
+        let domain = peers.domain_daemons();
         let newest_config = peers.newest_config();
-        let others = peers.best_informed(own_zone, SOURCE_STALE_MS);
+        let others = peers.best_informed(SOURCE_STALE_MS);
         drop(peers);
         if let Some(version) = newest_config {
             gateway.note_newest_config(version);
@@ -40,7 +40,7 @@
             Some(current) if failures == 0 => Some(current),
             _ => others.get(failures % others.len().max(1)).copied(),
         };
-        match source_role(gateway.settings.node.name.as_str(), &zone) {
+        match source_role(own_rank, &domain) {
             SourceRole::Follows(readers) if failures < readers.len() => {
                 Self::Daemon(readers[failures])
             }
--- /dev/null
+++ b/src/cluster/usage_part.rs
@@ -0,0 +1,34 @@
+use bincode::{Decode, Encode};
+
+/// Counts of requests that began to run, by client account.
+pub type ToldCounts = Vec<(String, u32)>;
+
+/// A part of what a daemon counted, for the holder of the duties. Counts only
+/// grow, so that parts may come twice and in any order.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct UsagePart {
+    /// The daemon's name.
+    pub name: String,
+    /// Which life of it.
+    pub life: u64,
+    /// Rises with each part of a life.
+    pub number: u64,
+    /// All windows before this one are over, and the holder has heard all of
+    /// them.
+    pub whole_before: u64,
+    /// A window.
+    pub window: u64,
+    /// Its counts, or a part of them.
+    pub counts: ToldCounts,
+}
+
+/// The holder's word that it has heard a part.
+#[derive(Clone, Copy, Debug, PartialEq, Encode, Decode)]
+pub struct UsageHeard {
+    /// Which life of the holder.
+    pub holder_life: u64,
+    /// Which life of the daemon counted.
+    pub life: u64,
+    /// The part's number.
+    pub number: u64,
+}
--- /dev/null
+++ b/src/cluster/usage_teller.rs
@@ -0,0 +1,130 @@
+use {
+    super::*,
+    crate::{gateway::Gateway, names::now_ms, policy::TenantCounts},
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// How often counts are told that the holder of the duties has not heard.
+const USAGE_EVERY: Duration = Duration::from_millis(500);
+/// How many windows are told: as many as are kept.
+const TOLD_WINDOWS: usize = 8;
+
+/// What holders of the duties have heard of this daemon's counts.
+#[derive(Debug, Default)]
+pub struct UsageTeller {
+    last_number: u64,
+    holders: HashMap<(SocketAddr, u64), HolderView>,
+}
+
+#[derive(Debug, Default)]
+struct HolderView {
+    heard: BTreeMap<u64, BTreeMap<String, u32>>,
+    heard_whole_before: u64,
+    /// Parts that were sent, by number.
+    sent: HashMap<u64, UsagePart>,
+}
+
+impl UsageTeller {
+    /// Returns what to tell a holder: what it has not heard, in parts.
+    pub fn parts(
+        &mut self,
+        daemon: (&str, u64),
+        holder: (SocketAddr, u64),
+        own: &[(u64, TenantCounts)],
+        window: u64,
+    ) -> Vec<UsagePart> {
+        self.holders
+            .retain(|(address, life), _| *address != holder.0 || *life == holder.1);
+        let view = self.holders.entry(holder).or_default();
+        view.sent.clear();
+        let lacking: Vec<(u64, ToldCounts)> = own
+            .iter()
+            .map(|(window, counts)| (*window, view.lacking(*window, counts)))
+            .filter(|(_, counts)| !counts.is_empty())
+            .collect();
+        let whole_before = lacking.iter().map(|(w, _)| *w).min().unwrap_or(window);
+        let whole_before = whole_before.min(window);
+        let mut split: Vec<(u64, ToldCounts)> = Vec::new();
+        for (window, counts) in lacking {
+            split.extend(in_parts(counts).into_iter().map(|part| (window, part)));
+        }
+        if split.is_empty() && whole_before > view.heard_whole_before {
+            split.push((window, Vec::new()));
+        }
+        let mut parts = Vec::new();
+        for (window, counts) in split {
+            self.last_number += 1;
+            let part = UsagePart {
+                name: daemon.0.to_string(),
+                life: daemon.1,
+                number: self.last_number,
+                whole_before,
+                window,
+                counts,
+            };
+            view.sent.insert(part.number, part.clone());
+            parts.push(part);
+        }
+        parts
+    }
+
+    /// Takes in that a holder has heard a part.
+    pub fn hear(&mut self, from: SocketAddr, heard: UsageHeard) {
+        let Some(view) = self.holders.get_mut(&(from, heard.holder_life)) else {
+            return;
+        };
+        let Some(part) = view.sent.remove(&heard.number) else {
+            return;
+        };
+        view.heard_whole_before = view.heard_whole_before.max(part.whole_before);
+        let known = view.heard.entry(part.window).or_default();
+        known.extend(part.counts);
+        while view.heard.len() > TOLD_WINDOWS {
+            view.heard.pop_first();
+        }
+    }
+}
+
+impl HolderView {
+    fn lacking(&self, window: u64, counts: &TenantCounts) -> ToldCounts {
+        let heard = self.heard.get(&window);
+        let known = |name: &str| heard.and_then(|h| h.get(name)).copied().unwrap_or(0);
+        let told = counts.iter().map(|(name, n)| (name.to_string(), *n as u32));
+        told.filter(|(name, n)| *n > known(name)).collect()
+    }
+}
+
+/// Tells the holders of the duties what began to run here, until they have
+/// heard it.
+pub(super) async fn tell_usage(gateway: Arc<Gateway>) {
+    if !gateway.settings.duties.usage {
+        return;
+    }
+    loop {
+        tokio::time::sleep(USAGE_EVERY).await;
+        let holders = gateway.peers.lock().duty_holders();
+        let own = gateway.usage.lock().newest(TOLD_WINDOWS);
+        let window = gateway.window_of(now_ms());
+        let name = gateway.settings.node.name.as_str();
+        for holder in holders {
+            if holder.0 == gateway.settings.listen.peers {
+                continue;
+            }
+            let daemon = (name, gateway.incarnation);
+            let parts = {
+                let mut teller = gateway.usage_teller.lock();
+                teller.parts(daemon, holder, &own, window)
+            };
+            for part in parts {
+                gateway
+                    .send_datagram(&Datagram::Usage(part), holder.0)
+                    .await;
+            }
+        }
+    }
+}
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -52,11 +52,19 @@
     pub name: BoxId,
     /// Its zone.
     pub zone: FailureDomain,
+    /// Its share of processor cores: where boxes differ, the larger ones of a
+    /// failure domain place requests for the others.
+    #[serde(default = "one_core", deserialize_with = "positive")]
+    pub capacity: f64,
     /// All zones, with their regions.
     #[serde(default)]
     pub zones: BTreeMap<FailureDomain, String>,
 }
 
+fn one_core() -> f64 {
+    1.0
+}
+
 /// Where the daemon listens.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -18,8 +18,8 @@
 
 impl Attempts {
     /// Chooses where to send the request next.
-    pub fn place(&self, gateway: &Gateway, context: &RequestContext) -> Option<Placement> {
-        gateway.place(context, &self.tried)
+    pub async fn place(&self, gateway: &Gateway, context: &RequestContext) -> Option<Placement> {
+        gateway.place(context, &self.tried).await
     }
 
     /// Notes a failure and decides whether the request may be sent elsewhere.
--- a/src/gateway/budgets.rs
+++ b/src/gateway/budgets.rs
@@ -102,6 +102,19 @@
         }
     }
 
+    /// Logs that a request is beyond its client account's quota.
+    pub fn log_refusal(&self, account: &Tenant, cost: f64, wait: Duration, request: &str) {
+        log::warn!(
+            target: "quota",
+            "refused. request={request} tenant={} cost={cost} left={:.0} rate={} burst={} wait_ms={}",
+            account.name,
+            self.quotas.lock().level(account),
+            account.rate_per_s,
+            account.burst,
+            wait.as_millis()
+        );
+    }
+
     fn try_admit(&self, tenant: &Tenant, cost: f64, start_part: f64) -> Result<(), QuotaWait> {
         let mut quotas = self.quotas.lock();
         let admitted = quotas.admit(tenant, cost, start_part, self.steady_ms());
--- a/src/gateway/engines.rs
+++ b/src/gateway/engines.rs
@@ -1,6 +1,6 @@
 use {
     super::*,
-    crate::{names::ServiceName, policy::*},
+    crate::{cluster::MemberEvent, names::ServiceName, policy::*},
 };
 
 /// What is learned of the engines behind a service, and how busy they are.
@@ -46,6 +46,16 @@
 
     /// Notes the first event of an answer that nothing waited before.
     pub(super) fn note_first_event(&self, service: &ServiceName, event: FirstEvent) {
+        self.learn_first_event(service, event);
+        self.note_event(|| MemberEvent::FirstEvent {
+            service: service.to_string(),
+            unread_tokens: event.unread_tokens as u32,
+            after_ms: event.after_ms as f32,
+        });
+    }
+
+    /// Learns from the first event of an answer, here or at another daemon.
+    pub fn learn_first_event(&self, service: &ServiceName, event: FirstEvent) {
         let mut engines = self.engines.lock();
         let model = engines.entry(service.clone()).or_default();
         model.note_first_event(event);
@@ -53,6 +63,15 @@
 
     /// Notes how long a request stayed that ended whole, in milliseconds.
     pub(super) fn note_stay(&self, service: &ServiceName, stay_ms: f64) {
+        self.learn_stay(service, stay_ms);
+        self.note_event(|| MemberEvent::Stayed {
+            service: service.to_string(),
+            ms: stay_ms as f32,
+        });
+    }
+
+    /// Learns from how long a request stayed, here or at another daemon.
+    pub fn learn_stay(&self, service: &ServiceName, stay_ms: f64) {
         let mut engines = self.engines.lock();
         let model = engines.entry(service.clone()).or_default();
         model.note_stay(stay_ms);
@@ -60,13 +79,11 @@
 
     /// Returns how many requests all daemons have at a service's upstreams.
     pub fn running_at(&self, service: &ServiceName) -> u32 {
-        let peer_loads = self.peers.lock().loads();
-        let loads = self.loads.lock();
+        let loads = self.all_loads();
         let directory = self.directory.read();
-        let counts = directory.ready(service).map(|u| {
-            let own = loads.get(&u.id).map_or(0, |l| l.active);
-            own + peer_loads.get(&u.id).map_or(0, |(active, _)| *active)
-        });
-        counts.sum()
+        let ready = directory.ready(service);
+        ready
+            .filter_map(|u| loads.get(&u.id).map(|(active, _)| *active))
+            .sum()
     }
 }
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -134,7 +134,7 @@
     /// Sends the request to an upstream, and on to others as long as it may.
     async fn open(&mut self) -> Option<()> {
         loop {
-            let placement = self.attempts.place(&self.gateway, &self.context)?;
+            let placement = self.attempts.place(&self.gateway, &self.context).await?;
             let upstream = &placement.upstream;
             match self.send_patiently(&placement).await {
                 Ok(sent) => {
--- a/src/gateway/forward_whole.rs
+++ b/src/gateway/forward_whole.rs
@@ -34,7 +34,7 @@
     attempts: &mut Attempts,
 ) -> Option<(Parts, Bytes)> {
     loop {
-        let placement = attempts.place(gateway, context)?;
+        let placement = attempts.place(gateway, context).await?;
         let upstream = &placement.upstream;
         let failure = match send_in_time(gateway, context, &placement, attempts).await {
             Ok((head, body)) => {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,7 +1,9 @@
 use {
     super::{attempts::Attempts, *},
     crate::{
-        cluster::PeerTable,
+        cluster::{
+            DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, UsageTeller,
+        },
         conf::GatewaySettings,
         names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
@@ -14,14 +16,16 @@
     rand_chacha::ChaCha8Rng,
     std::{
         collections::HashMap,
-        net::SocketAddr,
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicBool, AtomicU64, AtomicUsize},
         },
         time::{Duration, Instant},
     },
-    tokio::sync::{Notify, watch},
+    tokio::{
+        net::UdpSocket,
+        sync::{Notify, watch},
+    },
 };
 
 /// Daemons of a zone that are reckoned with before any is known.
@@ -72,6 +76,18 @@
     pub pool: Arc<UpstreamPool>,
     /// The other daemons.
     pub peers: Mutex<PeerTable>,
+    /// The daemons that report to this one.
+    pub members: Mutex<MemberTable>,
+    /// Questions to the hubs of the failure domain.
+    pub hub_desk: HubDesk,
+    /// What happened to requests and hubs have not heard of.
+    pub events: Mutex<EventLog>,
+    /// What is let in while no hub answers.
+    pub lone_quotas: Mutex<LoneQuotas>,
+    /// What holders of the duties have heard of this daemon's counts.
+    pub usage_teller: Mutex<UsageTeller>,
+    /// Wakes the task that reports to hubs.
+    pub report_early: Notify,
     /// Requests that began, by window and tenant.
     pub usage: Mutex<UsageWindows>,
     /// The tenants' quotas.
@@ -80,8 +96,11 @@
     pub tell_early: Notify,
     /// Whether clients are taken.
     pub phase: watch::Sender<GatewayPhase>,
-    /// How many digests this daemon has told.
-    pub digests_told: AtomicU64,
+    /// The number of the last message to other daemons.
+    pub(super) last_sequence: AtomicU64,
+    /// Since when this daemon is a hub.
+    pub(super) hub_since_ms: Mutex<Option<u64>>,
+    pub(super) datagrams: OnceLock<Arc<UdpSocket>>,
     /// Requests in flight.
     pub open_requests: AtomicUsize,
     /// Whether this daemon has the duties that one has at a time.
@@ -117,6 +136,12 @@
             true => QuotaBook::new(settings.bounds.quotas),
             false => QuotaBook::default(),
         };
+        let own = DaemonEntry {
+            name: settings.node.name.to_string(),
+            domain: settings.node.zone.to_string(),
+            capacity: settings.node.capacity as f32,
+            address: settings.listen.peers,
+        };
         Self {
             settings,
             names,
@@ -124,12 +149,20 @@
             directory: RwLock::default(),
             loads: Mutex::default(),
             pool: Arc::default(),
-            peers: Mutex::default(),
+            peers: Mutex::new(PeerTable::new(own)),
+            members: Mutex::default(),
+            hub_desk: HubDesk::default(),
+            events: Mutex::default(),
+            lone_quotas: Mutex::default(),
+            usage_teller: Mutex::default(),
+            report_early: Notify::new(),
             usage: Mutex::default(),
             quotas: Mutex::new(quotas),
             tell_early: Notify::new(),
             phase: watch::Sender::new(GatewayPhase::Starting),
-            digests_told: AtomicU64::new(0),
+            last_sequence: AtomicU64::new(0),
+            hub_since_ms: Mutex::default(),
+            datagrams: OnceLock::new(),
             open_requests: AtomicUsize::new(0),
             holds_duties: AtomicBool::new(false),
             source: Mutex::default(),
@@ -206,22 +239,19 @@
         *self.phase.borrow() == GatewayPhase::Ready
     }
 
+    /// Returns whether this daemon will stop.
+    pub fn is_stopping(&self) -> bool {
+        *self.phase.borrow() == GatewayPhase::Stopping
+    }
+
     /// Draws a number.
     pub fn draw(&self) -> u64 {
         self.rng.lock().random()
     }
 
-    /// Returns the addresses of some other daemons.
-    pub fn some_peers(&self, count: usize) -> Vec<SocketAddr> {
-        let mut rng = self.rng.lock().clone();
-        let sample = self.peers.lock().sample(count, &mut rng);
-        *self.rng.lock() = rng;
-        sample
-    }
-
     /// Returns how many daemons there are, as far as is known.
     pub fn daemons(&self) -> usize {
-        let known = self.peers.lock().known() + 1;
+        let known = self.peers.lock().daemons();
         let assumed = self.settings.node.zones.len() * ASSUMED_PER_ZONE;
         if known > 1 { known } else { assumed.max(1) }
     }
--- /dev/null
+++ b/src/gateway/hub_state.rs
@@ -0,0 +1,166 @@
+use {
+    super::Gateway,
+    crate::{
+        cluster::*,
+        names::{FailureDomain, ServiceName, UpstreamId},
+    },
+    std::{
+        net::SocketAddr,
+        sync::{Arc, atomic::Ordering},
+    },
+    tokio::net::UdpSocket,
+};
+
+/// Counts datagrams that were too large to be sent.
+pub const TOO_LARGE: &str = "saddlepulley_datagrams_too_large_total";
+
+/// This daemon among the others: whether it is a hub, and what it tells.
+impl Gateway {
+    /// Sets the socket by which datagrams go out.
+    pub fn set_datagram_socket(&self, socket: Arc<UdpSocket>) {
+        // It is set once, when the daemon starts.
+        let _ = self.datagrams.set(socket);
+    }
+
+    /// Sends a datagram. It may be lost: what matters is told again.
+    pub async fn send_datagram(&self, datagram: &Datagram, to: SocketAddr) {
+        let Some(socket) = self.datagrams.get() else {
+            return;
+        };
+        match datagram.encode() {
+            Ok(bytes) => {
+                // A failed send is a lost datagram.
+                let _ = socket.send_to(&bytes, to).await;
+            }
+            Err(e) => {
+                metrics::counter!(TOO_LARGE).increment(1);
+                log::warn!(target: "peers", "datagram not sent. to={to} error=\"{e}\"");
+            }
+        }
+    }
+
+    /// Returns the number of the next message to other daemons.
+    pub fn next_sequence(&self) -> u64 {
+        self.last_sequence.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Returns whether this daemon decides for itself, and for those that ask.
+    pub fn is_hub(&self) -> bool {
+        self.peers.lock().is_hub()
+    }
+
+    /// Notes the time in what is known of the others; returns whether this
+    /// daemon is a hub.
+    pub fn tick_peers(&self) -> bool {
+        let now_ms = self.steady_ms();
+        let leaning = {
+            let mut members = self.members.lock();
+            members.tick(now_ms);
+            members.leaning()
+        };
+        let mut peers = self.peers.lock();
+        peers.tick(leaning, now_ms);
+        let is_hub = peers.is_hub();
+        drop(peers);
+        let mut since = self.hub_since_ms.lock();
+        if is_hub != since.is_some() {
+            log::info!(target: "hubs", "role changed. is_hub={is_hub}");
+            *since = is_hub.then_some(now_ms);
+        }
+        is_hub
+    }
+
+    /// Returns for how long this daemon has been a hub, in milliseconds.
+    pub fn hub_age_ms(&self) -> u64 {
+        let since_ms = *self.hub_since_ms.lock();
+        since_ms.map_or(0, |since| self.steady_ms().saturating_sub(since))
+    }
+
+    /// Returns what this daemon tells of its state.
+    pub fn status(&self) -> DaemonStatus {
+        DaemonStatus {
+            config_version: self.config_version(),
+            source_age_ms: self.source_age_ms().unwrap_or(u64::MAX),
+            cut_from_source: self.is_cut_from_source(),
+            is_leaving: self.is_stopping(),
+            is_hub: self.is_hub(),
+        }
+    }
+
+    /// Returns daemons to name to one of a failure domain.
+    pub fn named_daemons(&self, domain: &str) -> Vec<DaemonEntry> {
+        let mut rng = self.rng.lock().clone();
+        let named = self.peers.lock().named_for(domain, &mut rng);
+        *self.rng.lock() = rng;
+        named
+    }
+
+    /// Brings the quotas up to date and returns what to tell of them.
+    pub fn tick_quotas(&self) -> Vec<ToldAccount> {
+        let (tenants, daemons) = (self.tenants(), self.daemons());
+        let others = self.peers.lock().quota_daemons();
+        let mut quotas = self.quotas.lock();
+        let notices = quotas.tick(&tenants, &others, daemons, self.steady_ms());
+        notices.iter().map(ToldAccount::of).collect()
+    }
+
+    /// Returns what was told last of the quotas.
+    pub fn told_quotas(&self) -> Vec<ToldAccount> {
+        let quotas = self.quotas.lock();
+        quotas.last_notices().iter().map(ToldAccount::of).collect()
+    }
+
+    /// Returns what this daemon has at upstreams.
+    pub fn own_loads(&self) -> LoadSums {
+        let loads = self.loads.lock();
+        let busy = loads.iter().filter(|(_, load)| load.active > 0);
+        let sums = busy.map(|(id, l)| (id.clone(), (l.active, l.waiting_tokens)));
+        sums.collect()
+    }
+
+    /// Returns what this daemon, and those that ask it, have at upstreams.
+    pub fn led_loads(&self) -> LoadSums {
+        let mut sums = self.own_loads();
+        self.members.lock().add_loads(&mut sums);
+        sums
+    }
+
+    /// Returns what all daemons have at upstreams, as far as is known.
+    pub fn all_loads(&self) -> LoadSums {
+        let mut sums = self.led_loads();
+        self.peers.lock().add_loads(&mut sums);
+        sums
+    }
+
+    /// Places a request of another daemon, and takes its prompt as kept there.
+    pub fn place_asked(&self, ask: &Ask, service: ServiceName, domain: FailureDomain) -> Verdict {
+        let typed = |names: &[String]| -> Vec<UpstreamId> {
+            names.iter().map(|n| UpstreamId::from(n.as_str())).collect()
+        };
+        let request = super::PlaceRequest {
+            service,
+            target_ms: ask.place.target_ms as f64,
+            prompt: super::Prompt::from_ask(&ask.place),
+            tried: typed(&ask.place.tried),
+            avoided: typed(&ask.place.avoided),
+            domain,
+        };
+        let Some(placement) = self.choose(&request, &ask.request) else {
+            return Verdict::NoUpstream;
+        };
+        self.note_cached(&request.prompt, &placement.upstream);
+        Verdict::Placed {
+            upstream: placement.upstream.id.to_string(),
+            unread_tokens: placement.unread_tokens,
+            waiting_tokens: placement.waiting_tokens,
+        }
+    }
+
+    /// Notes what happened to a request, for the hubs.
+    pub(super) fn note_event(&self, event: impl FnOnce() -> MemberEvent) {
+        if !self.is_hub() {
+            self.events.lock().note(event());
+            self.report_early.notify_one();
+        }
+    }
+}
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -125,15 +125,11 @@
     };
     let body = read_body(&table, body).await?;
     let prompt = Prompt::from_headers(&head.headers, &gateway.names);
-    if let Some(tenant) = &tenant {
-        let cost = tenant.cost(prompt.tokens());
-        let id = head.headers.get(&gateway.names.attempt_id);
-        let patience = Duration::from_millis(route.target_latency_ms).mul_f64(HELD_PART);
-        admit(gateway, tenant, cost, patience, id).await?;
-    }
     let wait_ms = number(&head.headers, &gateway.names.deadline_ms);
     let wait_ms = wait_ms.map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
-    Ok(RequestContext {
+    let patience = Duration::from_millis(route.target_latency_ms).mul_f64(HELD_PART);
+    let context = RequestContext {
+        placed: parking_lot::Mutex::default(),
         attempt_id: head.headers.get(&gateway.names.attempt_id).cloned(),
         priority: priority_of(&route, tenant.as_deref()),
         service,
@@ -147,7 +143,9 @@
         started,
         give_up_at: started + Duration::from_millis(wait_ms),
         route,
-    })
+    };
+    admit(gateway, &context, tenant.as_deref(), patience).await?;
+    Ok(context)
 }
 
 /// Returns the routes in force; waits a little for the first ones.
@@ -210,29 +208,23 @@
 
 async fn admit(
     gateway: &Gateway,
-    tenant: &Tenant,
-    cost: f64,
+    context: &RequestContext,
+    account: Option<&Tenant>,
     patience: Duration,
-    id: Option<&HeaderValue>,
 ) -> Result<(), Box<Response<AnswerBody>>> {
-    let admitted = gateway.admit(tenant, cost, patience).await;
+    let admitted = gateway.let_in(context, account, patience).await;
     admitted.map_err(|wait| {
-        let wait = wait.min(MAX_QUOTA_RETRY_AFTER);
+        if gateway.is_hub()
+            && let Some(account) = account
+        {
+            let cost = account.cost(context.prompt.tokens());
+            gateway.log_refusal(account, cost, wait, context.id_text());
+        }
         metrics::counter!(QUOTA_REFUSALS).increment(1);
-        log::warn!(
-            target: "quota",
-            "refused. request={} tenant={} cost={cost} left={:.0} rate={} burst={} wait_ms={}",
-            id.and_then(|v| v.to_str().ok()).unwrap_or("-"),
-            tenant.name,
-            gateway.quotas.lock().level(tenant),
-            tenant.rate_per_s,
-            tenant.burst,
-            wait.as_millis()
-        );
         Box::new(refusal(
             StatusCode::TOO_MANY_REQUESTS,
             "the quota is used up",
-            wait,
+            wait.min(MAX_QUOTA_RETRY_AFTER),
         ))
     })
 }
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -24,6 +24,12 @@
 pub const SOURCE_AGE: &str = "saddlepulley_source_age_seconds";
 /// Other daemons that were heard from lately.
 pub const LIVE_PEERS: &str = "saddlepulley_live_peers";
+/// How many daemons there are, as far as this one knows.
+pub const DAEMONS: &str = "saddlepulley_daemons";
+/// Whether this daemon is a hub of its failure domain.
+pub const IS_HUB: &str = "saddlepulley_is_hub";
+/// How many daemons let requests in through this one, itself included.
+pub const LEANING: &str = "saddlepulley_leaning_daemons";
 /// Whether this daemon has the duties.
 pub const HOLDS_DUTIES: &str = "saddlepulley_holds_duties";
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod forward_whole;
 mod gateway_state;
 mod header_names;
+mod hub_state;
 mod intake;
 mod listen;
 mod metrics_page;
@@ -22,6 +23,6 @@
 mod source_state;
 
 pub use {
-    answer::*, event_border::*, follow_file::*, gateway_state::*, header_names::*, intake::*,
-    listen::*, metrics_page::*, process::*, prompt::*, request_context::*,
+    answer::*, event_border::*, follow_file::*, gateway_state::*, header_names::*, hub_state::*,
+    intake::*, listen::*, metrics_page::*, placing::*, process::*, prompt::*, request_context::*,
 };
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -1,38 +1,194 @@
 use {
     super::{Placement, *},
     crate::{
-        names::{FailureDomain, UpstreamId},
+        cluster::{AskedPlace, AskedQuota, LoadSums, MemberEvent, Verdict},
+        names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
+        routing::Tenant,
         upstreams::*,
     },
-    std::{collections::HashMap, sync::Arc},
+    std::{sync::Arc, time::Duration},
 };
 
+/// How many upstreams that a daemon can't reach it names to a hub.
+const MAX_AVOIDED: usize = 8;
+/// When a request may come back that no hub answered for, and that its daemon
+/// can't let in by itself.
+const ALONE_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// What has to be known of a request to place it.
+#[derive(Clone, Debug)]
+pub struct PlaceRequest {
+    /// The service.
+    pub service: ServiceName,
+    /// Within how long an answer is wanted, in milliseconds.
+    pub target_ms: f64,
+    /// Its prompt.
+    pub prompt: Prompt,
+    /// Upstreams that were tried: not again.
+    pub tried: Vec<UpstreamId>,
+    /// Upstreams that its daemon can't reach now.
+    pub avoided: Vec<UpstreamId>,
+    /// The failure domain of its daemon.
+    pub domain: FailureDomain,
+}
+
 /// Where requests are sent, and what is learned from how they fare.
 impl Gateway {
-    /// Chooses an upstream for a request; `tried` ones come last.
-    pub fn place(&self, context: &RequestContext, tried: &[UpstreamId]) -> Option<Placement> {
+    /// Lets a request in that costs a client account some units, and finds its
+    /// first place with the same question where a hub is asked.
+    ///
+    /// # Errors
+    ///
+    /// Returns after how long it would be let in.
+    pub async fn let_in(
+        &self,
+        context: &RequestContext,
+        account: Option<&Tenant>,
+        patience: Duration,
+    ) -> Result<(), Duration> {
+        let cost = account.map_or(0.0, |a| a.cost(context.prompt.tokens()));
+        if self.is_hub() {
+            return match account {
+                Some(account) => self.admit(account, cost, patience).await,
+                None => Ok(()),
+            };
+        }
+        let limited = account.filter(|a| a.rate_per_s > 0.0);
+        if let Some(account) = limited {
+            let now_ms = self.steady_ms();
+            let mut lone = self.lone_quotas.lock();
+            lone.note_demand(&account.name, cost, now_ms);
+        }
+        let quota = limited.map(|account| AskedQuota {
+            account: account.name.to_string(),
+            cost,
+            patience_ms: patience.as_millis() as u32,
+        });
+        let place = self.asked_place(context, &[]);
+        let request = context.id_text();
+        match self.hub_desk.ask(self, request, quota, place).await {
+            Some(Verdict::Refused { wait_ms }) => Err(Duration::from_millis(wait_ms)),
+            Some(Verdict::Unknown | Verdict::Held) | None => match limited {
+                Some(account) => self.admit_alone(account, cost),
+                None => Ok(()),
+            },
+            Some(verdict) => {
+                *context.placed.lock() = self.asked_placement(&verdict, false);
+                Ok(())
+            }
+        }
+    }
+
+    fn admit_alone(&self, account: &Tenant, cost: f64) -> Result<(), Duration> {
+        let now_ms = self.steady_ms();
+        let limit = self.quotas.lock().limit_of(account);
+        let told = self.peers.lock().told_quota(&account.name);
+        // Nothing told: the daemon reckons with its even part of what is earned
+        // from now on.
+        let told = told.unwrap_or(ToldQuota {
+            level: 0.0,
+            demand: account.rate_per_s,
+            at_ms: now_ms,
+        });
+        let mut lone = self.lone_quotas.lock();
+        match lone.admit(&account.name, cost, told, &limit, now_ms) {
+            true => Ok(()),
+            false => Err(ALONE_RETRY_AFTER),
+        }
+    }
+
+    fn asked_place(&self, context: &RequestContext, tried: &[UpstreamId]) -> AskedPlace {
+        let now_ms = self.steady_ms();
+        let loads = self.loads.lock();
+        let avoided = loads.iter().filter(|(_, load)| load.is_avoided(now_ms));
+        let avoided = avoided.map(|(id, _)| id.to_string()).take(MAX_AVOIDED);
+        let avoided = avoided.collect();
+        drop(loads);
+        let parts = context.prompt.parts.iter();
+        AskedPlace {
+            service: context.service.to_string(),
+            target_ms: context.route.target_latency_ms,
+            tokens_in: context.prompt.tokens_in,
+            tokens_out: context.prompt.tokens_out,
+            parts: parts.map(|p| (p.chain, p.tokens)).collect(),
+            tried: tried.iter().map(ToString::to_string).collect(),
+            avoided,
+        }
+    }
+
+    /// Returns the placement that a hub decided on, if its upstream is known and
+    /// ready here, too.
+    fn asked_placement(&self, verdict: &Verdict, is_repeat: bool) -> Option<Placement> {
+        let Verdict::Placed {
+            upstream,
+            unread_tokens,
+            waiting_tokens,
+        } = verdict
+        else {
+            return None;
+        };
+        let id = UpstreamId::from(upstream.as_str());
+        let directory = self.directory.read();
+        let upstream = directory.get(&id).filter(|u| !u.draining)?.clone();
+        Some(Placement {
+            upstream,
+            unread_tokens: *unread_tokens,
+            waiting_tokens: *waiting_tokens,
+            is_repeat,
+        })
+    }
+
+    /// Finds where to send a request next: by a hub, or by itself where this
+    /// daemon is one or none answers. `tried` upstreams are left out.
+    pub async fn place(&self, context: &RequestContext, tried: &[UpstreamId]) -> Option<Placement> {
+        if let Some(placement) = context.placed.lock().take() {
+            return Some(placement);
+        }
+        if !self.is_hub() {
+            let place = self.asked_place(context, tried);
+            let answer = self.hub_desk.ask(self, context.id_text(), None, place);
+            let verdict = answer.await;
+            let is_repeat = !tried.is_empty();
+            let placement = verdict.and_then(|v| self.asked_placement(&v, is_repeat));
+            if placement.is_some() {
+                return placement;
+            }
+        }
+        let request = PlaceRequest {
+            service: context.service.clone(),
+            target_ms: context.route.target_latency_ms as f64,
+            prompt: context.prompt.clone(),
+            tried: tried.to_vec(),
+            avoided: Vec::new(),
+            domain: self.zone().clone(),
+        };
+        self.choose(&request, context.id_text())
+    }
+
+    /// Chooses an upstream by what this daemon knows.
+    pub fn choose(&self, request: &PlaceRequest, id: &str) -> Option<Placement> {
+        let tried = &request.tried;
         let ready: Vec<Arc<Upstream>> = {
             let directory = self.directory.read();
-            let ready = directory.ready(&context.service);
+            let ready = directory.ready(&request.service);
             ready.filter(|b| !tried.contains(&b.id)).cloned().collect()
         };
-        let home = self.home_of(context, &ready);
-        let peer_loads = self.peers.lock().loads();
+        let home = self.home_of(request, &ready);
+        let all_loads = self.all_loads();
         let candidates: Vec<Candidate> = ready
             .iter()
-            .map(|b| self.candidate(context, b, home.as_ref(), &peer_loads))
+            .map(|b| self.candidate(request, b, home.as_ref(), &all_loads))
             .collect();
-        let times = self.engine_times(&context.service);
-        let target_ms = context.route.target_latency_ms as f64;
+        let times = self.engine_times(&request.service);
         let mut rng = self.rng.lock();
-        let chosen = choose_upstream(&candidates, &times, target_ms, &mut *rng);
+        let chosen = choose_upstream(&candidates, &times, request.target_ms, &mut *rng);
         drop(rng);
         if tried.is_empty() {
             // What finds no upstream is demand, too.
             let unread = chosen.map(|index| candidates[index].unread_tokens);
-            let all_tokens = context.prompt.tokens();
-            self.note_demand(&context.service, unread.or(all_tokens).unwrap_or(0));
+            let all_tokens = request.prompt.tokens();
+            self.note_demand(&request.service, unread.or(all_tokens).unwrap_or(0));
         }
         let chosen = chosen?;
         let Candidate {
@@ -45,9 +201,8 @@
         } = candidates[chosen];
         log::info!(
             target: "place",
-            "placed. request={} service={} upstream={} of={} home={} unread={unread_tokens} waiting={waiting_tokens} active={active} failure_rate={failure_rate:.2} avoided={avoided} directory={}",
-            context.id_text(),
-            context.service,
+            "placed. request={id} service={} upstream={} of={} home={} unread={unread_tokens} waiting={waiting_tokens} active={active} failure_rate={failure_rate:.2} avoided={avoided} directory={}",
+            request.service,
             ready[chosen].id,
             ready.len(),
             home.as_ref() == Some(&ready[chosen].id),
@@ -63,53 +218,56 @@
 
     fn candidate(
         &self,
-        context: &RequestContext,
+        request: &PlaceRequest,
         upstream: &Upstream,
         home: Option<&UpstreamId>,
-        peer_loads: &HashMap<UpstreamId, (u32, u64)>,
+        all_loads: &LoadSums,
     ) -> Candidate {
         let now_ms = self.steady_ms();
         let is_home = home == Some(&upstream.id);
         let unread_tokens = match is_home {
-            true => own_tokens(context),
-            false => self.unread_tokens(context, upstream),
+            true => own_tokens(&request.prompt),
+            false => self.unread_tokens(&request.prompt, upstream),
         };
-        let (peer_active, peer_tokens) = peer_loads.get(&upstream.id).copied().unwrap_or_default();
+        let (active, waiting_tokens) = all_loads.get(&upstream.id).copied().unwrap_or_default();
         let loads = self.loads.lock();
-        let load = loads.get(&upstream.id).cloned().unwrap_or_default();
+        let load = loads.get(&upstream.id);
+        let is_avoided = load.is_some_and(|l| l.is_avoided(now_ms));
         Candidate {
-            avoided: load.is_avoided(now_ms) || self.is_out_of_reach(&upstream.zone),
-            waiting_tokens: load.waiting_tokens + peer_tokens,
+            avoided: is_avoided
+                || self.is_out_of_reach(&upstream.zone)
+                || request.avoided.contains(&upstream.id),
+            waiting_tokens,
             unread_tokens,
-            active: load.active + peer_active,
+            active,
             slots: upstream.slots,
-            failure_rate: load.failure_rate(now_ms),
-            same_zone: upstream.zone == self.settings.node.zone,
+            failure_rate: load.map_or(0.0, |l| l.failure_rate(now_ms)),
+            same_zone: upstream.zone == request.domain,
         }
     }
 
     /// Finds the upstream that all daemons send a chain of parts to, as long
     /// as its load allows.
-    fn home_of(&self, context: &RequestContext, ready: &[Arc<Upstream>]) -> Option<UpstreamId> {
+    fn home_of(&self, request: &PlaceRequest, ready: &[Arc<Upstream>]) -> Option<UpstreamId> {
         if !self.settings.mechanisms.homes {
             return None;
         }
-        let chain = context.prompt.shared_chain()?;
+        let chain = request.prompt.shared_chain()?;
         let home = ready.iter().max_by_key(|b| home_rank(chain, b.id.as_str()));
         home.map(|b| b.id.clone())
     }
 
     /// Returns how many prompt tokens an upstream would have to read.
-    fn unread_tokens(&self, context: &RequestContext, upstream: &Upstream) -> u64 {
+    fn unread_tokens(&self, prompt: &Prompt, upstream: &Upstream) -> u64 {
         let now_ms = self.steady_ms();
         let caches = self.caches.lock();
         let is_kept = |part: &PromptPart| caches.is_kept(&upstream.id, part.chain, now_ms);
-        context.prompt.unread_tokens(is_kept)
+        prompt.unread_tokens(is_kept)
     }
 
     /// Notes that an upstream reads a request's prompt.
-    pub fn note_cached(&self, context: &RequestContext, upstream: &Upstream) {
-        let parts = context.prompt.parts.iter().map(|p| p.chain);
+    pub fn note_cached(&self, prompt: &Prompt, upstream: &Upstream) {
+        let parts = prompt.parts.iter().map(|p| p.chain);
         let now_ms = self.steady_ms();
         self.caches.lock().note(&upstream.id, parts, now_ms);
     }
@@ -124,6 +282,9 @@
             .lock()
             .entry(&upstream.id)
             .note_unreachable(now_ms);
+        self.note_event(|| MemberEvent::Unreachable {
+            upstream: upstream.id.to_string(),
+        });
         self.zone_reach
             .lock()
             .note_unreachable(&upstream.zone, &upstream.id, now_ms);
@@ -141,6 +302,10 @@
             .lock()
             .entry(upstream)
             .note_outcome(failed, now_ms);
+        self.note_event(|| MemberEvent::Ended {
+            upstream: upstream.to_string(),
+            failed,
+        });
     }
 
     /// Notes that a send failed.
@@ -164,7 +329,6 @@
     }
 }
 
-fn own_tokens(context: &RequestContext) -> u64 {
-    let parts = &context.prompt.parts;
-    parts.last().map_or(0, |part| part.tokens)
+fn own_tokens(prompt: &Prompt) -> u64 {
+    prompt.parts.last().map_or(0, |part| part.tokens)
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -58,7 +58,7 @@
         tasks.spawn(serve_clients(clients, gateway.clone(), connections.clone()));
         tasks.spawn(serve_readiness(readiness, gateway.clone()));
         tasks.spawn(cluster::serve_feed(peers, gateway.clone()));
-        tasks.spawn(cluster::exchange_digests(digests, gateway.clone()));
+        tasks.spawn(cluster::exchange_datagrams(digests, gateway.clone()));
         tasks.spawn(cluster::follow_daemons(gateway.clone()));
         tasks.spawn(cluster::follow_config_of_daemons(gateway.clone()));
         tasks.spawn(sweep(gateway.clone()));
@@ -88,6 +88,7 @@
         let began = Instant::now();
         let limit = Duration::from_secs_f64(self.gateway.settings.bounds.stop_s * STOP_USE);
         self.gateway.phase.send_replace(GatewayPhase::Stopping);
+        self.gateway.tell_early.notify_one();
         log::info!(target: "gateway", "stopping. requests={}", self.open_requests());
         tokio::time::sleep(STOP_NOTICE.min(limit / 2)).await;
         // What comes from here on could not be finished: it goes elsewhere.
@@ -132,6 +133,10 @@
     }
     let live = gateway.peers.lock().live_addresses().len();
     metrics::gauge!(LIVE_PEERS).set(live as f64);
+    metrics::gauge!(DAEMONS).set(gateway.daemons() as f64);
+    metrics::gauge!(IS_HUB).set(f64::from(u8::from(gateway.is_hub())));
+    let leaning = gateway.members.lock().leaning();
+    metrics::gauge!(LEANING).set(f64::from(leaning));
     let holds = gateway.holds_duties.load(Ordering::Relaxed);
     metrics::gauge!(HOLDS_DUTIES).set(f64::from(u8::from(holds)));
 }
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -1,4 +1,6 @@
-use {super::HeaderNames, http::HeaderMap, rapidhash::v3::rapidhash_v3};
+use {
+    super::HeaderNames, crate::cluster::AskedPlace, http::HeaderMap, rapidhash::v3::rapidhash_v3,
+};
 
 /// A part of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +35,21 @@
         }
     }
 
+    /// Takes over what another daemon says of its request.
+    pub fn from_ask(place: &AskedPlace) -> Self {
+        let parts = place.parts.iter();
+        Self {
+            parts: parts
+                .map(|(chain, tokens)| PromptPart {
+                    chain: *chain,
+                    tokens: *tokens,
+                })
+                .collect(),
+            tokens_in: place.tokens_in,
+            tokens_out: place.tokens_out,
+        }
+    }
+
     /// Returns all tokens, in and out, if the request names them.
     pub fn tokens(&self) -> Option<u64> {
         self.tokens_in.map(|tokens| tokens + self.tokens_out)
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -1,11 +1,12 @@
 use {
-    super::Prompt,
+    super::{Placement, Prompt},
     crate::{
         names::{ClientAccount, ServiceName},
         routing::Route,
     },
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Uri},
+    parking_lot::Mutex,
     std::{sync::Arc, time::Duration},
     tokio::time::Instant,
 };
@@ -35,6 +36,8 @@
     pub prompt: Prompt,
     /// The last event that the client has.
     pub last_event_id: Option<u64>,
+    /// Where it is to go first, if a hub has said so.
+    pub placed: Mutex<Option<Placement>>,
     /// When its head arrived.
     pub started: Instant,
     /// When it is given up: the client's deadline or the route's timeout.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -35,6 +35,7 @@
         load.active += 1;
         load.waiting_tokens += unread_tokens;
         drop(loads);
+        gateway.report_early.notify_one();
         Self {
             gateway: gateway.clone(),
             upstream: placement.upstream.clone(),
@@ -52,7 +53,10 @@
         let load = loads.entry(&self.upstream.id);
         load.note_progress(now_ms);
         load.waiting_tokens = load.waiting_tokens.saturating_sub(self.waiting_tokens);
-        self.waiting_tokens = 0;
+        drop(loads);
+        if std::mem::take(&mut self.waiting_tokens) > 0 {
+            self.gateway.report_early.notify_one();
+        }
     }
 
     /// Notes that the upstream sent the request's first event.
@@ -84,6 +88,8 @@
         let load = loads.entry(&self.upstream.id);
         load.active = load.active.saturating_sub(1);
         load.waiting_tokens = load.waiting_tokens.saturating_sub(self.waiting_tokens);
+        drop(loads);
+        self.gateway.report_early.notify_one();
     }
 }
 
@@ -116,7 +122,7 @@
     if !gateway.directory.read().is_ready(&upstream.id) {
         return Err(SendFailure::NotSent("the upstream is leaving".into()));
     }
-    gateway.note_cached(context, upstream);
+    gateway.note_cached(&context.prompt, upstream);
     let request = build_request(gateway, context, upstream, last_event_id);
     let answer = OpenAnswer::open(&gateway.pool, &upstream.id, connection, request).await?;
     active.progress();
--- /dev/null
+++ b/src/policy/hubs/mod.rs
@@ -0,0 +1,7 @@
+//! Which daemons of a failure domain let requests in and place them for the
+//! others, and how those choose whom to ask.
+
+mod contact;
+mod rank;
+
+pub use {contact::*, rank::*};
--- a/src/policy/quota_account.rs
+++ b/src/policy/quota/account.rs
@@ -59,6 +59,8 @@
     pub late: bool,
     /// Whether it has been silent for too long since.
     pub silent: bool,
+    /// Whether this daemon lets in now what that one did: its part has gone over.
+    pub replaced: bool,
 }
 
 /// One tenant's quota as one daemon sees it.
@@ -144,6 +146,12 @@
         self.is_told = true;
     }
 
+    /// Takes out what was let in elsewhere and is this daemon's to count.
+    pub fn note_admitted(&mut self, units: f64) {
+        self.level -= units;
+        self.admitted += units;
+    }
+
     /// Returns what was let in here so far.
     pub fn admitted(&self) -> f64 {
         self.admitted
--- a/src/policy/quota_book.rs
+++ b/src/policy/quota/book.rs
@@ -1,5 +1,5 @@
 use {
-    super::{OtherDaemon, QuotaAccount, QuotaBounds, QuotaWait},
+    super::{OtherDaemon, QuotaAccount, QuotaBounds, QuotaLimit, QuotaWait},
     crate::{names::ClientAccount, routing::Tenant},
     std::collections::{HashMap, VecDeque},
 };
@@ -19,6 +19,8 @@
     pub admitted: f64,
     /// What is left of the quota, as it sees it.
     pub level: f64,
+    /// The weights of all daemons together.
+    pub demand: f64,
 }
 
 /// All tenants' quotas as one daemon sees them.
@@ -28,6 +30,7 @@
     accounts: HashMap<ClientAccount, QuotaAccount>,
     /// The weights that were announced last, the newest at the end.
     announced: HashMap<ClientAccount, VecDeque<f64>>,
+    last_notices: Vec<QuotaNotice>,
 }
 
 impl QuotaBook {
@@ -123,23 +126,48 @@
             if any_late {
                 weight = announced.iter().copied().fold(weight, f64::min);
             }
+            // What another asked for is this daemon's to let in now: without it,
+            // the requests of a whole failure domain would be out of turn until
+            // its own demand has grown.
+            let taken_over = others.iter().filter(|o| o.replaced).map(|o| o.weight);
+            weight = weight.max(taken_over.sum());
+            let others: Vec<_> = others.iter().filter(|o| !o.replaced).cloned().collect();
             announced.push_back(weight);
             if announced.len() > REMEMBERED_WEIGHTS {
                 announced.pop_front();
             }
             let limit = self.bounds.limit_of(tenant);
             let account = self.account(tenant, start_part, now_ms);
-            account.tick(weight, others, &limit, now_ms);
+            account.tick(weight, &others, &limit, now_ms);
             notices.push(QuotaNotice {
                 tenant: tenant.name.clone(),
                 weight,
                 admitted: account.admitted(),
                 level: account.level(),
+                demand: weight + others.iter().map(|o| o.weight).sum::<f64>(),
             });
         }
+        self.last_notices.clone_from(&notices);
         notices
     }
 
+    /// Returns what was told last.
+    pub fn last_notices(&self) -> &[QuotaNotice] {
+        &self.last_notices
+    }
+
+    /// Takes out what another daemon let in by itself and this one is to count.
+    pub fn note_admitted(&mut self, account: &ClientAccount, units: f64) {
+        if let Some(account) = self.accounts.get_mut(account) {
+            account.note_admitted(units);
+        }
+    }
+
+    /// Returns an account's limit.
+    pub fn limit_of(&self, account: &Tenant) -> QuotaLimit {
+        self.bounds.limit_of(account)
+    }
+
     fn account(&mut self, tenant: &Tenant, start_part: f64, now_ms: u64) -> &mut QuotaAccount {
         let limit = self.bounds.limit_of(tenant);
         let fresh = || QuotaAccount::new(start_part, &limit, now_ms);
--- /dev/null
+++ b/src/policy/quota/lone.rs
@@ -0,0 +1,43 @@
+use super::QuotaLimit;
+
+/// What a daemon that asks others was told of a client account's quota.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ToldQuota {
+    /// What was left of it.
+    pub level: f64,
+    /// What all daemons asked for, in units a second.
+    pub demand: f64,
+    /// When that was, in milliseconds of the daemon's steady clock.
+    pub at_ms: u64,
+}
+
+/// What a daemon lets in by itself while nobody answers its questions: its part
+/// of what was left when it last heard, and of the rate since. Its part is what
+/// it was asked for beside what all were.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoneQuota {
+    /// What was let in since the others heard of it.
+    pub spent: f64,
+}
+
+impl LoneQuota {
+    /// Lets a request in if the part allows it, and notes it.
+    pub fn admit(
+        &mut self,
+        cost: f64,
+        own_demand: f64,
+        told: ToldQuota,
+        limit: &QuotaLimit,
+        now_ms: u64,
+    ) -> bool {
+        let all = told.demand.max(own_demand).max(f64::MIN_POSITIVE);
+        let part = own_demand / all;
+        let age_s = now_ms.saturating_sub(told.at_ms) as f64 / 1_000.0;
+        let left = (told.level + limit.rate * age_s).min(limit.burst);
+        if self.spent + cost > left * part {
+            return false;
+        }
+        self.spent += cost;
+        true
+    }
+}
--- /dev/null
+++ b/src/policy/sources/mod.rs
@@ -0,0 +1,7 @@
+//! From whom a daemon learns configuration and upstreams.
+
+mod config_lack;
+mod contact;
+mod role;
+
+pub use {config_lack::*, contact::*, role::*};
--- a/src/policy/usage_windows.rs
+++ b/src/policy/usage_windows.rs
@@ -1,4 +1,7 @@
-use {crate::names::ClientAccount, std::collections::BTreeMap};
+use {
+    crate::names::ClientAccount,
+    std::collections::{BTreeMap, HashMap},
+};
 
 /// How many windows are kept.
 const KEPT_WINDOWS: usize = 8;
@@ -12,6 +15,8 @@
     own: BTreeMap<u64, TenantCounts>,
     /// By source, its own counts; they only grow.
     others: BTreeMap<(String, u64), BTreeMap<u64, TenantCounts>>,
+    /// By daemon, before which window all was told, and when that was heard.
+    tellers: HashMap<String, (u64, u64)>,
 }
 
 impl UsageWindows {
@@ -44,6 +49,23 @@
         trim(known);
     }
 
+    /// Notes before which window a daemon has told all that it counted.
+    pub fn note_whole(&mut self, node: &str, whole_before: u64, now_ms: u64) {
+        let teller = self.tellers.entry(node.to_string()).or_default();
+        *teller = (whole_before.max(teller.0), now_ms);
+    }
+
+    /// Returns how many daemons told counts since a time, and whether all of
+    /// them have told the whole of a window.
+    pub fn told_whole(&self, window: u64, since_ms: u64) -> (usize, bool) {
+        let late = self
+            .tellers
+            .values()
+            .filter(|(_, at_ms)| *at_ms >= since_ms);
+        let told: Vec<bool> = late.map(|(before, _)| *before > window).collect();
+        (told.len(), told.iter().all(|whole| *whole))
+    }
+
     /// Returns the counts of a window over all daemons.
     pub fn total(&self, window: u64) -> TenantCounts {
         let mut total = TenantCounts::new();
@@ -55,12 +77,6 @@
         }
         total
     }
-
-    /// Forgets sources that have nothing at or after a window.
-    pub fn forget_before(&mut self, window: u64) {
-        self.others
-            .retain(|_, counts| counts.keys().any(|w| *w >= window));
-    }
 }
 
 fn trim(counts: &mut BTreeMap<u64, TenantCounts>) {
--- a/tests/decisions/config_spread.rs
+++ b/tests/decisions/config_spread.rs
@@ -1,50 +1,67 @@
 //! Who is asked for a newer configuration, and when the source is read instead.
 
 use saddlepulley::{
-    cluster::{Digest, PeerTable},
-    names::{BoxId, ServiceName},
+    cluster::{DaemonEntry, Digest, PeerTable},
+    names::ServiceName,
     policy::ConfigLack,
     routing::*,
 };
 
+fn entry(name: &str, domain: &str, port: u16) -> DaemonEntry {
+    DaemonEntry {
+        name: name.into(),
+        domain: domain.into(),
+        capacity: 1.0,
+        address: ([10, 0, 0, 1], port).into(),
+    }
+}
+
 /// A daemon as others hear of it.
-fn digest(name: &str, zone: &str, port: u16, config_version: u64) -> Digest {
-    let address = ([10, 0, 0, 1], port).into();
-    let mut digest = Digest::new(&BoxId::from(name), 1, 1, address);
-    digest.zone = zone.to_string();
-    digest.config_version = config_version;
+fn digest(name: &str, domain: &str, port: u16, config_version: u64) -> Digest {
+    let mut digest = Digest::new(entry(name, domain, port), 1, 1);
+    digest.every_ms = 250;
+    digest.status.config_version = config_version;
     digest
 }
 
-fn ports(table: &PeerTable, zone: &str, version: u64) -> Vec<u16> {
-    let holders = table.config_holders(zone, version);
+fn table_in(domain: &str) -> PeerTable {
+    PeerTable::new(entry("own", domain, 99))
+}
+
+fn ports(table: &PeerTable, version: u64) -> Vec<u16> {
+    let holders = table.config_holders(version);
     holders.iter().map(|address| address.port()).collect()
 }
 
+const DAEMONS: [(&str, &str, u16, u64); 4] = [
+    ("n1", "a", 1, 7),
+    ("n2", "a", 2, 8),
+    ("n3", "a", 3, 8),
+    ("n4", "b", 4, 8),
+];
+
 #[test]
-fn all_that_have_the_newest_version_may_be_asked_those_of_the_own_zone_first() {
-    let mut table = PeerTable::default();
-    for (name, zone, port, version) in [
-        ("n1", "a", 1, 7),
-        ("n2", "a", 2, 8),
-        ("n3", "a", 3, 8),
-        ("n4", "b", 4, 8),
-    ] {
-        table.hear(digest(name, zone, port, version), 0);
-    }
-    assert_eq!(table.newest_config(), Some(8));
-    assert_eq!(ports(&table, "a", 7), [2, 3], "not one alone for all");
-    assert_eq!(ports(&table, "c", 7), [2, 3, 4]);
-    assert!(ports(&table, "a", 8).is_empty(), "nobody has a later one");
+fn all_that_have_the_newest_version_may_be_asked_those_of_the_own_domain_first() {
+    let tables = ["a", "c"].map(|domain| {
+        let mut table = table_in(domain);
+        for (name, domain, port, version) in DAEMONS {
+            table.hear_digest(digest(name, domain, port, version), 0);
+        }
+        table
+    });
+    assert_eq!(tables[0].newest_config(), Some(8));
+    assert_eq!(ports(&tables[0], 7), [2, 3], "not one alone for all");
+    assert_eq!(ports(&tables[1], 7), [2, 3, 4]);
+    assert!(ports(&tables[0], 8).is_empty(), "nobody has a later one");
 }
 
 #[test]
 fn a_daemon_that_fell_silent_is_not_asked() {
-    let mut table = PeerTable::default();
-    table.hear(digest("n1", "a", 1, 8), 0);
-    table.hear(digest("n2", "a", 2, 8), 2_000);
-    table.tick(2_000);
-    assert_eq!(ports(&table, "a", 7), [2]);
+    let mut table = table_in("a");
+    table.hear_digest(digest("n1", "a", 1, 8), 0);
+    table.hear_digest(digest("n2", "a", 2, 8), 2_000);
+    table.tick(1, 2_000);
+    assert_eq!(ports(&table, 7), [2]);
 }
 
 #[test]
@@ -74,11 +91,14 @@
 
 #[test]
 fn one_that_is_named_by_a_daemon_that_is_busy_may_be_asked_at_once() {
-    let mut table = PeerTable::default();
-    table.hear(digest("n1", "a", 1, 8), 0);
-    table.hear(digest("n2", "a", 2, 7), 0);
+    let mut table = table_in("a");
+    table.hear_digest(digest("n1", "a", 1, 8), 0);
+    table.hear_digest(digest("n2", "a", 2, 7), 0);
     table.hear_config(([10, 0, 0, 1], 2).into(), 8);
-    assert_eq!(ports(&table, "a", 7), [1, 2]);
+    assert_eq!(ports(&table, 7), [1, 2]);
+    // Also one that doesn't talk to this daemon.
+    table.hear_config(([10, 0, 0, 1], 9).into(), 8);
+    assert_eq!(ports(&table, 7), [1, 2, 9]);
 }
 
 fn config(routes: usize) -> RoutingConfig {
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -111,6 +111,7 @@
                         heard_ms: *heard_ms,
                         late: now_ms > heard_ms + LATE_MS,
                         silent: now_ms >= heard_ms + SILENT_MS,
+                        replaced: false,
                     });
             }
         }
@@ -284,6 +285,7 @@
         heard_ms: 5_000,
         late: true,
         silent: false,
+        replaced: false,
     };
     account.tick(10_000.0, std::slice::from_ref(&other), &limit, 5_000);
     assert!(!account.should_tell(limit.burst));
@@ -328,6 +330,7 @@
             heard_ms,
             late: silent,
             silent,
+            replaced: false,
         }]
     };
     account.hear("b", 1, 0.0, false);
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -7,22 +7,22 @@
     upstreams::{Missing, Upstream, UpstreamDirectory},
 };
 
-fn daemon(index: usize) -> ZoneDaemon<usize> {
-    ZoneDaemon {
-        name: format!("n{index}"),
+fn daemon(index: usize) -> DomainDaemon<usize> {
+    DomainDaemon {
+        rank: DaemonRank::new(&format!("n{index}"), 1.0),
         address: index,
         cut_from_source: false,
     }
 }
 
-fn others(daemons: &[ZoneDaemon<usize>], own: usize) -> Vec<ZoneDaemon<usize>> {
+fn others(daemons: &[DomainDaemon<usize>], own: usize) -> Vec<DomainDaemon<usize>> {
     let others = daemons.iter().filter(|d| d.address != own);
     others.cloned().collect()
 }
 
-fn readers(daemons: &[ZoneDaemon<usize>]) -> Vec<usize> {
-    let reads = |d: &&ZoneDaemon<usize>| {
-        source_role(&d.name, &others(daemons, d.address)) == SourceRole::Reads
+fn readers(daemons: &[DomainDaemon<usize>]) -> Vec<usize> {
+    let reads = |d: &&DomainDaemon<usize>| {
+        source_role(d.rank, &others(daemons, d.address)) == SourceRole::Reads
     };
     daemons.iter().filter(reads).map(|d| d.address).collect()
 }
@@ -31,10 +31,10 @@
 fn two_daemons_of_a_zone_read_and_all_others_follow_just_these() {
     let zone: Vec<_> = (0..29).map(daemon).collect();
     let readers = readers(&zone);
-    assert_eq!(readers.len(), READERS_PER_ZONE);
+    assert_eq!(readers.len(), READERS_PER_DOMAIN);
     let mut first_choices = [0; 29];
     for own in (0..29).filter(|n| !readers.contains(n)) {
-        match source_role(&format!("n{own}"), &others(&zone, own)) {
+        match source_role(zone[own].rank, &others(&zone, own)) {
             SourceRole::Follows(followed) => {
                 assert!(followed.iter().all(|d| readers.contains(d)));
                 first_choices[followed[0]] += 1;
@@ -52,14 +52,17 @@
     zone[before[0]].cut_from_source = true;
     let with_cut = readers(&zone);
     assert!(with_cut.contains(&before[0]), "it goes on trying");
-    assert_eq!(with_cut.len(), READERS_PER_ZONE + 1);
+    assert_eq!(with_cut.len(), READERS_PER_DOMAIN + 1);
     zone.remove(before[0]);
-    assert_eq!(readers(&zone).len(), READERS_PER_ZONE);
+    assert_eq!(readers(&zone).len(), READERS_PER_DOMAIN);
 }
 
 #[test]
 fn one_that_hears_of_nobody_reads() {
-    assert_eq!(source_role::<usize>("n1", &[]), SourceRole::Reads);
+    assert_eq!(
+        source_role::<usize>(DaemonRank::new("n1", 1.0), &[]),
+        SourceRole::Reads
+    );
 }
 
 #[test]
--- a/tests/gateway/large_configuration.rs
+++ b/tests/gateway/large_configuration.rs
@@ -97,7 +97,7 @@
         daemon.wait_ready().await;
         eventually("all hear of each other", async || {
             let page = daemon.metrics_page().await;
-            page.contains(&format!("saddlepulley_live_peers {}", NAMES.len() - 1))
+            page.contains(&format!("saddlepulley_daemons {}\n", NAMES.len()))
         })
         .await;
     }
