Those that watch the holder of the duties hear usage, too; a new holder settles first

Change: each daemon tells usage to the holder and to the hubs that follow it until each has heard it; a new holder reports what isn't whole 1.2 s after its lease began at the earliest, or when time is up. When a report is due is a pure decision with a test (decisions/duties); a log line tells how whole a report was. Ruled out: that the counts were lost on their way (the windows before and after were right).

--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -9,13 +9,16 @@
 /// one datagram.
 pub const MAX_DIGEST_DAEMONS: usize = 16;
 
-/// A daemon that says that it holds the duties.
+/// A daemon that holds the duties, or that is ready to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Encode, Decode)]
-pub struct DutyHolder {
+pub struct DutyDaemon {
     /// Where it listens for other daemons.
     pub address: SocketAddr,
     /// Which life of it.
     pub life: u64,
+    /// Whether it says that it holds them; else it watches the holder, and wants
+    /// to know the same.
+    pub holds: bool,
 }
 
 /// What a hub tells of itself: the other hubs some times a second, and those of
@@ -38,8 +41,8 @@
     pub daemons: u32,
     /// Its state; that it no longer is a hub is told once.
     pub status: DaemonStatus,
-    /// Daemons that hold the duties, by what they say.
-    pub duty_holders: Vec<DutyHolder>,
+    /// Daemons that hold the duties or are ready to, by what they say.
+    pub duty_daemons: Vec<DutyDaemon>,
     /// By service, the work that it was offered, a second.
     pub demand: Vec<(String, f32)>,
     /// By service, how long its engines take to read a prompt token, in
@@ -64,7 +67,7 @@
                 is_hub: true,
                 ..DaemonStatus::default()
             },
-            duty_holders: Vec::new(),
+            duty_daemons: Vec::new(),
             demand: Vec::new(),
             reading: Vec::new(),
             known: Vec::new(),
--- a/src/cluster/digest_teller.rs
+++ b/src/cluster/digest_teller.rs
@@ -91,11 +91,13 @@
 pub(super) async fn tell_member(gateway: &Gateway, report: &Report) {
     let to = report.daemon.address;
     let mut digest = own_digest(gateway, &report.daemon.domain, MEMBERS_EVERY_MS);
-    let holders = gateway.peers.lock().duty_holders();
-    let holders = holders.into_iter();
-    digest
-        .duty_holders
-        .extend(holders.map(|(address, life)| DutyHolder { address, life }));
+    let others = gateway.peers.lock().duty_daemons().into_iter();
+    let others = others.map(|((address, life), holds)| DutyDaemon {
+        address,
+        life,
+        holds,
+    });
+    digest.duty_daemons.extend(others);
     if !report.wants_all {
         digest.known.clear();
     }
@@ -117,10 +119,12 @@
     digest.leaning = gateway.members.lock().leaning();
     digest.daemons = gateway.daemons() as u32;
     digest.status = gateway.status();
-    if gateway.holds_duties.load(Ordering::Relaxed) {
-        digest.duty_holders.push(DutyHolder {
+    let holds = gateway.holds_duties.load(Ordering::Relaxed);
+    if holds || gateway.watches_duties() {
+        digest.duty_daemons.push(DutyDaemon {
             address: gateway.settings.listen.peers,
             life: gateway.incarnation,
+            holds,
         });
     }
     digest.demand = gateway.own_demand();
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -3,7 +3,7 @@
     crate::{
         gateway::{Gateway, GatewayPhase},
         names::{BoxId, now_ms},
-        policy::{Claimer, DutyLog, DutyRecord, LeaseRecord, LeaseStep},
+        policy::{Claimer, DutyLog, DutyRecord, LeaseRecord, LeaseStep, UsageReadiness},
     },
     bytes::Bytes,
     std::{
@@ -18,21 +18,10 @@
 const PAUSE: Duration = Duration::from_millis(250);
 /// How often a daemon looks that doesn't hold the lease while another does.
 const WATCH_EVERY: Duration = Duration::from_millis(1_500);
-/// How many hubs may rank ahead of one that watches: a few are enough to follow
-/// the holder at once; each costs a call every [`WATCH_EVERY`].
-const WATCHERS: usize = 4;
 /// The pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// How long a call for a duty may take, in milliseconds: borders end it then.
 pub const DUTY_CALL_MS: u64 = 900;
-/// Of the time until a report is due, how much is waited even if all daemons
-/// that are known have told their counts: others may not be known yet.
-const REPORT_AT: f64 = 0.35;
-/// How much is waited for daemons that have not: they may be cut off for some
-/// seconds, or gone.
-const REPORT_LATE: f64 = 0.7;
-/// Until how many times the delay a late report is still sent.
-const REPORT_UNTIL: f64 = 1.2;
 
 /// Takes the lease of the duties when it is free, and does them while it is held.
 pub struct DutyRunner {
@@ -41,6 +30,8 @@
     api: Arc<dyn DutyApi>,
     log: DutyLog,
     reported: BTreeSet<u64>,
+    /// Since when this daemon holds the duties.
+    held_since_ms: Option<u64>,
     scaler: FleetScaler,
 }
 
@@ -62,6 +53,7 @@
             api,
             log,
             reported: BTreeSet::new(),
+            held_since_ms: None,
             scaler: FleetScaler::default(),
         }
     }
@@ -78,7 +70,7 @@
             }
             let stopping = *self.gateway.phase.borrow() != GatewayPhase::Ready;
             let other_holds = self.gateway.peers.lock().has_duty_holder();
-            if !holds && other_holds && !self.is_watcher() {
+            if !holds && other_holds && !self.gateway.watches_duties() {
                 // Enough others count from the last renewal when the lease ends.
                 tokio::time::sleep(PAUSE).await;
                 continue;
@@ -105,10 +97,6 @@
         }
     }
 
-    fn is_watcher(&self) -> bool {
-        self.gateway.peers.lock().hubs_ahead() < WATCHERS
-    }
-
     /// Reads along while another daemon holds the lease, so that the time to
     /// wait for its end is counted from its last renewal.
     async fn watch_holder(&mut self) {
@@ -118,7 +106,9 @@
         tokio::time::sleep(WATCH_EVERY).await;
     }
 
-    fn tell(&self, holds: bool) {
+    fn tell(&mut self, holds: bool) {
+        let since_ms = self.held_since_ms.unwrap_or(self.gateway.steady_ms());
+        self.held_since_ms = holds.then_some(since_ms);
         let before = self.gateway.holds_duties.swap(holds, Ordering::Relaxed);
         if before != holds {
             log::info!(target: "duties", "holder changed. holds={holds}");
@@ -205,16 +195,20 @@
         let length_ms = duties.usage_window_s * 1_000;
         let delay_ms = duties.usage_delay_s as f64 * 1_000.0;
         let now = now_ms();
+        let held_ms = self
+            .held_since_ms
+            .map_or(0, |since| self.gateway.steady_ms().saturating_sub(since))
+            as f64;
         let is_due = |window: &u64| {
             let ended_ms = (window + 1) * length_ms;
             let age_ms = now.saturating_sub(ended_ms) as f64;
-            let at = match self.is_told_whole(*window) {
-                true => REPORT_AT,
-                false => REPORT_LATE,
+            let readiness = UsageReadiness {
+                age_ms,
+                delay_ms,
+                is_whole: self.is_told_whole(*window),
+                held_ms,
             };
-            age_ms >= delay_ms * at
-                && age_ms <= delay_ms * REPORT_UNTIL
-                && !self.reported.contains(window)
+            readiness.is_due() && !self.reported.contains(window)
         };
         let newest = now / length_ms.max(1);
         let oldest = newest.saturating_sub(2 * duties.usage_delay_s / duties.usage_window_s.max(1));
@@ -237,6 +231,13 @@
             return Ok(());
         };
         self.api.report_usage(&claim, window, &counts).await?;
+        log::info!(
+            target: "duties",
+            "usage reported. window={window} requests={} is_whole={} daemons={}",
+            counts.values().sum::<u64>(),
+            self.is_told_whole(window),
+            self.gateway.daemons()
+        );
         self.reported.insert(window);
         if self.reported.len() > 64 {
             self.reported.pop_first();
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -322,18 +322,19 @@
         told.collect()
     }
 
-    /// Returns the daemons that hold the duties, by what live hubs say.
-    pub fn duty_holders(&self) -> BTreeSet<(SocketAddr, u64)> {
-        let told = self.live_hubs().flat_map(|d| &d.duty_holders);
-        told.map(|h| (h.address, h.life)).collect()
+    /// Returns the daemons that hold the duties or are ready to, by what live
+    /// hubs say.
+    pub fn duty_daemons(&self) -> HashMap<(SocketAddr, u64), bool> {
+        let told = self.live_hubs().flat_map(|d| &d.duty_daemons);
+        told.map(|d| ((d.address, d.life), d.holds)).collect()
     }
 
     /// Returns whether another live daemon says that it holds the duties.
     pub fn has_duty_holder(&self) -> bool {
         let mut live = self.live().filter_map(|p| p.as_hub().map(|hub| (p, hub)));
         live.any(|(peer, hub)| {
-            let own = |h: &DutyHolder| h.address == peer.entry.address && h.life == peer.life;
-            hub.digest.duty_holders.iter().any(own)
+            let own = |d: &DutyDaemon| d.address == peer.entry.address && d.life == peer.life;
+            hub.digest.duty_daemons.iter().any(|d| d.holds && own(d))
         })
     }
 
--- a/src/cluster/usage_teller.rs
+++ b/src/cluster/usage_teller.rs
@@ -107,11 +107,13 @@
     }
     loop {
         tokio::time::sleep(USAGE_EVERY).await;
-        let holders = gateway.peers.lock().duty_holders();
+        // Those that watch the holder hear the same: one that takes over must
+        // report windows that are all but due.
+        let holders = gateway.peers.lock().duty_daemons();
         let own = gateway.usage.lock().newest(TOLD_WINDOWS);
         let window = gateway.window_of(now_ms());
         let name = gateway.settings.node.name.as_str();
-        for holder in holders {
+        for holder in holders.into_keys() {
             if holder.0 == gateway.settings.listen.peers {
                 continue;
             }
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -14,6 +14,10 @@
 /// Counts datagrams that were too large to be sent.
 pub const TOO_LARGE: &str = "saddlepulley_datagrams_too_large_total";
 
+/// How many hubs may rank ahead of one that watches the holder of the duties: a
+/// few are enough to follow at once, and each costs calls to the platform.
+const DUTY_WATCHERS: usize = 4;
+
 /// This daemon among the others: whether it is a hub, and what it tells.
 impl Gateway {
     /// Sets the socket by which datagrams go out.
@@ -70,6 +74,12 @@
         is_hub
     }
 
+    /// Returns whether this daemon follows the holder of the duties, ready to take
+    /// its place.
+    pub fn watches_duties(&self) -> bool {
+        *self.reads_source.borrow() && self.peers.lock().hubs_ahead() < DUTY_WATCHERS
+    }
+
     /// Returns for how long this daemon has been a hub, in milliseconds.
     pub fn hub_age_ms(&self) -> u64 {
         let since_ms = *self.hub_since_ms.lock();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -32,6 +32,7 @@
 mod spill;
 mod splice;
 mod stall;
+mod usage_due;
 mod usage_windows;
 mod zone_reach;
 
@@ -41,5 +42,5 @@
     first_event::*, fleet::*, holder::*, hubs::*, lease::*, neighbours::*, placement::*,
     placement_cheapest::*, placement_keep_work::*, placement_naive::*, quota::*, reading_speed::*,
     reclaim::*, retry::*, retry_allowance::*, retry_situation::*, sources::*, spill::*, splice::*,
-    stall::*, usage_windows::*, zone_reach::*,
+    stall::*, usage_due::*, usage_windows::*, zone_reach::*,
 };
--- a/tests/decisions/duties.rs
+++ b/tests/decisions/duties.rs
@@ -142,3 +142,21 @@
     usage.merge("b", 2, &[(3, counts(2))]);
     assert_eq!(usage.total(3), counts(10));
 }
+
+#[test]
+fn usage_is_reported_once_it_is_whole_and_in_time_even_if_it_is_not() {
+    let readiness = |age_ms, is_whole, held_ms| UsageReadiness {
+        age_ms,
+        delay_ms: 10_000.0,
+        is_whole,
+        held_ms,
+    };
+    assert!(!readiness(1_000.0, true, 9_000.0).is_due());
+    assert!(readiness(4_000.0, true, 9_000.0).is_due());
+    assert!(!readiness(4_000.0, false, 9_000.0).is_due(), "some lack");
+    assert!(readiness(7_100.0, false, 9_000.0).is_due());
+    // One that has just taken over is told by all first, unless time is up.
+    assert!(!readiness(8_000.0, false, 300.0).is_due());
+    assert!(readiness(9_300.0, false, 300.0).is_due());
+    assert!(!readiness(13_000.0, true, 9_000.0).is_due(), "too late");
+}
