Failure domain in names; calls to the platform and the age of loads as metrics

Renames only, but for the two metrics: what decides on fleets, placement and reach says failure domain where it said zone. Files of routes take the former names too.

--- a/src/cluster/digest_teller.rs
+++ b/src/cluster/digest_teller.rs
@@ -29,7 +29,7 @@
             told = tell_hubs(&gateway, sequence).await;
         } else if !told.is_empty() {
             // It no longer is one: whoever took it for a hub hears so.
-            let digest = own_digest(&gateway, gateway.zone().as_str(), MEMBERS_EVERY_MS);
+            let digest = own_digest(&gateway, gateway.domain().as_str(), MEMBERS_EVERY_MS);
             let told = std::mem::take(&mut told);
             send_all(&gateway, &[Datagram::Digest(digest)], &told).await;
         }
@@ -52,7 +52,7 @@
         )
     };
     hubs.remove(&own);
-    let digest = own_digest(gateway, gateway.zone().as_str(), every_ms);
+    let digest = own_digest(gateway, gateway.domain().as_str(), every_ms);
     let age_ms = gateway.hub_age_ms();
     let mut datagrams = vec![Datagram::Digest(digest.clone())];
     datagrams.extend(quotas_parts(
--- a/src/cluster/duty_borders.rs
+++ b/src/cluster/duty_borders.rs
@@ -69,13 +69,13 @@
     pub fence: u64,
 }
 
-/// An order for the number of a service's upstreams in a zone.
+/// An order for the number of a service's upstreams in a domain.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct FleetOrder {
     /// The service.
     pub service: ServiceName,
-    /// The zone.
-    pub zone: FailureDomain,
+    /// The domain.
+    pub domain: FailureDomain,
     /// Whether upstreams are meant that may be taken away.
     pub reclaimable: bool,
     /// How many there shall be.
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -257,9 +257,9 @@
             let end = self.api.order(&claim, &order).await?;
             log::info!(
                 target: "fleet",
-                "ordered. service={} zone={} reclaimable={} count={} end={end:?}",
+                "ordered. service={} domain={} reclaimable={} count={} end={end:?}",
                 order.service,
-                order.zone,
+                order.domain,
                 order.reclaimable,
                 order.count
             );
--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -196,7 +196,7 @@
             };
         }
     }
-    let domain = gateway.zone().clone();
+    let domain = gateway.domain().clone();
     gateway.place_asked(&ask, service, domain)
 }
 
--- a/src/cluster/fleet_scaler.rs
+++ b/src/cluster/fleet_scaler.rs
@@ -4,7 +4,7 @@
         gateway::Gateway,
         names::{FailureDomain, ServiceName},
         policy::{
-            DemandPeak, FleetBounds, FleetNeed, FleetPolicy, ReadingSpeed, ZoneFleet, plan_fleet,
+            DemandPeak, DomainFleet, FleetBounds, FleetNeed, FleetPolicy, ReadingSpeed, plan_fleet,
         },
         routing::{Autoscaling, Service},
     },
@@ -22,7 +22,7 @@
 /// is found before demand is known.
 const FOUND_RESERVE: u32 = 2;
 
-/// The order that was placed last for a kind of upstream in a zone.
+/// The order that was placed last for a kind of upstream in a domain.
 #[derive(Clone, Copy, Debug)]
 struct Placed {
     count: u32,
@@ -96,8 +96,8 @@
         scaling: &Autoscaling,
     ) -> Vec<FleetOrder> {
         let now_ms = gateway.steady_ms();
-        let mut zones = zone_fleets(gateway, &service.name, scaling);
-        self.add_coming(&service.name, &mut zones, now_ms);
+        let mut domains = domain_fleets(gateway, &service.name, scaling);
+        self.add_coming(&service.name, &mut domains, now_ms);
         let demand = gateway.demand_of(&service.name);
         if demand > 0.0 {
             self.demand_since_ms.get_or_insert(now_ms);
@@ -116,48 +116,48 @@
         };
         if !watched || speed.is_none() {
             // Demand is not known yet: what was found was enough so far.
-            let on_demand: u32 = zones.iter().map(|z| z.on_demand).sum();
+            let on_demand: u32 = domains.iter().map(|z| z.on_demand).sum();
             let found = self.found.entry(service.name.clone()).or_default();
             *found = on_demand.max(*found);
             need.now = need.now.max(*found);
             need.steady = need.steady.max(found.div_ceil(FOUND_RESERVE));
         }
         let bounds = FleetBounds {
-            min_per_zone: scaling.min_per_zone,
-            max_per_zone: scaling.max_per_zone,
+            min_per_domain: scaling.min_per_domain,
+            max_per_domain: scaling.max_per_domain,
             reclaimable_price: scaling.reclaimable_price,
         };
         let mut orders = Vec::new();
-        for (plan, zone) in plan_fleet(&zones, bounds, need, &policy)
+        for (plan, domain) in plan_fleet(&domains, bounds, need, &policy)
             .into_iter()
-            .zip(&zones)
+            .zip(&domains)
         {
             let order = |reclaimable, count| FleetOrder {
                 service: service.name.clone(),
-                zone: plan.zone.clone(),
+                domain: plan.domain.clone(),
                 reclaimable,
                 count,
             };
-            orders.push((order(true, plan.reclaimable), zone.reclaimable));
-            orders.push((order(false, plan.on_demand), zone.on_demand));
+            orders.push((order(true, plan.reclaimable), domain.reclaimable));
+            orders.push((order(false, plan.on_demand), domain.on_demand));
         }
         orders.retain(|(order, there)| self.is_due(order, *there, &policy, now_ms));
         orders.into_iter().map(|(order, _)| order).collect()
     }
 
     /// Counts upstreams that are ordered and start by now.
-    fn add_coming(&self, service: &ServiceName, zones: &mut [ZoneFleet], now_ms: u64) {
-        for zone in zones {
+    fn add_coming(&self, service: &ServiceName, domains: &mut [DomainFleet], now_ms: u64) {
+        for domain in domains {
             let coming = |reclaimable| {
-                let key = (service.clone(), zone.zone.clone(), reclaimable);
+                let key = (service.clone(), domain.domain.clone(), reclaimable);
                 let placed = self.placed.get(&key);
                 placed
                     .filter(|p| p.taken && now_ms < p.next_ms)
                     .map_or(0, |p| p.count)
             };
             let (on_demand, reclaimable) = (coming(false), coming(true));
-            zone.on_demand = zone.on_demand.max(on_demand);
-            zone.coming = reclaimable.saturating_sub(zone.reclaimable);
+            domain.on_demand = domain.on_demand.max(on_demand);
+            domain.coming = reclaimable.saturating_sub(domain.reclaimable);
         }
     }
 
@@ -201,27 +201,36 @@
 }
 
 fn key_of(order: &FleetOrder) -> (ServiceName, FailureDomain, bool) {
-    (order.service.clone(), order.zone.clone(), order.reclaimable)
+    (
+        order.service.clone(),
+        order.domain.clone(),
+        order.reclaimable,
+    )
 }
 
-/// Counts a service's upstreams, in the zones that have a price or any of them.
-fn zone_fleets(gateway: &Gateway, service: &ServiceName, scaling: &Autoscaling) -> Vec<ZoneFleet> {
+/// Counts a service's upstreams, in the domains that have a price or any of them.
+fn domain_fleets(
+    gateway: &Gateway,
+    service: &ServiceName,
+    scaling: &Autoscaling,
+) -> Vec<DomainFleet> {
     let directory = gateway.directory.read();
     let of_service = || directory.ready(service);
-    let priced = scaling.zone_prices.keys().cloned();
-    let names: BTreeSet<FailureDomain> =
-        priced.chain(of_service().map(|b| b.zone.clone())).collect();
-    let fleets = names.into_iter().map(|zone| {
+    let priced = scaling.domain_prices.keys().cloned();
+    let names: BTreeSet<FailureDomain> = priced
+        .chain(of_service().map(|b| b.domain.clone()))
+        .collect();
+    let fleets = names.into_iter().map(|domain| {
         let count = |reclaimable| {
-            let there = of_service().filter(|b| b.zone == zone && b.reclaimable == reclaimable);
+            let there = of_service().filter(|b| b.domain == domain && b.reclaimable == reclaimable);
             there.count() as u32
         };
-        ZoneFleet {
-            price: scaling.zone_prices.get(&zone).copied().unwrap_or(1.0),
+        DomainFleet {
+            price: scaling.domain_prices.get(&domain).copied().unwrap_or(1.0),
             on_demand: count(false),
             reclaimable: count(true),
             coming: 0,
-            zone,
+            domain,
         }
     });
     fleets.collect()
--- a/src/cluster/member_table.rs
+++ b/src/cluster/member_table.rs
@@ -25,6 +25,8 @@
     /// Whether it lets its requests in through this daemon.
     leans: bool,
     loads: ToldLoads,
+    /// When its loads were last told whole.
+    loads_ms: u64,
     booked: Vec<Booking>,
     last_event: u64,
     last_alone: u64,
@@ -84,6 +86,7 @@
     pub fn hear_loads(&mut self, part: LoadsPart, now_ms: u64) {
         let member = self.member(&part.name, part.life, now_ms);
         if member.loads.hear(part) {
+            member.loads_ms = now_ms;
             let counted = member.loads.counted;
             member.booked.retain(|b| b.ask > counted);
         }
@@ -156,6 +159,14 @@
         1 + self.members.values().filter(|m| m.leans).count() as u32
     }
 
+    /// Returns how old the oldest loads are that such a daemon told, in
+    /// milliseconds.
+    pub fn oldest_loads_ms(&self, now_ms: u64) -> u64 {
+        let leaning = self.members.values().filter(|m| m.leans);
+        let ages = leaning.map(|m| now_ms.saturating_sub(m.loads_ms));
+        ages.max().unwrap_or(0)
+    }
+
     /// Adds what those daemons have at upstreams.
     pub fn add_loads(&self, sums: &mut LoadSums) {
         for member in self.members.values().filter(|m| m.leans) {
--- a/src/cluster/state_feed.rs
+++ b/src/cluster/state_feed.rs
@@ -172,7 +172,7 @@
     Ok(message)
 }
 
-/// Follows other daemons: those of the zone that read the source, unless this
+/// Follows other daemons: those of the domain that read the source, unless this
 /// one does; and any that knows more.
 pub async fn follow_daemons(gateway: Arc<Gateway>) {
     let mut follower = Follower {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -28,8 +28,8 @@
     },
 };
 
-/// Daemons of a zone that are reckoned with before any is known.
-const ASSUMED_PER_ZONE: usize = 3;
+/// Daemons of a domain that are reckoned with before any is known.
+const ASSUMED_PER_DOMAIN: usize = 3;
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Whether a daemon takes new clients.
@@ -121,7 +121,7 @@
     /// The place in the source from which on later configurations stand, as far
     /// as is known.
     pub config_position: Mutex<Option<u64>>,
-    pub(super) zone_reach: Mutex<ZoneReach>,
+    pub(super) domain_reach: Mutex<DomainReach>,
     pub(super) table: RwLock<Option<Arc<RouteTable>>>,
     pub(super) retries: Mutex<HashMap<ServiceName, RetryAllowance>>,
     pub(super) caches: Mutex<CacheMemory>,
@@ -174,7 +174,7 @@
             newest_config: watch::Sender::new(0),
             reads_config: watch::Sender::new(false),
             config_position: Mutex::default(),
-            zone_reach: Mutex::default(),
+            domain_reach: Mutex::default(),
             table: RwLock::default(),
             retries: Mutex::default(),
             caches: Mutex::default(),
@@ -255,7 +255,7 @@
     /// Returns how many daemons there are, as far as is known.
     pub fn daemons(&self) -> usize {
         let known = self.peers.lock().daemons();
-        let assumed = self.settings.node.zones.len() * ASSUMED_PER_ZONE;
+        let assumed = self.settings.node.zones.len() * ASSUMED_PER_DOMAIN;
         if known > 1 { known } else { assumed.max(1) }
     }
 
@@ -303,8 +303,8 @@
         )
     }
 
-    /// Returns the zone of this daemon.
-    pub fn zone(&self) -> &FailureDomain {
+    /// Returns the domain of this daemon.
+    pub fn domain(&self) -> &FailureDomain {
         &self.settings.node.zone
     }
 
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -24,6 +24,10 @@
 pub const SOURCE_AGE: &str = "saddlepulley_source_age_seconds";
 /// Other daemons that were heard from lately.
 pub const LIVE_PEERS: &str = "saddlepulley_live_peers";
+/// Counts calls to the platform, which has a price for each, by what is called.
+pub const PLATFORM_CALLS: &str = "saddlepulley_platform_calls_total";
+/// How old the oldest loads are by which a hub places requests, in seconds.
+pub const LOADS_AGE: &str = "saddlepulley_loads_age_seconds";
 /// How many daemons there are, as far as this one knows.
 pub const DAEMONS: &str = "saddlepulley_daemons";
 /// Whether this daemon is a hub of its failure domain.
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -161,7 +161,7 @@
             prompt: context.prompt.clone(),
             tried: tried.to_vec(),
             avoided: Vec::new(),
-            domain: self.zone().clone(),
+            domain: self.domain().clone(),
         };
         self.choose(&request, context.id_text())
     }
@@ -235,14 +235,14 @@
         let is_avoided = load.is_some_and(|l| l.is_avoided(now_ms));
         Candidate {
             avoided: is_avoided
-                || self.is_out_of_reach(&upstream.zone)
+                || self.is_out_of_reach(&upstream.domain)
                 || request.avoided.contains(&upstream.id),
             waiting_tokens,
             unread_tokens,
             active,
             slots: upstream.slots,
             failure_rate: load.map_or(0.0, |l| l.failure_rate(now_ms)),
-            same_zone: upstream.zone == request.domain,
+            same_domain: upstream.domain == request.domain,
         }
     }
 
@@ -276,7 +276,7 @@
     pub fn note_reach(&self, upstream: &Upstream, reached: bool) {
         let now_ms = self.steady_ms();
         if reached {
-            return self.zone_reach.lock().note_reached(&upstream.zone);
+            return self.domain_reach.lock().note_reached(&upstream.domain);
         }
         self.loads
             .lock()
@@ -285,14 +285,18 @@
         self.note_event(|| MemberEvent::Unreachable {
             upstream: upstream.id.to_string(),
         });
-        self.zone_reach
+        self.domain_reach
             .lock()
-            .note_unreachable(&upstream.zone, &upstream.id, now_ms);
+            .note_unreachable(&upstream.domain, &upstream.id, now_ms);
     }
 
-    /// Returns whether another zone is cut off from this daemon.
-    fn is_out_of_reach(&self, zone: &FailureDomain) -> bool {
-        zone != self.zone() && self.zone_reach.lock().is_avoided(zone, self.steady_ms())
+    /// Returns whether another domain is cut off from this daemon.
+    fn is_out_of_reach(&self, domain: &FailureDomain) -> bool {
+        domain != self.domain()
+            && self
+                .domain_reach
+                .lock()
+                .is_avoided(domain, self.steady_ms())
     }
 
     /// Notes how a request ended at an upstream.
@@ -321,10 +325,10 @@
         }
         log::warn!(
             target: "send",
-            "failed. request={} upstream={} zone={} cause=\"{failure}\"",
+            "failed. request={} upstream={} domain={} cause=\"{failure}\"",
             context.id_text(),
             upstream.id,
-            upstream.zone
+            upstream.domain
         );
     }
 }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -49,7 +49,7 @@
         let connections = Arc::new(ClientConnections::default());
         log::info!(
             target: "gateway",
-            "started. node={} zone={} incarnation={}",
+            "started. node={} domain={} incarnation={}",
             gateway.settings.node.name,
             gateway.settings.node.zone,
             gateway.incarnation
@@ -137,6 +137,8 @@
     metrics::gauge!(IS_HUB).set(f64::from(u8::from(gateway.is_hub())));
     let leaning = gateway.members.lock().leaning();
     metrics::gauge!(LEANING).set(f64::from(leaning));
+    let age_ms = gateway.members.lock().oldest_loads_ms(gateway.steady_ms());
+    metrics::gauge!(LOADS_AGE).set(age_ms as f64 / 1_000.0);
     let holds = gateway.holds_duties.load(Ordering::Relaxed);
     metrics::gauge!(HOLDS_DUTIES).set(f64::from(u8::from(holds)));
 }
--- a/src/policy/choose_upstream.rs
+++ b/src/policy/choose_upstream.rs
@@ -7,9 +7,9 @@
 /// What an upstream costs that fails every request, in latencies that the
 /// route wants: a failed request is tried again or lost.
 const FAILURE_PENALTY: f64 = 6.0;
-/// What a send into another zone costs, in milliseconds: some ways there and
+/// What a send into another domain costs, in milliseconds: some ways there and
 /// back inside a region, and the price of the bytes.
-const OTHER_ZONE_MS: f64 = 4.0;
+const OTHER_DOMAIN_MS: f64 = 4.0;
 /// Spreads daemons that see the same figures, in milliseconds.
 const JITTER_MS: f64 = 4.0;
 
@@ -28,8 +28,8 @@
     pub slots: u32,
     /// The share of late requests that failed there.
     pub failure_rate: f64,
-    /// Whether it stands in the daemon's zone.
-    pub same_zone: bool,
+    /// Whether it stands in the daemon's domain.
+    pub same_domain: bool,
 }
 
 impl Candidate {
@@ -39,8 +39,8 @@
         let mut cost = tokens * times.ms_per_token;
         cost += f64::from(self.active) * times.first_event_ms * ACTIVE_SLOWDOWN;
         cost += self.failure_rate * target_ms * FAILURE_PENALTY;
-        if !self.same_zone {
-            cost += OTHER_ZONE_MS;
+        if !self.same_domain {
+            cost += OTHER_DOMAIN_MS;
         }
         cost + self.slot_wait_ms(times)
     }
--- a/src/policy/zone_reach.rs
+++ b/src/policy/domain_reach.rs
@@ -3,10 +3,10 @@
     std::collections::{HashMap, HashSet},
 };
 
-/// How many upstreams of a zone must be out of reach, one after the other,
-/// before the zone counts as cut off.
+/// How many upstreams of a domain must be out of reach, one after the other,
+/// before the domain counts as cut off.
 const MIN_UNREACHABLE: usize = 3;
-/// How long a zone that is cut off is left alone at first, in milliseconds.
+/// How long a domain that is cut off is left alone at first, in milliseconds.
 const FIRST_BACKOFF_MS: u64 = 500;
 const MAX_BACKOFF_MS: u64 = 2_000;
 
@@ -17,18 +17,18 @@
     avoid_until_ms: u64,
 }
 
-/// Which other zones this daemon can't reach now, by its own connections: it
+/// Which other domains this daemon can't reach now, by its own connections: it
 /// then doesn't find that out at each upstream anew. Times are milliseconds of
 /// the daemon's steady clock.
 #[derive(Clone, Debug, Default)]
-pub struct ZoneReach {
-    zones: HashMap<FailureDomain, Reach>,
+pub struct DomainReach {
+    domains: HashMap<FailureDomain, Reach>,
 }
 
-impl ZoneReach {
-    /// Notes that an upstream of a zone could not be reached.
-    pub fn note_unreachable(&mut self, zone: &FailureDomain, upstream: &UpstreamId, now_ms: u64) {
-        let reach = self.zones.entry(zone.clone()).or_default();
+impl DomainReach {
+    /// Notes that an upstream of a domain could not be reached.
+    pub fn note_unreachable(&mut self, domain: &FailureDomain, upstream: &UpstreamId, now_ms: u64) {
+        let reach = self.domains.entry(domain.clone()).or_default();
         reach.unreachable.insert(upstream.clone());
         let is_known_cut = reach.backoff_ms > 0;
         let is_cut = is_known_cut || reach.unreachable.len() >= MIN_UNREACHABLE;
@@ -38,14 +38,14 @@
         }
     }
 
-    /// Notes that an upstream of a zone was reached.
-    pub fn note_reached(&mut self, zone: &FailureDomain) {
-        self.zones.remove(zone);
+    /// Notes that an upstream of a domain was reached.
+    pub fn note_reached(&mut self, domain: &FailureDomain) {
+        self.domains.remove(domain);
     }
 
-    /// Returns whether a zone is to be left alone now.
-    pub fn is_avoided(&self, zone: &FailureDomain, now_ms: u64) -> bool {
-        let reach = self.zones.get(zone);
+    /// Returns whether a domain is to be left alone now.
+    pub fn is_avoided(&self, domain: &FailureDomain, now_ms: u64) -> bool {
+        let reach = self.domains.get(domain);
         reach.is_some_and(|reach| now_ms < reach.avoid_until_ms)
     }
 }
--- a/src/policy/fleet/plan.rs
+++ b/src/policy/fleet/plan.rs
@@ -2,14 +2,14 @@
 
 /// Reclaimable upstreams are worth their risk below this price.
 const WORTHWHILE_PRICE: f64 = 0.7;
-/// Where one zone has all upstreams, how many of those needed can't be taken away.
-const LONE_ZONE_PART: f64 = 0.5;
+/// Where one domain has all upstreams, how many of those needed can't be taken away.
+const LONE_DOMAIN_PART: f64 = 0.5;
 
-/// A zone as the planner sees it.
+/// A domain as the planner sees it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct ZoneFleet {
-    /// The zone.
-    pub zone: FailureDomain,
+pub struct DomainFleet {
+    /// The domain.
+    pub domain: FailureDomain,
     /// What a second of an upstream costs there.
     pub price: f64,
     /// Upstreams there that can't be taken away.
@@ -23,19 +23,19 @@
 /// Bounds of a service's fleet.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct FleetBounds {
-    /// The least upstreams of a zone, of both kinds together.
-    pub min_per_zone: u32,
-    /// The most upstreams of a zone, of both kinds together.
-    pub max_per_zone: u32,
+    /// The least upstreams of a domain, of both kinds together.
+    pub min_per_domain: u32,
+    /// The most upstreams of a domain, of both kinds together.
+    pub max_per_domain: u32,
     /// The price of a reclaimable upstream as a share of the other kind's.
     pub reclaimable_price: Option<f64>,
 }
 
-/// How many upstreams a zone shall have.
+/// How many upstreams a domain shall have.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ZonePlan {
-    /// The zone.
-    pub zone: FailureDomain,
+pub struct DomainPlan {
+    /// The domain.
+    pub domain: FailureDomain,
     /// Those that can't be taken away.
     pub on_demand: u32,
     /// Those that can.
@@ -54,55 +54,55 @@
 /// Plans a service's fleet.
 ///
 /// Reclaimable upstreams carry the load where they are cheap: so many that
-/// enough are left when those of some zones are taken away, one after the
-/// other. On-demand ones step in for what is missing and, once a zone's are
+/// enough are left when those of some domains are taken away, one after the
+/// other. On-demand ones step in for what is missing and, once a domain's are
 /// gone, for a part of what the next loss would take. What is there goes on
 /// until what replaces it serves.
 pub fn plan_fleet(
-    zones: &[ZoneFleet],
+    domains: &[DomainFleet],
     bounds: FleetBounds,
     need: FleetNeed,
     policy: &FleetPolicy,
-) -> Vec<ZonePlan> {
+) -> Vec<DomainPlan> {
     let price = bounds.reclaimable_price.unwrap_or(1.0);
     if price >= WORTHWHILE_PRICE {
-        let on_demand = spread(need.steady, zones);
-        let plans = zones.iter().zip(on_demand);
+        let on_demand = spread(need.steady, domains);
+        let plans = domains.iter().zip(on_demand);
         return plans.map(|(z, n)| bounded(z, n, 0, bounds)).collect();
     }
     let reclaimable = spread(
-        reclaimable_total(need.steady, zones.len(), price, policy),
-        zones,
+        reclaimable_total(need.steady, domains.len(), price, policy),
+        domains,
     );
-    let on_demand = spread(on_demand_total(zones, need.now, policy), zones);
-    let plans = zones.iter().zip(on_demand.into_iter().zip(reclaimable));
+    let on_demand = spread(on_demand_total(domains, need.now, policy), domains);
+    let plans = domains.iter().zip(on_demand.into_iter().zip(reclaimable));
     plans
-        .map(|(zone, (on_demand, reclaimable))| bounded(zone, on_demand, reclaimable, bounds))
+        .map(|(domain, (on_demand, reclaimable))| bounded(domain, on_demand, reclaimable, bounds))
         .collect()
 }
 
-/// The fewest, spread evenly, of which enough are left without some zones'.
-fn reclaimable_total(needed: u32, zones: usize, price: f64, policy: &FleetPolicy) -> u32 {
-    let zones = zones.max(1) as u32;
-    let total_without = |taken: u32| (needed * zones).div_ceil(zones - taken);
+/// The fewest, spread evenly, of which enough are left without some domains'.
+fn reclaimable_total(needed: u32, domains: usize, price: f64, policy: &FleetPolicy) -> u32 {
+    let domains = domains.max(1) as u32;
+    let total_without = |taken: u32| (needed * domains).div_ceil(domains - taken);
     let affordable = |taken: &u32| {
         let cost = f64::from(total_without(*taken)) * price;
         cost <= f64::from(needed) * policy.max_reclaimable_cost
     };
-    let most = policy.losses_borne.min(zones - 1);
+    let most = policy.losses_borne.min(domains - 1);
     let taken = (1..=most).rev().find(affordable);
     taken.map_or(needed, total_without)
 }
 
-fn on_demand_total(zones: &[ZoneFleet], needed: u32, policy: &FleetPolicy) -> u32 {
-    let there: u32 = zones.iter().map(|z| z.reclaimable).sum();
-    let coming: u32 = zones.iter().map(|z| z.coming).sum();
-    let on_demand: u32 = zones.iter().map(|z| z.on_demand).sum();
+fn on_demand_total(domains: &[DomainFleet], needed: u32, policy: &FleetPolicy) -> u32 {
+    let there: u32 = domains.iter().map(|z| z.reclaimable).sum();
+    let coming: u32 = domains.iter().map(|z| z.coming).sum();
+    let on_demand: u32 = domains.iter().map(|z| z.on_demand).sum();
     let missing = needed.saturating_sub(there + coming);
-    let next_loss = zones.iter().map(|z| z.reclaimable + z.coming).max();
+    let next_loss = domains.iter().map(|z| z.reclaimable + z.coming).max();
     let left = (there + coming).saturating_sub(next_loss.unwrap_or(0));
-    let at_risk = match zones.len() {
-        0 | 1 => f64::from(needed) * LONE_ZONE_PART,
+    let at_risk = match domains.len() {
+        0 | 1 => f64::from(needed) * LONE_DOMAIN_PART,
         _ => f64::from(needed.saturating_sub(left)) * policy.next_loss_cover,
     };
     let ordered = missing.max(at_risk.ceil() as u32);
@@ -111,25 +111,32 @@
     ordered.max(held)
 }
 
-/// Spreads a number evenly; what is left over goes to the cheapest zones.
-fn spread(total: u32, zones: &[ZoneFleet]) -> Vec<u32> {
-    let count = zones.len().max(1) as u32;
-    let mut shares = vec![total / count; zones.len()];
-    let mut by_price: Vec<usize> = (0..zones.len()).collect();
-    by_price.sort_by(|a, b| zones[*a].price.total_cmp(&zones[*b].price));
+/// Spreads a number evenly; what is left over goes to the cheapest domains.
+fn spread(total: u32, domains: &[DomainFleet]) -> Vec<u32> {
+    let count = domains.len().max(1) as u32;
+    let mut shares = vec![total / count; domains.len()];
+    let mut by_price: Vec<usize> = (0..domains.len()).collect();
+    by_price.sort_by(|a, b| domains[*a].price.total_cmp(&domains[*b].price));
     for index in by_price.into_iter().take((total % count) as usize) {
         shares[index] += 1;
     }
     shares
 }
 
-fn bounded(zone: &ZoneFleet, on_demand: u32, reclaimable: u32, bounds: FleetBounds) -> ZonePlan {
-    let on_demand = on_demand.min(bounds.max_per_zone);
-    let mut reclaimable = reclaimable.min(bounds.max_per_zone - on_demand);
-    let lacking = bounds.min_per_zone.saturating_sub(on_demand + reclaimable);
+fn bounded(
+    domain: &DomainFleet,
+    on_demand: u32,
+    reclaimable: u32,
+    bounds: FleetBounds,
+) -> DomainPlan {
+    let on_demand = on_demand.min(bounds.max_per_domain);
+    let mut reclaimable = reclaimable.min(bounds.max_per_domain - on_demand);
+    let lacking = bounds
+        .min_per_domain
+        .saturating_sub(on_demand + reclaimable);
     reclaimable += lacking;
-    ZonePlan {
-        zone: zone.zone.clone(),
+    DomainPlan {
+        domain: domain.domain.clone(),
         on_demand,
         reclaimable,
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -8,6 +8,7 @@
 mod claim_fold;
 mod claimant;
 mod concurrency;
+mod domain_reach;
 mod duty_log;
 mod engine_model;
 mod engine_times;
@@ -34,13 +35,12 @@
 mod stall;
 mod usage_due;
 mod usage_windows;
-mod zone_reach;
 
 pub use {
     admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
-    claimant::*, concurrency::*, duty_log::*, engine_model::*, engine_times::*, estimate::*,
-    first_event::*, fleet::*, holder::*, hubs::*, lease::*, neighbours::*, placement::*,
-    placement_cheapest::*, placement_keep_work::*, placement_naive::*, quota::*, reading_speed::*,
-    reclaim::*, retry::*, retry_allowance::*, retry_situation::*, sources::*, spill::*, splice::*,
-    stall::*, usage_due::*, usage_windows::*, zone_reach::*,
+    claimant::*, concurrency::*, domain_reach::*, duty_log::*, engine_model::*, engine_times::*,
+    estimate::*, first_event::*, fleet::*, holder::*, hubs::*, lease::*, neighbours::*,
+    placement::*, placement_cheapest::*, placement_keep_work::*, placement_naive::*, quota::*,
+    reading_speed::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*, sources::*,
+    spill::*, splice::*, stall::*, usage_due::*, usage_windows::*,
 };
--- a/src/routing/service.rs
+++ b/src/routing/service.rs
@@ -18,19 +18,21 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Autoscaling {
-    /// The least upstreams of a zone.
-    pub min_per_zone: u32,
-    /// The most upstreams of a zone.
-    pub max_per_zone: u32,
+    /// The least upstreams of a domain.
+    #[serde(alias = "min_per_zone")]
+    pub min_per_domain: u32,
+    /// The most upstreams of a domain.
+    #[serde(alias = "max_per_zone")]
+    pub max_per_domain: u32,
     /// How long a new upstream takes to serve, in seconds.
     pub boot_s: f64,
     /// What a reclaimable upstream costs, as a share of an on-demand one;
     /// none, if none are offered.
     #[serde(default)]
     pub reclaimable_price: Option<f64>,
-    /// What a second of an upstream costs, by zone.
-    #[serde(default)]
-    pub zone_prices: BTreeMap<FailureDomain, f64>,
+    /// What a second of an upstream costs, by domain.
+    #[serde(default, alias = "zone_prices")]
+    pub domain_prices: BTreeMap<FailureDomain, f64>,
 }
 
 /// A set of upstreams that can serve the same requests.
--- a/src/upstreams/upstream.rs
+++ b/src/upstreams/upstream.rs
@@ -14,8 +14,9 @@
     pub service: ServiceName,
     /// Where it listens.
     pub address: SocketAddr,
-    /// The zone that it stands in.
-    pub zone: FailureDomain,
+    /// The failure domain that it stands in.
+    #[serde(alias = "zone")]
+    pub domain: FailureDomain,
     /// How many requests it works on at once.
     pub slots: u32,
     /// Whether it is about to leave: no new work.
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -2,9 +2,9 @@
 
 use saddlepulley::{names::FailureDomain, policy::*};
 
-fn zone(name: &str, price: f64, on_demand: u32, reclaimable: u32) -> ZoneFleet {
-    ZoneFleet {
-        zone: FailureDomain::from(name),
+fn domain(name: &str, price: f64, on_demand: u32, reclaimable: u32) -> DomainFleet {
+    DomainFleet {
+        domain: FailureDomain::from(name),
         price,
         on_demand,
         reclaimable,
@@ -14,13 +14,13 @@
 
 fn bounds(reclaimable_price: Option<f64>) -> FleetBounds {
     FleetBounds {
-        min_per_zone: 1,
-        max_per_zone: 6,
+        min_per_domain: 1,
+        max_per_domain: 6,
         reclaimable_price,
     }
 }
 
-fn totals(plans: &[ZonePlan]) -> (u32, u32) {
+fn totals(plans: &[DomainPlan]) -> (u32, u32) {
     let on_demand = plans.iter().map(|p| p.on_demand).sum();
     let reclaimable = plans.iter().map(|p| p.reclaimable).sum();
     (on_demand, reclaimable)
@@ -33,52 +33,59 @@
     }
 }
 
-fn evenly(zones: u32, on_demand: u32, reclaimable: u32) -> Vec<ZoneFleet> {
-    let names = (0..zones).map(|z| z.to_string());
+fn evenly(domains: u32, on_demand: u32, reclaimable: u32) -> Vec<DomainFleet> {
+    let names = (0..domains).map(|z| z.to_string());
     names
-        .map(|name| zone(&name, 1.0, on_demand, reclaimable))
+        .map(|name| domain(&name, 1.0, on_demand, reclaimable))
         .collect()
 }
 
 const LOOSE: FleetBounds = FleetBounds {
-    min_per_zone: 0,
-    max_per_zone: 200,
+    min_per_domain: 0,
+    max_per_domain: 200,
     reclaimable_price: Some(0.2),
 };
 
 /// Plans until nothing changes any more, all orders being served at once.
-fn settled(mut zones: Vec<ZoneFleet>, bounds: FleetBounds, need: FleetNeed) -> Vec<ZoneFleet> {
+fn settled(
+    mut domains: Vec<DomainFleet>,
+    bounds: FleetBounds,
+    need: FleetNeed,
+) -> Vec<DomainFleet> {
     for _ in 0..5 {
-        let plans = plan_fleet(&zones, bounds, need, &FleetPolicy::default());
-        for (zone, plan) in zones.iter_mut().zip(plans) {
-            zone.on_demand = plan.on_demand;
-            zone.reclaimable = plan.reclaimable;
+        let plans = plan_fleet(&domains, bounds, need, &FleetPolicy::default());
+        for (domain, plan) in domains.iter_mut().zip(plans) {
+            domain.on_demand = plan.on_demand;
+            domain.reclaimable = plan.reclaimable;
         }
     }
-    zones
+    domains
 }
 
-fn all(zones: &[ZoneFleet]) -> u32 {
-    zones.iter().map(|z| z.on_demand + z.reclaimable).sum()
+fn all(domains: &[DomainFleet]) -> u32 {
+    domains.iter().map(|z| z.on_demand + z.reclaimable).sum()
 }
 
 #[test]
-fn enough_is_left_when_the_reclaimable_ones_of_two_zones_go() {
+fn enough_is_left_when_the_reclaimable_ones_of_two_domains_go() {
     for needed in 3..20 {
-        for zones in 3..6 {
-            let mut fleet = settled(evenly(zones, 0, 0), LOOSE, need(needed));
+        for domains in 3..6 {
+            let mut fleet = settled(evenly(domains, 0, 0), LOOSE, need(needed));
             assert!(fleet.iter().all(|z| z.on_demand == 0), "{fleet:?}");
             for _ in 0..2 {
                 let largest = fleet.iter_mut().max_by_key(|z| z.reclaimable).unwrap();
                 largest.reclaimable = 0;
             }
-            assert!(all(&fleet) + 1 >= needed, "{needed} in {zones}: {fleet:?}");
+            assert!(
+                all(&fleet) + 1 >= needed,
+                "{needed} in {domains}: {fleet:?}"
+            );
         }
     }
 }
 
 #[test]
-fn with_two_zones_enough_is_left_when_one_zones_go() {
+fn with_two_domains_enough_is_left_when_one_domains_go() {
     for needed in 3..20 {
         let mut fleet = settled(evenly(2, 0, 0), LOOSE, need(needed));
         fleet[0].reclaimable = 0;
@@ -87,7 +94,7 @@
 }
 
 #[test]
-fn a_lone_zone_keeps_a_part_that_cannot_be_taken_away() {
+fn a_lone_domain_keeps_a_part_that_cannot_be_taken_away() {
     let fleet = settled(evenly(1, 0, 0), LOOSE, need(10));
     assert_eq!((fleet[0].on_demand, fleet[0].reclaimable), (5, 10));
 }
@@ -139,8 +146,8 @@
 #[test]
 fn on_demand_ones_are_not_ordered_while_reclaimable_ones_start() {
     let mut fleet = evenly(3, 0, 0);
-    for zone in &mut fleet {
-        zone.coming = 9;
+    for domain in &mut fleet {
+        domain.coming = 9;
     }
     assert_eq!(
         totals(&plan_fleet(&fleet, LOOSE, need(9), &FleetPolicy::default())).0,
@@ -159,7 +166,7 @@
 }
 
 #[test]
-fn two_zones_losses_are_borne_only_where_that_is_cheap() {
+fn two_domains_losses_are_borne_only_where_that_is_cheap() {
     let dearer = FleetBounds {
         reclaimable_price: Some(0.5),
         ..LOOSE
@@ -170,12 +177,12 @@
         need(10),
         &FleetPolicy::default(),
     ));
-    assert_eq!(reclaimable, 15, "one zone's loss");
+    assert_eq!(reclaimable, 15, "one domain's loss");
 }
 
 #[test]
-fn bounds_of_a_zone_hold_for_both_kinds_together() {
-    let fleets = [zone("a", 1.0, 0, 0), zone("b", 1.2, 0, 0)];
+fn bounds_of_a_domain_hold_for_both_kinds_together() {
+    let fleets = [domain("a", 1.0, 0, 0), domain("b", 1.2, 0, 0)];
     for needed in 0..40 {
         for plan in plan_fleet(
             &fleets,
@@ -191,7 +198,7 @@
 
 #[test]
 fn without_cheap_reclaimable_ones_all_are_on_demand() {
-    let fleets = [zone("a", 1.0, 2, 0), zone("b", 1.2, 2, 0)];
+    let fleets = [domain("a", 1.0, 2, 0), domain("b", 1.2, 2, 0)];
     for price in [None, Some(0.9)] {
         let (on_demand, reclaimable) = totals(&plan_fleet(
             &fleets,
--- a/tests/decisions/platform.rs
+++ b/tests/decisions/platform.rs
@@ -63,7 +63,7 @@
     assert_eq!(config.limits.idle_timeout_ms, 15_000);
     let scaling = config.services[0].autoscaling.as_ref().unwrap();
     assert_eq!(
-        (scaling.max_per_zone, scaling.reclaimable_price),
+        (scaling.max_per_domain, scaling.reclaimable_price),
         (6, Some(0.22))
     );
 }
--- a/tests/decisions/routed.rs
+++ b/tests/decisions/routed.rs
@@ -13,7 +13,7 @@
         id: UpstreamId::from(id),
         service: ServiceName::from("s"),
         address: "127.0.0.1:1".parse().unwrap(),
-        zone: FailureDomain::from("z"),
+        domain: FailureDomain::from("z"),
         slots: 4,
         draining,
         reclaimable: false,
@@ -177,7 +177,7 @@
         active: 0,
         slots: 8,
         failure_rate: 0.0,
-        same_zone: true,
+        same_domain: true,
     }
 }
 
@@ -318,20 +318,20 @@
 }
 
 #[test]
-fn a_zone_whose_upstreams_are_out_of_reach_is_left_alone_as_a_whole() {
-    let mut reach = ZoneReach::default();
-    let zone = FailureDomain::from("far");
+fn a_domain_whose_upstreams_are_out_of_reach_is_left_alone_as_a_whole() {
+    let mut reach = DomainReach::default();
+    let domain = FailureDomain::from("far");
     let id = |n: u32| UpstreamId::from(n.to_string().as_str());
     for _ in 0..5 {
-        reach.note_unreachable(&zone, &id(0), 100);
+        reach.note_unreachable(&domain, &id(0), 100);
     }
-    assert!(!reach.is_avoided(&zone, 100), "one upstream may be dead");
-    reach.note_unreachable(&zone, &id(1), 200);
-    reach.note_unreachable(&zone, &id(2), 300);
-    assert!(reach.is_avoided(&zone, 400));
-    assert!(!reach.is_avoided(&zone, 900), "tried again");
-    reach.note_unreachable(&zone, &id(3), 900);
-    assert!(reach.is_avoided(&zone, 1_700), "for longer now");
-    reach.note_reached(&zone);
-    assert!(!reach.is_avoided(&zone, 1_700));
+    assert!(!reach.is_avoided(&domain, 100), "one upstream may be dead");
+    reach.note_unreachable(&domain, &id(1), 200);
+    reach.note_unreachable(&domain, &id(2), 300);
+    assert!(reach.is_avoided(&domain, 400));
+    assert!(!reach.is_avoided(&domain, 900), "tried again");
+    reach.note_unreachable(&domain, &id(3), 900);
+    assert!(reach.is_avoided(&domain, 1_700), "for longer now");
+    reach.note_reached(&domain);
+    assert!(!reach.is_avoided(&domain, 1_700));
 }
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -115,7 +115,7 @@
         id: UpstreamId::from(format!("b{index}").as_str()),
         service: ServiceName::from("s"),
         address: "10.0.0.1:80".parse().unwrap(),
-        zone: FailureDomain::from("a"),
+        domain: FailureDomain::from("a"),
         slots: 8,
         draining: false,
         reclaimable: false,
