--- a/src/cluster/hub_desk.rs
+++ b/src/cluster/hub_desk.rs
@@ -71,24 +71,37 @@
         let hold = Duration::from_millis(u64::from(patience_ms)) + HOLD_GRACE;
         let datagram = Datagram::Ask(ask);
         for hub in hubs {
-            for time in 1..=ASKED_TIMES {
-                let asked_at = Instant::now();
-                gateway.send_datagram(&datagram, hub).await;
-                let wait = self.timeout(hub) * time;
-                let answered = tokio::time::timeout(wait, answers.recv()).await;
-                let Ok(Some(verdict)) = answered else {
-                    continue;
-                };
-                self.note_answer(hub, (time == 1).then(|| asked_at.elapsed()));
-                if verdict != Verdict::Held {
-                    return Some(verdict);
-                }
-                match tokio::time::timeout(hold, answers.recv()).await {
-                    Ok(Some(verdict)) if verdict != Verdict::Held => return Some(verdict),
-                    _ => break,
+            match self.ask_hub(gateway, hub, &datagram, &mut answers).await {
+                // It said that it would answer later.
+                Some(Verdict::Held) => {
+                    if let Some(verdict) = decided_within(hold, &mut answers).await {
+                        return Some(verdict);
+                    }
                 }
+                Some(verdict) => return Some(verdict),
+                None => self.note_silent(hub, gateway),
+            }
+        }
+        None
+    }
+
+    /// Asks one hub, some times if it doesn't answer; returns its first answer.
+    async fn ask_hub(
+        &self,
+        gateway: &Gateway,
+        hub: SocketAddr,
+        ask: &Datagram,
+        answers: &mut mpsc::UnboundedReceiver<Verdict>,
+    ) -> Option<Verdict> {
+        for time in 1..=ASKED_TIMES {
+            let asked_at = Instant::now();
+            gateway.send_datagram(ask, hub).await;
+            let wait = self.timeout(hub) * time;
+            if let Ok(Some(verdict)) = tokio::time::timeout(wait, answers.recv()).await {
+                // The time to an answer is known only if it was asked once.
+                self.note_answer(hub, (time == 1).then(|| asked_at.elapsed()));
+                return Some(verdict);
             }
-            self.note_silent(hub, gateway);
         }
         None
     }
@@ -169,5 +182,23 @@
     }
 }
 
+/// Waits for an answer that decides. A hub that was asked twice may say twice that
+/// it holds the request.
+async fn decided_within(
+    hold: Duration,
+    answers: &mut mpsc::UnboundedReceiver<Verdict>,
+) -> Option<Verdict> {
+    let decided = async {
+        loop {
+            match answers.recv().await? {
+                Verdict::Held => {}
+                verdict => return Some(verdict),
+            }
+        }
+    };
+    // In vain: another hub is asked.
+    tokio::time::timeout(hold, decided).await.ok().flatten()
+}
+
 /// Counts hubs that did not answer a question in time.
 pub const SILENT_HUBS: &str = "saddlepulley_silent_hubs_total";
--- a/src/cluster/lone_quotas.rs
+++ b/src/cluster/lone_quotas.rs
@@ -6,6 +6,12 @@
     std::{collections::HashMap, net::SocketAddr},
 };
 
+/// How often a batch is told: a datagram may be lost.
+const TOLD_TIMES: u8 = 2;
+/// How many accounts a batch names at most: with them and some events a report
+/// stays below the size of one datagram (20 bytes an account).
+const MAX_TOLD_ACCOUNTS: usize = 24;
+
 /// What a daemon that asks hubs lets in by itself while none answers, by client
 /// account, and what they have not heard of it yet.
 #[derive(Debug, Default)]
@@ -21,9 +27,6 @@
     told_to: Option<SocketAddr>,
 }
 
-/// How often a batch is told: a datagram may be lost.
-const TOLD_TIMES: u8 = 2;
-
 impl LoneQuotas {
     /// Notes what a request asks for.
     pub fn note_demand(&mut self, account: &ClientAccount, cost: f64, now_ms: u64) {
@@ -53,7 +56,11 @@
     pub fn to_tell(&mut self, hub: SocketAddr) -> (Vec<(String, f64)>, u64) {
         let is_done = self.batch.is_empty() || self.told >= TOLD_TIMES;
         if is_done {
-            let untold = self.untold.drain();
+            let next = self.untold.keys().take(MAX_TOLD_ACCOUNTS).cloned();
+            let next: Vec<ClientAccount> = next.collect();
+            let untold = next
+                .into_iter()
+                .filter_map(|a| self.untold.remove_entry(&a));
             self.batch = untold.map(|(a, units)| (a.to_string(), units)).collect();
             self.batch_number += u64::from(!self.batch.is_empty());
             self.told = 0;
--- a/src/cluster/report_teller.rs
+++ b/src/cluster/report_teller.rs
@@ -79,8 +79,12 @@
     report.leans_on_you = true;
     report.wants_all = wants_all;
     report.wants_digest |= wants_all;
-    report.events = gateway.events.lock().to_tell(MAX_EVENTS);
     (report.alone, report.alone_batch) = gateway.lone_quotas.lock().to_tell(hub);
+    let events = match report.alone.is_empty() {
+        true => MAX_EVENTS,
+        false => MAX_EVENTS / 2,
+    };
+    report.events = gateway.events.lock().to_tell(events);
     gateway.send_datagram(&Datagram::Report(report), hub).await;
     let counted = gateway.hub_desk.counted();
     let loads = gateway.own_loads();
--- a/src/cluster/state_source.rs
+++ b/src/cluster/state_source.rs
@@ -6,12 +6,6 @@
     std::net::SocketAddr,
 };
 
-/// How long a daemon that starts waits for its seeds before it reads the shared
-/// source itself, in milliseconds: all start within a few hundred of each other.
-/// Without it 329 reads of the configuration and as many listings fell into the
-/// first second of 295 daemons.
-const SEEDS_PATIENCE_MS: u64 = 400;
-
 /// Whom a daemon learns configuration and upstreams from now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StateSource {
@@ -72,6 +66,7 @@
 
 fn awaits_seeds(gateway: &Gateway) -> bool {
     let own = gateway.settings.listen.peers;
-    let mut seeds = gateway.settings.peers.seeds.iter();
-    gateway.steady_ms() < SEEDS_PATIENCE_MS && seeds.any(|seed| *seed != own)
+    let peers = &gateway.settings.peers;
+    let mut seeds = peers.seeds.iter();
+    gateway.steady_ms() < peers.seeds_patience_ms && seeds.any(|seed| *seed != own)
 }
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -100,11 +100,26 @@
 }
 
 /// Other daemons.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct GatewayPeers {
     /// Daemons to ask first; some may be gone.
     pub seeds: Vec<SocketAddr>,
+    /// How long a daemon that starts waits for its seeds before it reads the
+    /// shared source itself, in milliseconds. The default is a little more than
+    /// the 300 ms within which the daemons of the users' machines start. Without
+    /// the wait, 329 reads of the configuration and as many listings fell into the
+    /// first second of 295 daemons.
+    pub seeds_patience_ms: u64,
+}
+
+impl Default for GatewayPeers {
+    fn default() -> Self {
+        Self {
+            seeds: Vec::new(),
+            seeds_patience_ms: 400,
+        }
+    }
 }
 
 /// Bounds that hold for all daemons together.
--- /dev/null
+++ b/tests/decisions/cluster_support.rs
@@ -0,0 +1,58 @@
+//! Daemons of the routed path as others hear of them.
+
+use {
+    saddlepulley::cluster::{DaemonEntry, Digest, LoadsPart, ToldAccount, ToldLoad},
+    std::net::SocketAddr,
+};
+
+/// Who a daemon is.
+pub fn entry(name: &str, domain: &str, daemon: usize) -> DaemonEntry {
+    DaemonEntry {
+        name: name.into(),
+        domain: domain.into(),
+        capacity: 0.25,
+        address: address(daemon),
+    }
+}
+
+/// Where a daemon listens.
+pub fn address(daemon: usize) -> SocketAddr {
+    let [high, low] = (daemon as u16).to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 8_229))
+}
+
+/// A digest of a hub of domain `a`.
+pub fn digest_of(name: &str, sequence: u64) -> Digest {
+    let mut digest = Digest::new(entry(name, "a", 7), 1, sequence);
+    digest.every_ms = 250;
+    digest
+}
+
+/// What is told of an account.
+pub fn told_account(account: usize) -> ToldAccount {
+    ToldAccount {
+        name: format!("tenant-{account}"),
+        weight: 1e5,
+        admitted: 1e9,
+        level: 1e5,
+        demand: 1e6,
+    }
+}
+
+/// A part of what a daemon has at upstreams, all of them alike.
+pub fn loads_part(sequence: u64, part: u32, parts: u32, upstreams: &[&str]) -> LoadsPart {
+    let loads = upstreams.iter().map(|id| ToldLoad {
+        upstream: (*id).into(),
+        active: 30,
+        waiting_tokens: 500,
+    });
+    LoadsPart {
+        name: "n".into(),
+        life: 1,
+        sequence,
+        part,
+        parts,
+        counted: sequence,
+        loads: loads.collect(),
+    }
+}
--- a/tests/decisions/digests.rs
+++ b/tests/decisions/hubs.rs
@@ -1,15 +1,13 @@
-//! What daemons tell each other fits into datagrams, is checked, and reaches all
-//! of a large system.
+//! Which daemons are hubs, how they are asked, and who takes their place.
 
 use {
+    crate::cluster_support::*,
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     saddlepulley::{
         cluster::*,
-        names::{ClientAccount, UpstreamId},
-        policy::{
-            DaemonRank, HUBS_PER_DOMAIN, HubContact, LoneQuota, QuotaLimit, ToldQuota, UsageWindows,
-        },
+        names::ClientAccount,
+        policy::{DaemonRank, HUBS_PER_DOMAIN, HubContact, LoneQuota, QuotaLimit, ToldQuota},
     },
     std::{
         collections::{BTreeMap, HashSet},
@@ -17,108 +15,6 @@
     },
 };
 
-fn entry(name: &str, domain: &str, daemon: usize) -> DaemonEntry {
-    DaemonEntry {
-        name: name.into(),
-        domain: domain.into(),
-        capacity: 0.25,
-        address: address(daemon),
-    }
-}
-
-fn address(daemon: usize) -> SocketAddr {
-    let [high, low] = (daemon as u16).to_be_bytes();
-    SocketAddr::from(([10, 1, high, low], 8_229))
-}
-
-fn digest_of(name: &str, sequence: u64) -> Digest {
-    let mut digest = Digest::new(entry(name, "a", 7), 1, sequence);
-    digest.every_ms = 250;
-    digest
-}
-
-fn told_account(account: usize) -> ToldAccount {
-    ToldAccount {
-        name: format!("tenant-{account}"),
-        weight: 1e5,
-        admitted: 1e9,
-        level: 1e5,
-        demand: 1e6,
-    }
-}
-
-#[test]
-fn a_datagram_is_the_same_after_its_way() {
-    let mut digest = digest_of("edge-zone-a-17", 99);
-    digest.known = (0..MAX_DIGEST_DAEMONS)
-        .map(|n| entry("edge-zone-b-1234", "zone-b", n))
-        .collect();
-    digest.demand = vec![("llm-pool".into(), 1e6); 4];
-    digest.reading = vec![("llm-pool".into(), 0.03, 192); 4];
-    let sent = Datagram::Digest(digest);
-    let bytes = sent.encode().unwrap();
-    assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
-    assert_eq!(Datagram::decode(&bytes).unwrap(), sent);
-}
-
-#[test]
-fn what_does_not_fit_is_split_and_nothing_is_left_out() {
-    let parts = in_parts((0..300).map(told_account).collect());
-    let told: usize = parts.iter().map(Vec::len).sum();
-    assert_eq!(told, 300);
-    for quotas in parts {
-        let part = Datagram::Quotas(QuotasPart {
-            name: "edge-zone-a-17".into(),
-            life: u64::MAX,
-            sequence: 1,
-            age_ms: 1,
-            quotas,
-        });
-        assert!(part.encode().unwrap().len() <= MAX_DATAGRAM_BYTES);
-    }
-}
-
-#[test]
-fn what_is_no_datagram_of_ours_is_refused() {
-    assert!(Datagram::decode(&[]).is_err());
-    let mut bytes = Datagram::Digest(digest_of("n", 1)).encode().unwrap();
-    assert!(Datagram::decode(&bytes[..bytes.len() / 2]).is_err());
-    bytes[0] = 9;
-    let error = Datagram::decode(&bytes).unwrap_err().to_string();
-    assert!(error.contains("version 9"), "{error}");
-}
-
-fn loads_part(sequence: u64, part: u32, parts: u32, upstreams: &[&str]) -> LoadsPart {
-    let loads = upstreams.iter().map(|id| ToldLoad {
-        upstream: (*id).into(),
-        active: 30,
-        waiting_tokens: 500,
-    });
-    LoadsPart {
-        name: "n".into(),
-        life: 1,
-        sequence,
-        part,
-        parts,
-        counted: sequence,
-        loads: loads.collect(),
-    }
-}
-
-#[test]
-fn loads_change_once_all_of_their_parts_are_there() {
-    let mut told = ToldLoads::default();
-    assert!(told.hear(loads_part(1, 0, 1, &["u1", "u2"])));
-    assert!(!told.hear(loads_part(2, 1, 2, &["u4"])));
-    assert_eq!(told.loads.len(), 2, "the last whole counts");
-    assert!(told.hear(loads_part(2, 0, 2, &["u3"])));
-    let mut sums = LoadSums::new();
-    told.add_to(&mut sums);
-    let ids: HashSet<&str> = sums.keys().map(UpstreamId::as_str).collect();
-    assert_eq!(ids, HashSet::from(["u3", "u4"]));
-    assert!(!told.hear(loads_part(1, 0, 1, &["u1"])), "an older one");
-}
-
 #[test]
 fn a_hub_is_silent_after_some_of_its_own_periods_and_its_part_stays_its_own() {
     let mut peers = PeerTable::new(entry("own", "a", 1));
@@ -358,143 +254,6 @@
     assert!((0..50).all(|n| large > DaemonRank::new(&format!("s{n}"), 0.12)));
 }
 
-fn report(sequence: u64, events: &[(u64, MemberEvent)], alone: u64) -> Report {
-    Report {
-        daemon: entry("m", "a", 9),
-        life: 1,
-        sequence,
-        every_ms: 500,
-        leans_on_you: true,
-        wants_digest: false,
-        wants_all: false,
-        status: DaemonStatus::default(),
-        events: events.to_vec(),
-        alone: vec![("t".into(), 100.0)],
-        alone_batch: alone,
-    }
-}
-
-#[test]
-fn what_a_report_tells_twice_is_taken_in_once() {
-    let mut members = MemberTable::default();
-    let event = |n: u64| {
-        let upstream = format!("u{n}");
-        (n, MemberEvent::Unreachable { upstream })
-    };
-    let news = members.hear_report(&report(1, &[event(1)], 1), 0);
-    assert_eq!((news.events.len(), news.alone.len()), (1, 1));
-    let news = members.hear_report(&report(2, &[event(1), event(2)], 1), 100);
-    assert_eq!(news.events, [event(2).1]);
-    assert!(news.alone.is_empty());
-    assert_eq!(members.leaning(), 2);
-    members.tick(3_000);
-    assert_eq!(members.leaning(), 1, "it fell silent");
-}
-
-fn ask(id: u64) -> Ask {
-    Ask {
-        name: "n".into(),
-        life: 1,
-        id,
-        request: "r".into(),
-        quota: None,
-        place: AskedPlace {
-            service: "s".into(),
-            target_ms: 100,
-            tokens_in: Some(10),
-            tokens_out: 5,
-            parts: Vec::new(),
-            tried: Vec::new(),
-            avoided: Vec::new(),
-        },
-    }
-}
-
-#[test]
-fn a_placement_counts_from_the_answer_until_a_report_counts_it_in() {
-    let mut members = MemberTable::default();
-    let placed = Verdict::Placed {
-        upstream: "u1".into(),
-        unread_tokens: 700,
-        waiting_tokens: 0,
-    };
-    let first = members.known_answer(&ask(5), 0);
-    assert_eq!(first, None);
-    members.note_answer(&ask(5), &placed, 0);
-    assert_eq!(members.known_answer(&ask(5), 10), Some(placed));
-    let waiting = |members: &MemberTable| {
-        let mut sums = LoadSums::new();
-        members.add_loads(&mut sums);
-        sums.get("u1").copied()
-    };
-    assert_eq!(waiting(&members), Some((1, 700)));
-    members.hear_loads(loads_part(4, 0, 1, &["u1"]), 20);
-    assert_eq!(waiting(&members), Some((31, 1_200)), "not counted in yet");
-    members.hear_loads(loads_part(5, 0, 1, &["u1"]), 40);
-    assert_eq!(waiting(&members), Some((30, 500)));
-}
-
-#[test]
-fn usage_of_300_daemons_and_40_accounts_reaches_the_holder_whole() {
-    let mut holder = UsageWindows::default();
-    let mut true_total = 0;
-    for daemon in 0..300_usize {
-        let mut own = UsageWindows::default();
-        let mut teller = UsageTeller::default();
-        for n in 0..60 {
-            let account = ClientAccount::from(format!("tenant-{}", (daemon + n) % 40).as_str());
-            own.note(7 + n as u64 % 2, &account);
-        }
-        true_total += 30;
-        let name = format!("n{daemon}");
-        let holder_at = (address(0), 99);
-        // Each third datagram is lost.
-        for round in 0..8 {
-            let parts = teller.parts((&name, 1), holder_at, &own.newest(8), 9);
-            for (n, part) in parts.into_iter().enumerate() {
-                if (n + round + daemon) % 3 == 0 {
-                    continue;
-                }
-                let number = part.number;
-                let counts = part.counts.iter();
-                let counts = counts.map(|(a, n)| (a.as_str().into(), u64::from(*n)));
-                holder.merge(&name, 1, &[(part.window, counts.collect())]);
-                holder.note_whole(&name, part.whole_before, 1_000);
-                teller.hear(
-                    address(0),
-                    UsageHeard {
-                        holder_life: 99,
-                        life: 1,
-                        number,
-                    },
-                );
-            }
-        }
-    }
-    let total: u64 = holder.total(7).values().sum();
-    assert_eq!(total, true_total);
-    assert_eq!(holder.told_whole(8, 0), (300, true));
-    assert_eq!(holder.told_whole(9, 0), (300, false), "it is not over");
-}
-
-#[test]
-fn a_new_holder_of_the_duties_is_told_all_again() {
-    let mut own = UsageWindows::default();
-    own.note(7, &ClientAccount::from("t"));
-    let mut teller = UsageTeller::default();
-    let heard = |parts: &[UsagePart], life| UsageHeard {
-        holder_life: life,
-        life: 1,
-        number: parts[0].number,
-    };
-    let parts = teller.parts(("n", 1), (address(0), 5), &own.newest(8), 7);
-    teller.hear(address(0), heard(&parts, 5));
-    let again = teller.parts(("n", 1), (address(0), 5), &own.newest(8), 7);
-    assert!(again.is_empty(), "it has heard all: {again:?}");
-    let parts = teller.parts(("n", 1), (address(1), 6), &own.newest(8), 7);
-    assert_eq!(parts[0].counts, [("t".to_string(), 1)]);
-}
-
 #[test]
 fn a_hub_that_does_not_answer_is_left_alone_for_a_while() {
     let mut contact = HubContact::default();
--- /dev/null
+++ b/tests/decisions/members.rs
@@ -0,0 +1,123 @@
+//! What a hub knows of the daemons that report to it.
+
+use {
+    crate::cluster_support::*,
+    saddlepulley::{
+        cluster::*,
+        names::ClientAccount,
+        policy::{QuotaLimit, ToldQuota},
+    },
+};
+
+fn report(sequence: u64, events: &[(u64, MemberEvent)], alone: u64) -> Report {
+    Report {
+        daemon: entry("m", "a", 9),
+        life: 1,
+        sequence,
+        every_ms: 500,
+        leans_on_you: true,
+        wants_digest: false,
+        wants_all: false,
+        status: DaemonStatus::default(),
+        events: events.to_vec(),
+        alone: vec![("t".into(), 100.0)],
+        alone_batch: alone,
+    }
+}
+
+#[test]
+fn what_a_report_tells_twice_is_taken_in_once() {
+    let mut members = MemberTable::default();
+    let event = |n: u64| {
+        let upstream = format!("u{n}");
+        (n, MemberEvent::Unreachable { upstream })
+    };
+    let news = members.hear_report(&report(1, &[event(1)], 1), 0);
+    assert_eq!((news.events.len(), news.alone.len()), (1, 1));
+    let news = members.hear_report(&report(2, &[event(1), event(2)], 1), 100);
+    assert_eq!(news.events, [event(2).1]);
+    assert!(news.alone.is_empty());
+    assert_eq!(members.leaning(), 2);
+    members.tick(3_000);
+    assert_eq!(members.leaning(), 1, "it fell silent");
+}
+
+fn ask(id: u64) -> Ask {
+    Ask {
+        name: "n".into(),
+        life: 1,
+        id,
+        request: "r".into(),
+        quota: None,
+        place: AskedPlace {
+            service: "s".into(),
+            target_ms: 100,
+            tokens_in: Some(10),
+            tokens_out: 5,
+            parts: Vec::new(),
+            tried: Vec::new(),
+            avoided: Vec::new(),
+        },
+    }
+}
+
+#[test]
+fn a_placement_counts_from_the_answer_until_a_report_counts_it_in() {
+    let mut members = MemberTable::default();
+    let placed = Verdict::Placed {
+        upstream: "u1".into(),
+        unread_tokens: 700,
+        waiting_tokens: 0,
+    };
+    let first = members.known_answer(&ask(5), 0);
+    assert_eq!(first, None);
+    members.note_answer(&ask(5), &placed, 0);
+    assert_eq!(members.known_answer(&ask(5), 10), Some(placed));
+    let waiting = |members: &MemberTable| {
+        let mut sums = LoadSums::new();
+        members.add_loads(&mut sums);
+        sums.get("u1").copied()
+    };
+    assert_eq!(waiting(&members), Some((1, 700)));
+    members.hear_loads(loads_part(4, 0, 1, &["u1"]), 20);
+    assert_eq!(waiting(&members), Some((31, 1_200)), "not counted in yet");
+    members.hear_loads(loads_part(5, 0, 1, &["u1"]), 40);
+    assert_eq!(waiting(&members), Some((30, 500)));
+}
+
+#[test]
+fn the_largest_report_fits_into_a_datagram() {
+    let mut lone = LoneQuotas::default();
+    let told = ToldQuota {
+        level: 1e9,
+        demand: 1.0,
+        at_ms: 0,
+    };
+    let limit = QuotaLimit {
+        rate: 1e9,
+        burst: 1e9,
+        slack: 0.0,
+    };
+    for account in 0..300 {
+        let account = ClientAccount::from(format!("tenant-{account}").as_str());
+        lone.note_demand(&account, 1e3, 0);
+        assert!(lone.admit(&account, 123.4, told, &limit, 0));
+    }
+    let mut log = EventLog::default();
+    for n in 0..48 {
+        log.note(MemberEvent::FirstEvent {
+            service: format!("service-with-a-name-{n}"),
+            unread_tokens: 123_456,
+            after_ms: 1_234.5,
+        });
+    }
+    let mut units = 0;
+    for sequence in 1..=40 {
+        let mut report = report(sequence, &log.to_tell(12), 0);
+        (report.alone, report.alone_batch) = lone.to_tell(address(1));
+        units += report.alone.len();
+        let bytes = Datagram::Report(report).encode();
+        assert!(bytes.is_ok(), "{bytes:?}");
+    }
+    assert_eq!(units, 600, "each account is told twice");
+}
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -111,6 +111,38 @@
     assert_eq!(role(last).next(tries, &[77]), Some(77));
 }
 
+/// How many of some daemons that start one after the other take themselves for
+/// readers, each by those that are there already.
+fn readers_while_starting(names: &[String]) -> usize {
+    let ranks: Vec<DaemonRank> = names.iter().map(|n| DaemonRank::new(n, 1.0)).collect();
+    let there = |count: usize| -> Vec<DomainDaemon<usize>> {
+        let there = ranks[..count].iter().enumerate();
+        there
+            .map(|(address, rank)| DomainDaemon {
+                rank: *rank,
+                address,
+                cut_from_source: false,
+            })
+            .collect()
+    };
+    let reads = |n: &usize| source_role(ranks[*n], &there(*n), READERS) == SourceRole::Reads;
+    (0..names.len()).filter(reads).count()
+}
+
+#[test]
+fn how_many_read_while_daemons_start_depends_on_their_order() {
+    let mut names: Vec<String> = (1..=12).map(|n| format!("n{n}")).collect();
+    assert_eq!(
+        readers_while_starting(&names),
+        8,
+        "in the order of their numbers"
+    );
+    names.sort_by_key(|n| DaemonRank::new(n, 1.0));
+    assert_eq!(readers_while_starting(&names), 12, "the last one first");
+    names.reverse();
+    assert_eq!(readers_while_starting(&names), 2);
+}
+
 #[test]
 fn the_source_is_read_as_seldom_as_the_bound_allows() {
     let tight = SourcePace::for_bound(2_000);
--- a/tests/gateway/store_support.rs
+++ b/tests/gateway/store_support.rs
@@ -71,11 +71,23 @@
 
 /// Starts a daemon on a store.
 pub fn daemon(name: &'static str, store: &Store, seeds: &[&GatewayDaemon]) -> GatewayDaemon {
+    patient_daemon(name, store, seeds, 400)
+}
+
+/// Starts a daemon that waits for its seeds for some milliseconds.
+pub fn patient_daemon(
+    name: &'static str,
+    store: &Store,
+    seeds: &[&GatewayDaemon],
+    patience_ms: u64,
+) -> GatewayDaemon {
     let address = store.address();
     let settings = DaemonSettings {
         name,
         source: format!("kind = \"platform\"\nstore = \"{address}\"\ncloud = \"{address}\""),
-        more: "[duties]\nusage = true\nscaling = true\nlease_ms = 1500\nusage_window_s = 1\nusage_delay_s = 4\n".into(),
+        more: format!(
+            "seeds_patience_ms = {patience_ms}\n[duties]\nusage = true\nscaling = true\nlease_ms = 1500\nusage_window_s = 1\nusage_delay_s = 4\n"
+        ),
         seeds: seeds.iter().map(|d| d.peers).collect(),
         stdout: Stdio::null(),
     };
