--- a/src/cluster/loads_part.rs
+++ b/src/cluster/loads_part.rs
@@ -1,6 +1,7 @@
 use {
     crate::names::UpstreamId,
     bincode::{Decode, Encode},
+    rapidhash::RapidHashMap,
     std::collections::HashMap,
 };
 
@@ -35,8 +36,9 @@
     pub loads: Vec<ToldLoad>,
 }
 
-/// Requests and waiting prompt tokens by upstream.
-pub type LoadSums = HashMap<UpstreamId, (u32, u64)>;
+/// Requests and waiting prompt tokens by upstream. Names of upstreams come from the
+/// platform, not from callers: a hash that is fast will do.
+pub type LoadSums = RapidHashMap<UpstreamId, (u32, u64)>;
 
 /// The newest whole of what a daemon told of its loads.
 #[derive(Clone, Debug, Default)]
@@ -83,13 +85,6 @@
             .collect();
         true
     }
-
-    /// Adds what was told to sums by upstream.
-    pub fn add_to(&self, sums: &mut LoadSums) {
-        for (id, active, tokens) in &self.loads {
-            add_load(sums, id, *active, *tokens);
-        }
-    }
 }
 
 /// Adds requests and waiting tokens at an upstream to sums.
--- a/src/cluster/member_table.rs
+++ b/src/cluster/member_table.rs
@@ -167,12 +167,15 @@
         ages.max().unwrap_or(0)
     }
 
-    /// Adds what those daemons have at upstreams.
-    pub fn add_loads(&self, sums: &mut LoadSums) {
+    /// Tells what those daemons have at upstreams: requests and waiting prompt
+    /// tokens.
+    pub fn each_load(&self, mut tell: impl FnMut(&UpstreamId, u32, u64)) {
         for member in self.members.values().filter(|m| m.leans) {
-            member.loads.add_to(sums);
+            for (id, active, tokens) in &member.loads.loads {
+                tell(id, *active, *tokens);
+            }
             for booking in &member.booked {
-                add_load(sums, &booking.upstream, 1, booking.tokens);
+                tell(&booking.upstream, 1, booking.tokens);
             }
         }
     }
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -1,7 +1,7 @@
 use {
     super::{peer::Peer, *},
     crate::{
-        names::ClientAccount,
+        names::{ClientAccount, UpstreamId},
         policy::{DaemonRank, DomainDaemon, HUBS_PER_DOMAIN, OtherDaemon, ReadingSpeed, ToldQuota},
     },
     rand::{Rng, seq::IteratorRandom},
@@ -290,21 +290,23 @@
             })
     }
 
-    /// Returns requests and waiting tokens that other hubs, and those that ask
-    /// them, have at upstreams.
-    pub fn add_loads(&self, sums: &mut LoadSums) {
+    /// Tells what other hubs, and those that ask them, have at upstreams: requests
+    /// and waiting prompt tokens.
+    pub fn each_load(&self, mut tell: impl FnMut(&UpstreamId, u32, u64)) {
         let mut cached = self.loads.borrow_mut();
         let told = cached.get_or_insert_with(|| {
-            let mut told = LoadSums::new();
+            let mut told = LoadSums::default();
             let fresh = self.peers.values();
             let fresh = fresh.filter(|p| p.has_fresh_loads(self.now_ms));
             for hub in fresh.filter_map(|p| p.as_hub()) {
-                hub.loads.add_to(&mut told);
+                for (id, active, tokens) in &hub.loads.loads {
+                    add_load(&mut told, id, *active, *tokens);
+                }
             }
             told
         });
         for (id, (active, tokens)) in told.iter() {
-            add_load(sums, id, *active, *tokens);
+            tell(id, *active, *tokens);
         }
     }
 
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -15,7 +15,7 @@
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         sync::{
             Arc, OnceLock,
             atomic::{AtomicBool, AtomicU64, AtomicUsize},
@@ -316,13 +316,13 @@
 
     /// Forgets what concerns upstreams that are gone.
     pub fn sweep(&self) {
-        let known: Vec<UpstreamId> = {
+        let known: HashSet<UpstreamId> = {
             let directory = self.directory.read();
             directory.all().map(|b| b.id.clone()).collect()
         };
         let is_known = |id: &UpstreamId| known.contains(id);
         self.pool.sweep(is_known);
         self.loads.lock().retain(is_known);
-        self.caches.lock().retain(is_known);
+        self.caches.lock().retain(is_known, self.steady_ms());
     }
 }
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -131,14 +131,18 @@
     /// Returns what this daemon, and those that ask it, have at upstreams.
     pub fn led_loads(&self) -> LoadSums {
         let mut sums = self.own_loads();
-        self.members.lock().add_loads(&mut sums);
+        let members = self.members.lock();
+        members.each_load(|id, active, tokens| add_load(&mut sums, id, active, tokens));
+        drop(members);
         sums
     }
 
     /// Returns what all daemons have at upstreams, as far as is known.
     pub fn all_loads(&self) -> LoadSums {
         let mut sums = self.led_loads();
-        self.peers.lock().add_loads(&mut sums);
+        let peers = self.peers.lock();
+        peers.each_load(|id, active, tokens| add_load(&mut sums, id, active, tokens));
+        drop(peers);
         sums
     }
 
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -1,13 +1,13 @@
 use {
     super::{Placement, *},
     crate::{
-        cluster::{AskedPlace, AskedQuota, LoadSums, MemberEvent, Verdict},
+        cluster::{AskedPlace, AskedQuota, MemberEvent, Verdict},
         names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
         routing::Tenant,
         upstreams::*,
     },
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
 };
 
 /// How many upstreams that a daemon can't reach it names to a hub.
@@ -168,23 +168,15 @@
 
     /// Chooses an upstream by what this daemon knows.
     pub fn choose(&self, request: &PlaceRequest, id: &str) -> Option<Placement> {
-        let tried = &request.tried;
-        let ready: Vec<Arc<Upstream>> = {
-            let directory = self.directory.read();
-            let ready = directory.ready(&request.service);
-            ready.filter(|b| !tried.contains(&b.id)).cloned().collect()
-        };
+        let ready = self.directory.read().ready_list(&request.service);
         let home = self.home_of(request, &ready);
-        let all_loads = self.all_loads();
-        let candidates: Vec<Candidate> = ready
-            .iter()
-            .map(|b| self.candidate(request, b, home.as_ref(), &all_loads))
-            .collect();
+        let candidates = self.candidates(request, &ready, home);
         let times = self.engine_times(&request.service);
         let mut rng = self.rng.lock();
         let chosen = choose_upstream(&candidates, &times, request.target_ms, &mut *rng);
         drop(rng);
-        if tried.is_empty() {
+        let is_repeat = !request.tried.is_empty();
+        if !is_repeat {
             // What finds no upstream is demand, too.
             let unread = chosen.map(|index| candidates[index].unread_tokens);
             let all_tokens = request.prompt.tokens();
@@ -199,70 +191,112 @@
             avoided,
             ..
         } = candidates[chosen];
+        let upstream = ready.upstreams[chosen].clone();
         log::info!(
             target: "place",
             "placed. request={id} service={} upstream={} of={} home={} unread={unread_tokens} waiting={waiting_tokens} active={active} failure_rate={failure_rate:.2} avoided={avoided} directory={}",
             request.service,
-            ready[chosen].id,
-            ready.len(),
-            home.as_ref() == Some(&ready[chosen].id),
+            upstream.id,
+            ready.upstreams.len(),
+            home == Some(chosen),
             self.directory.read().revision()
         );
         Some(Placement {
-            upstream: ready[chosen].clone(),
+            upstream,
             unread_tokens,
             waiting_tokens,
-            is_repeat: !tried.is_empty(),
+            is_repeat,
         })
     }
 
-    fn candidate(
+    /// Returns what is known of each upstream. All are alike but for the few that
+    /// something is known of: these are filled in one by one.
+    fn candidates(
         &self,
         request: &PlaceRequest,
-        upstream: &Upstream,
-        home: Option<&UpstreamId>,
-        all_loads: &LoadSums,
-    ) -> Candidate {
+        ready: &ReadyUpstreams,
+        home: Option<usize>,
+    ) -> Vec<Candidate> {
         let now_ms = self.steady_ms();
-        let is_home = home == Some(&upstream.id);
-        let unread_tokens = match is_home {
-            true => own_tokens(&request.prompt),
-            false => self.unread_tokens(&request.prompt, upstream),
+        let unread_tokens = request.prompt.unread_tokens(0);
+        let out_of_reach = self.domain_reach.lock().avoided(now_ms);
+        let upstreams = ready.upstreams.iter();
+        let mut candidates: Vec<Candidate> = upstreams
+            .map(|u| {
+                let same_domain = u.domain == request.domain;
+                Candidate {
+                    tried: false,
+                    avoided: !same_domain && out_of_reach.contains(&u.domain),
+                    waiting_tokens: 0,
+                    unread_tokens,
+                    active: 0,
+                    slots: u.slots,
+                    failure_rate: 0.0,
+                    same_domain,
+                }
+            })
+            .collect();
+        for index in request.tried.iter().filter_map(|id| ready.index_of(id)) {
+            candidates[index].tried = true;
+        }
+        for index in request.avoided.iter().filter_map(|id| ready.index_of(id)) {
+            candidates[index].avoided = true;
+        }
+        self.fill_in_loads(&mut candidates, ready, now_ms);
+        self.fill_in_caches(&mut candidates, ready, &request.prompt, now_ms);
+        if let Some(home) = home {
+            candidates[home].unread_tokens = own_tokens(&request.prompt);
+        }
+        candidates
+    }
+
+    fn fill_in_loads(&self, candidates: &mut [Candidate], ready: &ReadyUpstreams, now_ms: u64) {
+        for (id, load) in self.loads.lock().iter() {
+            if let Some(index) = ready.index_of(id) {
+                let candidate = &mut candidates[index];
+                candidate.avoided |= load.is_avoided(now_ms);
+                candidate.failure_rate = load.failure_rate(now_ms);
+                candidate.active += load.active;
+                candidate.waiting_tokens += load.waiting_tokens;
+            }
+        }
+        let mut add = |id: &UpstreamId, active, waiting_tokens| {
+            if let Some(index) = ready.index_of(id) {
+                candidates[index].active += active;
+                candidates[index].waiting_tokens += waiting_tokens;
+            }
         };
-        let (active, waiting_tokens) = all_loads.get(&upstream.id).copied().unwrap_or_default();
-        let loads = self.loads.lock();
-        let load = loads.get(&upstream.id);
-        let is_avoided = load.is_some_and(|l| l.is_avoided(now_ms));
-        Candidate {
-            avoided: is_avoided
-                || self.is_out_of_reach(&upstream.domain)
-                || request.avoided.contains(&upstream.id),
-            waiting_tokens,
-            unread_tokens,
-            active,
-            slots: upstream.slots,
-            failure_rate: load.map_or(0.0, |l| l.failure_rate(now_ms)),
-            same_domain: upstream.domain == request.domain,
+        self.members.lock().each_load(&mut add);
+        self.peers.lock().each_load(&mut add);
+    }
+
+    /// Fills in what upstreams need not read.
+    fn fill_in_caches(
+        &self,
+        candidates: &mut [Candidate],
+        ready: &ReadyUpstreams,
+        prompt: &Prompt,
+        now_ms: u64,
+    ) {
+        let caches = self.caches.lock();
+        let parts = prompt.parts.iter().map(|p| p.chain);
+        for (id, count) in caches.kept_parts(parts, now_ms) {
+            if let Some(index) = ready.index_of(id) {
+                candidates[index].unread_tokens = prompt.unread_tokens(count);
+            }
         }
     }
 
     /// Finds the upstream that all daemons send a chain of parts to, as long
-    /// as its load allows.
-    fn home_of(&self, request: &PlaceRequest, ready: &[Arc<Upstream>]) -> Option<UpstreamId> {
+    /// as its load allows; returns its index.
+    fn home_of(&self, request: &PlaceRequest, ready: &ReadyUpstreams) -> Option<usize> {
         if !self.settings.mechanisms.homes {
             return None;
         }
         let chain = request.prompt.shared_chain()?;
-        let home = ready.iter().max_by_key(|b| home_rank(chain, b.id.as_str()));
-        home.map(|b| b.id.clone())
-    }
-
-    /// Returns how many prompt tokens an upstream would have to read.
-    fn unread_tokens(&self, prompt: &Prompt, upstream: &Upstream) -> u64 {
-        let now_ms = self.steady_ms();
-        let caches = self.caches.lock();
-        let is_kept = |part: &PromptPart| caches.is_kept(&upstream.id, part.chain, now_ms);
-        prompt.unread_tokens(is_kept)
+        let is_tried = |index: &usize| request.tried.contains(&ready.upstreams[*index].id);
+        let usable = (0..ready.hashes.len()).filter(|index| !is_tried(index));
+        usable.max_by_key(|index| home_rank(chain, ready.hashes[*index]))
     }
 
     /// Notes that an upstream reads a request's prompt.
@@ -290,15 +324,6 @@
             .note_unreachable(&upstream.domain, &upstream.id, now_ms);
     }
 
-    /// Returns whether another domain is cut off from this daemon.
-    fn is_out_of_reach(&self, domain: &FailureDomain) -> bool {
-        domain != self.domain()
-            && self
-                .domain_reach
-                .lock()
-                .is_avoided(domain, self.steady_ms())
-    }
-
     /// Notes how a request ended at an upstream.
     pub fn note_outcome(&self, upstream: &UpstreamId, failed: bool) {
         let now_ms = self.steady_ms();
--- a/src/gateway/prompt.rs
+++ b/src/gateway/prompt.rs
@@ -61,15 +61,11 @@
         Some(self.parts[shared].chain)
     }
 
-    /// Returns how many tokens are to be read where `is_cached` says which
-    /// parts are at hand.
-    pub fn unread_tokens(&self, is_cached: impl Fn(&PromptPart) -> bool) -> u64 {
-        let cached: u64 = self
-            .parts
-            .iter()
-            .take_while(|p| is_cached(p))
-            .map(|p| p.tokens)
-            .sum();
+    /// Returns how many tokens are to be read where so many of the first parts are
+    /// at hand.
+    pub fn unread_tokens(&self, cached_parts: usize) -> u64 {
+        let cached = self.parts.iter().take(cached_parts);
+        let cached: u64 = cached.map(|p| p.tokens).sum();
         self.tokens_in.unwrap_or(0).saturating_sub(cached)
     }
 }
--- a/src/policy/choose_upstream.rs
+++ b/src/policy/choose_upstream.rs
@@ -16,6 +16,8 @@
 /// An upstream that a request could be sent to.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
+    /// Whether the request was sent there already: not again.
+    pub tried: bool,
     /// Whether it should be left alone if there is another.
     pub avoided: bool,
     /// Prompt tokens that wait there.
@@ -62,21 +64,34 @@
     target_ms: f64,
     rng: &mut impl Rng,
 ) -> Option<usize> {
-    let any_sound = candidates.iter().any(|c| !c.avoided);
+    let any_sound = candidates.iter().any(|c| !c.tried && !c.avoided);
     let usable = candidates.iter().enumerate();
-    let usable = usable.filter(|(_, c)| !c.avoided || !any_sound);
+    let usable = usable.filter(|(_, c)| !c.tried && (!c.avoided || !any_sound));
+    // One draw for all: a draw each costs as much as the rest of a choice.
+    let drawn: u64 = rng.random();
     let costs = usable.map(|(index, c)| {
-        let jitter = rng.random_range(0.0..JITTER_MS);
-        (index, c.cost_ms(times, target_ms) + jitter)
+        let part = mixed(drawn ^ index as u64) as f64 / u64::MAX as f64;
+        (index, c.cost_ms(times, target_ms) + part * JITTER_MS)
     });
     let cheapest = costs.min_by(|(_, a), (_, b)| a.total_cmp(b));
     cheapest.map(|(index, _)| index)
 }
 
-/// Returns the rank of an upstream for a chain of prompt parts: the one with the
+/// Returns the hash of a name: the same on every daemon.
+pub fn name_hash(name: &str) -> u64 {
+    rapidhash::v3::rapidhash_v3(name.as_bytes())
+}
+
+/// Returns the rank of an upstream, by the hash of its name, for a chain of prompt parts: the one with the
 /// highest rank is the chain's home, on every daemon that knows the same ones.
-pub fn home_rank(chain: u64, upstream: &str) -> u64 {
-    let mut bytes = chain.to_le_bytes().to_vec();
-    bytes.extend_from_slice(upstream.as_bytes());
-    rapidhash::v3::rapidhash_v3(&bytes)
+pub fn home_rank(chain: u64, upstream: u64) -> u64 {
+    mixed(mixed(chain) ^ upstream)
+}
+
+/// Spreads the bits of a number evenly (the last step of SplitMix64).
+fn mixed(number: u64) -> u64 {
+    let mut z = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
 }
--- a/src/policy/domain_reach.rs
+++ b/src/policy/domain_reach.rs
@@ -43,6 +43,13 @@
         self.domains.remove(domain);
     }
 
+    /// Returns the domains that are to be left alone now.
+    pub fn avoided(&self, now_ms: u64) -> Vec<FailureDomain> {
+        let domains = self.domains.iter();
+        let avoided = domains.filter(|(_, reach)| now_ms < reach.avoid_until_ms);
+        avoided.map(|(domain, _)| domain.clone()).collect()
+    }
+
     /// Returns whether a domain is to be left alone now.
     pub fn is_avoided(&self, domain: &FailureDomain, now_ms: u64) -> bool {
         let reach = self.domains.get(domain);
--- a/src/policy/hubs/rank.rs
+++ b/src/policy/hubs/rank.rs
@@ -1,4 +1,4 @@
-use crate::policy::home_rank;
+use rapidhash::v3::rapidhash_v3;
 
 /// How many daemons of a failure domain are its hubs. The first one is asked;
 /// the others take over at once. In a domain with no more daemons than that,
@@ -23,7 +23,7 @@
     pub fn new(name: &str, capacity: f32) -> Self {
         Self {
             capacity: (capacity.max(0.0) / CAPACITY_UNIT).round() as u32,
-            drawn: home_rank(RANK_SALT, name),
+            drawn: rapidhash_v3(&[&RANK_SALT.to_le_bytes(), name.as_bytes()].concat()),
         }
     }
 
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -2,6 +2,7 @@
 
 mod directory_notes;
 mod exchange;
+mod ready_upstreams;
 mod send_failure;
 mod upstream;
 mod upstream_directory;
@@ -9,6 +10,6 @@
 mod upstream_pool;
 
 pub use {
-    directory_notes::*, exchange::*, send_failure::*, upstream::*, upstream_directory::*,
-    upstream_load::*, upstream_pool::*,
+    directory_notes::*, exchange::*, ready_upstreams::*, send_failure::*, upstream::*,
+    upstream_directory::*, upstream_load::*, upstream_pool::*,
 };
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -1,6 +1,7 @@
 use {
-    super::{DirectoryNotes, Upstream},
+    super::{DirectoryNotes, ReadyUpstreams, Upstream},
     crate::names::{ServiceName, UpstreamId},
+    parking_lot::Mutex,
     serde::{Deserialize, Serialize},
     std::{
         collections::{BTreeMap, HashMap, HashSet},
@@ -30,6 +31,8 @@
     told_from: u64,
     /// What was learned and not logged yet.
     notes: DirectoryNotes,
+    /// By service, the list of ready ones and the revision that it is of.
+    ready_lists: Mutex<HashMap<ServiceName, (u64, Arc<ReadyUpstreams>)>>,
 }
 
 /// What is remembered of an upstream that is gone.
@@ -240,6 +243,20 @@
         all.flat_map(|b| b.values()).filter(|b| !b.draining)
     }
 
+    /// Returns the upstreams of a service that may get new work, as a list that is
+    /// the same until the directory changes.
+    pub fn ready_list(&self, service: &ServiceName) -> Arc<ReadyUpstreams> {
+        let mut lists = self.ready_lists.lock();
+        if let Some((revision, list)) = lists.get(service)
+            && *revision == self.revision
+        {
+            return list.clone();
+        }
+        let list = Arc::new(ReadyUpstreams::new(self.ready(service).cloned().collect()));
+        lists.insert(service.clone(), (self.revision, list.clone()));
+        list
+    }
+
     /// Returns all upstreams that are not gone.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.by_service.values().flat_map(|b| b.values())
--- a/src/upstreams/upstream_load.rs
+++ b/src/upstreams/upstream_load.rs
@@ -54,6 +54,9 @@
 
     /// Returns the share of late requests that failed.
     pub fn failure_rate(&self, now_ms: u64) -> f64 {
+        if self.failure_rate <= 0.0 {
+            return 0.0;
+        }
         let age_ms = now_ms.saturating_sub(self.failure_at_ms) as f64;
         let half_lives = age_ms / FAILURE_HALF_LIFE.as_millis() as f64;
         self.failure_rate * 0.5_f64.powf(half_lives)
--- a/tests/decisions/datagrams.rs
+++ b/tests/decisions/datagrams.rs
@@ -1,10 +1,6 @@
 //! What daemons tell each other fits into datagrams and is checked.
 
-use {
-    crate::cluster_support::*,
-    saddlepulley::{cluster::*, names::UpstreamId},
-    std::collections::HashSet,
-};
+use {crate::cluster_support::*, saddlepulley::cluster::*, std::collections::HashSet};
 
 #[test]
 fn a_datagram_is_the_same_after_its_way() {
@@ -54,9 +50,7 @@
     assert!(!told.hear(loads_part(2, 1, 2, &["u4"])));
     assert_eq!(told.loads.len(), 2, "the last whole counts");
     assert!(told.hear(loads_part(2, 0, 2, &["u3"])));
-    let mut sums = LoadSums::new();
-    told.add_to(&mut sums);
-    let ids: HashSet<&str> = sums.keys().map(UpstreamId::as_str).collect();
+    let ids: HashSet<&str> = told.loads.iter().map(|(id, ..)| id.as_str()).collect();
     assert_eq!(ids, HashSet::from(["u3", "u4"]));
     assert!(!told.hear(loads_part(1, 0, 1, &["u1"])), "an older one");
 }
--- a/tests/decisions/hubs.rs
+++ b/tests/decisions/hubs.rs
@@ -34,9 +34,9 @@
     assert!(peers.hear_loads(&loads_part(1, 0, 1, &["u1"])));
     let silent = |peers: &PeerTable| peers.quota_daemons().values().flatten().any(|d| d.silent);
     let loads = |peers: &PeerTable| {
-        let mut sums = LoadSums::new();
-        peers.add_loads(&mut sums);
-        sums.len()
+        let mut count = 0;
+        peers.each_load(|_, _, _| count += 1);
+        count
     };
     peers.tick(1, 1_500);
     assert!(!silent(&peers));
--- a/tests/decisions/members.rs
+++ b/tests/decisions/members.rs
@@ -74,8 +74,8 @@
     members.note_answer(&ask(5), &placed, 0);
     assert_eq!(members.known_answer(&ask(5), 10), Some(placed));
     let waiting = |members: &MemberTable| {
-        let mut sums = LoadSums::new();
-        members.add_loads(&mut sums);
+        let mut sums = LoadSums::default();
+        members.each_load(|id, active, tokens| add_load(&mut sums, id, active, tokens));
         sums.get("u1").copied()
     };
     assert_eq!(waiting(&members), Some((1, 700)));
--- a/tests/decisions/routed.rs
+++ b/tests/decisions/routed.rs
@@ -171,6 +171,7 @@
 
 fn candidate() -> Candidate {
     Candidate {
+        tried: false,
         avoided: false,
         waiting_tokens: 0,
         unread_tokens: 0,
@@ -269,12 +270,30 @@
     );
     let prompt = Prompt::from_headers(&headers, &names);
     assert_eq!(prompt.tokens(), Some(1_540));
-    assert_eq!(prompt.unread_tokens(|_| false), 1_460);
-    let first = prompt.parts[0].chain;
-    assert_eq!(prompt.unread_tokens(|p| p.chain == first), 660);
-    let second = prompt.parts[1].chain;
-    assert_eq!(prompt.unread_tokens(|p| p.chain == second), 1_460);
+    assert_eq!(prompt.unread_tokens(0), 1_460);
+    assert_eq!(prompt.unread_tokens(1), 660);
+    let [first, second] = [0, 1].map(|n| prompt.parts[n].chain);
     assert_eq!(prompt.shared_chain(), Some(second));
+    let mut caches = CacheMemory::default();
+    let kept = |caches: &CacheMemory, upstream: &str, now_ms| {
+        let parts = prompt.parts.iter().map(|p| p.chain);
+        let kept = caches.kept_parts(parts, now_ms);
+        kept.get(&UpstreamId::from(upstream)).copied()
+    };
+    caches.note(&UpstreamId::from("u1"), [first].into_iter(), 0);
+    caches.note(&UpstreamId::from("u2"), [second].into_iter(), 0);
+    caches.note(&UpstreamId::from("u3"), [first, second].into_iter(), 0);
+    assert_eq!(kept(&caches, "u1", 10), Some(1));
+    assert_eq!(
+        kept(&caches, "u2", 10),
+        None,
+        "the part before it is missing"
+    );
+    assert_eq!(kept(&caches, "u3", 10), Some(2));
+    assert_eq!(kept(&caches, "u3", 20_000), None, "too long ago");
+    caches.retain(|id| id.as_str() == "u1", 10);
+    assert_eq!(kept(&caches, "u3", 10), None, "it is gone");
+    assert_eq!(kept(&caches, "u1", 10), Some(1));
 }
 
 const EVENTS: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: bb\n\ndata: no id\n\nid: 3\ndata: ccc\n\n";
