Client account in names of the routed path, where they said tenant

Renames only: the terms of an account in a configuration are AccountTerms. The header of our own wire keeps its name; files of routes take both names.

--- a/src/cluster/duty_borders.rs
+++ b/src/cluster/duty_borders.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         names::{BoxId, FailureDomain, ServiceName},
-        policy::TenantCounts,
+        policy::AccountCounts,
     },
     async_trait::async_trait,
     bytes::Bytes,
@@ -103,7 +103,7 @@
         &self,
         claim: &DutyClaim,
         window: u64,
-        counts: &TenantCounts,
+        counts: &AccountCounts,
     ) -> Result<(), BorderError>;
 
     /// Orders upstreams.
--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -184,7 +184,7 @@
         return Verdict::Unknown;
     }
     if let Some(quota) = &ask.quota {
-        let mut accounts = table.config().tenants.iter();
+        let mut accounts = table.config().accounts.iter();
         let Some(account) = accounts.find(|t| t.name.as_str() == quota.account) else {
             return Verdict::Unknown;
         };
--- a/src/cluster/quotas_part.rs
+++ b/src/cluster/quotas_part.rs
@@ -39,7 +39,7 @@
     /// Makes what is told from a notice.
     pub fn of(notice: &QuotaNotice) -> Self {
         Self {
-            name: notice.tenant.to_string(),
+            name: notice.account.to_string(),
             weight: notice.weight as f32,
             admitted: notice.admitted,
             level: notice.level as f32,
@@ -50,7 +50,7 @@
     /// Returns it with typed names.
     pub fn notice(&self) -> QuotaNotice {
         QuotaNotice {
-            tenant: ClientAccount::from(self.name.as_str()),
+            account: ClientAccount::from(self.name.as_str()),
             weight: f64::from(self.weight),
             admitted: self.admitted,
             level: f64::from(self.level),
--- a/src/cluster/state_feed.rs
+++ b/src/cluster/state_feed.rs
@@ -25,7 +25,7 @@
 /// How long an answer may take, beside the time that it is held.
 const FEED_TIMEOUT: Duration = Duration::from_millis(500);
 /// Larger configurations are read from the source by each daemon, or asked for
-/// apart from the news. Routes and tenants together.
+/// apart from the news. Routes and client accounts together.
 const MAX_TOLD_CONFIG: usize = 100;
 /// After how long an upstream is gone that a listing lacks which is older than
 /// what is known, in milliseconds: changes since then are told at once.
--- a/src/cluster/usage_teller.rs
+++ b/src/cluster/usage_teller.rs
@@ -1,6 +1,6 @@
 use {
     super::*,
-    crate::{gateway::Gateway, names::now_ms, policy::TenantCounts},
+    crate::{gateway::Gateway, names::now_ms, policy::AccountCounts},
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -35,7 +35,7 @@
         &mut self,
         daemon: (&str, u64),
         holder: (SocketAddr, u64),
-        own: &[(u64, TenantCounts)],
+        own: &[(u64, AccountCounts)],
         window: u64,
     ) -> Vec<UsagePart> {
         self.holders
@@ -91,7 +91,7 @@
 }
 
 impl HolderView {
-    fn lacking(&self, window: u64, counts: &TenantCounts) -> ToldCounts {
+    fn lacking(&self, window: u64, counts: &AccountCounts) -> ToldCounts {
         let heard = self.heard.get(&window);
         let known = |name: &str| heard.and_then(|h| h.get(name)).copied().unwrap_or(0);
         let told = counts.iter().map(|(name, n)| (name.to_string(), *n as u32));
--- a/src/gateway/budgets.rs
+++ b/src/gateway/budgets.rs
@@ -1,6 +1,6 @@
 use {
     super::*,
-    crate::{names::ServiceName, policy::*, routing::Tenant},
+    crate::{names::ServiceName, policy::*, routing::AccountTerms},
     std::time::Duration,
     tokio::time::Instant,
 };
@@ -66,7 +66,7 @@
         own + self.peers.lock().demand_of(service.as_str())
     }
 
-    /// Lets a tenant's request in. One that would be let in soon is held for as
+    /// Lets a client account's request in. One that would be let in soon is held for as
     /// long as `patience`, rather than sent back.
     ///
     /// # Errors
@@ -74,7 +74,7 @@
     /// Returns after how long it would be let in.
     pub async fn admit(
         &self,
-        tenant: &Tenant,
+        terms: &AccountTerms,
         cost: f64,
         patience: Duration,
     ) -> Result<(), Duration> {
@@ -86,12 +86,12 @@
         let start_part = 1.0 / self.daemons() as f64;
         self.quotas
             .lock()
-            .note_demand(tenant, cost, start_part, self.steady_ms());
+            .note_demand(terms, cost, start_part, self.steady_ms());
         loop {
-            let Err(wait) = self.try_admit(tenant, cost, start_part) else {
+            let Err(wait) = self.try_admit(terms, cost, start_part) else {
                 return Ok(());
             };
-            if !self.quotas.lock().is_within_rate(tenant) {
+            if !self.quotas.lock().is_within_rate(terms) {
                 return Err(Duration::from_millis(wait.retry_after_ms()));
             }
             let back = match wait {
@@ -106,10 +106,10 @@
     }
 
     /// Logs that a request is beyond its client account's quota.
-    pub fn log_refusal(&self, account: &Tenant, cost: f64, wait: Duration, request: &str) {
+    pub fn log_refusal(&self, account: &AccountTerms, cost: f64, wait: Duration, request: &str) {
         log::warn!(
             target: "quota",
-            "refused. request={request} tenant={} cost={cost} left={:.0} rate={} burst={} wait_ms={}",
+            "refused. request={request} account={} cost={cost} left={:.0} rate={} burst={} wait_ms={}",
             account.name,
             self.quotas.lock().level(account),
             account.rate_per_s,
@@ -118,10 +118,10 @@
         );
     }
 
-    fn try_admit(&self, tenant: &Tenant, cost: f64, start_part: f64) -> Result<(), QuotaWait> {
+    fn try_admit(&self, terms: &AccountTerms, cost: f64, start_part: f64) -> Result<(), QuotaWait> {
         let mut quotas = self.quotas.lock();
-        let admitted = quotas.admit(tenant, cost, start_part, self.steady_ms());
-        if quotas.should_tell(tenant) {
+        let admitted = quotas.admit(terms, cost, start_part, self.steady_ms());
+        if quotas.should_tell(terms) {
             self.tell_early.notify_one();
         }
         admitted
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -7,7 +7,7 @@
         conf::GatewaySettings,
         names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
-        routing::{RouteTable, RoutingConfig, Tenant},
+        routing::{AccountTerms, RouteTable, RoutingConfig},
         upstreams::*,
     },
     http::{Response, StatusCode},
@@ -88,9 +88,9 @@
     pub usage_teller: Mutex<UsageTeller>,
     /// Wakes the task that reports to hubs.
     pub report_early: Notify,
-    /// Requests that began, by window and tenant.
+    /// Requests that began, by window and client account.
     pub usage: Mutex<UsageWindows>,
-    /// The tenants' quotas.
+    /// The client accounts' quotas.
     pub quotas: Mutex<QuotaBook>,
     /// Wakes the task that tells other daemons about this one.
     pub tell_early: Notify,
@@ -261,11 +261,11 @@
 
     /// Notes that a request began to run.
     pub fn note_run(&self, context: &RequestContext) {
-        let Some(tenant) = &context.tenant else {
+        let Some(terms) = &context.account else {
             return;
         };
         let window = self.window_of(crate::names::now_ms());
-        self.usage.lock().note(window, tenant);
+        self.usage.lock().note(window, terms);
     }
 
     /// Returns the window of a time in Unix milliseconds.
@@ -308,10 +308,10 @@
         &self.settings.node.zone
     }
 
-    /// Returns the tenants in force.
-    pub fn tenants(&self) -> Vec<Tenant> {
+    /// Returns the client accounts in force.
+    pub fn account_terms(&self) -> Vec<AccountTerms> {
         let table = self.table();
-        table.map_or_else(Vec::new, |t| t.config().tenants.clone())
+        table.map_or_else(Vec::new, |t| t.config().accounts.clone())
     }
 
     /// Forgets what concerns upstreams that are gone.
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -10,8 +10,8 @@
     pub deadline_ms: HeaderName,
     /// The client's key.
     pub api_key: HeaderName,
-    /// The tenant that the key belongs to; set for upstreams.
-    pub tenant: HeaderName,
+    /// The client account that the key belongs to; set for upstreams.
+    pub account: HeaderName,
     /// The prompt's parts in order, as `id:tokens` joined by commas.
     pub prompt_parts: HeaderName,
     /// The prompt's tokens and the most tokens of the answer.
@@ -46,7 +46,7 @@
     pub fn set_by_system(&self) -> [&HeaderName; 11] {
         [
             &self.api_key,
-            &self.tenant,
+            &self.account,
             &self.deadline_ms,
             &self.expected_upstream,
             &self.priority,
@@ -67,7 +67,7 @@
             attempt_id: name("saddlepulley-attempt"),
             deadline_ms: name("saddlepulley-deadline-ms"),
             api_key: name("saddlepulley-key"),
-            tenant: name("saddlepulley-tenant"),
+            account: name("saddlepulley-tenant"),
             prompt_parts: name("saddlepulley-prompt-parts"),
             token_count: name("saddlepulley-token-count"),
             last_event_id: name("last-event-id"),
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -107,10 +107,10 @@
 
     /// Brings the quotas up to date and returns what to tell of them.
     pub fn tick_quotas(&self) -> Vec<ToldAccount> {
-        let (tenants, daemons) = (self.tenants(), self.daemons());
+        let (accounts, daemons) = (self.account_terms(), self.daemons());
         let others = self.peers.lock().quota_daemons();
         let mut quotas = self.quotas.lock();
-        let notices = quotas.tick(&tenants, &others, daemons, self.steady_ms());
+        let notices = quotas.tick(&accounts, &others, daemons, self.steady_ms());
         notices.iter().map(ToldAccount::of).collect()
     }
 
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -2,7 +2,7 @@
     super::{forward_stream::forward_stream, forward_whole::forward_whole, *},
     crate::{
         names::ServiceName,
-        routing::{Route, RouteKind, RouteTable, Tenant},
+        routing::{AccountTerms, Route, RouteKind, RouteTable},
     },
     bytes::Bytes,
     http::{
@@ -27,7 +27,7 @@
 /// latency when a request's hold for its quota ends: its answer is then in time
 /// more likely than not.
 const TIMES_LEFT: f64 = 2.0;
-/// The longest wait that is told to a tenant beyond its quota.
+/// The longest wait that is told to a client account beyond its quota.
 const MAX_QUOTA_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// Counts a request for as long as it is in flight.
@@ -123,7 +123,7 @@
     };
     let (head, body) = request.into_parts();
     let route = find_route(&table, &head)?;
-    let tenant = find_tenant(gateway, &table, &route, &head.headers)?;
+    let terms = find_account(gateway, &table, &route, &head.headers)?;
     let Some(service) = route.pick_service(gateway.draw()).cloned() else {
         return Err(own(StatusCode::NOT_FOUND, "the route leads nowhere"));
     };
@@ -135,9 +135,9 @@
     let context = RequestContext {
         placed: parking_lot::Mutex::default(),
         attempt_id: head.headers.get(&gateway.names.attempt_id).cloned(),
-        priority: priority_of(&route, tenant.as_deref()),
+        priority: priority_of(&route, terms.as_deref()),
         service,
-        tenant: tenant.as_ref().map(|t| t.name.clone()),
+        account: terms.as_ref().map(|t| t.name.clone()),
         method: head.method,
         target: path_and_query(&head.uri),
         last_event_id: number(&head.headers, &gateway.names.last_event_id),
@@ -148,7 +148,7 @@
         give_up_at: started + Duration::from_millis(wait_ms),
         route,
     };
-    admit(gateway, &context, tenant.as_deref(), patience).await?;
+    admit(gateway, &context, terms.as_deref(), patience).await?;
     Ok(context)
 }
 
@@ -192,20 +192,23 @@
         .ok_or_else(|| own(StatusCode::NOT_FOUND, "no route"))
 }
 
-fn find_tenant(
+fn find_account(
     gateway: &Gateway,
     table: &RouteTable,
     route: &Route,
     headers: &HeaderMap,
-) -> Result<Option<Arc<Tenant>>, Box<Response<AnswerBody>>> {
+) -> Result<Option<Arc<AccountTerms>>, Box<Response<AnswerBody>>> {
     let key = headers.get(&gateway.names.api_key);
-    let tenant = key
+    let terms = key
         .and_then(|v| v.to_str().ok())
-        .and_then(|key| table.find_tenant(key));
-    if tenant.is_none() && table.needs_keys() && !route.public {
-        return Err(own(StatusCode::UNAUTHORIZED, "no tenant has this key"));
+        .and_then(|key| table.find_account(key));
+    if terms.is_none() && table.needs_keys() && !route.public {
+        return Err(own(
+            StatusCode::UNAUTHORIZED,
+            "no client account has this key",
+        ));
     }
-    Ok(tenant.cloned())
+    Ok(terms.cloned())
 }
 
 async fn read_body(table: &RouteTable, body: Incoming) -> Result<Bytes, Box<Response<AnswerBody>>> {
@@ -225,7 +228,7 @@
 async fn admit(
     gateway: &Gateway,
     context: &RequestContext,
-    account: Option<&Tenant>,
+    account: Option<&AccountTerms>,
     patience: Duration,
 ) -> Result<(), Box<Response<AnswerBody>>> {
     let admitted = gateway.let_in(context, account, patience).await;
@@ -245,9 +248,9 @@
     })
 }
 
-fn priority_of(route: &Route, tenant: Option<&Tenant>) -> u8 {
-    let tenant_rank = tenant.and_then(|t| t.priority);
-    tenant_rank.unwrap_or(route.priority).min(9)
+fn priority_of(route: &Route, terms: Option<&AccountTerms>) -> u8 {
+    let account_rank = terms.and_then(|t| t.priority);
+    account_rank.unwrap_or(route.priority).min(9)
 }
 
 fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -12,7 +12,7 @@
 pub const ANSWER_SECONDS: &str = "saddlepulley_answer_seconds";
 /// Counts sends to upstreams that failed, by what is known of the run.
 pub const FAILED_SENDS: &str = "saddlepulley_failed_sends_total";
-/// Counts requests refused for their tenant's quota.
+/// Counts requests refused for their client account's quota.
 pub const QUOTA_REFUSALS: &str = "saddlepulley_quota_refusals_total";
 /// Counts streams that were broken off before their end.
 pub const BROKEN_STREAMS: &str = "saddlepulley_broken_streams_total";
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -4,7 +4,7 @@
         cluster::{AskedPlace, AskedQuota, MemberEvent, Verdict},
         names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
-        routing::Tenant,
+        routing::AccountTerms,
         upstreams::*,
     },
     std::time::Duration,
@@ -44,7 +44,7 @@
     pub async fn let_in(
         &self,
         context: &RequestContext,
-        account: Option<&Tenant>,
+        account: Option<&AccountTerms>,
         patience: Duration,
     ) -> Result<(), Duration> {
         let cost = account.map_or(0.0, |a| a.cost(context.prompt.tokens()));
@@ -80,7 +80,7 @@
         }
     }
 
-    fn admit_alone(&self, account: &Tenant, cost: f64) -> Result<(), Duration> {
+    fn admit_alone(&self, account: &AccountTerms, cost: f64) -> Result<(), Duration> {
         let now_ms = self.steady_ms();
         let limit = self.quotas.lock().limit_of(account);
         let told = self.peers.lock().told_quota(&account.name);
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -21,7 +21,7 @@
     /// The service that it goes to.
     pub service: ServiceName,
     /// Whose it is; none on public routes.
-    pub tenant: Option<ClientAccount>,
+    pub account: Option<ClientAccount>,
     /// Its rank; 0 is the most urgent.
     pub priority: u8,
     /// The method.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -176,10 +176,10 @@
     if let Ok(id) = HeaderValue::from_str(upstream.id.as_str()) {
         headers.insert(&names.expected_upstream, id);
     }
-    if let Some(tenant) = &context.tenant
-        && let Ok(tenant) = HeaderValue::from_str(tenant.as_str())
+    if let Some(terms) = &context.account
+        && let Ok(terms) = HeaderValue::from_str(terms.as_str())
     {
-        headers.insert(&names.tenant, tenant);
+        headers.insert(&names.account, terms);
     }
     if let Some(id) = last_event_id {
         headers.insert(&names.last_event_id, HeaderValue::from(id));
--- a/src/policy/duty_log.rs
+++ b/src/policy/duty_log.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Claimer, LeaseRecord, LeaseStep, LeaseView, TenantCounts},
+    super::{AccountCounts, Claimer, LeaseRecord, LeaseStep, LeaseView},
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
@@ -25,7 +25,7 @@
     /// The window.
     pub window: u64,
     /// The counts.
-    pub counts: TenantCounts,
+    pub counts: AccountCounts,
 }
 
 /// One daemon's view of the duties' topic. Times are milliseconds of its
@@ -35,7 +35,7 @@
     me: Claimer,
     term_ms: u64,
     view: LeaseView,
-    reports: BTreeMap<u64, TenantCounts>,
+    reports: BTreeMap<u64, AccountCounts>,
     /// The lease record that was sent last: what it follows, and when.
     sent: Option<(u64, u64)>,
     /// The offset of the next record.
@@ -124,12 +124,12 @@
     }
 
     /// Returns what a window's report must be, if it was said.
-    pub fn report(&self, window: u64) -> Option<&TenantCounts> {
+    pub fn report(&self, window: u64) -> Option<&AccountCounts> {
         self.reports.get(&window)
     }
 
     /// Makes the record that says what a window's report will be.
-    pub fn usage_record(&self, window: u64, counts: TenantCounts) -> DutyRecord {
+    pub fn usage_record(&self, window: u64, counts: AccountCounts) -> DutyRecord {
         DutyRecord::Usage(UsageRecord {
             by: self.me.clone(),
             window,
--- a/src/policy/quota/account.rs
+++ b/src/policy/quota/account.rs
@@ -24,7 +24,7 @@
 /// How many times its part of what is left a daemon may let in between two
 /// notices of the others.
 const UNHEARD_PARTS: f64 = 2.0;
-/// The longest wait that is told, in milliseconds: a tenant without a rate
+/// The longest wait that is told, in milliseconds: a client account without a rate
 /// would wait forever.
 const MAX_WAIT_MS: f64 = 60_000.0;
 /// What is left above this part of the burst, any daemon may let in unheard.
@@ -34,7 +34,7 @@
 /// Of the burst, what may be let in before others should hear of it.
 const UNHEARD_BURST: f64 = 0.05;
 
-/// Another daemon, as a tenant's account sees it.
+/// Another daemon, as a client account's account sees it.
 #[derive(Clone, Copy, Debug, Default)]
 struct Other {
     incarnation: u64,
@@ -63,7 +63,7 @@
     pub replaced: bool,
 }
 
-/// One tenant's quota as one daemon sees it.
+/// One client account's quota as one daemon sees it.
 ///
 /// All daemons keep the same token bucket: each takes from it what it lets in
 /// at once, and what the others let in when it hears of it. What it hears late
--- a/src/policy/quota/book.rs
+++ b/src/policy/quota/book.rs
@@ -1,6 +1,6 @@
 use {
     super::{OtherDaemon, QuotaAccount, QuotaBounds, QuotaLimit, QuotaWait},
-    crate::{names::ClientAccount, routing::Tenant},
+    crate::{names::ClientAccount, routing::AccountTerms},
     std::collections::{HashMap, VecDeque},
 };
 
@@ -8,11 +8,11 @@
 /// by the least of them, since others may not have heard the newest.
 const REMEMBERED_WEIGHTS: usize = 3;
 
-/// What a daemon tells about a tenant's quota.
+/// What a daemon tells about a client account's quota.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaNotice {
-    /// The tenant.
-    pub tenant: ClientAccount,
+    /// The client account.
+    pub account: ClientAccount,
     /// The weight with which it asks for a part of the rate.
     pub weight: f64,
     /// What it has let in since it started.
@@ -23,7 +23,7 @@
     pub demand: f64,
 }
 
-/// All tenants' quotas as one daemon sees them.
+/// All client accounts' quotas as one daemon sees them.
 #[derive(Clone, Debug, Default)]
 pub struct QuotaBook {
     bounds: QuotaBounds,
@@ -42,16 +42,16 @@
         }
     }
 
-    /// Notes what a tenant's request asks for; `start_part` is the part of the
+    /// Notes what a client account's request asks for; `start_part` is the part of the
     /// rate that a daemon has before it knows others.
-    pub fn note_demand(&mut self, tenant: &Tenant, cost: f64, start_part: f64, now_ms: u64) {
-        if tenant.rate_per_s > 0.0 {
-            let account = self.account(tenant, start_part, now_ms);
+    pub fn note_demand(&mut self, terms: &AccountTerms, cost: f64, start_part: f64, now_ms: u64) {
+        if terms.rate_per_s > 0.0 {
+            let account = self.account(terms, start_part, now_ms);
             account.note_demand(cost, now_ms);
         }
     }
 
-    /// Lets a request of a tenant in; `start_part` is the part of the rate
+    /// Lets a request of a client account in; `start_part` is the part of the rate
     /// that a daemon has before it knows others.
     ///
     /// # Errors
@@ -59,16 +59,16 @@
     /// Returns why it is not let in now.
     pub fn admit(
         &mut self,
-        tenant: &Tenant,
+        terms: &AccountTerms,
         cost: f64,
         start_part: f64,
         now_ms: u64,
     ) -> Result<(), QuotaWait> {
-        if tenant.rate_per_s <= 0.0 {
+        if terms.rate_per_s <= 0.0 {
             return Ok(());
         }
-        let limit = self.bounds.limit_of(tenant);
-        let account = self.account(tenant, start_part, now_ms);
+        let limit = self.bounds.limit_of(terms);
+        let account = self.account(terms, start_part, now_ms);
         account.admit(cost, &limit, now_ms)
     }
 
@@ -83,7 +83,7 @@
         now_ms: u64,
     ) {
         for notice in notices {
-            if let Some(account) = self.accounts.get_mut(&notice.tenant) {
+            if let Some(account) = self.accounts.get_mut(&notice.account) {
                 account.hear(node, incarnation, notice.admitted, is_younger);
                 if !is_younger {
                     account.learn_level(notice.level, now_ms);
@@ -92,46 +92,46 @@
         }
     }
 
-    /// Returns what is left of a tenant's quota, as this daemon sees it.
-    pub fn level(&self, tenant: &Tenant) -> f64 {
-        let account = self.accounts.get(&tenant.name);
-        account.map_or(tenant.burst, QuotaAccount::level)
+    /// Returns what is left of a client account's quota, as this daemon sees it.
+    pub fn level(&self, terms: &AccountTerms) -> f64 {
+        let account = self.accounts.get(&terms.name);
+        account.map_or(terms.burst, QuotaAccount::level)
     }
 
     /// Returns whether an account asked for no more than its rate when all
     /// daemons last told what they were asked for: only then does a request that
     /// waits end in service more likely than not. Beyond the rate, others take
     /// what comes in meanwhile.
-    pub fn is_within_rate(&self, tenant: &Tenant) -> bool {
-        let told = self.last_notices.iter().find(|n| n.tenant == tenant.name);
-        told.is_none_or(|n| n.demand <= tenant.rate_per_s)
+    pub fn is_within_rate(&self, terms: &AccountTerms) -> bool {
+        let told = self.last_notices.iter().find(|n| n.account == terms.name);
+        told.is_none_or(|n| n.demand <= terms.rate_per_s)
     }
 
     /// Returns whether others should hear now of what was let in.
-    pub fn should_tell(&self, tenant: &Tenant) -> bool {
-        let account = self.accounts.get(&tenant.name);
-        tenant.rate_per_s > 0.0 && account.is_some_and(|a| a.should_tell(tenant.burst))
+    pub fn should_tell(&self, terms: &AccountTerms) -> bool {
+        let account = self.accounts.get(&terms.name);
+        terms.rate_per_s > 0.0 && account.is_some_and(|a| a.should_tell(terms.burst))
     }
 
     /// Brings the accounts up to date and returns what to tell others.
-    /// `others` gives what is known of the other daemons, by tenant. While one
+    /// `others` gives what is known of the other daemons, by client account. While one
     /// may be cut off, no weight grows: what it asked for is still its own.
     pub fn tick(
         &mut self,
-        tenants: &[Tenant],
+        accounts: &[AccountTerms],
         others: &HashMap<ClientAccount, Vec<OtherDaemon>>,
         daemons: usize,
         now_ms: u64,
     ) -> Vec<QuotaNotice> {
-        let limited = tenants.iter().filter(|t| t.rate_per_s > 0.0);
+        let limited = accounts.iter().filter(|t| t.rate_per_s > 0.0);
         let mut notices = Vec::new();
-        for tenant in limited {
-            let others = others.get(&tenant.name).map_or(&[][..], Vec::as_slice);
+        for terms in limited {
+            let others = others.get(&terms.name).map_or(&[][..], Vec::as_slice);
             let any_late = others.iter().any(|o| o.late);
             let start_part = 1.0 / daemons.max(1) as f64;
-            let account = self.account(tenant, start_part, now_ms);
-            let mut weight = account.weight(tenant.rate_per_s, daemons, now_ms);
-            let announced = self.announced.entry(tenant.name.clone()).or_default();
+            let account = self.account(terms, start_part, now_ms);
+            let mut weight = account.weight(terms.rate_per_s, daemons, now_ms);
+            let announced = self.announced.entry(terms.name.clone()).or_default();
             if any_late {
                 weight = announced.iter().copied().fold(weight, f64::min);
             }
@@ -145,11 +145,11 @@
             if announced.len() > REMEMBERED_WEIGHTS {
                 announced.pop_front();
             }
-            let limit = self.bounds.limit_of(tenant);
-            let account = self.account(tenant, start_part, now_ms);
+            let limit = self.bounds.limit_of(terms);
+            let account = self.account(terms, start_part, now_ms);
             account.tick(weight, &others, &limit, now_ms);
             notices.push(QuotaNotice {
-                tenant: tenant.name.clone(),
+                account: terms.name.clone(),
                 weight,
                 admitted: account.admitted(),
                 level: account.level(),
@@ -173,14 +173,14 @@
     }
 
     /// Returns an account's limit.
-    pub fn limit_of(&self, account: &Tenant) -> QuotaLimit {
+    pub fn limit_of(&self, account: &AccountTerms) -> QuotaLimit {
         self.bounds.limit_of(account)
     }
 
-    fn account(&mut self, tenant: &Tenant, start_part: f64, now_ms: u64) -> &mut QuotaAccount {
-        let limit = self.bounds.limit_of(tenant);
+    fn account(&mut self, terms: &AccountTerms, start_part: f64, now_ms: u64) -> &mut QuotaAccount {
+        let limit = self.bounds.limit_of(terms);
         let fresh = || QuotaAccount::new(start_part, &limit, now_ms);
         let accounts = &mut self.accounts;
-        accounts.entry(tenant.name.clone()).or_insert_with(fresh)
+        accounts.entry(terms.name.clone()).or_insert_with(fresh)
     }
 }
--- a/src/policy/quota/bounds.rs
+++ b/src/policy/quota/bounds.rs
@@ -1,6 +1,6 @@
 use {
     super::QuotaLimit,
-    crate::{conf::not_negative, routing::Tenant},
+    crate::{conf::not_negative, routing::AccountTerms},
     serde::Deserialize,
 };
 
@@ -20,9 +20,9 @@
 }
 
 impl QuotaBounds {
-    /// Returns a tenant's limit.
-    pub fn limit_of(&self, tenant: &Tenant) -> QuotaLimit {
-        let (rate, burst) = (tenant.rate_per_s, tenant.burst);
+    /// Returns a client account's limit.
+    pub fn limit_of(&self, terms: &AccountTerms) -> QuotaLimit {
+        let (rate, burst) = (terms.rate_per_s, terms.burst);
         let window = rate * self.window_s + burst;
         QuotaLimit {
             rate,
--- a/src/policy/quota/limit.rs
+++ b/src/policy/quota/limit.rs
@@ -1,4 +1,4 @@
-/// A tenant's limit, in units.
+/// A client account's limit, in units.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct QuotaLimit {
     /// Units a second.
--- a/src/routing/tenant.rs
+++ b/src/routing/account_terms.rs
@@ -3,13 +3,13 @@
     serde::{Deserialize, Serialize},
 };
 
-/// A tenant, its keys and its quota.
+/// A client account, its keys and its quota.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Tenant {
+pub struct AccountTerms {
     /// The name.
     pub name: ClientAccount,
-    /// The keys that name the tenant.
+    /// The keys that name the client account.
     pub keys: Vec<String>,
     /// The rank of its requests; goes before the route's.
     #[serde(default)]
@@ -32,7 +32,7 @@
     1.0
 }
 
-impl Tenant {
+impl AccountTerms {
     /// Returns what a request costs, given its tokens if it names them.
     pub fn cost(&self, tokens: Option<u64>) -> f64 {
         match tokens {
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -1,14 +1,14 @@
 //! The routing configuration: which request goes to which service, for whom.
 
+mod account_terms;
 mod client_limits;
 mod packed_config;
 mod route;
 mod route_table;
 mod routing_config;
 mod service;
-mod tenant;
 
 pub use {
-    client_limits::*, packed_config::*, route::*, route_table::*, routing_config::*, service::*,
-    tenant::*,
+    account_terms::*, client_limits::*, packed_config::*, route::*, route_table::*,
+    routing_config::*, service::*,
 };
--- a/src/routing/route_table.rs
+++ b/src/routing/route_table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Route, RoutingConfig, Service, Tenant},
+    super::{AccountTerms, Route, RoutingConfig, Service},
     crate::names::ServiceName,
     std::{collections::HashMap, sync::Arc},
 };
@@ -10,7 +10,7 @@
     config: Arc<RoutingConfig>,
     /// By host, the routes with the longest prefix first.
     by_host: HashMap<String, Vec<Arc<Route>>>,
-    by_key: HashMap<String, Arc<Tenant>>,
+    by_key: HashMap<String, Arc<AccountTerms>>,
     services: HashMap<ServiceName, Arc<Service>>,
 }
 
@@ -26,9 +26,9 @@
             routes.sort_by_key(|r| std::cmp::Reverse(r.path_prefix.len()));
         }
         let mut by_key = HashMap::new();
-        for tenant in &config.tenants {
-            let shared = Arc::new(tenant.clone());
-            for key in &tenant.keys {
+        for terms in &config.accounts {
+            let shared = Arc::new(terms.clone());
+            for key in &terms.keys {
                 by_key.insert(key.clone(), shared.clone());
             }
         }
@@ -63,8 +63,8 @@
         routes.iter().find(|r| path.starts_with(&r.path_prefix))
     }
 
-    /// Finds the tenant that holds a key.
-    pub fn find_tenant(&self, key: &str) -> Option<&Arc<Tenant>> {
+    /// Finds the client account that holds a key.
+    pub fn find_account(&self, key: &str) -> Option<&Arc<AccountTerms>> {
         self.by_key.get(key)
     }
 
@@ -75,6 +75,6 @@
 
     /// Returns whether requests need a key.
     pub fn needs_keys(&self) -> bool {
-        !self.config.tenants.is_empty()
+        !self.config.accounts.is_empty()
     }
 }
--- a/src/routing/routing_config.rs
+++ b/src/routing/routing_config.rs
@@ -1,5 +1,5 @@
 use {
-    super::{ClientLimits, Route, Service, Tenant},
+    super::{AccountTerms, ClientLimits, Route, Service},
     serde::{Deserialize, Serialize},
 };
 
@@ -13,17 +13,17 @@
     pub routes: Vec<Route>,
     /// The services.
     pub services: Vec<Service>,
-    /// The tenants; without any, requests need no key.
-    #[serde(default)]
-    pub tenants: Vec<Tenant>,
+    /// The client accounts; without any, requests need no key.
+    #[serde(default, alias = "tenants")]
+    pub accounts: Vec<AccountTerms>,
     /// What clients may send.
     #[serde(default)]
     pub limits: ClientLimits,
 }
 
 impl RoutingConfig {
-    /// Returns how large it is: its routes and tenants.
+    /// Returns how large it is: its routes and client accounts.
     pub fn size(&self) -> usize {
-        self.routes.len() + self.tenants.len()
+        self.routes.len() + self.accounts.len()
     }
 }
--- a/tests/decisions/duties.rs
+++ b/tests/decisions/duties.rs
@@ -17,7 +17,7 @@
     }
 }
 
-fn counts(n: u64) -> TenantCounts {
+fn counts(n: u64) -> AccountCounts {
     BTreeMap::from([(ClientAccount::from("t"), n)])
 }
 
@@ -132,9 +132,9 @@
 
 #[test]
 fn usage_is_the_sum_of_what_each_life_counted() {
-    let tenant = ClientAccount::from("t");
+    let terms = ClientAccount::from("t");
     let mut usage = UsageWindows::default();
-    usage.note(3, &tenant);
+    usage.note(3, &terms);
     usage.merge("b", 1, &[(3, counts(5))]);
     // Told again, later and out of order.
     usage.merge("b", 1, &[(3, counts(7))]);
--- a/tests/decisions/platform.rs
+++ b/tests/decisions/platform.rs
@@ -57,9 +57,9 @@
     assert_eq!(config.routes[1].kind, RouteKind::NonIdempotent);
     assert_eq!(config.routes[1].services.len(), 2);
     assert_eq!(config.routes[1].max_attempts, 1);
-    assert_eq!(config.tenants[0].keys, ["k1", "k2"]);
-    assert_eq!(config.tenants[0].cost(Some(1_540)), 1_540.0);
-    assert_eq!(config.tenants[0].cost(None), 200.0);
+    assert_eq!(config.accounts[0].keys, ["k1", "k2"]);
+    assert_eq!(config.accounts[0].cost(Some(1_540)), 1_540.0);
+    assert_eq!(config.accounts[0].cost(None), 200.0);
     assert_eq!(config.limits.idle_timeout_ms, 15_000);
     let scaling = config.services[0].autoscaling.as_ref().unwrap();
     assert_eq!(
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -3,7 +3,7 @@
 use {
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    saddlepulley::{names::ClientAccount, policy::*, routing::Tenant},
+    saddlepulley::{names::ClientAccount, policy::*, routing::AccountTerms},
     std::collections::HashMap,
 };
 
@@ -14,8 +14,8 @@
 const LATE_MS: u64 = 400;
 const SILENT_MS: u64 = 700;
 
-fn tenant() -> Tenant {
-    Tenant {
+fn terms() -> AccountTerms {
+    AccountTerms {
         name: ClientAccount::from("t"),
         keys: vec!["k".into()],
         priority: None,
@@ -35,7 +35,7 @@
 /// Daemons that offer `offered` times the rate together; `cut` says which are
 /// cut off from all others at a time. Returns what was let in, by time.
 struct Fleet {
-    tenant: Tenant,
+    terms: AccountTerms,
     books: Vec<QuotaBook>,
     lives: Vec<u64>,
     started_ms: Vec<u64>,
@@ -48,7 +48,7 @@
 impl Fleet {
     fn new(daemons: usize, seed: u64) -> Self {
         Self {
-            tenant: tenant(),
+            terms: terms(),
             books: vec![QuotaBook::new(BOUNDS); daemons],
             lives: (0..daemons as u64).collect(),
             started_ms: vec![0; daemons],
@@ -84,7 +84,7 @@
         for from in 0..daemons {
             let others = self.others_of(from, now_ms);
             let notices =
-                self.books[from].tick(std::slice::from_ref(&self.tenant), &others, daemons, now_ms);
+                self.books[from].tick(std::slice::from_ref(&self.terms), &others, daemons, now_ms);
             for to in (0..daemons).filter(|to| *to != from) {
                 if cut(from, now_ms) || cut(to, now_ms) {
                     continue;
@@ -103,7 +103,7 @@
         for (from, (heard_ms, notices)) in &self.heard[at] {
             for notice in notices {
                 others
-                    .entry(notice.tenant.clone())
+                    .entry(notice.account.clone())
                     .or_default()
                     .push(OtherDaemon {
                         node: from.to_string(),
@@ -120,15 +120,15 @@
 
     fn offer(&mut self, now_ms: u64, offered: f64) {
         let daemons = self.books.len();
-        let mut left = self.tenant.rate_per_s * offered * TICK_MS as f64 / 1_000.0;
+        let mut left = self.terms.rate_per_s * offered * TICK_MS as f64 / 1_000.0;
         while left > 0.0 {
             let cost = self.rng.random_range(500.0..15_000.0_f64);
             let at = self.rng.random_range(0..daemons);
             left -= cost;
             let start_part = 1.0 / daemons as f64;
             let at_ms = now_ms + self.rng.random_range(0..TICK_MS);
-            self.books[at].note_demand(&self.tenant, cost, start_part, at_ms);
-            match self.books[at].admit(&self.tenant, cost, start_part, at_ms) {
+            self.books[at].note_demand(&self.terms, cost, start_part, at_ms);
+            match self.books[at].admit(&self.terms, cost, start_part, at_ms) {
                 Ok(()) => self.admitted.push((at_ms, cost)),
                 Err(_) => self.refused += cost,
             }
@@ -178,11 +178,11 @@
 }
 
 #[test]
-fn large_requests_of_a_tenant_with_a_small_limit_are_let_in_below_it() {
+fn large_requests_of_a_account_with_a_small_limit_are_let_in_below_it() {
     for seed in 0..20 {
         let mut fleet = Fleet::new(7, seed);
-        fleet.tenant.rate_per_s = 60_000.0;
-        fleet.tenant.burst = 60_000.0;
+        fleet.terms.rate_per_s = 60_000.0;
+        fleet.terms.burst = 60_000.0;
         fleet.run(3_000, 0.5, |_, _| false);
         fleet.refused = 0.0;
         fleet.run(30_000, 0.6, |_, _| false);
@@ -227,7 +227,7 @@
 }
 
 #[test]
-fn a_tenant_that_sends_many_times_its_quota_is_held_to_it() {
+fn a_account_that_sends_many_times_its_quota_is_held_to_it() {
     for seed in 0..20 {
         let mut fleet = Fleet::new(8, seed);
         fleet.run(5_000, 0.5, |_, _| false);
@@ -366,7 +366,7 @@
         let mut fleet = Fleet::new(8, 1);
         fleet.run(6_000, offered, |_, _| false);
         for book in &fleet.books {
-            assert_eq!(book.is_within_rate(&fleet.tenant), is_within, "{offered}");
+            assert_eq!(book.is_within_rate(&fleet.terms), is_within, "{offered}");
         }
     }
 }
