--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -50,7 +50,7 @@
         }
         Datagram::Quotas(part) => hear_quotas(gateway, &part, now_ms),
         Datagram::Loads(part) => {
-            let is_hub = gateway.peers.lock().hear_loads(&part);
+            let is_hub = gateway.peers.lock().hear_loads(&part, now_ms);
             if !is_hub {
                 gateway.members.lock().hear_loads(part, now_ms);
             }
--- a/src/cluster/member_table.rs
+++ b/src/cluster/member_table.rs
@@ -167,6 +167,14 @@
         ages.max().unwrap_or(0)
     }
 
+    /// Returns how many such daemons there are, and how old their loads are in sum, in
+    /// milliseconds.
+    pub fn loads_ages(&self, now_ms: u64) -> (u64, u64) {
+        let leaning = self.members.values().filter(|m| m.leans);
+        let ages = leaning.map(|m| now_ms.saturating_sub(m.loads_ms));
+        ages.fold((0, 0), |(count, sum), age_ms| (count + 1, sum + age_ms))
+    }
+
     /// Tells what those daemons have at upstreams: requests and waiting prompt
     /// tokens.
     pub fn each_load(&self, mut tell: impl FnMut(&UpstreamId, u32, u64)) {
--- a/src/cluster/peer.rs
+++ b/src/cluster/peer.rs
@@ -51,6 +51,8 @@
     quotas_sequence: u64,
     /// What it has at upstreams.
     pub(super) loads: ToldLoads,
+    /// When that was told whole last.
+    pub(super) loads_ms: u64,
 }
 
 impl Peer {
@@ -97,6 +99,7 @@
                     quotas_ms: now_ms,
                     quotas_sequence: 0,
                     loads: ToldLoads::default(),
+                    loads_ms: now_ms,
                 });
             }
         }
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -95,7 +95,7 @@
     }
 
     /// Takes in what a hub has at upstreams; returns whether it is one.
-    pub fn hear_loads(&mut self, part: &LoadsPart) -> bool {
+    pub fn hear_loads(&mut self, part: &LoadsPart, now_ms: u64) -> bool {
         let peer = self.peers.get_mut(&part.name);
         let hub = peer
             .filter(|p| p.as_hub().is_some())
@@ -104,6 +104,7 @@
             return false;
         };
         if hub.loads.hear(part.clone()) {
+            hub.loads_ms = now_ms;
             self.loads.take();
         }
         true
@@ -290,6 +291,16 @@
             })
     }
 
+    /// Returns how many other hubs' loads count, and how old they are in sum, in
+    /// milliseconds.
+    pub fn loads_ages(&self) -> (u64, u64) {
+        let fresh = self.peers.values();
+        let fresh = fresh.filter(|p| p.has_fresh_loads(self.now_ms));
+        let ages = fresh.filter_map(|p| p.as_hub());
+        let ages = ages.map(|hub| self.now_ms.saturating_sub(hub.loads_ms));
+        ages.fold((0, 0), |(count, sum), age_ms| (count + 1, sum + age_ms))
+    }
+
     /// Tells what other hubs, and those that ask them, have at upstreams: requests
     /// and waiting prompt tokens.
     pub fn each_load(&self, mut tell: impl FnMut(&UpstreamId, u32, u64)) {
--- a/src/gateway/budgets.rs
+++ b/src/gateway/budgets.rs
@@ -107,11 +107,14 @@
 
     /// Logs that a request is beyond its client account's quota.
     pub fn log_refusal(&self, account: &AccountTerms, cost: f64, wait: Duration, request: &str) {
+        let (left, asked) = {
+            let quotas = self.quotas.lock();
+            (quotas.level(account), quotas.demand(account))
+        };
         log::warn!(
             target: "quota",
-            "refused. request={request} account={} cost={cost} left={:.0} rate={} burst={} wait_ms={}",
+            "refused. request={request} account={} cost={cost} left={left:.0} asked={asked:.0} rate={} burst={} wait_ms={}",
             account.name,
-            self.quotas.lock().level(account),
             account.rate_per_s,
             account.burst,
             wait.as_millis()
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -146,6 +146,14 @@
         sums
     }
 
+    /// Returns how old the loads are on average by which this daemon places, in
+    /// milliseconds: of those that ask it and of other hubs.
+    pub fn loads_age_ms(&self) -> u64 {
+        let (members, members_ms) = self.members.lock().loads_ages(self.steady_ms());
+        let (hubs, hubs_ms) = self.peers.lock().loads_ages();
+        (members_ms + hubs_ms) / (members + hubs).max(1)
+    }
+
     /// Places a request of another daemon, and takes its prompt as kept there.
     pub fn place_asked(&self, ask: &Ask, service: ServiceName, domain: FailureDomain) -> Verdict {
         let typed = |names: &[String]| -> Vec<UpstreamId> {
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -194,12 +194,13 @@
         let upstream = ready.upstreams[chosen].clone();
         log::info!(
             target: "place",
-            "placed. request={id} service={} upstream={} of={} home={} unread={unread_tokens} waiting={waiting_tokens} active={active} failure_rate={failure_rate:.2} avoided={avoided} directory={}",
+            "placed. request={id} service={} upstream={} of={} home={} unread={unread_tokens} waiting={waiting_tokens} active={active} failure_rate={failure_rate:.2} avoided={avoided} directory={} loads_age_ms={}",
             request.service,
             upstream.id,
             ready.upstreams.len(),
             home == Some(chosen),
-            self.directory.read().revision()
+            self.directory.read().revision(),
+            self.loads_age_ms()
         );
         Some(Placement {
             upstream,
--- a/src/policy/quota/book.rs
+++ b/src/policy/quota/book.rs
@@ -103,8 +103,14 @@
     /// waits end in service more likely than not. Beyond the rate, others take
     /// what comes in meanwhile.
     pub fn is_within_rate(&self, terms: &AccountTerms) -> bool {
+        self.demand(terms) <= terms.rate_per_s
+    }
+
+    /// Returns what all daemons together were asked for of an account's quota, in
+    /// units a second, as they told last.
+    pub fn demand(&self, terms: &AccountTerms) -> f64 {
         let told = self.last_notices.iter().find(|n| n.account == terms.name);
-        told.is_none_or(|n| n.demand <= terms.rate_per_s)
+        told.map_or(0.0, |n| n.demand)
     }
 
     /// Returns whether others should hear now of what was let in.
