Sight: the log tells which connections of clients were cut, and keeps its last lines

Now: a line and a counter for each connection that ends by an error or with unread bytes (by whom, after how many requests), a line for each request whose connection ended before its whole answer (explain shows it), and the writing thread is waited for, 200 ms at most, before the process ends. No change of what is served.

Test: gateway/logs (fails before: no such lines, no 'stopped').

--- a/src/cli/gateway_command.rs
+++ b/src/cli/gateway_command.rs
@@ -64,5 +64,6 @@
         }
     }
     process.stop().await;
+    log::logger().flush();
     Ok(())
 }
--- /dev/null
+++ b/src/gateway/client_socket.rs
@@ -0,0 +1,108 @@
+use {
+    socket2::SockRef,
+    std::{
+        io,
+        mem::MaybeUninit,
+        net::Shutdown,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll, ready},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+    },
+};
+
+/// What stands in a socket that nobody has read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// Nothing: the client rests, or what it sent is on its way.
+    Nothing,
+    /// Bytes. To close the socket now would reset the connection: the client's
+    /// kernel then throws away the answers that it has not read.
+    Bytes,
+    /// The end: the client has closed its side, or the connection is broken.
+    End,
+}
+
+/// A client's socket. It is shared by what serves requests on it and by what
+/// decides when it is closed.
+#[derive(Clone, Debug)]
+pub struct ClientSocket(Arc<TcpStream>);
+
+impl ClientSocket {
+    /// Takes over an accepted connection.
+    pub fn new(stream: TcpStream) -> Self {
+        Self(Arc::new(stream))
+    }
+
+    /// Looks at what stands in the socket, without reading it.
+    pub fn unread(&self) -> Unread {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&*self.0).peek(&mut byte) {
+            Ok(0) => Unread::End,
+            Ok(_) => Unread::Bytes,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => Unread::Nothing,
+            Err(_) => Unread::End,
+        }
+    }
+}
+
+impl AsyncRead for ClientSocket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(cx))?;
+            match self.0.try_read_buf(buf) {
+                Ok(_) => return Poll::Ready(Ok(())),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) => return Poll::Ready(Err(e)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for ClientSocket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[io::IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write_vectored(slices) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let ended = SockRef::from(&*self.0).shutdown(Shutdown::Write);
+        // One that the client has reset needs no end.
+        Poll::Ready(ended.or_else(|e| match e.kind() {
+            io::ErrorKind::NotConnected => Ok(()),
+            _ => Err(e),
+        }))
+    }
+}
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -10,9 +10,12 @@
         request::Parts,
     },
     http_body_util::{BodyExt, LengthLimitError, Limited},
-    hyper::body::Incoming,
+    hyper::body::{Body, Frame, Incoming, SizeHint},
     std::{
+        io,
+        pin::Pin,
         sync::{Arc, atomic::Ordering},
+        task::{Context, Poll, ready},
         time::Duration,
     },
     tokio::time::Instant,
@@ -30,19 +33,44 @@
 /// The longest wait that is told to a client account beyond its quota.
 const MAX_QUOTA_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Counts a request for as long as it is in flight.
-struct OpenRequest(Arc<Gateway>);
+/// Counts a request for as long as it is in flight, and tells of one whose
+/// connection ended first.
+struct OpenRequest {
+    gateway: Arc<Gateway>,
+    id: Option<HeaderValue>,
+    started: Instant,
+    has_ended: bool,
+}
 
 impl OpenRequest {
-    fn start(gateway: &Arc<Gateway>) -> Self {
+    fn start(gateway: &Arc<Gateway>, id: Option<HeaderValue>) -> Self {
         gateway.open_requests.fetch_add(1, Ordering::Relaxed);
-        Self(gateway.clone())
+        Self {
+            gateway: gateway.clone(),
+            id,
+            started: Instant::now(),
+            has_ended: false,
+        }
+    }
+
+    fn id_text(&self) -> &str {
+        let id = self.id.as_ref().and_then(|v| v.to_str().ok());
+        id.unwrap_or("-")
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+        self.gateway.open_requests.fetch_sub(1, Ordering::Relaxed);
+        if !self.has_ended {
+            log::info!(
+                target: "client",
+                "no whole answer: the connection ended. request={} after_ms={} stopping={}",
+                self.id_text(),
+                self.started.elapsed().as_millis(),
+                self.gateway.is_stopping()
+            );
+        }
     }
 }
 
@@ -51,9 +79,9 @@
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let open = OpenRequest::start(&gateway);
-    let started = Instant::now();
     let id = request.headers().get(&gateway.names.attempt_id).cloned();
+    let open = OpenRequest::start(&gateway, id);
+    let started = open.started;
     let (kind, answer) = match take_in(&gateway, request, started).await {
         Ok(context) => (
             context.route.kind.as_str(),
@@ -62,18 +90,13 @@
         Err(answer) => ("none", *answer),
     };
     record_answer(kind, answer.status(), started.elapsed());
-    log_answer(&gateway, id.as_ref(), &answer, started);
+    log_answer(&gateway, &open, &answer);
     keep_open(answer, open)
 }
 
 /// Logs the head of an answer: who gave it, after how long, by which
 /// configuration.
-fn log_answer(
-    gateway: &Gateway,
-    id: Option<&HeaderValue>,
-    answer: &Response<AnswerBody>,
-    started: Instant,
-) {
+fn log_answer(gateway: &Gateway, open: &OpenRequest, answer: &Response<AnswerBody>) {
     let status = answer.status();
     let level = match status.is_success() {
         true => log::Level::Info,
@@ -84,22 +107,46 @@
         target: "answer",
         level,
         "answered. request={} status={} own={is_own} after_ms={} config={}",
-        id.and_then(|v| v.to_str().ok()).unwrap_or("-"),
+        open.id_text(),
         status.as_u16(),
-        started.elapsed().as_millis(),
+        open.started.elapsed().as_millis(),
         gateway.config_version()
     );
 }
 
-/// Ties a request's count to its answer's body.
-fn keep_open(answer: Response<AnswerBody>, open: OpenRequest) -> Response<AnswerBody> {
-    answer.map(|body| {
-        body.map_frame(move |frame| {
-            let _ = &open;
-            frame
-        })
-        .boxed_unsync()
-    })
+/// Ties a request to its answer's body, until its last frame was taken.
+fn keep_open(answer: Response<AnswerBody>, mut open: OpenRequest) -> Response<AnswerBody> {
+    // An empty body is not asked for frames.
+    open.has_ended = answer.body().is_end_stream();
+    answer.map(|body| OpenBody { body, open }.boxed_unsync())
+}
+
+/// The body of a request's answer.
+struct OpenBody {
+    body: AnswerBody,
+    open: OpenRequest,
+}
+
+impl Body for OpenBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        self.open.has_ended |= frame.is_none() || self.body.is_end_stream();
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
 }
 
 async fn forward(gateway: &Arc<Gateway>, context: RequestContext) -> Response<AnswerBody> {
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -9,7 +9,7 @@
         future::ready,
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -90,13 +90,14 @@
         return;
     }
     connections.open.fetch_add(1, Ordering::Relaxed);
+    let socket = ClientSocket::new(stream);
     let limits = gateway.table().map(|t| t.config().limits.clone());
     let limits = limits.unwrap_or_default();
     let answering = gateway.clone();
-    let was_asked = Arc::new(AtomicBool::new(false));
-    let asked = was_asked.clone();
+    let requests = Arc::new(AtomicU64::new(0));
+    let asked = requests.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        asked.store(true, Ordering::Relaxed);
+        asked.fetch_add(1, Ordering::Relaxed);
         let gateway = answering.clone();
         async move {
             let mut answer = answer_client(gateway.clone(), request).await;
@@ -112,17 +113,21 @@
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(limits.max_header_bytes.max(16 * 1024) + 8 * 1024)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket.clone()), service);
     let mut closing = connections.closing.subscribe();
     tokio::pin!(connection);
     let mut told = false;
     loop {
         tokio::select! {
-            _ = &mut connection => break,
+            end = &mut connection => {
+                note_end(&socket, requests.load(Ordering::Relaxed), told, end.err());
+                break;
+            }
             _ = closing.wait_for(|closing| *closing), if !told => {
                 told = true;
                 // Without a first request, it would wait for one.
-                if !was_asked.load(Ordering::Relaxed) {
+                if requests.load(Ordering::Relaxed) == 0 {
+                    note_end(&socket, 0, told, None);
                     break;
                 }
                 connection.as_mut().graceful_shutdown();
@@ -132,6 +137,26 @@
     connections.open.fetch_sub(1, Ordering::Relaxed);
 }
 
+/// Tells of a connection that ends while bytes of its client stand unread, or
+/// by an error.
+fn note_end(socket: &ClientSocket, requests: u64, is_stop: bool, error: Option<hyper::Error>) {
+    let unread = socket.unread();
+    if error.is_none() && unread != Unread::Bytes {
+        return;
+    }
+    let by = match is_stop {
+        true => "stop",
+        false if error.is_none() => "daemon",
+        false => "error",
+    };
+    metrics::counter!(CUT_CONNECTIONS, "by" => by).increment(1);
+    log::info!(
+        target: "client",
+        "connection cut. by={by} requests={requests} unread={unread:?} error=\"{}\"",
+        error.map_or_else(|| "-".to_string(), |e| e.to_string())
+    );
+}
+
 /// Answers the balancer's question whether this daemon takes new clients.
 pub async fn serve_readiness(listener: TcpListener, gateway: Arc<Gateway>) {
     serve_plain(listener, move |request| {
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -16,6 +16,9 @@
 pub const QUOTA_REFUSALS: &str = "saddlepulley_quota_refusals_total";
 /// Counts streams that were broken off before their end.
 pub const BROKEN_STREAMS: &str = "saddlepulley_broken_streams_total";
+/// Counts connections of clients that ended while something of a client stood
+/// unread or a request had no whole answer, by who ended it.
+pub const CUT_CONNECTIONS: &str = "saddlepulley_cut_connections_total";
 /// Requests in flight.
 pub const OPEN_REQUESTS: &str = "saddlepulley_open_requests";
 /// The version of the configuration in force.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempts;
 mod budgets;
+mod client_socket;
 mod engines;
 mod event_border;
 mod follow_file;
@@ -23,6 +24,7 @@
 mod source_state;
 
 pub use {
-    answer::*, event_border::*, follow_file::*, gateway_state::*, header_names::*, hub_state::*,
-    intake::*, listen::*, metrics_page::*, placing::*, process::*, prompt::*, request_context::*,
+    answer::*, client_socket::*, event_border::*, follow_file::*, gateway_state::*,
+    header_names::*, hub_state::*, intake::*, listen::*, metrics_page::*, placing::*, process::*,
+    prompt::*, request_context::*,
 };
--- a/src/logs/log_writer.rs
+++ b/src/logs/log_writer.rs
@@ -7,29 +7,43 @@
         io::Write,
         sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel},
         thread,
+        time::Duration,
     },
 };
 
 /// How many lines may wait for a reader of standard output.
 const MAX_WAITING: usize = 1_024;
+/// About how much is written at a time, in bytes.
+const MAX_WRITE_BYTES: usize = 32 * 1024;
 /// The part that tells of dropped lines.
 const OWN_PART: &str = "log";
+/// How long is waited for the last lines to be written: a reader that has not
+/// taken them by then is slow or gone.
+const FLUSH_PATIENCE: Duration = Duration::from_millis(200);
+
+/// What the writing thread is given.
+enum Order {
+    /// A line to write.
+    Line(String),
+    /// To tell when all lines before it are written.
+    Flush(SyncSender<()>),
+}
 
 /// Writes lines from a thread of its own: whoever logs never waits.
 #[derive(Debug)]
 pub struct LogWriter {
     budget: Mutex<LineBudget>,
-    lines: SyncSender<String>,
+    orders: SyncSender<Order>,
 }
 
 impl LogWriter {
     /// Starts writing to an output.
     pub fn start(output: impl Write + Send + 'static) -> Self {
-        let (lines, waiting) = sync_channel(MAX_WAITING);
+        let (orders, waiting) = sync_channel(MAX_WAITING);
         thread::spawn(move || write_lines(output, &waiting));
         Self {
             budget: Mutex::default(),
-            lines,
+            orders,
         }
     }
 
@@ -75,7 +89,7 @@
         let Ok(text) = serde_json::to_string(&line) else {
             return;
         };
-        if let Err(TrySendError::Full(_)) = self.lines.try_send(text) {
+        if let Err(TrySendError::Full(_)) = self.orders.try_send(Order::Line(text)) {
             budget.note_dropped(part, 1);
         }
     }
@@ -95,25 +109,39 @@
         }
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let (done, written) = sync_channel(1);
+        if self.orders.try_send(Order::Flush(done)).is_ok() {
+            // In vain: the lines are lost with the process, as ones that nobody reads.
+            let _ = written.recv_timeout(FLUSH_PATIENCE);
+        }
+    }
 }
 
-fn write_lines(mut output: impl Write, waiting: &Receiver<String>) {
-    while let Ok(mut text) = waiting.recv() {
-        text.push('\n');
+fn write_lines(mut output: impl Write, waiting: &Receiver<Order>) {
+    while let Ok(first) = waiting.recv() {
+        let mut text = String::new();
+        let mut flushed = Vec::new();
+        let mut next = Some(first);
         // What stands ready goes out in one write.
-        while text.len() < 32 * 1024
-            && let Ok(next) = waiting.try_recv()
-        {
-            text.push_str(&next);
-            text.push('\n');
+        while let Some(order) = next {
+            match order {
+                Order::Line(line) => {
+                    text.push_str(&line);
+                    text.push('\n');
+                }
+                Order::Flush(done) => flushed.push(done),
+            }
+            let has_room = text.len() < MAX_WRITE_BYTES;
+            next = has_room.then(|| waiting.try_recv().ok()).flatten();
         }
-        if output
-            .write_all(text.as_bytes())
-            .and_then(|()| output.flush())
-            .is_err()
-        {
+        let written = output.write_all(text.as_bytes());
+        if written.and_then(|()| output.flush()).is_err() {
             return;
         }
+        for done in flushed {
+            // One that no longer waits needs no word.
+            let _ = done.try_send(());
+        }
     }
 }
--- a/tests/gateway/logs.rs
+++ b/tests/gateway/logs.rs
@@ -3,6 +3,7 @@
 use {
     crate::support::*,
     http::StatusCode,
+    nix::sys::signal::Signal,
     saddlepulley::logs::{LineBudget, LogLine, tell_story},
     saddlepulley_standin::runner::{Behaviour, Runner},
     std::{fs::File, io::BufReader, process::Stdio},
@@ -116,3 +117,24 @@
         "+0 ms collector: p: a. request=r1 cause=\"k\"\n+10 ms one p: b. request=r1\n"
     );
 }
+
+#[tokio::test]
+async fn the_log_tells_of_connections_that_end_first_and_of_the_end_of_a_stop() {
+    let runner = Runner::start("b1", 100).await.unwrap();
+    let out = TempDir::new().unwrap();
+    let path = out.path().join("log");
+    let routes = routes_file(1, &[&STREAM], &[&runner]);
+    let mut daemon = logging_daemon(File::create(&path).unwrap().into(), &routes).await;
+    let client = daemon.client().await;
+    client.ask_and_leave("a1", "/stream/resume/x").await;
+    let text = || std::fs::read_to_string(&path).unwrap();
+    eventually("told", async || {
+        text().contains("no whole answer: the connection ended. request=a1")
+    })
+    .await;
+    daemon.signal(Signal::SIGTERM);
+    assert!(daemon.wait_end().await);
+    let text = text();
+    let last = text.lines().last().expect("there are lines");
+    assert!(last.contains("stopped. requests=0"), "{last}");
+}
