--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,8 @@
 mod duties;
 mod large_configuration;
 mod logs;
+mod lost_requests;
+mod raw_client;
 mod repeats;
 mod soak;
 mod start;
