--- a/tests/gateway/lost_requests.rs
+++ b/tests/gateway/lost_requests.rs
@@ -14,7 +14,7 @@
     http::StatusCode,
     nix::sys::signal::Signal,
     saddlepulley_standin::runner::Runner,
-    std::time::Duration,
+    std::{fs, time::Duration},
 };
 
 const TRIES: usize = 12;
@@ -171,3 +171,19 @@
     let ending = client.answer().await;
     assert_eq!(ending.status(), Some(SERVED), "{ending:?}");
 }
+#[tokio::test]
+async fn a_connection_rests_as_long_as_the_configuration_in_force_allows() {
+    let runner = Runner::start("b1", 3).await.unwrap();
+    let with_idle = |version: u64, idle_ms: u64| {
+        let routes = routes_file(version, &[&IDEMPOTENT], &[&runner]);
+        format!("{routes}[config.limits]\nidle_timeout_ms = {idle_ms}\n")
+    };
+    let daemon = GatewayDaemon::start(&with_idle(1, 10_000)).await;
+    let mut client = RawClient::connect(daemon.clients).await.unwrap();
+    let ask = |attempt: &str| RawRequest::new(attempt, "/look/x", "key-1", 40);
+    assert_eq!(client.ask(&ask("a1")).await.status(), Some(SERVED));
+    fs::write(daemon.routes_path(), with_idle(2, 20_000)).unwrap();
+    tokio::time::sleep(Duration::from_secs(13)).await;
+    let ending = client.ask(&ask("a2")).await;
+    assert_eq!(ending.status(), Some(SERVED), "{ending:?}");
+}
