Connections of clients are closed by one rule that looks at what has arrived

Cause: three places closed connections without looking at their sockets. At the end of a stop's notice the listener was closed (the kernel resets what waits to be accepted), connections without a request were dropped, resting ones closed; an idle limit was the one of the moment of accepting, not of the configuration in force. Requests that had arrived were reset with them. A connection that was accepted but whose task had not run yet wasn't counted as open, so a stop could end under it.

Ruled out: closing all at the very end of the stop (what comes late can't be finished, and is run and cut); half-closing and reading on for idle connections (a request that crosses would be read and never answered).

Now a pure rule (policy/clients) decides on each connection that is to be closed: it waits for requests that are read, stand in the socket or have begun, leaves new clients and those just answered 400 ms to ask, and reads on for up to 1 s after a last answer. What waits to be accepted is accepted first. After its notice a stopping daemon takes what can't outlast it and refuses the rest with 503 (not run) instead of cutting it.

Connection resting 13 s after its limit was raised to 20 s: closed before, served after.

--- a/src/gateway/client_socket.rs
+++ b/src/gateway/client_socket.rs
@@ -1,4 +1,6 @@
 use {
+    crate::policy::ClientActivity,
+    parking_lot::Mutex,
     socket2::SockRef,
     std::{
         io,
@@ -29,18 +31,25 @@
 /// A client's socket. It is shared by what serves requests on it and by what
 /// decides when it is closed.
 #[derive(Clone, Debug)]
-pub struct ClientSocket(Arc<TcpStream>);
+pub struct ClientSocket {
+    stream: Arc<TcpStream>,
+    /// Is told when bytes were read.
+    activity: Arc<Mutex<ClientActivity>>,
+}
 
 impl ClientSocket {
     /// Takes over an accepted connection.
-    pub fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(stream))
+    pub fn new(stream: TcpStream, activity: Arc<Mutex<ClientActivity>>) -> Self {
+        Self {
+            stream: Arc::new(stream),
+            activity,
+        }
     }
 
     /// Looks at what stands in the socket, without reading it.
     pub fn unread(&self) -> Unread {
         let mut byte = [MaybeUninit::uninit()];
-        match SockRef::from(&*self.0).peek(&mut byte) {
+        match SockRef::from(&*self.stream).peek(&mut byte) {
             Ok(0) => Unread::End,
             Ok(_) => Unread::Bytes,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Unread::Nothing,
@@ -56,9 +65,14 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read_buf(buf) {
-                Ok(_) => return Poll::Ready(Ok(())),
+            ready!(self.stream.poll_read_ready(cx))?;
+            match self.stream.try_read_buf(buf) {
+                Ok(bytes) => {
+                    if bytes > 0 {
+                        self.activity.lock().note_bytes();
+                    }
+                    return Poll::Ready(Ok(()));
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
@@ -81,8 +95,8 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(cx))?;
-            match self.0.try_write_vectored(slices) {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write_vectored(slices) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -98,7 +112,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let ended = SockRef::from(&*self.0).shutdown(Shutdown::Write);
+        let ended = SockRef::from(&*self.stream).shutdown(Shutdown::Write);
         // One that the client has reset needs no end.
         Poll::Ready(ended.or_else(|e| match e.kind() {
             io::ErrorKind::NotConnected => Ok(()),
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -128,6 +128,8 @@
     pub(super) demand: Mutex<HashMap<ServiceName, DemandMeter>>,
     pub(super) engines: Mutex<HashMap<ServiceName, EngineModel>>,
     pub(super) rng: Mutex<ChaCha8Rng>,
+    /// When the planned stop began, by the steady clock, and its times.
+    stop: OnceLock<(u64, StopTimes)>,
     started: Instant,
 }
 
@@ -181,6 +183,7 @@
             demand: Mutex::default(),
             engines: Mutex::default(),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            stop: OnceLock::new(),
             started: Instant::now(),
         }
     }
@@ -242,6 +245,24 @@
         *self.phase.borrow() == GatewayPhase::Ready
     }
 
+    /// Begins a planned stop; returns its times.
+    pub fn begin_stop(&self) -> StopTimes {
+        let stop_ms = (self.settings.bounds.stop_s * 1_000.0) as u64;
+        let began = (self.steady_ms(), StopTimes::new(stop_ms));
+        let (_, times) = self.stop.get_or_init(|| began);
+        self.phase.send_replace(GatewayPhase::Stopping);
+        self.tell_early.notify_one();
+        *times
+    }
+
+    /// Returns whether a request is taken whose client waits for that long, in
+    /// milliseconds.
+    pub fn takes_request(&self, wait_ms: u64) -> bool {
+        let now_ms = self.steady_ms();
+        let stop = self.stop.get();
+        stop.is_none_or(|(began_ms, times)| times.takes(now_ms.saturating_sub(*began_ms), wait_ms))
+    }
+
     /// Returns whether this daemon will stop.
     pub fn is_stopping(&self) -> bool {
         *self.phase.borrow() == GatewayPhase::Stopping
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -23,6 +23,8 @@
 
 /// The wait that is told while a daemon has no configuration.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// The wait that is told by a daemon that stops: others take the request at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::ZERO;
 /// How long a request is held at the start until a configuration is there: its
 /// first read takes some milliseconds unless the source is in trouble.
 const CONFIG_PATIENCE: Duration = Duration::from_millis(100);
@@ -40,16 +42,18 @@
     id: Option<HeaderValue>,
     started: Instant,
     has_ended: bool,
+    _busy: BusyConnection,
 }
 
 impl OpenRequest {
-    fn start(gateway: &Arc<Gateway>, id: Option<HeaderValue>) -> Self {
+    fn start(gateway: &Arc<Gateway>, id: Option<HeaderValue>, busy: BusyConnection) -> Self {
         gateway.open_requests.fetch_add(1, Ordering::Relaxed);
         Self {
             gateway: gateway.clone(),
             id,
             started: Instant::now(),
             has_ended: false,
+            _busy: busy,
         }
     }
 
@@ -78,9 +82,10 @@
 pub async fn answer_client(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
+    busy: BusyConnection,
 ) -> Response<AnswerBody> {
     let id = request.headers().get(&gateway.names.attempt_id).cloned();
-    let open = OpenRequest::start(&gateway, id);
+    let open = OpenRequest::start(&gateway, id, busy);
     let started = open.started;
     let (kind, answer) = match take_in(&gateway, request, started).await {
         Ok(context) => (
@@ -206,6 +211,14 @@
     let prompt = Prompt::from_headers(&head.headers, &gateway.names);
     let wait_ms = number(&head.headers, &gateway.names.deadline_ms);
     let wait_ms = wait_ms.map_or(route.timeout_ms, |ms| ms.min(route.timeout_ms));
+    if !gateway.takes_request(wait_ms) {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(Box::new(refusal(
+            status,
+            "the daemon stops",
+            STOPPING_RETRY_AFTER,
+        )));
+    }
     let patience = patience(gateway, &service, &route);
     let context = RequestContext {
         placed: parking_lot::Mutex::default(),
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,15 +1,18 @@
 use {
-    super::{intake::say_close, *},
+    super::{client_connection::serve_client, *},
     crate::upstreams::set_socket_options,
+    futures_util::FutureExt,
     http::{Method, Request, Response, StatusCode},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
         convert::Infallible,
         future::ready,
+        io,
+        net::SocketAddr,
         sync::{
             Arc,
-            atomic::{AtomicU64, AtomicUsize, Ordering},
+            atomic::{AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -24,8 +27,8 @@
 /// How much of an answer of our own is taken before its client reads it, in
 /// bytes: some pieces of a large body.
 const PLAIN_BUFFER: usize = 64 * 1024;
-/// The least rest that a connection is allowed between requests.
-const MIN_IDLE: Duration = Duration::from_secs(10);
+/// The longest rest of a connection between requests to us.
+const MAX_IDLE: Duration = Duration::from_secs(10);
 
 /// The connections of clients.
 #[derive(Debug)]
@@ -56,6 +59,23 @@
     }
 }
 
+/// Counts a connection from the moment at which it was accepted: a stop waits for
+/// those, too, of which nothing was read yet.
+struct OpenConnection(Arc<ClientConnections>);
+
+impl OpenConnection {
+    fn new(connections: &Arc<ClientConnections>) -> Self {
+        connections.open.fetch_add(1, Ordering::Relaxed);
+        Self(connections.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Serves clients until idle connections are closed; then no more are accepted.
 pub async fn serve_clients(
     listener: TcpListener,
@@ -64,96 +84,66 @@
 ) {
     let mut closing = connections.closing.subscribe();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|closing| *closing) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let served = serve_client(stream, gateway.clone(), connections.clone());
-                tokio::spawn(served);
+        tokio::select! {
+            accepted = listener.accept() => {
+                if let Err(e) = serve_accepted(accepted, &gateway, &connections) {
+                    log::warn!(target: "listen", "accept failed. error=\"{e}\"");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
             }
-            Err(e) => {
-                log::warn!(target: "listen", "accept failed. error=\"{e}\"");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+            () = until_closing(&mut closing) => {
+                return serve_waiting(&listener, &gateway, &connections).await;
             }
         }
     }
 }
 
-async fn serve_client(
-    stream: TcpStream,
-    gateway: Arc<Gateway>,
-    connections: Arc<ClientConnections>,
-) {
-    if set_socket_options(&stream).is_err() {
-        return;
-    }
-    connections.open.fetch_add(1, Ordering::Relaxed);
-    let socket = ClientSocket::new(stream);
-    let limits = gateway.table().map(|t| t.config().limits.clone());
-    let limits = limits.unwrap_or_default();
-    let answering = gateway.clone();
-    let requests = Arc::new(AtomicU64::new(0));
-    let asked = requests.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        asked.fetch_add(1, Ordering::Relaxed);
-        let gateway = answering.clone();
-        async move {
-            let mut answer = answer_client(gateway.clone(), request).await;
-            if *gateway.phase.borrow() == GatewayPhase::Stopping {
-                say_close(&mut answer);
-            }
-            Ok::<_, Infallible>(answer)
-        }
+/// Waits until idle connections are to be closed.
+pub(super) async fn until_closing(closing: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the daemon: its end is a stop, too.
+    let _ = closing.wait_for(|closing| *closing).await;
+}
+
+fn serve_accepted(
+    accepted: io::Result<(TcpStream, SocketAddr)>,
+    gateway: &Arc<Gateway>,
+    connections: &Arc<ClientConnections>,
+) -> io::Result<()> {
+    let (stream, _) = accepted?;
+    let open = OpenConnection::new(connections);
+    let served = serve_client(stream, gateway.clone(), connections.closing.subscribe());
+    tokio::spawn(async move {
+        served.await;
+        drop(open);
     });
-    let idle = Duration::from_millis(limits.idle_timeout_ms).max(MIN_IDLE);
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(limits.max_header_bytes.max(16 * 1024) + 8 * 1024)
-        .serve_connection(TokioIo::new(socket.clone()), service);
-    let mut closing = connections.closing.subscribe();
-    tokio::pin!(connection);
-    let mut told = false;
+    Ok(())
+}
+
+/// Serves the connections that wait to be accepted: the kernel resets them, with the
+/// requests on them, when the listener is closed (12 of 12 that had come while the
+/// daemon got no processor time).
+async fn serve_waiting(
+    listener: &TcpListener,
+    gateway: &Arc<Gateway>,
+    connections: &Arc<ClientConnections>,
+) {
     loop {
-        tokio::select! {
-            end = &mut connection => {
-                note_end(&socket, requests.load(Ordering::Relaxed), told, end.err());
-                break;
-            }
-            _ = closing.wait_for(|closing| *closing), if !told => {
-                told = true;
-                // Without a first request, it would wait for one.
-                if requests.load(Ordering::Relaxed) == 0 {
-                    note_end(&socket, 0, told, None);
+        // What has come is known once the event loop has looked.
+        tokio::task::yield_now().await;
+        let mut is_last = true;
+        while let Some(accepted) = listener.accept().now_or_never() {
+            match serve_accepted(accepted, gateway, connections) {
+                Ok(()) => is_last = false,
+                Err(e) => {
+                    log::warn!(target: "listen", "accept failed. error=\"{e}\"");
                     break;
                 }
-                connection.as_mut().graceful_shutdown();
             }
         }
+        if is_last {
+            return;
+        }
     }
-    connections.open.fetch_sub(1, Ordering::Relaxed);
-}
-
-/// Tells of a connection that ends while bytes of its client stand unread, or
-/// by an error.
-fn note_end(socket: &ClientSocket, requests: u64, is_stop: bool, error: Option<hyper::Error>) {
-    let unread = socket.unread();
-    if error.is_none() && unread != Unread::Bytes {
-        return;
-    }
-    let by = match is_stop {
-        true => "stop",
-        false if error.is_none() => "daemon",
-        false => "error",
-    };
-    metrics::counter!(CUT_CONNECTIONS, "by" => by).increment(1);
-    log::info!(
-        target: "client",
-        "connection cut. by={by} requests={requests} unread={unread:?} error=\"{}\"",
-        error.map_or_else(|| "-".to_string(), |e| e.to_string())
-    );
 }
 
 /// Answers the balancer's question whether this daemon takes new clients.
@@ -193,7 +183,7 @@
         tokio::spawn(async move {
             let connection = http1::Builder::new()
                 .timer(TokioTimer::new())
-                .header_read_timeout(MIN_IDLE)
+                .header_read_timeout(MAX_IDLE)
                 .max_buf_size(PLAIN_BUFFER)
                 .serve_connection(TokioIo::new(stream), service);
             // A client that goes away is no matter.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod answer;
 mod attempts;
 mod budgets;
+mod client_connection;
 mod client_socket;
 mod engines;
 mod event_border;
@@ -24,7 +25,7 @@
 mod source_state;
 
 pub use {
-    answer::*, client_socket::*, event_border::*, follow_file::*, gateway_state::*,
-    header_names::*, hub_state::*, intake::*, listen::*, metrics_page::*, placing::*, process::*,
-    prompt::*, request_context::*,
+    answer::*, client_connection::*, client_socket::*, event_border::*, follow_file::*,
+    gateway_state::*, header_names::*, hub_state::*, intake::*, listen::*, metrics_page::*,
+    placing::*, process::*, prompt::*, request_context::*,
 };
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -13,11 +13,7 @@
     },
 };
 
-/// For how long a stopping daemon still takes requests, so that the balancer and
-/// clients learn of it.
-const STOP_NOTICE: Duration = Duration::from_millis(2_600);
-/// Of the time for a stop, how much is used.
-const STOP_USE: f64 = 0.92;
+/// How often a daemon that stops looks whether it has work.
 const STOP_POLL: Duration = Duration::from_millis(50);
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
 
@@ -86,17 +82,21 @@
     /// only then closes idle connections.
     pub async fn stop(mut self) {
         let began = Instant::now();
-        let limit = Duration::from_secs_f64(self.gateway.settings.bounds.stop_s * STOP_USE);
-        self.gateway.phase.send_replace(GatewayPhase::Stopping);
-        self.gateway.tell_early.notify_one();
+        let times = self.gateway.begin_stop();
         log::info!(target: "gateway", "stopping. requests={}", self.open_requests());
-        tokio::time::sleep(STOP_NOTICE.min(limit / 2)).await;
-        // What comes from here on could not be finished: it goes elsewhere.
+        tokio::time::sleep(Duration::from_millis(times.notice_ms)).await;
         self.connections.close_idle();
-        while began.elapsed() < limit && self.has_work() {
+        let end = Duration::from_millis(times.end_ms);
+        while began.elapsed() < end && self.has_work() {
             tokio::time::sleep(STOP_POLL).await;
         }
-        log::info!(target: "gateway", "stopped. requests={}", self.open_requests());
+        log::info!(
+            target: "gateway",
+            "stopped. requests={} connections={} after_ms={}",
+            self.open_requests(),
+            self.connections.open(),
+            began.elapsed().as_millis()
+        );
         self.tasks.abort_all();
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,7 @@
 mod claim;
 mod claim_fold;
 mod claimant;
+mod clients;
 mod concurrency;
 mod domain_reach;
 mod duty_log;
@@ -38,9 +39,9 @@
 
 pub use {
     admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
-    claimant::*, concurrency::*, domain_reach::*, duty_log::*, engine_model::*, engine_times::*,
-    estimate::*, first_event::*, fleet::*, holder::*, hubs::*, lease::*, neighbours::*,
-    placement::*, placement_cheapest::*, placement_keep_work::*, placement_naive::*, quota::*,
-    reading_speed::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*, sources::*,
-    spill::*, splice::*, stall::*, usage_due::*, usage_windows::*,
+    claimant::*, clients::*, concurrency::*, domain_reach::*, duty_log::*, engine_model::*,
+    engine_times::*, estimate::*, first_event::*, fleet::*, holder::*, hubs::*, lease::*,
+    neighbours::*, placement::*, placement_cheapest::*, placement_keep_work::*, placement_naive::*,
+    quota::*, reading_speed::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*,
+    sources::*, spill::*, splice::*, stall::*, usage_due::*, usage_windows::*,
 };
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod box_facts;
 mod claim_exploration;
+mod clients;
 mod cluster_support;
 mod config_spread;
 mod datagrams;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod large_configuration;
 mod logs;
 mod lost_requests;
+mod planned_soak;
 mod raw_client;
 mod repeats;
 mod soak;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -262,11 +262,17 @@
     pub async fn wait_end(&mut self) -> bool {
         let mut ended = None;
         eventually("ended", async || {
-            ended = self.child.try_wait().unwrap();
+            ended = self.has_ended();
             ended.is_some()
         })
         .await;
-        ended.is_some_and(|status| status.success())
+        ended == Some(true)
+    }
+
+    /// Returns whether the process ended well; none while it runs.
+    pub fn has_ended(&mut self) -> Option<bool> {
+        let ended = self.child.try_wait().unwrap();
+        ended.map(|status| status.success())
     }
 }
 
