--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,6 +1,6 @@
 use {
     super::{client_connection::serve_client, *},
-    crate::upstreams::set_socket_options,
+    crate::upstreams::{UNACKNOWLEDGED_TIMEOUT, set_socket_options},
     futures_util::FutureExt,
     http::{Method, Request, Response, StatusCode},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
@@ -172,7 +172,7 @@
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        if set_socket_options(&stream).is_err() {
+        if set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT).is_err() {
             continue;
         }
         let answer = answer.clone();
--- a/src/upstreams/upstream_pool.rs
+++ b/src/upstreams/upstream_pool.rs
@@ -15,8 +15,9 @@
     tokio::{net::TcpStream, task::AbortHandle},
 };
 
-/// How long sent bytes may stay unacknowledged before a connection is given up.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long sent bytes may stay unacknowledged, or unread by the other side, before
+/// a connection to an upstream or a daemon is given up.
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 const KEEPALIVE_PROBE: Duration = Duration::from_secs(1);
 /// How long a connection rests at most before it is closed.
 const MAX_IDLE: Duration = Duration::from_secs(20);
@@ -106,7 +107,7 @@
             .await
             .map_err(|_| not_sent(&"no connection in time"))?
             .map_err(|e| not_sent(&e))?;
-        set_socket_options(&stream).map_err(|e| not_sent(&e))?;
+        set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT).map_err(|e| not_sent(&e))?;
         // A request that is taken back must not arrive later.
         reset_on_close(&stream).map_err(|e| not_sent(&e))?;
         let (sender, connection) = http1::Builder::new()
@@ -125,15 +126,17 @@
     }
 }
 
-/// Makes a dead peer known within seconds.
+/// Makes a dead peer known after a time. A peer that lives and doesn't read is one of
+/// them, also for probes that it acknowledges: the kernel counts from when its window
+/// closed.
 ///
 /// # Errors
 ///
 /// Returns the error of the socket.
-pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+pub fn set_socket_options(stream: &TcpStream, dead_after: Duration) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(dead_after))?;
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_PROBE)
         .with_interval(KEEPALIVE_PROBE)
