A planned stop tells its last counts, and what it has heard, until they are heard

Cause: counts of usage live in daemons only.

Now a stop ends with telling: own counts, and for the windows that may still be reported all that was heard of others, each 100 ms until the holder and those that watch it have heard, 1.5 s at most. What is passed on claims nothing about being whole.

Ruled out: counts in the store (a write for each daemon and window, and news no earlier).

--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -64,8 +64,9 @@
         }
         Datagram::Usage(part) => hear_usage(gateway, &part, from, now_ms).await,
         Datagram::UsageHeard(heard) => {
-            if heard.life == gateway.incarnation {
-                gateway.usage_teller.lock().hear(from, heard);
+            let mut tellers = gateway.usage_tellers.lock();
+            if let Some(teller) = tellers.get_mut(&heard.life) {
+                teller.hear(from, heard);
             }
         }
     }
@@ -207,7 +208,9 @@
     {
         let mut usage = gateway.usage.lock();
         usage.merge(&part.name, part.life, &told);
-        usage.note_whole(&part.name, part.whole_before, now_ms);
+        if part.whole_before > 0 {
+            usage.note_whole(&part.name, part.whole_before, now_ms);
+        }
     }
     let heard = UsageHeard {
         holder_life: gateway.incarnation,
--- a/src/cluster/usage_part.rs
+++ b/src/cluster/usage_part.rs
@@ -14,7 +14,7 @@
     /// Rises with each part of a life.
     pub number: u64,
     /// All windows before this one are over, and the holder has heard all of
-    /// them.
+    /// them; 0 where another daemon passes on what it has heard.
     pub whole_before: u64,
     /// A window.
     pub window: u64,
--- a/src/cluster/usage_teller.rs
+++ b/src/cluster/usage_teller.rs
@@ -1,6 +1,10 @@
 use {
     super::*,
-    crate::{gateway::Gateway, names::now_ms, policy::AccountCounts},
+    crate::{
+        gateway::Gateway,
+        names::now_ms,
+        policy::{AccountCounts, HeardUsage},
+    },
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -11,10 +15,14 @@
 
 /// How often counts are told that the holder of the duties has not heard.
 const USAGE_EVERY: Duration = Duration::from_millis(500);
+/// The same for a daemon that stops: some round trips between failure domains.
+const LAST_USAGE_EVERY: Duration = Duration::from_millis(100);
+/// The window before which all is told where nothing is known to be.
+const NOTHING_WHOLE: u64 = 0;
 /// How many windows are told: as many as are kept.
 const TOLD_WINDOWS: usize = 8;
 
-/// What holders of the duties have heard of this daemon's counts.
+/// What holders of the duties have heard of the counts of one life of a daemon.
 #[derive(Debug, Default)]
 pub struct UsageTeller {
     last_number: u64,
@@ -107,21 +115,73 @@
     }
     loop {
         tokio::time::sleep(USAGE_EVERY).await;
-        // Those that watch the holder hear the same: one that takes over must
-        // report windows that are all but due.
-        let holders = gateway.peers.lock().duty_daemons();
-        let own = gateway.usage.lock().newest(TOLD_WINDOWS);
-        let window = gateway.window_of(now_ms());
-        let name = gateway.settings.node.name.as_str();
-        for holder in holders.into_keys() {
-            if holder.0 == gateway.settings.listen.peers {
-                continue;
+        tell_own(&gateway).await;
+    }
+}
+
+/// Tells the last counts of a daemon that stops, and what it has heard of others,
+/// until holders of the duties have heard it. Counts live in daemons only: of those
+/// that stopped before, nobody else may be left who knows them.
+pub async fn tell_last_usage(gateway: &Gateway, patience: Duration) {
+    if !gateway.settings.duties.usage || gateway.daemons() < 2 {
+        return;
+    }
+    let told = async {
+        loop {
+            let own = tell_own(gateway).await;
+            let heard = tell_heard(gateway).await;
+            if own && heard {
+                return;
             }
-            let daemon = (name, gateway.incarnation);
+            tokio::time::sleep(LAST_USAGE_EVERY).await;
+        }
+    };
+    if tokio::time::timeout(patience, told).await.is_err() {
+        log::warn!(target: "duties", "the last counts were not heard. patience_ms={}", patience.as_millis());
+    }
+}
+
+/// Tells the own counts; returns whether holders of the duties have heard all.
+async fn tell_own(gateway: &Gateway) -> bool {
+    let counts = HeardUsage {
+        name: gateway.settings.node.name.to_string(),
+        life: gateway.incarnation,
+        windows: gateway.usage.lock().newest(TOLD_WINDOWS),
+    };
+    let window = gateway.window_of(now_ms());
+    tell_all(gateway, &[counts], window).await
+}
+
+/// Tells what was heard of others and may still be reported; returns whether
+/// holders of the duties have heard all.
+async fn tell_heard(gateway: &Gateway) -> bool {
+    let duties = &gateway.settings.duties;
+    let due_windows = (duties.usage_delay_s / duties.usage_window_s.max(1)) + 1;
+    let window = gateway.window_of(now_ms());
+    let heard = gateway
+        .usage
+        .lock()
+        .heard(window.saturating_sub(due_windows));
+    // Whether it is all that they counted, only they can say.
+    tell_all(gateway, &heard, NOTHING_WHOLE).await
+}
+
+async fn tell_all(gateway: &Gateway, all: &[HeardUsage], window: u64) -> bool {
+    // Those that watch the holder hear the same: one that takes over must
+    // report windows that are all but due.
+    let holders = gateway.peers.lock().duty_daemons();
+    let own_address = gateway.settings.listen.peers;
+    let holders: Vec<_> = holders.into_keys().filter(|h| h.0 != own_address).collect();
+    let mut is_heard = !holders.is_empty();
+    for counts in all {
+        for holder in &holders {
             let parts = {
-                let mut teller = gateway.usage_teller.lock();
-                teller.parts(daemon, holder, &own, window)
+                let mut tellers = gateway.usage_tellers.lock();
+                let teller = tellers.entry(counts.life).or_default();
+                let daemon = (counts.name.as_str(), counts.life);
+                teller.parts(daemon, *holder, &counts.windows, window)
             };
+            is_heard &= parts.is_empty();
             for part in parts {
                 gateway
                     .send_datagram(&Datagram::Usage(part), holder.0)
@@ -129,4 +189,5 @@
             }
         }
     }
+    is_heard
 }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -84,8 +84,9 @@
     pub events: Mutex<EventLog>,
     /// What is let in while no hub answers.
     pub lone_quotas: Mutex<LoneQuotas>,
-    /// What holders of the duties have heard of this daemon's counts.
-    pub usage_teller: Mutex<UsageTeller>,
+    /// What holders of the duties have heard of the counts of daemons, by their life:
+    /// of this one, and at its stop of those that it has heard of.
+    pub usage_tellers: Mutex<HashMap<u64, UsageTeller>>,
     /// Wakes the task that reports to hubs.
     pub report_early: Notify,
     /// Requests that began, by window and client account.
@@ -159,7 +160,7 @@
             hub_desk: HubDesk::default(),
             events: Mutex::default(),
             lone_quotas: Mutex::default(),
-            usage_teller: Mutex::default(),
+            usage_tellers: Mutex::default(),
             report_early: Notify::new(),
             usage: Mutex::default(),
             quotas: Mutex::new(quotas),
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -15,6 +15,9 @@
 
 /// How often a daemon that stops looks whether it has work.
 const STOP_POLL: Duration = Duration::from_millis(50);
+/// How long a daemon that stops tells its last counts at most: a holder of the duties
+/// that was lost is replaced within about half of it.
+const LAST_USAGE_PATIENCE: Duration = Duration::from_millis(1_500);
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
 
 /// A daemon on the routed path that runs.
@@ -90,6 +93,8 @@
         while began.elapsed() < end && self.has_work() {
             tokio::time::sleep(STOP_POLL).await;
         }
+        let left = end.saturating_sub(began.elapsed());
+        cluster::tell_last_usage(&self.gateway, left.min(LAST_USAGE_PATIENCE)).await;
         log::info!(
             target: "gateway",
             "stopped. requests={} connections={} after_ms={}",
--- a/src/policy/usage_windows.rs
+++ b/src/policy/usage_windows.rs
@@ -9,6 +9,17 @@
 /// Requests that began to run, by client account.
 pub type AccountCounts = BTreeMap<ClientAccount, u64>;
 
+/// What was heard of the counts of one life of another daemon.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeardUsage {
+    /// The daemon's name.
+    pub name: String,
+    /// Which life of it.
+    pub life: u64,
+    /// Its counts by window.
+    pub windows: Vec<(u64, AccountCounts)>,
+}
+
 /// Counts of requests that began to run, by window of the wall clock.
 #[derive(Clone, Debug, Default)]
 pub struct UsageWindows {
@@ -33,6 +44,23 @@
         newest.map(|(w, c)| (*w, c.clone())).collect()
     }
 
+    /// Returns what was heard of other daemons' counts, from a window on.
+    pub fn heard(&self, from_window: u64) -> Vec<HeardUsage> {
+        let mut heard = Vec::new();
+        for ((name, life), windows) in &self.others {
+            let late = windows.range(from_window..);
+            let late: Vec<_> = late.map(|(w, counts)| (*w, counts.clone())).collect();
+            if !late.is_empty() {
+                heard.push(HeardUsage {
+                    name: name.clone(),
+                    life: *life,
+                    windows: late,
+                });
+            }
+        }
+        heard
+    }
+
     /// Takes in what one life of another daemon has counted.
     pub fn merge(&mut self, node: &str, incarnation: u64, counts: &[(u64, AccountCounts)]) {
         let known = self
--- a/tests/decisions/usage.rs
+++ b/tests/decisions/usage.rs
@@ -69,3 +69,44 @@
     let parts = teller.parts(("n", 1), (address(1), 6), &own.newest(8), 7);
     assert_eq!(parts[0].counts, [("t".to_string(), 1)]);
 }
+
+/// Daemons stop one after the other, and with them each that knew their counts: a
+/// holder of the duties that came late reports them all the same.
+#[test]
+fn what_a_stopping_daemon_has_heard_reaches_a_holder_that_came_late() {
+    let account = ClientAccount::from("t");
+    let counts = |n: u64| [(account.clone(), n)].into_iter().collect();
+    let mut first_holder = UsageWindows::default();
+    first_holder.merge("gone", 1, &[(3, counts(2)), (7, counts(5)), (8, counts(6))]);
+    first_holder.merge("lives", 2, &[(8, counts(1))]);
+    first_holder.note_whole("lives", 8, 1_000);
+
+    let mut second_holder = UsageWindows::default();
+    for heard in first_holder.heard(7) {
+        let mut teller = UsageTeller::default();
+        let daemon = (heard.name.as_str(), heard.life);
+        let parts = teller.parts(daemon, (address(1), 6), &heard.windows, 0);
+        for part in parts {
+            assert_eq!(
+                part.whole_before, 0,
+                "only a daemon itself says what is whole"
+            );
+            let told = part.counts.iter();
+            let told = told.map(|(a, n)| (a.as_str().into(), u64::from(*n)));
+            second_holder.merge(&part.name, part.life, &[(part.window, told.collect())]);
+            teller.hear(
+                address(1),
+                UsageHeard {
+                    holder_life: 6,
+                    life: part.life,
+                    number: part.number,
+                },
+            );
+        }
+        let again = teller.parts(daemon, (address(1), 6), &heard.windows, 0);
+        assert!(again.is_empty(), "all of it was heard: {again:?}");
+    }
+    assert_eq!(second_holder.total(7), counts(5));
+    assert_eq!(second_holder.total(8), counts(7));
+    assert!(second_holder.total(3).is_empty(), "it is long reported");
+}
