--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -12,6 +12,7 @@
 mod promise_survives;
 mod promise_table;
 mod promise_whole;
+mod refused_early;
 mod soak;
 // The benches use parts of it that the tests don't.
 #[allow(dead_code, unused_imports)]
