Signals are taken in before anything else at a start

Until its handlers stand, a hangup ends a process. They came after the settings were read; now they come first. What is left of that window lies before the program begins.

--- a/src/cli/gateway_command.rs
+++ b/src/cli/gateway_command.rs
@@ -8,7 +8,7 @@
     },
     pico_args::Arguments,
     std::{path::PathBuf, sync::Arc},
-    tokio::signal::unix::{SignalKind, signal},
+    tokio::signal::unix::{Signal, SignalKind, signal},
 };
 
 /// Names the settings file where the command line doesn't.
@@ -26,19 +26,50 @@
     let path = path.or_else(from_variable).ok_or_else(|| {
         CliError::Usage(format!("expected --settings FILE or {SETTINGS_VARIABLE}"))
     })?;
-    let settings = GatewaySettings::read(&path)?;
-    LogWriter::install().map_err(|e| CliError::Failed(e.to_string()))?;
     // One machine has a fraction of one core: more threads would only wait.
-    tokio::runtime::Builder::new_current_thread()
+    let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
-        .build()?
-        .block_on(run_gateway(settings))
+        .build()?;
+    // First of all: until then a hangup ends the process.
+    let signals = {
+        let _context = runtime.enter();
+        Signals::take_over()?
+    };
+    let settings = GatewaySettings::read(&path)?;
+    LogWriter::install().map_err(|e| CliError::Failed(e.to_string()))?;
+    runtime.block_on(run_gateway(settings, signals))
+}
+
+/// The signals that a daemon takes in.
+struct Signals {
+    term: Signal,
+    interrupt: Signal,
+    hangup: Signal,
 }
 
-async fn run_gateway(settings: GatewaySettings) -> Result<(), CliError> {
-    let mut term = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+impl Signals {
+    fn take_over() -> std::io::Result<Self> {
+        Ok(Self {
+            term: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Waits for a planned stop.
+    async fn until_stop(mut self) {
+        loop {
+            tokio::select! {
+                _ = self.term.recv() => return,
+                _ = self.interrupt.recv() => return,
+                // Nothing in the settings changes while a daemon runs.
+                _ = self.hangup.recv() => log::info!(target: "gateway", "hangup: settings are read at the next start"),
+            }
+        }
+    }
+}
+
+async fn run_gateway(settings: GatewaySettings, signals: Signals) -> Result<(), CliError> {
     let source = settings.source.clone();
     let names = match source {
         SourceSettings::File { .. } => HeaderNames::default(),
@@ -55,14 +86,7 @@
             attach_platform(&mut process, store, cloud);
         }
     }
-    loop {
-        tokio::select! {
-            _ = term.recv() => break,
-            _ = interrupt.recv() => break,
-            // Nothing in the settings changes while a daemon runs.
-            _ = hangup.recv() => log::info!(target: "gateway", "hangup: settings are read at the next start"),
-        }
-    }
+    signals.until_stop().await;
     process.stop().await;
     log::logger().flush();
     Ok(())
