A planned stop gives the lease of the duties back

Cause: a holder that stops left its lease to run out.

Now the holder appends a renewal with a term of nothing: whoever reads it may take the lease. The fence still rises, and one given back in vain takes nothing from a successor. Test first: decisions/duties (it had nothing to call before).

--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -76,6 +76,9 @@
                 continue;
             }
             if stopping || (!holds && other_holds) {
+                if stopping && holds {
+                    self.release_lease().await;
+                }
                 self.tell(false);
                 holds = false;
                 self.watch_holder().await;
@@ -153,6 +156,21 @@
         Ok(taken && self.log.fence_for(0, self.gateway.steady_ms()).is_some())
     }
 
+    /// Gives the lease back, so that a planned stop leaves the duties to a successor at
+    /// once: with a term of 3 s to wait for, it acted 2.3 to 3.1 s after the stop, and a
+    /// report came 0.2 s late (two rolling stops of 77 daemons).
+    async fn release_lease(&mut self) {
+        let now_ms = self.gateway.steady_ms();
+        let Some(lease) = self.log.release(now_ms) else {
+            return;
+        };
+        self.log.sending(&lease, now_ms);
+        if let Err(e) = self.append(DutyRecord::Lease(lease)).await {
+            // It runs out by itself.
+            log::info!(target: "duties", "the lease was not given back. error=\"{e}\"");
+        }
+    }
+
     /// Appends a record where the topic was read to; returns whether it was taken.
     async fn append(&mut self, record: DutyRecord) -> Result<bool, BorderError> {
         let end = self.log.next();
--- a/src/policy/duty_log.rs
+++ b/src/policy/duty_log.rs
@@ -105,6 +105,17 @@
         self.view.step(&self.me, self.term_ms, now_ms)
     }
 
+    /// Returns the record by which the holder gives the lease back: one that is over as
+    /// soon as it is taken. A successor need not wait for the term's end.
+    pub fn release(&self, now_ms: u64) -> Option<LeaseRecord> {
+        self.view.may_act(now_ms)?;
+        Some(LeaseRecord {
+            by: self.me.clone(),
+            follows: self.view.lease().fence(),
+            term_ms: 0,
+        })
+    }
+
     /// Notes that a lease record is sent.
     pub fn sending(&mut self, lease: &LeaseRecord, now_ms: u64) {
         let again = self
--- a/tests/decisions/duties.rs
+++ b/tests/decisions/duties.rs
@@ -55,6 +55,33 @@
     assert_eq!(a.fence_for(0, 5_000), None);
 }
 
+#[test]
+fn a_lease_that_is_given_back_can_be_taken_at_once() {
+    let mut records = Vec::new();
+    let mut a = DutyLog::new(claimer("a"), TERM_MS);
+    let mut b = DutyLog::new(claimer("b"), TERM_MS);
+    assert!(take(&mut a, &mut records, 0));
+    let fence_a = a.fence_for(0, 10).unwrap();
+    assert!(!take(&mut b, &mut records, 1_000));
+    assert_eq!(b.release(1_000), None, "it is not b's");
+    let release = a.release(1_000).expect("a holds it");
+    a.sending(&release, 1_000);
+    records.push(DutyRecord::Lease(release));
+    read(&mut a, &records, 1_010);
+    assert_eq!(a.fence_for(0, 1_010), None, "a acts no more");
+    assert!(take(&mut b, &mut records, 1_020));
+    assert!(b.fence_for(0, 1_030).unwrap() > fence_a);
+    // Given back in vain: one that took it meanwhile keeps it.
+    let late = LeaseRecord {
+        by: claimer("a"),
+        follows: 1,
+        term_ms: 0,
+    };
+    records.push(DutyRecord::Lease(late));
+    read(&mut b, &records, 1_040);
+    assert!(b.fence_for(0, 1_050).is_some());
+}
+
 #[test]
 fn the_fence_stays_while_the_holder_renews() {
     let mut records = Vec::new();
