What a stopping daemon has heard of others goes to those that came later only

Cause: it was passed on to all that are told usage, each 100 ms, whole: some 600 parts for each of three, from a box with 0.12 of a core.

Now each is told only what was last heard before it became one of them: the rest it has heard itself. Rounds are 200 ms apart. Test: decisions/usage.

--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -208,6 +208,7 @@
     {
         let mut usage = gateway.usage.lock();
         usage.merge(&part.name, part.life, &told);
+        usage.note_heard(&part.name, part.life, now_ms);
         if part.whole_before > 0 {
             usage.note_whole(&part.name, part.whole_before, now_ms);
         }
--- a/src/cluster/usage_teller.rs
+++ b/src/cluster/usage_teller.rs
@@ -15,8 +15,9 @@
 
 /// How often counts are told that the holder of the duties has not heard.
 const USAGE_EVERY: Duration = Duration::from_millis(500);
-/// The same for a daemon that stops: some round trips between failure domains.
-const LAST_USAGE_EVERY: Duration = Duration::from_millis(100);
+/// The same for a daemon that stops: some round trips between failure domains, and
+/// time for a small box to answer.
+const LAST_USAGE_EVERY: Duration = Duration::from_millis(200);
 /// The window before which all is told where nothing is known to be.
 const NOTHING_WHOLE: u64 = 0;
 /// How many windows are told: as many as are kept.
@@ -115,79 +116,111 @@
     }
     loop {
         tokio::time::sleep(USAGE_EVERY).await;
-        tell_own(&gateway).await;
+        tell_own(&gateway, &duty_daemons(&gateway)).await;
     }
 }
 
-/// Tells the last counts of a daemon that stops, and what it has heard of others,
-/// until holders of the duties have heard it. Counts live in daemons only: of those
-/// that stopped before, nobody else may be left who knows them.
+/// Tells the last counts of a daemon that stops, until holders of the duties have
+/// heard them, and what it has heard of others to those holders that came after.
+/// Counts live in daemons only: of those that stopped before, nobody else may be left
+/// who knows them.
 pub async fn tell_last_usage(gateway: &Gateway, patience: Duration) {
     if !gateway.settings.duties.usage || gateway.daemons() < 2 {
         return;
     }
     let told = async {
         loop {
-            let own = tell_own(gateway).await;
-            let heard = tell_heard(gateway).await;
-            if own && heard {
+            let holders = duty_daemons(gateway);
+            let mut is_heard = !holders.is_empty();
+            is_heard &= tell_own(gateway, &holders).await;
+            for holder in &holders {
+                is_heard &= pass_on(gateway, holder).await;
+            }
+            if is_heard {
                 return;
             }
             tokio::time::sleep(LAST_USAGE_EVERY).await;
         }
     };
     if tokio::time::timeout(patience, told).await.is_err() {
-        log::warn!(target: "duties", "the last counts were not heard. patience_ms={}", patience.as_millis());
+        log::warn!(
+            target: "duties",
+            "the last counts were not heard. patience_ms={}",
+            patience.as_millis()
+        );
     }
 }
 
-/// Tells the own counts; returns whether holders of the duties have heard all.
-async fn tell_own(gateway: &Gateway) -> bool {
+/// A daemon that holds the duties or watches who does.
+struct DutyListener {
+    address: SocketAddr,
+    life: u64,
+    /// Since when it is known to be one, by the steady clock.
+    since_ms: u64,
+}
+
+/// Returns the other daemons that are told usage. Those that watch the holder hear
+/// the same as it: one that takes over must report windows that are all but due.
+fn duty_daemons(gateway: &Gateway) -> Vec<DutyListener> {
+    let now_ms = gateway.steady_ms();
+    let own_address = gateway.settings.listen.peers;
+    let known = gateway.peers.lock().duty_daemons();
+    let mut since = gateway.duty_daemons_since.lock();
+    since.retain(|daemon, _| known.contains_key(daemon));
+    let others = known.into_keys().filter(|(at, _)| *at != own_address);
+    others
+        .map(|(address, life)| DutyListener {
+            address,
+            life,
+            since_ms: *since.entry((address, life)).or_insert(now_ms),
+        })
+        .collect()
+}
+
+/// Tells the own counts; returns whether all that are told usage have heard all.
+async fn tell_own(gateway: &Gateway, holders: &[DutyListener]) -> bool {
     let counts = HeardUsage {
         name: gateway.settings.node.name.to_string(),
         life: gateway.incarnation,
         windows: gateway.usage.lock().newest(TOLD_WINDOWS),
     };
     let window = gateway.window_of(now_ms());
-    tell_all(gateway, &[counts], window).await
+    let mut is_heard = true;
+    for holder in holders {
+        is_heard &= tell(gateway, holder, &counts, window).await;
+    }
+    is_heard
 }
 
-/// Tells what was heard of others and may still be reported; returns whether
-/// holders of the duties have heard all.
-async fn tell_heard(gateway: &Gateway) -> bool {
+/// Passes on what was heard of others and may still be reported, to one that came
+/// after they were heard last; returns whether it has heard all.
+async fn pass_on(gateway: &Gateway, holder: &DutyListener) -> bool {
     let duties = &gateway.settings.duties;
     let due_windows = (duties.usage_delay_s / duties.usage_window_s.max(1)) + 1;
-    let window = gateway.window_of(now_ms());
-    let heard = gateway
-        .usage
-        .lock()
-        .heard(window.saturating_sub(due_windows));
-    // Whether it is all that they counted, only they can say.
-    tell_all(gateway, &heard, NOTHING_WHOLE).await
+    let from_window = gateway.window_of(now_ms()).saturating_sub(due_windows);
+    let before_ms = holder.since_ms + USAGE_EVERY.as_millis() as u64;
+    let heard = gateway.usage.lock().heard(from_window, before_ms);
+    let mut is_heard = true;
+    for counts in &heard {
+        // Whether it is all that they counted, only they can say.
+        is_heard &= tell(gateway, holder, counts, NOTHING_WHOLE).await;
+    }
+    is_heard
 }
 
-async fn tell_all(gateway: &Gateway, all: &[HeardUsage], window: u64) -> bool {
-    // Those that watch the holder hear the same: one that takes over must
-    // report windows that are all but due.
-    let holders = gateway.peers.lock().duty_daemons();
-    let own_address = gateway.settings.listen.peers;
-    let holders: Vec<_> = holders.into_keys().filter(|h| h.0 != own_address).collect();
-    let mut is_heard = !holders.is_empty();
-    for counts in all {
-        for holder in &holders {
-            let parts = {
-                let mut tellers = gateway.usage_tellers.lock();
-                let teller = tellers.entry(counts.life).or_default();
-                let daemon = (counts.name.as_str(), counts.life);
-                teller.parts(daemon, *holder, &counts.windows, window)
-            };
-            is_heard &= parts.is_empty();
-            for part in parts {
-                gateway
-                    .send_datagram(&Datagram::Usage(part), holder.0)
-                    .await;
-            }
-        }
+/// Tells one what it has not heard of some counts; returns whether that is nothing.
+async fn tell(gateway: &Gateway, holder: &DutyListener, counts: &HeardUsage, window: u64) -> bool {
+    let parts = {
+        let mut tellers = gateway.usage_tellers.lock();
+        let teller = tellers.entry(counts.life).or_default();
+        let daemon = (counts.name.as_str(), counts.life);
+        let to = (holder.address, holder.life);
+        teller.parts(daemon, to, &counts.windows, window)
+    };
+    let is_heard = parts.is_empty();
+    for part in parts {
+        let datagram = Datagram::Usage(part);
+        gateway.send_datagram(&datagram, holder.address).await;
     }
     is_heard
 }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -16,6 +16,7 @@
     rand_chacha::ChaCha8Rng,
     std::{
         collections::{HashMap, HashSet},
+        net::SocketAddr,
         sync::{
             Arc, OnceLock,
             atomic::{AtomicBool, AtomicU64, AtomicUsize},
@@ -87,6 +88,9 @@
     /// What holders of the duties have heard of the counts of daemons, by their life:
     /// of this one, and at its stop of those that it has heard of.
     pub usage_tellers: Mutex<HashMap<u64, UsageTeller>>,
+    /// Since when daemons are known to hold the duties or to watch who does, by their
+    /// address and life.
+    pub duty_daemons_since: Mutex<HashMap<(SocketAddr, u64), u64>>,
     /// Wakes the task that reports to hubs.
     pub report_early: Notify,
     /// Requests that began, by window and client account.
@@ -161,6 +165,7 @@
             events: Mutex::default(),
             lone_quotas: Mutex::default(),
             usage_tellers: Mutex::default(),
+            duty_daemons_since: Mutex::default(),
             report_early: Notify::new(),
             usage: Mutex::default(),
             quotas: Mutex::new(quotas),
--- a/src/policy/usage_windows.rs
+++ b/src/policy/usage_windows.rs
@@ -26,6 +26,8 @@
     own: BTreeMap<u64, AccountCounts>,
     /// By source, its own counts; they only grow.
     others: BTreeMap<(String, u64), BTreeMap<u64, AccountCounts>>,
+    /// When something of each source was heard last.
+    heard_ms: HashMap<(String, u64), u64>,
     /// By daemon, before which window all was told, and when that was heard.
     tellers: HashMap<String, (u64, u64)>,
 }
@@ -44,10 +46,21 @@
         newest.map(|(w, c)| (*w, c.clone())).collect()
     }
 
-    /// Returns what was heard of other daemons' counts, from a window on.
-    pub fn heard(&self, from_window: u64) -> Vec<HeardUsage> {
+    /// Notes that something of a life's counts was heard.
+    pub fn note_heard(&mut self, node: &str, incarnation: u64, now_ms: u64) {
+        self.heard_ms
+            .insert((node.to_string(), incarnation), now_ms);
+    }
+
+    /// Returns what was heard of other daemons' counts, from a window on, of lives
+    /// last heard before `before_ms`.
+    pub fn heard(&self, from_window: u64, before_ms: u64) -> Vec<HeardUsage> {
         let mut heard = Vec::new();
         for ((name, life), windows) in &self.others {
+            let heard_ms = self.heard_ms.get(&(name.clone(), *life));
+            if heard_ms.is_some_and(|at_ms| *at_ms >= before_ms) {
+                continue;
+            }
             let late = windows.range(from_window..);
             let late: Vec<_> = late.map(|(w, counts)| (*w, counts.clone())).collect();
             if !late.is_empty() {
--- a/tests/decisions/usage.rs
+++ b/tests/decisions/usage.rs
@@ -79,10 +79,13 @@
     let mut first_holder = UsageWindows::default();
     first_holder.merge("gone", 1, &[(3, counts(2)), (7, counts(5)), (8, counts(6))]);
     first_holder.merge("lives", 2, &[(8, counts(1))]);
-    first_holder.note_whole("lives", 8, 1_000);
+    first_holder.note_heard("gone", 1, 1_000);
+    first_holder.note_heard("lives", 2, 5_000);
 
     let mut second_holder = UsageWindows::default();
-    for heard in first_holder.heard(7) {
+    // The second holder is known since 4,000: what was heard later it has heard, too.
+    assert_eq!(first_holder.heard(7, 4_000).len(), 1);
+    for heard in first_holder.heard(7, 6_000) {
         let mut teller = UsageTeller::default();
         let daemon = (heard.name.as_str(), heard.life);
         let parts = teller.parts(daemon, (address(1), 6), &heard.windows, 0);
