What was heard of stopped daemons is passed on at once to who is told usage later

Cause: it was passed on at the end of a stop only. And a stop waited 1.5 s in vain for listeners that had stopped themselves (12 of 154 stops).

Now each that has heard counts passes on what a new listener can't have heard itself, in its usual rounds; after three rounds of a stop it is enough that one has heard all.

--- a/src/cluster/usage_teller.rs
+++ b/src/cluster/usage_teller.rs
@@ -20,6 +20,8 @@
 const LAST_USAGE_EVERY: Duration = Duration::from_millis(200);
 /// The window before which all is told where nothing is known to be.
 const NOTHING_WHOLE: u64 = 0;
+/// In how many rounds a daemon that stops waits for all that are told usage.
+const ROUNDS_FOR_ALL: u32 = 3;
 /// How many windows are told: as many as are kept.
 const TOLD_WINDOWS: usize = 8;
 
@@ -108,35 +110,39 @@
     }
 }
 
-/// Tells the holders of the duties what began to run here, until they have
-/// heard it.
+/// Tells those that are told usage what they have not heard, as long as the daemon
+/// runs.
 pub(super) async fn tell_usage(gateway: Arc<Gateway>) {
     if !gateway.settings.duties.usage {
         return;
     }
     loop {
         tokio::time::sleep(USAGE_EVERY).await;
-        tell_own(&gateway, &duty_daemons(&gateway)).await;
+        for listener in duty_listeners(&gateway) {
+            tell_own(&gateway, &listener).await;
+            pass_on(&gateway, &listener).await;
+        }
     }
 }
 
-/// Tells the last counts of a daemon that stops, until holders of the duties have
-/// heard them, and what it has heard of others to those holders that came after.
-/// Counts live in daemons only: of those that stopped before, nobody else may be left
-/// who knows them.
+/// Tells the last counts of a daemon that stops until they are heard. One that is told
+/// and says nothing for some rounds may be gone; then it is enough that another has
+/// heard all.
 pub async fn tell_last_usage(gateway: &Gateway, patience: Duration) {
     if !gateway.settings.duties.usage || gateway.daemons() < 2 {
         return;
     }
     let told = async {
-        loop {
-            let holders = duty_daemons(gateway);
-            let mut is_heard = !holders.is_empty();
-            is_heard &= tell_own(gateway, &holders).await;
-            for holder in &holders {
-                is_heard &= pass_on(gateway, holder).await;
+        for round in 0.. {
+            let listeners = duty_listeners(gateway);
+            let mut heard = 0;
+            for listener in &listeners {
+                let own = tell_own(gateway, listener).await;
+                let others = pass_on(gateway, listener).await;
+                heard += usize::from(own && others);
             }
-            if is_heard {
+            let is_patient = round < ROUNDS_FOR_ALL;
+            if heard > 0 && (heard == listeners.len() || !is_patient) {
                 return;
             }
             tokio::time::sleep(LAST_USAGE_EVERY).await;
@@ -161,7 +167,7 @@
 
 /// Returns the other daemons that are told usage. Those that watch the holder hear
 /// the same as it: one that takes over must report windows that are all but due.
-fn duty_daemons(gateway: &Gateway) -> Vec<DutyListener> {
+fn duty_listeners(gateway: &Gateway) -> Vec<DutyListener> {
     let now_ms = gateway.steady_ms();
     let own_address = gateway.settings.listen.peers;
     let known = gateway.peers.lock().duty_daemons();
@@ -177,50 +183,53 @@
         .collect()
 }
 
-/// Tells the own counts; returns whether all that are told usage have heard all.
-async fn tell_own(gateway: &Gateway, holders: &[DutyListener]) -> bool {
+/// Tells the own counts; returns whether all of them were heard.
+async fn tell_own(gateway: &Gateway, listener: &DutyListener) -> bool {
     let counts = HeardUsage {
         name: gateway.settings.node.name.to_string(),
         life: gateway.incarnation,
         windows: gateway.usage.lock().newest(TOLD_WINDOWS),
     };
     let window = gateway.window_of(now_ms());
-    let mut is_heard = true;
-    for holder in holders {
-        is_heard &= tell(gateway, holder, &counts, window).await;
-    }
-    is_heard
+    tell(gateway, listener, &counts, window).await
 }
 
-/// Passes on what was heard of others and may still be reported, to one that came
-/// after they were heard last; returns whether it has heard all.
-async fn pass_on(gateway: &Gateway, holder: &DutyListener) -> bool {
+/// Passes on what was heard of others and may still be reported, to one that is told
+/// usage since after that; returns whether it has heard all. Counts live in daemons
+/// only: of those that stopped before, it can't hear them itself. Without it a
+/// successor reported 1,764 of 3,167 requests (two rolling stops of 77 daemons).
+async fn pass_on(gateway: &Gateway, listener: &DutyListener) -> bool {
     let duties = &gateway.settings.duties;
     let due_windows = (duties.usage_delay_s / duties.usage_window_s.max(1)) + 1;
     let from_window = gateway.window_of(now_ms()).saturating_sub(due_windows);
-    let before_ms = holder.since_ms + USAGE_EVERY.as_millis() as u64;
+    let before_ms = listener.since_ms + USAGE_EVERY.as_millis() as u64;
     let heard = gateway.usage.lock().heard(from_window, before_ms);
     let mut is_heard = true;
     for counts in &heard {
         // Whether it is all that they counted, only they can say.
-        is_heard &= tell(gateway, holder, counts, NOTHING_WHOLE).await;
+        is_heard &= tell(gateway, listener, counts, NOTHING_WHOLE).await;
     }
     is_heard
 }
 
 /// Tells one what it has not heard of some counts; returns whether that is nothing.
-async fn tell(gateway: &Gateway, holder: &DutyListener, counts: &HeardUsage, window: u64) -> bool {
+async fn tell(
+    gateway: &Gateway,
+    listener: &DutyListener,
+    counts: &HeardUsage,
+    window: u64,
+) -> bool {
     let parts = {
         let mut tellers = gateway.usage_tellers.lock();
         let teller = tellers.entry(counts.life).or_default();
         let daemon = (counts.name.as_str(), counts.life);
-        let to = (holder.address, holder.life);
+        let to = (listener.address, listener.life);
         teller.parts(daemon, to, &counts.windows, window)
     };
     let is_heard = parts.is_empty();
     for part in parts {
         let datagram = Datagram::Usage(part);
-        gateway.send_datagram(&datagram, holder.address).await;
+        gateway.send_datagram(&datagram, listener.address).await;
     }
     is_heard
 }
