--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -85,8 +85,8 @@
     pub events: Mutex<EventLog>,
     /// What is let in while no hub answers.
     pub lone_quotas: Mutex<LoneQuotas>,
-    /// What holders of the duties have heard of the counts of daemons, by their life:
-    /// of this one, and at its stop of those that it has heard of.
+    /// What those that are told usage have heard of the counts of daemons, by the life of
+    /// each: of this one, and of others that it passes on.
     pub usage_tellers: Mutex<HashMap<u64, UsageTeller>>,
     /// Since when daemons are known to hold the duties or to watch who does, by their
     /// address and life.
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -1,5 +1,7 @@
 use {
-    super::{forward_stream::forward_stream, forward_whole::forward_whole, *},
+    super::{
+        forward_stream::forward_stream, forward_whole::forward_whole, open_request::OpenRequest, *,
+    },
     crate::{
         http::{BodyLimits, RequestBody},
         names::ServiceName,
@@ -11,14 +13,8 @@
         request::Parts,
     },
     http_body_util::{BodyExt, LengthLimitError, Limited},
-    hyper::body::{Body, Frame, Incoming, SizeHint},
-    std::{
-        io,
-        pin::Pin,
-        sync::{Arc, atomic::Ordering},
-        task::{Context, Poll, ready},
-        time::Duration,
-    },
+    hyper::body::{Body, Incoming},
+    std::{sync::Arc, time::Duration},
     tokio::time::Instant,
 };
 
@@ -36,49 +32,6 @@
 /// The longest wait that is told to a client account beyond its quota.
 const MAX_QUOTA_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// Counts a request for as long as it is in flight, and tells of one whose
-/// connection ended first.
-struct OpenRequest {
-    gateway: Arc<Gateway>,
-    id: Option<HeaderValue>,
-    started: Instant,
-    has_ended: bool,
-    _busy: BusyConnection,
-}
-
-impl OpenRequest {
-    fn start(gateway: &Arc<Gateway>, id: Option<HeaderValue>, busy: BusyConnection) -> Self {
-        gateway.open_requests.fetch_add(1, Ordering::Relaxed);
-        Self {
-            gateway: gateway.clone(),
-            id,
-            started: Instant::now(),
-            has_ended: false,
-            _busy: busy,
-        }
-    }
-
-    fn id_text(&self) -> &str {
-        let id = self.id.as_ref().and_then(|v| v.to_str().ok());
-        id.unwrap_or("-")
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.gateway.open_requests.fetch_sub(1, Ordering::Relaxed);
-        if !self.has_ended {
-            log::info!(
-                target: "client",
-                "no whole answer: the connection ended. request={} after_ms={} stopping={}",
-                self.id_text(),
-                self.started.elapsed().as_millis(),
-                self.gateway.is_stopping()
-            );
-        }
-    }
-}
-
 /// Answers a client's request.
 pub async fn answer_client(
     gateway: Arc<Gateway>,
@@ -97,7 +50,7 @@
     };
     record_answer(kind, answer.status(), started.elapsed());
     log_answer(&gateway, &open, &answer);
-    keep_open(answer, open)
+    open.until_end_of(answer)
 }
 
 /// Logs the head of an answer: who gave it, after how long, by which
@@ -120,41 +73,6 @@
     );
 }
 
-/// Ties a request to its answer's body, until its last frame was taken.
-fn keep_open(answer: Response<AnswerBody>, mut open: OpenRequest) -> Response<AnswerBody> {
-    // An empty body is not asked for frames.
-    open.has_ended = answer.body().is_end_stream();
-    answer.map(|body| OpenBody { body, open }.boxed_unsync())
-}
-
-/// The body of a request's answer.
-struct OpenBody {
-    body: AnswerBody,
-    open: OpenRequest,
-}
-
-impl Body for OpenBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
-        self.open.has_ended |= frame.is_none() || self.body.is_end_stream();
-        Poll::Ready(frame)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 async fn forward(gateway: &Arc<Gateway>, context: RequestContext) -> Response<AnswerBody> {
     gateway.earn_retry(&context.service);
     match context.route.kind {
@@ -212,6 +130,8 @@
         terms,
         service,
     } = checked;
+    // The first configuration may have come meanwhile.
+    let limits = gateway.client_limits();
     let body = read_body(&limits, body).await?;
     let prompt = Prompt::from_headers(&head.headers, &gateway.names);
     let wait_ms = number(&head.headers, &gateway.names.deadline_ms);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod intake;
 mod listen;
 mod metrics_page;
+mod open_request;
 mod placing;
 mod process;
 mod prompt;
--- /dev/null
+++ b/src/gateway/open_request.rs
@@ -0,0 +1,95 @@
+use {
+    super::{AnswerBody, BusyConnection, Gateway},
+    bytes::Bytes,
+    http::{HeaderValue, Response},
+    http_body_util::BodyExt,
+    hyper::body::{Body, Frame, SizeHint},
+    std::{
+        io,
+        pin::Pin,
+        sync::{Arc, atomic::Ordering},
+        task::{Context, Poll, ready},
+    },
+    tokio::time::Instant,
+};
+
+/// Counts a request for as long as it is in flight, and tells of one whose
+/// connection ended first.
+pub(super) struct OpenRequest {
+    gateway: Arc<Gateway>,
+    id: Option<HeaderValue>,
+    /// When it came.
+    pub started: Instant,
+    has_ended: bool,
+    _busy: BusyConnection,
+}
+
+impl OpenRequest {
+    /// Begins with a request that has just come.
+    pub fn start(gateway: &Arc<Gateway>, id: Option<HeaderValue>, busy: BusyConnection) -> Self {
+        gateway.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self {
+            gateway: gateway.clone(),
+            id,
+            started: Instant::now(),
+            has_ended: false,
+            _busy: busy,
+        }
+    }
+
+    /// Returns its id for the log.
+    pub fn id_text(&self) -> &str {
+        let id = self.id.as_ref().and_then(|v| v.to_str().ok());
+        id.unwrap_or("-")
+    }
+
+    /// Ties the request to its answer's body, until its last frame was taken.
+    pub fn until_end_of(mut self, answer: Response<AnswerBody>) -> Response<AnswerBody> {
+        // An empty body is not asked for frames.
+        self.has_ended = answer.body().is_end_stream();
+        answer.map(|body| OpenBody { body, open: self }.boxed_unsync())
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.gateway.open_requests.fetch_sub(1, Ordering::Relaxed);
+        if !self.has_ended {
+            log::info!(
+                target: "client",
+                "no whole answer: the connection ended. request={} after_ms={} stopping={}",
+                self.id_text(),
+                self.started.elapsed().as_millis(),
+                self.gateway.is_stopping()
+            );
+        }
+    }
+}
+
+/// The body of a request's answer.
+struct OpenBody {
+    body: AnswerBody,
+    open: OpenRequest,
+}
+
+impl Body for OpenBody {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<io::Result<Frame<Bytes>>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        self.open.has_ended |= frame.is_none() || self.body.is_end_stream();
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
