--- a/tests/gateway/planned_soak.rs
+++ b/tests/gateway/planned_soak.rs
@@ -9,8 +9,8 @@
 //! a stop's notice was over, which no upstream has run.
 //!
 //! `SADDLEPULLEY_SOAK_S=60 SADDLEPULLEY_SOAK_SEED=7 SADDLEPULLEY_SOAK_CLIENTS=200
-//! SADDLEPULLEY_SOAK_BUSY=12 SADDLEPULLEY_SOAK_REFUSED=0 cargo test --test gateway
-//! planned_soak`
+//! SADDLEPULLEY_SOAK_DAEMONS=40 SADDLEPULLEY_SOAK_BUSY=12 SADDLEPULLEY_SOAK_REFUSED=0
+//! cargo test --test gateway planned_soak`
 
 use {
     crate::{raw_client::*, support::*},
@@ -38,7 +38,9 @@
 const SHORT_CLIENTS: u64 = 40;
 /// The share of requests that have no route, or a key that is unknown or turns.
 const REFUSED_PERCENT: u64 = 30;
-const NAMES: [&str; 4] = ["n1", "n2", "n3", "n4"];
+const SHORT_DAEMONS: u64 = 4;
+/// Of how many daemons one is stopped at a time.
+const DAEMONS_PER_STOP: usize = 8;
 const RUNNERS: usize = 3;
 const EVENTS: u64 = 20;
 const ROUTES: [&TestRoute; 4] = [&IDEMPOTENT, &ONCE, &STREAM, &STREAM_ONCE];
@@ -83,6 +85,7 @@
 /// A daemon, as its clients know it.
 #[derive(Clone)]
 struct Seen {
+    name: &'static str,
     address: SocketAddr,
     signalled_at: Arc<Mutex<Option<Instant>>>,
 }
@@ -122,8 +125,10 @@
             runners,
             version: AtomicU64::new(1),
         });
-        for name in NAMES {
-            fleet.add(name).await;
+        let daemons = from_env("SADDLEPULLEY_SOAK_DAEMONS", SHORT_DAEMONS);
+        for n in 0..daemons {
+            // Daemons of the test live as long as it.
+            fleet.add(String::leak(format!("n{n}"))).await;
         }
         fleet
     }
@@ -158,6 +163,7 @@
         let daemon = GatewayDaemon::spawn(dir, settings);
         daemon.wait_ready().await;
         let seen = Seen {
+            name,
             address: daemon.clients,
             signalled_at: Arc::default(),
         };
@@ -174,8 +180,8 @@
     /// Stops a daemon, with signals in series, and starts one in its place.
     /// Meanwhile it stays in the list: the balancer lags, and its clients keep
     /// their connections.
-    async fn replace(self: Arc<Self>, name: &'static str, signals: u32) {
-        let Some(address) = self.begin_stop() else {
+    async fn replace(self: Arc<Self>, signals: u32) {
+        let Some((address, name)) = self.begin_stop() else {
             return;
         };
         for n in 1..signals {
@@ -198,14 +204,14 @@
     }
 
     /// Sends SIGTERM to the first daemon that runs.
-    fn begin_stop(&self) -> Option<SocketAddr> {
+    fn begin_stop(&self) -> Option<(SocketAddr, &'static str)> {
         let daemons = self.daemons.lock().unwrap();
         let mut running = daemons.iter().filter(|(_, seen)| seen.runs());
         let (daemon, seen) = running.next()?;
         // Before the signal: the notice is over no earlier than reckoned with.
         *seen.signalled_at.lock().unwrap() = Some(Instant::now());
         daemon.signal(Signal::SIGTERM);
-        Some(seen.address)
+        Some((seen.address, seen.name))
     }
 
     fn with_daemon<T>(&self, address: SocketAddr, act: impl FnOnce(&mut GatewayDaemon) -> T) -> T {
@@ -378,15 +384,17 @@
             }
         }
         let running = fleet.running();
+        let at_once = running.div_ceil(DAEMONS_PER_STOP);
         match rng.random_range(0..8) {
             0..3 if running > 1 => {
                 let signals = rng.random_range(1..5);
-                let name = *NAMES.choose(&mut rng).expect("there are names");
-                stops.push(fleet.clone().replace(name, signals));
+                for _ in 0..at_once {
+                    stops.push(fleet.clone().replace(signals));
+                }
             }
             3 if running > 2 => {
-                for name in [NAMES[0], NAMES[1]] {
-                    stops.push(fleet.clone().replace(name, 1));
+                for _ in 0..2 * at_once {
+                    stops.push(fleet.clone().replace(1));
                 }
             }
             4 => fleet.hang_up(),
