--- a/tests/it/main.rs
+++ b/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod promise_whole;
 mod refused_early;
 mod soak;
+mod stop_arrivals;
 // The benches use parts of it that the tests don't.
 #[allow(dead_code, unused_imports)]
 mod support;
--- /dev/null
+++ b/tests/it/stop_arrivals.rs
@@ -0,0 +1,75 @@
+//! Calls that have arrived when a stopping daemon ends are answered: served or told
+//! that they did not run.
+
+use {
+    crate::support::*,
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
+};
+
+const CALLS: usize = 12;
+
+async fn status(stream: &mut TcpStream) -> Result<u16, String> {
+    let mut read = Vec::new();
+    while read.len() < 12 {
+        let got = stream
+            .read_buf(&mut read)
+            .await
+            .map_err(|e| e.to_string())?;
+        if got == 0 {
+            return Err(format!("closed after {} bytes", read.len()));
+        }
+    }
+    let text = String::from_utf8_lossy(&read);
+    text[9..12].parse().map_err(|_| text.to_string())
+}
+
+/// The daemon gets no processor time while its stop would have ended, and calls come
+/// meanwhile.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_arrived_before_the_end_of_a_stop_are_answered() {
+    let cluster = Cluster::start(Plan::default()).await;
+    let daemon = &cluster.daemons[0];
+    let at = cluster.caller_addrs()[0];
+    let mut kept = Vec::new();
+    for _ in 0..CALLS {
+        kept.push(TcpStream::connect(at).await.unwrap());
+    }
+    daemon.terminate();
+    let client = reqwestless::Client::default();
+    for _ in 0..200 {
+        let ready = client.send("GET", at, "/readyz", &[], "").await;
+        if ready.is_ok_and(|r| r.status == 503) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    daemon.freeze();
+    let mut calls = kept;
+    for _ in 0..CALLS {
+        calls.push(TcpStream::connect(at).await.unwrap());
+    }
+    for stream in &mut calls {
+        let call =
+            b"POST /v1/chat/completions HTTP/1.1\r\nhost: box\r\nauthorization: Bearer nobody\r\n\
+                     content-type: application/json\r\ncontent-length: 2\r\n\r\n{}";
+        stream.write_all(call).await.unwrap();
+    }
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    daemon.thaw();
+    let mut faults = Vec::new();
+    for stream in &mut calls {
+        if let Err(e) = status(stream).await {
+            faults.push(e);
+        }
+    }
+    assert!(
+        faults.is_empty(),
+        "{} of {}: {faults:#?}",
+        faults.len(),
+        calls.len()
+    );
+}
