--- a/tests/gateway/lost_requests.rs
+++ b/tests/gateway/lost_requests.rs
@@ -1,13 +1,19 @@
 //! Requests that ended without an answer.
 //!
-//! Users saw requests end without an answer around planned work. What happened
-//! each time: a daemon closed a client's connection while bytes of the client
-//! were still to be read, or on their way. Closing a socket with unread bytes
-//! resets the connection, and a reset takes the answer with it that stands before
-//! it; what the client asks next on that connection is lost, too.
+//! What users saw: around planned work on real machines a request's connection ended
+//! without a whole answer.
 //!
-//! Evidence: the endings that the clients here see (closed or reset, after how
-//! many bytes), beside the daemon's log of each connection that it ended.
+//! The order of events: a client sends a request, or the rest of one; before the daemon
+//! has read it, the daemon decides to close the connection (it refuses by the head
+//! alone, it stops, the connection has rested for long, its client reads late); the
+//! kernel resets the connection, because bytes stand unread in its socket.
+//!
+//! The cause: the daemon closed connections without looking at what had come on them.
+//! A reset also takes the answer away that the client has not read yet, and what it
+//! asks next on that connection is lost, too.
+//!
+//! The evidence: the endings that the clients here see (closed or reset, after how
+//! many bytes), against what the upstream ran.
 
 use {
     crate::{raw_client::*, support::*},
