--- a/standin/src/store/service.rs
+++ b/standin/src/store/service.rs
@@ -79,6 +79,20 @@
         self.shared.changed.send_modify(|n| *n += 1);
     }
 
+    /// Writes any bytes as the key and the value of a keyed topic's record.
+    pub fn put_bytes(&self, topic: &str, key: &[u8], value: &[u8]) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key);
+        record.extend_from_slice(value);
+        self.append(topic, &record);
+    }
+
+    /// Appends any bytes to a topic.
+    pub fn append(&self, topic: &str, record: &[u8]) {
+        self.shared.topics.lock().append(topic, record);
+        self.shared.changed.send_modify(|n| *n += 1);
+    }
+
     /// Drops a key of a keyed topic.
     pub fn drop_key(&self, topic: &str, key: &str) {
         self.shared.topics.lock().put(topic, key, &[]);
@@ -222,7 +236,9 @@
     let newest = topics.newest(topic(query));
     let entries: Vec<Value> = newest
         .iter()
-        .map(|(key, value)| json!({ "key_file": key, "data": STANDARD.encode(value), "offset": 0 }))
+        .map(|(key, (offset, value))| {
+            json!({ "key_file": key, "data": STANDARD.encode(value), "offset": offset })
+        })
         .collect();
     let end = topics.end(topic(query));
     json_answer(
--- a/standin/src/store/topics.rs
+++ b/standin/src/store/topics.rs
@@ -35,17 +35,25 @@
         &records[(from as usize).min(records.len())..]
     }
 
-    /// Returns the newest value of each key of a keyed topic.
-    pub fn newest(&self, topic: &str) -> BTreeMap<String, Vec<u8>> {
+    /// Returns the newest value of each key of a keyed topic, with its offset.
+    /// Records that hold no key are left out.
+    pub fn newest(&self, topic: &str) -> BTreeMap<String, (u64, Vec<u8>)> {
         let mut newest = BTreeMap::new();
-        for record in self.read(topic, 0) {
-            let length = usize::from(record[0]);
-            let key = String::from_utf8_lossy(&record[1..=length]).into_owned();
-            match &record[1 + length..] {
+        for (offset, record) in (0..).zip(self.read(topic, 0)) {
+            let Some((key, value)) = split_keyed(record) else {
+                continue;
+            };
+            let key = String::from_utf8_lossy(key).into_owned();
+            match value {
                 [] => newest.remove(&key),
-                value => newest.insert(key, value.to_vec()),
+                value => newest.insert(key, (offset, value.to_vec())),
             };
         }
         newest
     }
 }
+
+fn split_keyed(record: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (length, rest) = record.split_first()?;
+    rest.split_at_checked(usize::from(*length))
+}
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -300,3 +300,24 @@
     assert!(own.is_ready(&upstream(2, 0).id), "it was new");
     assert!(own.get(&upstream(1, 0).id).is_none(), "it was gone there");
 }
+
+/// Users saw requests sent 4 s after an upstream's entry had gone. A follower was
+/// told that the entry went before it had heard of the entry at all, and remembered
+/// nothing; a daemon that the source had turned away then told it of the entry.
+#[test]
+fn a_removal_that_was_heard_before_its_entry_holds() {
+    for missing in [Missing::NotYetKnown, Missing::GoneAt(600)] {
+        let mut reader = UpstreamDirectory::default();
+        reader.replace(vec![upstream(0, 1)], None);
+        let mut own = UpstreamDirectory::default();
+        own.apply(reader.changes_since(None), Missing::Gone);
+        let known = reader.revision();
+        reader.upsert(upstream(1, 1));
+        let mut late = UpstreamDirectory::default();
+        late.apply(reader.changes_since(None), Missing::Gone);
+        reader.remove(&upstream(1, 0).id);
+        own.apply(reader.changes_since(Some(known)), Missing::Gone);
+        own.apply(late.changes_since(None), missing);
+        assert!(!own.is_ready(&upstream(1, 0).id), "{missing:?}");
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod configuration;
 mod duties;
+mod entries;
 mod large_configuration;
 mod logs;
 mod lost_requests;
