--- a/standin/src/runner/service.rs
+++ b/standin/src/runner/service.rs
@@ -44,6 +44,8 @@
     runs: Mutex<Vec<Run>>,
     /// Answers that were dropped by the other side before their end.
     abandoned: Mutex<u64>,
+    /// Requests that it did not begin.
+    refusals: Mutex<u64>,
 }
 
 /// A runner; it stops when dropped.
@@ -75,6 +77,7 @@
             events,
             runs: Mutex::default(),
             abandoned: Mutex::default(),
+            refusals: Mutex::default(),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
         Ok(Self {
@@ -104,6 +107,11 @@
         self.shared.runs.lock().clone()
     }
 
+    /// Returns how many requests it did not begin.
+    pub fn refusals(&self) -> u64 {
+        *self.shared.refusals.lock()
+    }
+
     /// Returns how many answers were dropped before their end.
     pub fn abandoned(&self) -> u64 {
         *self.shared.abandoned.lock()
@@ -137,10 +145,12 @@
     let attempt = text("saddlepulley-attempt");
     let expected = text("saddlepulley-expected-upstream");
     if expected != shared.id {
+        *shared.refusals.lock() += 1;
         return Ok(refused(StatusCode::MISDIRECTED_REQUEST));
     }
     let behaviour = *shared.behaviour.lock();
     if behaviour == Behaviour::Refuse {
+        *shared.refusals.lock() += 1;
         return Ok(refused(StatusCode::SERVICE_UNAVAILABLE));
     }
     shared.runs.lock().push(Run {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -8,6 +8,7 @@
 mod large_configuration;
 mod logs;
 mod lost_requests;
+mod misdirected;
 mod planned_soak;
 mod raw_client;
 mod repeats;
