421 is no try of the service; bytes that claim to be huge are refused

Cause: an answer of 421 counted as one of the upstreams that a request may reach, and as one more failure of the upstream that it names, which was then asked again. Now it says that another has the address: the upstream is left alone for longer than its entry outlives it, on all daemons of the domain, and the request goes on. It still draws on the budget for repeated sends.

Bounded now; the bytes are a test of their own, which failed first.

--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -117,6 +117,10 @@
                 gateway.loads.lock().entry(&id).note_unreachable(now_ms);
             }
         }
+        MemberEvent::Misdirected { upstream } => {
+            let id = UpstreamId::from(upstream.as_str());
+            gateway.loads.lock().entry(&id).note_misdirected(now_ms);
+        }
         MemberEvent::FirstEvent {
             service,
             unread_tokens,
--- a/src/cluster/report.rs
+++ b/src/cluster/report.rs
@@ -56,6 +56,11 @@
         /// How long it took, in milliseconds.
         after_ms: f32,
     },
+    /// Another upstream has the address of one.
+    Misdirected {
+        /// The upstream.
+        upstream: String,
+    },
     /// A request ended whole.
     Stayed {
         /// The service.
--- a/src/cluster/state_feed.rs
+++ b/src/cluster/state_feed.rs
@@ -2,7 +2,7 @@
     super::{CONFIG_PATH, ConfigTeller, StateSource},
     crate::{
         gateway::{AnswerBody, Gateway, own_answer, serve_plain, whole_body},
-        http::{HttpClient, HttpError},
+        http::{HttpClient, HttpError, MAX_WHOLE_BODY},
         policy::SourceTries,
         routing::{PackError, RoutingConfig},
         upstreams::{DirectoryChanges, ToldDirectory},
@@ -27,6 +27,9 @@
 /// Larger configurations are read from the source by each daemon, or asked for
 /// apart from the news. Routes and client accounts together.
 const MAX_TOLD_CONFIG: usize = 100;
+/// How much memory a message may claim when it is decoded, in bytes: as much as the
+/// largest body that is read.
+const MAX_DECODED_BYTES: usize = MAX_WHOLE_BODY;
 /// How long a daemon's question may be.
 pub const MAX_ASK_BYTES: usize = 1_024;
 /// How often a daemon without others to ask looks for some.
@@ -168,7 +171,9 @@
 ///
 /// Returns what is wrong with the bytes.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, FeedError> {
-    let (message, _) = bincode::serde::decode_from_slice(bytes, bincode::config::standard())?;
+    // Bytes that claim to be longer than they are would end the process.
+    let bounded = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
+    let (message, _) = bincode::serde::decode_from_slice(bytes, bounded)?;
     Ok(message)
 }
 
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -8,8 +8,10 @@
 pub struct Attempts {
     /// The upstreams that it was sent to or that could not be reached.
     pub tried: Vec<UpstreamId>,
-    /// How many upstreams it reached.
+    /// How many upstreams it reached that it was meant for.
     pub sends: u32,
+    /// How many it reached at all.
+    pub arrivals: u32,
     /// Whether it may have run somewhere.
     pub may_have_run: bool,
     /// How the last try failed.
@@ -31,9 +33,14 @@
         failure: SendFailure,
     ) -> bool {
         self.tried.push(upstream.clone());
-        let reached = !matches!(failure, SendFailure::NotSent(_));
-        if reached {
-            self.sends += 1;
+        match &failure {
+            SendFailure::NotSent(_) => {}
+            // It was sent to none of the service's upstreams.
+            SendFailure::Misdirected => self.arrivals += 1,
+            SendFailure::Refused(_) | SendFailure::MayHaveRun(_) => {
+                self.arrivals += 1;
+                self.sends += 1;
+            }
         }
         self.may_have_run |= !failure.is_not_run();
         let situation = RetrySituation {
@@ -44,7 +51,7 @@
             tried: self.tried.len(),
             time_left_ms: context.time_left().as_millis() as u64,
         };
-        let draws_on_budget = self.sends > 0;
+        let draws_on_budget = self.arrivals > 0;
         self.last_failure = Some(failure);
         situation.allows_another() && (!draws_on_budget || gateway.spend_retry(context))
     }
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -338,6 +338,15 @@
         });
     }
 
+    /// Notes that another upstream has the address of one.
+    fn note_misdirected(&self, upstream: &UpstreamId) {
+        let now_ms = self.steady_ms();
+        self.loads.lock().entry(upstream).note_misdirected(now_ms);
+        self.note_event(|| MemberEvent::Misdirected {
+            upstream: upstream.to_string(),
+        });
+    }
+
     /// Notes that a send failed.
     pub fn note_send_failure(
         &self,
@@ -346,8 +355,12 @@
         failure: &SendFailure,
     ) {
         metrics::counter!(FAILED_SENDS, "run" => failure.kind()).increment(1);
-        if !matches!(failure, SendFailure::NotSent(_)) {
-            self.note_outcome(&upstream.id, true);
+        match failure {
+            SendFailure::NotSent(_) => {}
+            SendFailure::Misdirected => self.note_misdirected(&upstream.id),
+            SendFailure::Refused(_) | SendFailure::MayHaveRun(_) => {
+                self.note_outcome(&upstream.id, true);
+            }
         }
         log::warn!(
             target: "send",
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -204,8 +204,10 @@
             "an answer of another request".into(),
         ));
     }
-    let not_run = headers.contains_key(&gateway.names.not_run);
-    if not_run || status == StatusCode::MISDIRECTED_REQUEST {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(SendFailure::Misdirected);
+    }
+    if headers.contains_key(&gateway.names.not_run) {
         return Err(SendFailure::Refused(status.as_u16()));
     }
     Ok(())
--- a/src/routing/packed_config.rs
+++ b/src/routing/packed_config.rs
@@ -8,7 +8,7 @@
 
 /// The largest configuration that is unpacked, in bytes: what is larger is no
 /// configuration but a fault of the one who sent it.
-const MAX_UNPACKED: u64 = 64 * 1024 * 1024;
+const MAX_UNPACKED: usize = 64 * 1024 * 1024;
 
 /// How a configuration could not be packed or unpacked.
 #[derive(Debug, Display, thiserror::Error)]
@@ -42,8 +42,10 @@
 pub fn unpack_config(packed: &[u8]) -> Result<RoutingConfig, PackError> {
     let mut plain = Vec::new();
     DeflateDecoder::new(packed)
-        .take(MAX_UNPACKED)
+        .take(MAX_UNPACKED as u64)
         .read_to_end(&mut plain)?;
-    let (config, _) = bincode::serde::decode_from_slice(&plain, bincode::config::standard())?;
+    // Bytes that claim to be longer than they are would end the process.
+    let bounded = bincode::config::standard().with_limit::<MAX_UNPACKED>();
+    let (config, _) = bincode::serde::decode_from_slice(&plain, bounded)?;
     Ok(config)
 }
--- a/src/upstreams/send_failure.rs
+++ b/src/upstreams/send_failure.rs
@@ -7,6 +7,8 @@
     NotSent(String),
     /// refused by the upstream, not run (status {0})
     Refused(u16),
+    /// another upstream has the address, not run
+    Misdirected,
     /// may have run: {0}
     MayHaveRun(String),
 }
@@ -17,6 +19,7 @@
         match self {
             Self::NotSent(_) => "not-sent",
             Self::Refused(_) => "refused",
+            Self::Misdirected => "misdirected",
             Self::MayHaveRun(_) => "may-have-run",
         }
     }
--- a/src/upstreams/upstream_load.rs
+++ b/src/upstreams/upstream_load.rs
@@ -10,6 +10,9 @@
 /// How long an upstream that could not be reached is left alone at first.
 const FIRST_BACKOFF_MS: u64 = 400;
 const MAX_BACKOFF_MS: u64 = 2_000;
+/// How long an upstream is left alone whose address another has: its entry goes after
+/// three heartbeats, of one to two seconds each.
+const MISDIRECTED_MS: u64 = 6_000;
 
 /// How an upstream fares, as seen from this daemon. Times are milliseconds of
 /// the daemon's steady clock.
@@ -37,6 +40,13 @@
         self.avoid_until_ms = now_ms + self.backoff_ms;
     }
 
+    /// Notes that another upstream has its address. Without this, each request found
+    /// that out anew, and one that met two such addresses was refused.
+    pub fn note_misdirected(&mut self, now_ms: u64) {
+        self.backoff_ms = MAX_BACKOFF_MS;
+        self.avoid_until_ms = now_ms + MISDIRECTED_MS;
+    }
+
     /// Notes that it sent something.
     pub fn note_progress(&mut self, now_ms: u64) {
         self.last_progress_ms = now_ms;
--- /dev/null
+++ b/tests/decisions/foreign_bytes.rs
@@ -0,0 +1,115 @@
+//! No bytes in the store, or from another daemon, end a process; and an entry that is
+//! changed anywhere is one that can be used whole, or none.
+//!
+//! By hand, longer and from another seed: `FUZZ_CASES=1000000 FUZZ_SEED=7 cargo test
+//! --release --test decisions foreign_bytes`.
+
+use {
+    bytes::Bytes,
+    proptest::{prelude::*, test_runner::RngSeed},
+    saddlepulley::{
+        cluster::{Datagram, FeedAsk, FeedNews, decode},
+        platform::{config_from_record, read_answer, split_keyed, upstream_from_entry},
+        routing::unpack_config,
+    },
+};
+
+const ENTRY: &str = r#"{"service":"s","address":"10.0.0.9:8080","zone":"a","version":"v1","slots":96,"state":"ready","sequence":4,"cold_remaining_ms":0,"born":1764720000123,"spot":true,"phase":"decode","model_list":[{"name":"m","version":1,"lora_adapters":[]}]}"#;
+
+/// The same cases in each run, unless others are asked for.
+fn config() -> ProptestConfig {
+    let number = |name: &str| std::env::var(name).ok()?.parse().ok();
+    ProptestConfig {
+        cases: number("FUZZ_CASES").unwrap_or(2_000) as u32,
+        rng_seed: RngSeed::Fixed(number("FUZZ_SEED").unwrap_or(1)),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn any_bytes() -> impl Strategy<Value = Vec<u8>> {
+    prop::collection::vec(any::<u8>(), 0..600)
+}
+
+/// What a JSON document may hold in the place of a field.
+fn any_value() -> impl Strategy<Value = serde_json::Value> {
+    prop_oneof![
+        Just(serde_json::Value::Null),
+        any::<bool>().prop_map(Into::into),
+        any::<i64>().prop_map(Into::into),
+        any::<f64>().prop_map(Into::into),
+        ".{0,12}".prop_map(Into::into),
+        Just(serde_json::json!([])),
+        Just(serde_json::json!({ "a": 1 })),
+    ]
+}
+
+/// Bytes that claim more than memory holds ended the process.
+#[test]
+fn news_that_claim_to_be_huge_are_refused() {
+    // The lists of upstreams, and of those that are gone, stand after so many numbers.
+    for zeros in [8, 9] {
+        let mut bytes = vec![0; zeros];
+        bytes.push(253);
+        bytes.extend([0xff; 7]);
+        bytes.push(0x0f);
+        assert!(decode::<FeedNews>(&bytes).is_err(), "after {zeros} zeros");
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn bytes_of_any_kind_are_read_or_refused(bytes in any_bytes(), key in ".{0,20}") {
+        let _ = upstream_from_entry(&key, &bytes, 7);
+        let _ = config_from_record(&bytes);
+        let shared = Bytes::from(bytes.clone());
+        let _ = read_answer(&shared);
+        let _ = split_keyed(&shared);
+        let _ = Datagram::decode(&bytes);
+        let _ = decode::<FeedAsk>(&bytes);
+        let _ = decode::<FeedNews>(&bytes);
+        let _ = unpack_config(&bytes);
+    }
+
+    #[test]
+    fn a_datagram_of_our_version_with_any_bytes_is_read_or_refused(bytes in any_bytes()) {
+        let mut datagram = vec![4];
+        datagram.extend(bytes);
+        let _ = Datagram::decode(&datagram);
+    }
+
+    #[test]
+    fn an_entry_with_a_byte_changed_is_whole_or_none(at in 0..ENTRY.len(), byte: u8) {
+        let mut bytes = ENTRY.as_bytes().to_vec();
+        bytes[at] = byte;
+        if let Ok(upstream) = upstream_from_entry("i-1", &bytes, 7) {
+            prop_assert!(upstream.slots > 0 && upstream.address.port() > 0);
+        }
+    }
+
+    #[test]
+    fn a_named_field_of_another_type_makes_it_none(value in any_value(), field in 0..9_usize) {
+        let names = [
+            "service", "address", "zone", "version", "slots", "state", "sequence",
+            "cold_remaining_ms", "born",
+        ];
+        let mut entry: serde_json::Value = serde_json::from_str(ENTRY).unwrap();
+        let same_type = match entry[names[field]] {
+            serde_json::Value::String(_) => value.is_string(),
+            _ => value.is_number(),
+        };
+        entry[names[field]] = value;
+        let read = upstream_from_entry("i-1", entry.to_string().as_bytes(), 7);
+        prop_assert!(same_type || read.is_err(), "{}: {entry}", names[field]);
+    }
+
+    #[test]
+    fn a_key_that_no_header_can_hold_names_no_upstream(key in ".{0,20}") {
+        let read = upstream_from_entry(&key, ENTRY.as_bytes(), 7);
+        let is_sendable = !key.is_empty()
+            && key.bytes().all(|b| b.is_ascii_graphic() && b != b'~');
+        prop_assert_eq!(read.is_ok(), is_sendable);
+    }
+}
