Roll-outs: a new version gets a small share until it is judged, and is completed or rolled back

Orders at op/rollout/SERVICE were not read: upstreams of both versions got the same share, and no outcome was written.

- Judge: a sequential test over all routes and for each, of the new version's bad answers (failed, broken off, 421, or 2.5 times as slow as the route's usual) against the old ones' rate of the same moment.
- Share: each daemon counts it out of the requests that it places, so that shares add up without daemons hearing of each other; a daemon that has not heard the leader for 2.5 s sends nothing to a version that is not proved.
What the new version fails goes to an old one.
- Steps: half of the bound's share until half of the time, then to all within a sixth of it; completed when nothing is known to run at the old ones for 1.5 s, rolled back 2 s before the deadline at the latest.
- Leader: the holder of the duties, under its fence; state in the platform's store in the name of one producer with the fence as epoch.
A later leader goes on from there.
- While versions change, no upstream of the service is counted as one too many.

On real daemons (gateway/rollouts): good, failing, slow, no upstreams, no time, the version that runs, loss of the daemon in between. A stand-in of fixed shares is ruled out by the tests: no version without answers is called good.

Not there yet: rollout status and explain on the command line, metrics by version, an exploration of leaders and cuts.

--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -48,6 +48,7 @@
             domain: FailureDomain::from(["a", "b", "c"][n % 3]),
             slots: 48,
             draining: false,
+            version: Default::default(),
             reclaimable: true,
             offset: 1,
         });
--- a/src/cluster/digest.rs
+++ b/src/cluster/digest.rs
@@ -1,6 +1,6 @@
 use {
     super::{DaemonEntry, DaemonStatus},
-    crate::policy::ReadingSpeed,
+    crate::{policy::ReadingSpeed, rollouts::Rollout},
     bincode::{Decode, Encode},
     std::net::SocketAddr,
 };
@@ -48,6 +48,8 @@
     /// By service, how long its engines take to read a prompt token, in
     /// milliseconds, and on how many comparisons that rests.
     pub reading: Vec<(String, f32, u32)>,
+    /// The newest roll-out of each service.
+    pub rollouts: Vec<Rollout>,
     /// Other daemons that it hears.
     pub known: Vec<DaemonEntry>,
 }
@@ -70,6 +72,7 @@
             duty_daemons: Vec::new(),
             demand: Vec::new(),
             reading: Vec::new(),
+            rollouts: Vec::new(),
             known: Vec::new(),
         }
     }
--- a/src/cluster/duty_borders.rs
+++ b/src/cluster/duty_borders.rs
@@ -2,6 +2,7 @@
     crate::{
         names::{BoxId, FailureDomain, ServiceName},
         policy::AccountCounts,
+        rollouts::Rollout,
     },
     async_trait::async_trait,
     bytes::Bytes,
@@ -60,6 +61,37 @@
     ) -> Result<AppendEnd, BorderError>;
 }
 
+/// What is written of a roll-out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RolloutRecord {
+    /// The roll-out.
+    pub rollout: Rollout,
+}
+
+/// Where the outcomes of roll-outs are written for the operator. It outlives daemons.
+#[async_trait]
+pub trait StatusBoard: Send + Sync {
+    /// Reads the newest record of each service.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the read failed.
+    async fn read(&self) -> Result<Vec<RolloutRecord>, BorderError>;
+
+    /// Writes a record, unless a daemon with a later fence has written. Records of one
+    /// fence are numbered from 1; one that is written again under its number counts once.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the write failed.
+    async fn write(
+        &self,
+        record: &RolloutRecord,
+        fence: u64,
+        number: u64,
+    ) -> Result<(), BorderError>;
+}
+
 /// In whose name a duty is done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DutyClaim {
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -1,5 +1,8 @@
 use {
-    super::{AppendEnd, BorderError, DutyApi, DutyClaim, FleetOrder, FleetScaler, SharedLog},
+    super::{
+        AppendEnd, BorderError, DutyApi, DutyClaim, FleetOrder, FleetScaler, RolloutDuty,
+        SharedLog, StatusBoard,
+    },
     crate::{
         gateway::{Gateway, GatewayPhase},
         names::{BoxId, now_ms},
@@ -33,6 +36,7 @@
     /// Since when this daemon holds the duties.
     held_since_ms: Option<u64>,
     scaler: FleetScaler,
+    rollouts: RolloutDuty,
 }
 
 impl DutyRunner {
@@ -41,6 +45,7 @@
         gateway: Arc<Gateway>,
         shared_log: Arc<dyn SharedLog>,
         api: Arc<dyn DutyApi>,
+        board: Arc<dyn StatusBoard>,
     ) -> Self {
         let me = Claimer {
             id: BoxId::from(gateway.settings.node.name.as_str()),
@@ -55,6 +60,7 @@
             reported: BTreeSet::new(),
             held_since_ms: None,
             scaler: FleetScaler::default(),
+            rollouts: RolloutDuty::new(board),
         }
     }
 
@@ -127,6 +133,7 @@
             LeaseStep::Wait => Ok(false),
             LeaseStep::Append(lease) => self.take_lease(lease).await,
             LeaseStep::Act { .. } => {
+                self.lead_rollouts().await?;
                 self.report_usage().await?;
                 self.order_upstreams().await?;
                 Ok(true)
@@ -190,6 +197,19 @@
         }
     }
 
+    async fn lead_rollouts(&mut self) -> Result<(), BorderError> {
+        let Some(claim) = self.claim() else {
+            return Ok(());
+        };
+        let gateway = self.gateway.clone();
+        let turn = self.rollouts.turn(&gateway, claim.fence);
+        if let Err(e) = turn.await {
+            // The other duties need not wait for it: it goes on at the next turn.
+            log::info!(target: "rollout", "not written. error=\"{e}\"");
+        }
+        Ok(())
+    }
+
     /// Reports the windows that are due.
     async fn report_usage(&mut self) -> Result<(), BorderError> {
         if !self.gateway.settings.duties.usage {
--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -19,7 +19,8 @@
         hear_datagrams(socket, gateway.clone()),
         tell_digests(gateway.clone()),
         tell_reports(gateway.clone()),
-        tell_usage(gateway)
+        tell_usage(gateway.clone()),
+        tell_versions(gateway)
     );
 }
 
@@ -46,6 +47,7 @@
     gateway.hub_desk.note_heard(from);
     match datagram {
         Datagram::Digest(digest) => {
+            gateway.hear_rollouts(&digest.rollouts);
             gateway.peers.lock().hear_digest(digest, now_ms);
         }
         Datagram::Quotas(part) => hear_quotas(gateway, &part, now_ms),
@@ -62,6 +64,7 @@
                 gateway.hub_desk.hear(answer);
             }
         }
+        Datagram::Versions(part) => gateway.version_book.lock().hear(part),
         Datagram::Usage(part) => hear_usage(gateway, &part, from, now_ms).await,
         Datagram::UsageHeard(heard) => {
             let mut tellers = gateway.usage_tellers.lock();
--- a/src/cluster/fleet_scaler.rs
+++ b/src/cluster/fleet_scaler.rs
@@ -67,7 +67,12 @@
         };
         let mut orders = Vec::new();
         for service in &table.config().services {
-            if let Some(scaling) = &service.autoscaling {
+            // While versions change, both are there for a while: none is one too many.
+            let is_moving = {
+                let rollouts = gateway.rollouts.lock();
+                rollouts.moving_to(service.name.as_str()).is_some()
+            };
+            if let Some(scaling) = service.autoscaling.as_ref().filter(|_| !is_moving) {
                 orders.extend(self.orders_of(gateway, service, scaling));
             }
         }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -22,15 +22,19 @@
 mod quotas_part;
 mod report;
 mod report_teller;
+mod rollout_duty;
 mod state_feed;
 mod state_source;
 mod usage_part;
 mod usage_teller;
+mod versions_part;
+mod versions_teller;
 
 pub use {
     ask::*, config_follower::*, config_message::*, config_teller::*, daemon_entry::*, datagram::*,
     digest::*, duty_borders::*, duty_runner::*, event_log::*, exchange::*, fleet_scaler::*,
     hub_desk::*, loads_part::*, lone_quotas::*, member_table::*, peer_table::*, quotas_part::*,
-    report::*, state_feed::*, state_source::*, usage_part::*, usage_teller::*,
+    report::*, rollout_duty::*, state_feed::*, state_source::*, usage_part::*, usage_teller::*,
+    versions_part::*,
 };
-use {digest_teller::*, report_teller::*};
+use {digest_teller::*, report_teller::*, versions_teller::*};
--- a/src/cluster/state_feed.rs
+++ b/src/cluster/state_feed.rs
@@ -4,6 +4,7 @@
         gateway::{AnswerBody, Gateway, own_answer, serve_plain, whole_body},
         http::{HttpClient, HttpError, MAX_WHOLE_BODY},
         policy::SourceTries,
+        rollouts::Rollout,
         routing::{PackError, RoutingConfig},
         upstreams::{DirectoryChanges, ToldDirectory},
     },
@@ -70,6 +71,8 @@
     pub config_position: Option<u64>,
     /// What has changed among the upstreams.
     pub changes: DirectoryChanges,
+    /// The newest roll-out of each service.
+    pub rollouts: Vec<Rollout>,
 }
 
 /// How a question for news failed.
@@ -145,6 +148,7 @@
         config: newer.map(|t| t.config().as_ref().clone()),
         config_position,
         changes: gateway.directory.read().changes_since(known),
+        rollouts: gateway.told_rollouts(),
     }
 }
 
@@ -273,6 +277,7 @@
         let version = news.config_version;
         self.gateway.peers.lock().hear_config(daemon, version);
         self.gateway.note_newest_config(version);
+        self.gateway.hear_rollouts(&news.rollouts);
         let changes = news.changes;
         self.gateway
             .change_directory(|directory, _| directory.apply(changes));
--- a/src/cluster/usage_teller.rs
+++ b/src/cluster/usage_teller.rs
@@ -170,6 +170,12 @@
     since_ms: u64,
 }
 
+/// Returns where other daemons that hold the duties, or watch who does, listen.
+pub(super) fn duty_addresses(gateway: &Gateway) -> Vec<SocketAddr> {
+    let listeners = duty_listeners(gateway).into_iter();
+    listeners.map(|listener| listener.address).collect()
+}
+
 /// Returns the other daemons that are told usage. Those that watch the holder hear
 /// the same as it: one that takes over must report windows that are all but due.
 fn duty_listeners(gateway: &Gateway) -> Vec<DutyListener> {
--- /dev/null
+++ b/src/cluster/versions_teller.rs
@@ -0,0 +1,53 @@
+use {
+    super::*,
+    crate::{gateway::Gateway, rollouts::RolloutState},
+    std::{sync::Arc, time::Duration},
+};
+
+/// How often the answers of both versions are told during a roll-out: a bad version is
+/// found by the leader some of these after its answers came.
+const VERSIONS_EVERY: Duration = Duration::from_millis(300);
+
+/// Tells the leader of roll-outs, and those ready to take its place, what answers this
+/// daemon saw.
+pub(super) async fn tell_versions(gateway: Arc<Gateway>) {
+    loop {
+        tokio::time::sleep(VERSIONS_EVERY).await;
+        let listeners = duty_addresses(&gateway);
+        for part in own_parts(&gateway) {
+            for listener in &listeners {
+                let datagram = Datagram::Versions(part.clone());
+                gateway.send_datagram(&datagram, *listener).await;
+            }
+            gateway.version_book.lock().hear(part);
+        }
+        let rollouts = gateway.rollouts.lock();
+        let is_open = |service: &str, order| {
+            let open = rollouts.get(service);
+            open.is_some_and(|r| r.order == order && r.state == RolloutState::InProgress)
+        };
+        gateway.version_book.lock().retain(is_open);
+    }
+}
+
+fn own_parts(gateway: &Gateway) -> Vec<VersionsPart> {
+    let open: Vec<(String, u64)> = {
+        let rollouts = gateway.rollouts.lock();
+        let open = rollouts.iter();
+        open.filter(|r| r.state == RolloutState::InProgress)
+            .map(|r| (r.service.clone(), r.order))
+            .collect()
+    };
+    let outcomes = gateway.outcomes.lock();
+    let parts = open.into_iter().filter_map(|(service, order)| {
+        let counts = outcomes.get(service.as_str())?.counts(order);
+        (!counts.is_empty()).then(|| VersionsPart {
+            name: gateway.settings.node.name.to_string(),
+            life: gateway.incarnation,
+            service,
+            order,
+            counts,
+        })
+    });
+    parts.collect()
+}
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -135,6 +135,9 @@
     /// Within how long after its source says that an upstream leaves no daemon
     /// may send it work, in milliseconds.
     pub drain_ms: u64,
+    /// The part of a service's requests that a new version may get which turns out to
+    /// be bad.
+    pub canary_share: f64,
     /// How exactly quotas have to hold.
     pub quotas: QuotaBounds,
 }
@@ -146,6 +149,7 @@
             retry_slack: 40.0,
             stop_s: 8.0,
             drain_ms: 2_000,
+            canary_share: 0.1,
             quotas: QuotaBounds::default(),
         }
     }
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -78,6 +78,9 @@
                         && let Some(sent) = &self.current
                     {
                         sent.active.first_event();
+                        let time_ms = sent.active.age_ms();
+                        self.gateway
+                            .note_answer(&self.context, &sent.upstream, Some(time_ms));
                     }
                     self.began = true;
                     return Some((head, self.pass_on(step)));
@@ -250,6 +253,9 @@
                         self.last_id
                     );
                     sent.active.ended_whole();
+                    let time_ms = sent.active.age_ms();
+                    self.gateway
+                        .note_whole(&self.context, &sent.upstream, time_ms);
                     let failed = sent.answer.head.status.is_server_error();
                     self.gateway.note_outcome(&sent.upstream.id, failed);
                 }
--- a/src/gateway/forward_whole.rs
+++ b/src/gateway/forward_whole.rs
@@ -4,6 +4,7 @@
     bytes::Bytes,
     http::{Response, StatusCode, response::Parts},
     std::{sync::Arc, time::Duration},
+    tokio::time::Instant,
 };
 
 /// The largest answer that is read whole before it is passed on, in bytes.
@@ -36,10 +37,13 @@
     loop {
         let placement = attempts.place(gateway, context).await?;
         let upstream = &placement.upstream;
+        let sent = Instant::now();
         let failure = match send_in_time(gateway, context, &placement, attempts).await {
             Ok((head, body)) => {
                 let failed = head.status.is_server_error();
                 gateway.note_outcome(&upstream.id, failed);
+                let time_ms = sent.elapsed().as_secs_f64() * 1_000.0;
+                gateway.note_answer(context, upstream, (!failed).then_some(time_ms));
                 let retry = failed && context.route.is_repeatable();
                 let failure = SendFailure::MayHaveRun(head.status.to_string());
                 if retry && attempts.may_go_on(gateway, context, &upstream.id, failure) {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -3,10 +3,12 @@
     crate::{
         cluster::{
             DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, UsageTeller,
+            VersionBook,
         },
         conf::GatewaySettings,
         names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
+        rollouts::{OutcomeMeter, RolloutTable},
         routing::{AccountTerms, ClientLimits, RouteTable, RoutingConfig},
         upstreams::*,
     },
@@ -97,6 +99,12 @@
     pub usage: Mutex<UsageWindows>,
     /// The client accounts' quotas.
     pub quotas: Mutex<QuotaBook>,
+    /// The roll-outs of new versions.
+    pub rollouts: Mutex<RolloutTable>,
+    /// How answers are, by service, for roll-outs.
+    pub outcomes: Mutex<HashMap<ServiceName, OutcomeMeter>>,
+    /// What daemons told of answers during roll-outs.
+    pub version_book: Mutex<VersionBook>,
     /// Wakes the task that tells other daemons about this one.
     pub tell_early: Notify,
     /// Whether clients are taken.
@@ -169,6 +177,9 @@
             report_early: Notify::new(),
             usage: Mutex::default(),
             quotas: Mutex::new(quotas),
+            rollouts: Mutex::default(),
+            outcomes: Mutex::default(),
+            version_book: Mutex::default(),
             tell_early: Notify::new(),
             phase: watch::Sender::new(GatewayPhase::Starting),
             last_sequence: AtomicU64::new(0),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod process;
 mod prompt;
 mod request_context;
+mod rollout_state;
 mod send;
 mod source_state;
 
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -169,8 +169,12 @@
     /// Chooses an upstream by what this daemon knows.
     pub fn choose(&self, request: &PlaceRequest, id: &str) -> Option<Placement> {
         let ready = self.directory.read().ready_list(&request.service);
-        let home = self.home_of(request, &ready);
-        let candidates = self.candidates(request, &ready, home);
+        let barred = self.barred_by_rollout(request, &ready).unwrap_or_default();
+        let home = self.home_of(request, &ready, &barred);
+        let mut candidates = self.candidates(request, &ready, home);
+        for (candidate, is_barred) in candidates.iter_mut().zip(&barred) {
+            candidate.tried |= is_barred;
+        }
         let times = self.engine_times(&request.service);
         let mut rng = self.rng.lock();
         let chosen = choose_upstream(&candidates, &times, request.target_ms, &mut *rng);
@@ -290,13 +294,20 @@
 
     /// Finds the upstream that all daemons send a chain of parts to, as long
     /// as its load allows; returns its index.
-    fn home_of(&self, request: &PlaceRequest, ready: &ReadyUpstreams) -> Option<usize> {
+    fn home_of(
+        &self,
+        request: &PlaceRequest,
+        ready: &ReadyUpstreams,
+        barred: &[bool],
+    ) -> Option<usize> {
         if !self.settings.mechanisms.homes {
             return None;
         }
         let chain = request.prompt.shared_chain()?;
         let is_tried = |index: &usize| request.tried.contains(&ready.upstreams[*index].id);
-        let usable = (0..ready.hashes.len()).filter(|index| !is_tried(index));
+        let is_barred = |index: &usize| barred.get(*index).copied().unwrap_or(false);
+        let usable = 0..ready.hashes.len();
+        let usable = usable.filter(|index| !is_tried(index) && !is_barred(index));
         usable.max_by_key(|index| home_rank(chain, ready.hashes[*index]))
     }
 
@@ -355,6 +366,9 @@
         failure: &SendFailure,
     ) {
         metrics::counter!(FAILED_SENDS, "run" => failure.kind()).increment(1);
+        if !matches!(failure, SendFailure::NotSent(_)) {
+            self.note_answer(context, upstream, None);
+        }
         match failure {
             SendFailure::NotSent(_) => {}
             SendFailure::Misdirected => self.note_misdirected(&upstream.id),
--- /dev/null
+++ b/src/gateway/rollout_state.rs
@@ -0,0 +1,141 @@
+use {
+    super::{Gateway, PlaceRequest, RequestContext},
+    crate::{
+        names::now_ms,
+        policy::name_hash,
+        rollouts::{AllowedVersions, Rollout, RolloutOrder},
+        upstreams::{ReadyUpstreams, Upstream},
+    },
+};
+
+/// Sets a route's whole times apart from its times to the first event.
+const WHOLE_TIMES: u32 = 0x5bd1_e995;
+
+/// What a daemon knows of roll-outs: which versions may get a request, and how their
+/// answers are.
+impl Gateway {
+    /// Takes in an operator's order.
+    pub fn hear_rollout_order(&self, order: &RolloutOrder) {
+        self.hear_rollouts(&[Rollout::ordered(order)]);
+    }
+
+    /// Takes in what was told of roll-outs.
+    pub fn hear_rollouts(&self, told: &[Rollout]) {
+        let now_ms = self.steady_ms();
+        for rollout in told {
+            if self.rollouts.lock().hear(rollout, now_ms) {
+                log::info!(
+                    target: "rollout",
+                    "heard. service={} target={} state={} share={} order={} fence={} step={}",
+                    rollout.service,
+                    rollout.target,
+                    rollout.state.as_str(),
+                    rollout.share,
+                    rollout.order,
+                    rollout.fence,
+                    rollout.step
+                );
+                self.tell_early.notify_one();
+                self.news.send_modify(|n| *n += 1);
+            }
+        }
+    }
+
+    /// Returns what to tell other daemons of roll-outs.
+    pub fn told_rollouts(&self) -> Vec<Rollout> {
+        self.rollouts.lock().told(self.steady_ms())
+    }
+
+    /// Returns which ready upstreams a request must not go to for the sake of a
+    /// roll-out; none, if it may go to any.
+    pub(super) fn barred_by_rollout(
+        &self,
+        request: &PlaceRequest,
+        ready: &ReadyUpstreams,
+    ) -> Option<Vec<bool>> {
+        let service = request.service.as_str();
+        let mut rollouts = self.rollouts.lock();
+        let target = rollouts.get(service)?.target.clone();
+        let is_target = |upstream: &Upstream| upstream.version.as_str() == target;
+        let mut tried = request.tried.iter().filter_map(|id| ready.index_of(id));
+        let failed_at_target = tried.any(|index| is_target(&ready.upstreams[index]));
+        let allowed = rollouts.allow(service, failed_at_target, self.steady_ms());
+        drop(rollouts);
+        let has = |wanted: bool| ready.upstreams.iter().any(|u| is_target(u) == wanted);
+        let wants_target = match allowed {
+            AllowedVersions::Any => return None,
+            AllowedVersions::Target => has(true),
+            AllowedVersions::Others => !has(false),
+            AllowedVersions::OnlyOthers => false,
+        };
+        let upstreams = ready.upstreams.iter();
+        Some(upstreams.map(|u| is_target(u) != wants_target).collect())
+    }
+
+    /// Notes an answer for a roll-out; `time_ms` is the time to its head or first event,
+    /// none if it failed.
+    pub(super) fn note_answer(
+        &self,
+        context: &RequestContext,
+        upstream: &Upstream,
+        time_ms: Option<f64>,
+    ) {
+        let route = name_hash(&context.route.name) as u32;
+        self.note_version(context, upstream, route, time_ms);
+    }
+
+    /// Notes the whole time of a stream for a roll-out.
+    pub(super) fn note_whole(&self, context: &RequestContext, upstream: &Upstream, time_ms: f64) {
+        let route = name_hash(&context.route.name) as u32 ^ WHOLE_TIMES;
+        self.note_version(context, upstream, route, Some(time_ms));
+    }
+
+    fn note_version(
+        &self,
+        context: &RequestContext,
+        upstream: &Upstream,
+        route: u32,
+        time_ms: Option<f64>,
+    ) {
+        let service = context.service.as_str();
+        let (order, is_target) = {
+            let rollouts = self.rollouts.lock();
+            match rollouts.get(service) {
+                Some(r) => (r.order, r.target == upstream.version.as_str()),
+                None => (0, false),
+            }
+        };
+        let mut outcomes = self.outcomes.lock();
+        let meter = outcomes.entry(context.service.clone()).or_default();
+        meter.of_order(order).note(route, is_target, time_ms);
+    }
+
+    /// Returns the slots of a service's ready upstreams of a version, and of the others.
+    pub fn version_slots(&self, service: &str, version: &str) -> (u32, u32) {
+        let directory = self.directory.read();
+        let service = service.into();
+        let slots = |is_target: bool| -> u32 {
+            let ready = directory.ready(&service);
+            let of_version = ready.filter(|u| (u.version.as_str() == version) == is_target);
+            of_version.map(|u| u.slots).sum()
+        };
+        (slots(true), slots(false))
+    }
+
+    /// Returns how many requests all daemons have at a service's upstreams of other
+    /// versions than one, as far as is known.
+    pub fn busy_at_others(&self, service: &str, version: &str) -> u32 {
+        let loads = self.all_loads();
+        let directory = self.directory.read();
+        let others = directory
+            .all()
+            .filter(|u| u.service.as_str() == service && u.version.as_str() != version);
+        let busy = others.filter_map(|u| loads.get(&u.id));
+        busy.map(|(active, _)| *active).sum()
+    }
+
+    /// Returns for how long a roll-out has been in progress, in milliseconds.
+    pub fn rollout_age_ms(&self, started_ms: u64) -> u64 {
+        now_ms().saturating_sub(started_ms)
+    }
+}
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -77,7 +77,8 @@
         self.gateway.note_stay(service, self.age_ms());
     }
 
-    fn age_ms(&self) -> f64 {
+    /// Returns how long ago the request was sent, in milliseconds.
+    pub fn age_ms(&self) -> f64 {
         self.started.elapsed().as_secs_f64() * 1_000.0
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod provider;
 pub mod report;
 pub mod requests;
+pub mod rollouts;
 pub mod routing;
 pub mod upstreams;
--- a/src/names/name.rs
+++ b/src/names/name.rs
@@ -23,6 +23,12 @@
             }
         }
 
+        impl Default for $name {
+            fn default() -> Self {
+                Self::from("")
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str(&self.0)
@@ -53,6 +59,10 @@
     /// The name of a service: a model service or a plain one.
     ServiceName
 }
+name_type! {
+    /// The version of an upstream's software.
+    UpstreamVersion
+}
 name_type! {
     /// The name of a placement policy.
     PolicyName
--- /dev/null
+++ b/src/rollouts/version_counts.rs
@@ -0,0 +1,57 @@
+use bincode::{Decode, Encode};
+
+/// How answers of some upstreams were.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct AnswerCounts {
+    /// How many there were, failures included.
+    pub answers: u32,
+    /// How many of them failed, broke off, or were much slower than usual.
+    pub bad: u32,
+}
+
+impl AnswerCounts {
+    /// Adds an answer.
+    pub fn note(&mut self, is_bad: bool) {
+        self.answers += 1;
+        self.bad += u32::from(is_bad);
+    }
+
+    /// Returns what came since an earlier count.
+    pub fn since(self, before: Self) -> Self {
+        Self {
+            answers: self.answers.saturating_sub(before.answers),
+            bad: self.bad.saturating_sub(before.bad),
+        }
+    }
+
+    /// Adds other counts.
+    pub fn add(&mut self, other: Self) {
+        self.answers += other.answers;
+        self.bad += other.bad;
+    }
+}
+
+/// The answers to one route's requests during a roll-out, by version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct VersionCounts {
+    /// Those of the new version.
+    pub target: AnswerCounts,
+    /// Those of all others.
+    pub others: AnswerCounts,
+}
+
+impl VersionCounts {
+    /// Returns what came since an earlier count.
+    pub fn since(self, before: Self) -> Self {
+        Self {
+            target: self.target.since(before.target),
+            others: self.others.since(before.others),
+        }
+    }
+
+    /// Adds other counts.
+    pub fn add(&mut self, other: Self) {
+        self.target.add(other.target);
+        self.others.add(other.others);
+    }
+}
--- a/src/upstreams/upstream.rs
+++ b/src/upstreams/upstream.rs
@@ -1,5 +1,5 @@
 use {
-    crate::names::{FailureDomain, ServiceName, UpstreamId},
+    crate::names::{FailureDomain, ServiceName, UpstreamId, UpstreamVersion},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
 };
@@ -17,6 +17,9 @@
     /// The failure domain that it stands in.
     #[serde(alias = "zone")]
     pub domain: FailureDomain,
+    /// The version of its software.
+    #[serde(default)]
+    pub version: UpstreamVersion,
     /// How many requests it works on at once.
     pub slots: u32,
     /// Whether it is about to leave: no new work.
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -34,6 +34,8 @@
     lives: NewestLives,
     /// Before this offset of the source everything is taken in.
     position: u64,
+    /// Whether it is fed by a source that no other daemon has.
+    has_own_source: bool,
     gone: HashMap<UpstreamId, Gone>,
     /// With which revision each changed last.
     changed: HashMap<UpstreamId, u64>,
@@ -190,6 +192,7 @@
     /// Takes in all upstreams of a source that no other daemon has: what it lacks is
     /// gone.
     pub fn replace_own(&mut self, listing: Vec<Upstream>) {
+        self.has_own_source = true;
         for id in self.lacked_by(&listing) {
             self.forget(&id);
         }
@@ -244,11 +247,10 @@
     /// position. What has lapsed here may still come back. Changes count from what was
     /// taken in of that daemon before: what it passed over since, by a listing, it can't
     /// name as gone, so what it doesn't have of that part of the source is gone, too.
-    /// What comes from a source that isn't shared is not taken in.
     pub fn apply(&mut self, changes: DirectoryChanges) {
         let position = changes.told.position;
         if position == 0 {
-            return;
+            return self.take_unshared(changes.upstreams);
         }
         let lacked = self.lacked_by(&changes.upstreams).into_iter();
         let is_told = |id: &UpstreamId| self.get(id).is_some_and(|u| u.offset >= changes.all_since);
@@ -264,6 +266,18 @@
         self.read_to(position);
     }
 
+    /// Takes in all upstreams of a source that isn't shared, from a daemon that has one.
+    /// One that has a source itself goes by that.
+    fn take_unshared(&mut self, listing: Vec<Upstream>) {
+        if self.position > 0 || self.has_own_source {
+            return;
+        }
+        for id in self.lacked_by(&listing) {
+            self.forget(&id);
+        }
+        self.take_in(listing);
+    }
+
     /// Returns an upstream that is not gone.
     pub fn get(&self, id: &UpstreamId) -> Option<&Arc<Upstream>> {
         let service = self.service_of.get(id)?;
--- a/standin/src/store/service.rs
+++ b/standin/src/store/service.rs
@@ -24,6 +24,8 @@
     calls: Mutex<Vec<DutyCall>>,
     down: Mutex<bool>,
     delivery: Mutex<Delivery>,
+    /// The newest epoch and number of each producer, by topic.
+    producers: Mutex<HashMap<String, (u64, u64)>>,
     /// How often each topic was listed whole.
     listings: Mutex<HashMap<String, u64>>,
 }
@@ -57,6 +59,7 @@
             calls: Mutex::default(),
             down: Mutex::new(false),
             delivery: Mutex::default(),
+            producers: Mutex::default(),
             listings: Mutex::default(),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
@@ -93,6 +96,16 @@
         self.shared.changed.send_modify(|n| *n += 1);
     }
 
+    /// Returns all values that a key of a keyed topic had, in order.
+    pub fn values(&self, topic: &str, key: &str) -> Vec<Value> {
+        let topics = self.shared.topics.lock();
+        let mine = topics.read(topic, 0).iter().filter_map(|record| {
+            let value = record.get(1..)?.strip_prefix(key.as_bytes())?;
+            serde_json::from_slice(value).ok()
+        });
+        mine.collect()
+    }
+
     /// Drops a key of a keyed topic.
     pub fn drop_key(&self, topic: &str, key: &str) {
         self.shared.topics.lock().put(topic, key, &[]);
@@ -193,6 +206,9 @@
 fn append(shared: &Shared, query: &HashMap<String, String>, body: &Bytes) -> StoreAnswer {
     let mut topics = shared.topics.lock();
     let end = topics.end(topic(query));
+    if let Some(answer) = check_producer(shared, query) {
+        return answer;
+    }
     if number(query, "at").is_some_and(|at| at != end) {
         return json_answer(StatusCode::PRECONDITION_FAILED, &json!({ "end": end }));
     }
@@ -212,6 +228,29 @@
     json_answer(StatusCode::OK, &json!({ "offset": end, "end": new_end }))
 }
 
+/// Refuses a producer's append under an epoch that is over or out of order, and answers
+/// one that was taken already as it was then.
+fn check_producer(shared: &Shared, query: &HashMap<String, String>) -> Option<StoreAnswer> {
+    let producer = query.get("producer")?;
+    let (epoch, sequence) = (number(query, "epoch")?, number(query, "sequence")?);
+    let mut producers = shared.producers.lock();
+    let key = format!("{}/{producer}", topic(query));
+    let (last_epoch, last) = producers.get(&key).copied().unwrap_or((0, 0));
+    if epoch < last_epoch {
+        let fenced = json!({ "reason": "fenced" });
+        return Some(json_answer(StatusCode::CONFLICT, &fenced));
+    }
+    if epoch == last_epoch && sequence <= last {
+        return Some(json_answer(StatusCode::OK, &json!({})));
+    }
+    if epoch == last_epoch && sequence != last + 1 {
+        let wanted = json!({ "reason": "seq", "sequence": last + 1 });
+        return Some(json_answer(StatusCode::CONFLICT, &wanted));
+    }
+    producers.insert(key, (epoch, sequence));
+    None
+}
+
 async fn read(shared: &Shared, query: &HashMap<String, String>) -> StoreAnswer {
     let from = number(query, "source").unwrap_or(0);
     let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0));
--- a/tests/decisions/directory_exploration.rs
+++ b/tests/decisions/directory_exploration.rs
@@ -49,6 +49,7 @@
         domain: FailureDomain::from("a"),
         slots: 8,
         draining,
+        version: Default::default(),
         reclaimable: false,
         offset: offset as u64,
     })
--- a/tests/decisions/lives.rs
+++ b/tests/decisions/lives.rs
@@ -14,6 +14,7 @@
         domain: FailureDomain::from("a"),
         slots: 8,
         draining: false,
+        version: Default::default(),
         reclaimable: false,
         offset,
     }
--- a/tests/decisions/routed.rs
+++ b/tests/decisions/routed.rs
@@ -16,6 +16,7 @@
         domain: FailureDomain::from("z"),
         slots: 4,
         draining,
+        version: Default::default(),
         reclaimable: false,
         offset,
     }
@@ -84,6 +85,13 @@
     directory.apply(other.changes_since(None));
     assert!(directory.is_ready(&id));
     assert!(directory.get(&UpstreamId::from("c")).is_none());
+    // A daemon without a source goes by the other's.
+    let mut lacking = UpstreamDirectory::default();
+    lacking.apply(other.changes_since(None));
+    assert!(lacking.is_ready(&UpstreamId::from("c")));
+    other.replace_own(Vec::new());
+    lacking.apply(other.changes_since(None));
+    assert!(!lacking.is_ready(&UpstreamId::from("c")));
 }
 
 fn route(host: &str, prefix: &str, kind: RouteKind) -> Route {
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -187,6 +187,7 @@
         domain: FailureDomain::from("a"),
         slots: 8,
         draining: false,
+        version: Default::default(),
         reclaimable: false,
         offset,
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod planned_soak;
 mod raw_client;
 mod repeats;
+mod rollouts;
 mod soak;
 mod start;
 mod stops;
--- /dev/null
+++ b/tests/gateway/rollouts.rs
@@ -0,0 +1,246 @@
+//! Roll-outs on the platform's store: the operator's order, upstreams of two versions,
+//! what daemons send to each, and what they write for the operator.
+
+use {
+    crate::{store_support::*, support::*},
+    saddlepulley_standin::store::Store,
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpListener,
+        task::JoinSet,
+    },
+};
+
+const STATUS: &str = "keyed.status";
+const KEY: &str = "rollout/s";
+/// How many clients ask one after the other, as fast as they are answered.
+const CLIENTS: usize = 6;
+const PAUSE: Duration = Duration::from_millis(12);
+
+/// Answers every request in the same way, after a time, and counts them.
+struct Upstream {
+    address: SocketAddr,
+    requests: Arc<AtomicU64>,
+}
+
+impl Upstream {
+    async fn start(status: u16, delay: Duration) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let requests = Arc::new(AtomicU64::new(0));
+        let counted = requests.clone();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let counted = counted.clone();
+                tokio::spawn(async move {
+                    let mut buf = [0; 4_096];
+                    while stream.read(&mut buf).await.is_ok_and(|n| n > 0) {
+                        counted.fetch_add(1, Ordering::Relaxed);
+                        tokio::time::sleep(delay).await;
+                        let answer = format!(
+                            "HTTP/1.1 {status} X\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok"
+                        );
+                        if stream.write_all(answer.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Self { address, requests }
+    }
+
+    async fn sound() -> Self {
+        Self::start(200, Duration::from_millis(5)).await
+    }
+
+    fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    fn enter(&self, store: &Store, id: &str, version: &str) {
+        let mut entry = entry(self.address, "ready", 1);
+        entry["version"] = json!(version);
+        store.put("keyed.servers", id, &entry);
+    }
+}
+
+fn order(store: &Store, target: &str, deadline_s: f64) {
+    let order = json!({ "service": "s", "target_version": target, "deadline_s": deadline_s });
+    store.put("keyed.op", KEY, &order);
+}
+
+fn states(store: &Store) -> Vec<String> {
+    let states = store.values(STATUS, KEY).into_iter();
+    let mut states: Vec<String> = states
+        .map(|status: Value| status["state"].as_str().unwrap_or_default().to_string())
+        .collect();
+    states.dedup();
+    states
+}
+
+/// Clients that ask for as long as it lives.
+struct Load {
+    stop: Arc<AtomicBool>,
+    failed: Arc<AtomicU64>,
+    _clients: JoinSet<()>,
+}
+
+impl Load {
+    fn on(daemon: &GatewayDaemon) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let failed = Arc::new(AtomicU64::new(0));
+        let mut clients = JoinSet::new();
+        for _ in 0..CLIENTS {
+            let (stop, failed, address) = (stop.clone(), failed.clone(), daemon.clients);
+            clients.spawn(async move {
+                while !stop.load(Ordering::Relaxed) {
+                    let is_whole = ask_at(address, "/p/x").await == Some(http::StatusCode::OK);
+                    failed.fetch_add(u64::from(!is_whole), Ordering::Relaxed);
+                    tokio::time::sleep(PAUSE).await;
+                }
+            });
+        }
+        Self {
+            stop,
+            failed,
+            _clients: clients,
+        }
+    }
+
+    fn failed(&self) -> u64 {
+        self.failed.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
+
+struct World {
+    store: Store,
+    daemon: GatewayDaemon,
+    old: Upstream,
+}
+
+async fn world() -> World {
+    let store = Store::start().await.unwrap();
+    store.put("keyed.op", "config", &config(3, "/p/"));
+    let old = Upstream::sound().await;
+    old.enter(&store, "i-1", "v1");
+    let daemon = daemon("n1", &store, &[]);
+    daemon.wait_ready().await;
+    World { store, daemon, old }
+}
+
+#[tokio::test]
+async fn a_good_version_is_completed_by_its_deadline_and_gets_all_requests_before() {
+    let World { store, daemon, old } = world().await;
+    let load = Load::on(&daemon);
+    let new = Upstream::sound().await;
+    let began = Instant::now();
+    order(&store, "v2", 14.0);
+    new.enter(&store, "i-2", "v2");
+    eventually("an outcome", async || states(&store).len() > 1).await;
+    assert!(began.elapsed() < Duration::from_secs(14), "in time");
+    assert_eq!(states(&store), ["in_progress", "completed"]);
+    // The old ones stop at once: nothing may be sent there any more.
+    let sent = old.requests();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(old.requests(), sent);
+    assert_eq!(load.failed(), 0);
+}
+
+#[tokio::test]
+async fn a_version_that_fails_is_rolled_back_and_no_client_notices() {
+    let World { store, daemon, old } = world().await;
+    let load = Load::on(&daemon);
+    let new = Upstream::start(500, Duration::ZERO).await;
+    order(&store, "v2", 30.0);
+    new.enter(&store, "i-2", "v2");
+    eventually("an outcome", async || states(&store).len() > 1).await;
+    assert_eq!(states(&store), ["in_progress", "rolled_back"]);
+    let sent = new.requests();
+    assert!(sent < 50, "{sent} requests until it was found");
+    let share = sent as f64 / (sent + old.requests()) as f64;
+    assert!(share < 0.1, "{share}");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(new.requests(), sent, "none after that");
+    // What the new version fails the old one answers.
+    assert_eq!(load.failed(), 0);
+}
+
+#[tokio::test]
+async fn a_version_that_is_slow_is_rolled_back() {
+    let World { store, daemon, .. } = world().await;
+    let _load = Load::on(&daemon);
+    let new = Upstream::start(200, Duration::from_millis(80)).await;
+    order(&store, "v2", 30.0);
+    new.enter(&store, "i-2", "v2");
+    eventually("an outcome", async || states(&store).len() > 1).await;
+    assert_eq!(states(&store), ["in_progress", "rolled_back"]);
+    assert!(new.requests() < 60, "{} requests", new.requests());
+}
+
+#[tokio::test]
+async fn orders_that_can_t_be_met_have_an_outcome() {
+    let World { store, daemon, old } = world().await;
+    let _load = Load::on(&daemon);
+    // No upstream of that version ever comes.
+    order(&store, "v9", 4.0);
+    eventually("no upstreams", async || {
+        states(&store).last().is_some_and(|s| s == "rolled_back")
+    })
+    .await;
+    // A deadline that is over as soon as it is heard of.
+    order(&store, "v8", 0.0);
+    eventually("no time", async || {
+        let written = store.values(STATUS, KEY);
+        let last = written.last().unwrap();
+        last["target_version"] == "v8" && last["state"] == "rolled_back"
+    })
+    .await;
+    // The version that runs already.
+    order(&store, "v1", 20.0);
+    eventually("the same version", async || {
+        let written = store.values(STATUS, KEY);
+        let last = written.last().unwrap();
+        last["target_version"] == "v1" && last["state"] == "completed"
+    })
+    .await;
+    let sent = old.requests();
+    eventually("served all the time", async || old.requests() > sent + 20).await;
+}
+
+/// All daemons are lost in the middle of a roll-out, and the source is away when they
+/// start again.
+#[tokio::test]
+async fn after_the_loss_of_all_daemons_a_roll_out_goes_on_from_what_is_written() {
+    let World { store, daemon, old } = world().await;
+    let load = Load::on(&daemon);
+    let new = Upstream::sound().await;
+    order(&store, "v2", 16.0);
+    new.enter(&store, "i-2", "v2");
+    eventually("its first share", async || new.requests() > 5).await;
+    drop(load);
+    drop(daemon);
+    let daemon = crate::store_support::daemon("n2", &store, &[]);
+    daemon.wait_ready().await;
+    let _load = Load::on(&daemon);
+    eventually("an outcome", async || states(&store).len() > 1).await;
+    let written = store.values(STATUS, KEY);
+    let started = |index: usize| written[index]["started_ms"].as_u64();
+    assert_eq!(started(0), started(written.len() - 1), "one and the same");
+    assert!(old.requests() > 0);
+}
--- a/tests/gateway/store_support.rs
+++ b/tests/gateway/store_support.rs
@@ -99,14 +99,19 @@
 
 /// Asks a daemon as a client would.
 pub async fn ask(daemon: &GatewayDaemon, path: &str) -> StatusCode {
+    ask_at(daemon.clients, path)
+        .await
+        .unwrap_or(StatusCode::IM_A_TEAPOT)
+}
+
+/// Asks a daemon at an address; none without an answer.
+pub async fn ask_at(address: SocketAddr, path: &str) -> Option<StatusCode> {
     let request = http::Request::get(path)
         .header("host", "h.example")
         .header("x-attempt-id", "a1")
         .header("x-credential", "k")
         .header("x-deadline-ms", "1000");
-    let mut client = daemon.client().await;
-    client
-        .send(request, "")
-        .await
-        .map_or(StatusCode::IM_A_TEAPOT, |a| a.status)
+    let mut client = Client::connect(address).await?;
+    let answer = client.send(request, "").await.ok()?;
+    answer.whole.then_some(answer.status)
 }
