--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -1,10 +1,10 @@
 use {
     super::{CliError, finish},
-    crate::logs::tell_story,
+    crate::logs::{LogSource, tell_story},
     pico_args::Arguments,
     std::{
         fs::File,
-        io::{BufRead, BufReader, stdin},
+        io::{BufReader, stdin},
         path::PathBuf,
     },
 };
@@ -17,19 +17,24 @@
         files.push(file);
     }
     finish(args)?;
-    let mut sources: Vec<(String, Box<dyn BufRead>)> = Vec::new();
-    for path in &files {
-        let name = path.display().to_string();
-        let file = File::open(path).map_err(|e| CliError::Failed(format!("{name}: {e}")))?;
-        sources.push((name, Box::new(BufReader::new(file))));
-    }
-    if files.is_empty() {
-        sources.push(("-".into(), Box::new(BufReader::new(stdin()))));
-    }
-    let story = tell_story(&request, sources)?;
+    let story = tell_story(&request, log_sources(&files)?)?;
     if story.is_empty() {
         return Err(CliError::Failed(format!("no line names request {request}")));
     }
     print!("{story}");
     Ok(())
 }
+
+/// Opens log files; standard input without any.
+pub fn log_sources(files: &[PathBuf]) -> Result<Vec<LogSource>, CliError> {
+    if files.is_empty() {
+        return Ok(vec![("-".into(), Box::new(BufReader::new(stdin())))]);
+    }
+    let mut sources: Vec<LogSource> = Vec::new();
+    for path in files {
+        let name = path.display().to_string();
+        let file = File::open(path).map_err(|e| CliError::Failed(format!("{name}: {e}")))?;
+        sources.push((name, Box::new(BufReader::new(file))));
+    }
+    Ok(sources)
+}
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -15,6 +15,7 @@
   status         show boxes, failure domains and versions in force
   report         show how each policy did
   explain        tell the story of one request from logs
+  rollout        show how roll-outs go, from logs
   drain          stop a daemon as planned
   demo           stand-ins and three daemons in one process
 
@@ -44,6 +45,18 @@
 Example: saddlepulley explain 9c41d07be2a35f68 edge-1.log edge-2.log
 ";
 
+/// Help for `rollout`.
+pub const ROLLOUT: &str = "\
+Usage: saddlepulley rollout status [--json] [FILE...]
+       saddlepulley rollout explain SERVICE [--json] [FILE...]
+
+Reads the logs of daemons; without files, standard input. `status` prints the newest
+step of each service's roll-out, `explain` all steps of one service's with the
+figures that decided. Exit code 1 if no line tells of a step.
+
+Example: saddlepulley rollout explain llm-pool edge-1.log edge-2.log
+";
+
 /// Help for `serve`.
 pub const SERVE: &str = "\
 Usage: saddlepulley serve --settings FILE
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod logs;
 mod operator_client;
 mod report_command;
+mod rollout_command;
 mod run;
 mod serve;
 mod status;
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -1,7 +1,7 @@
 use {
     super::{
-        CliError, check, demo, explain, gateway_command, help, report_command, serve, status,
-        table_command,
+        CliError, check, demo, explain, gateway_command, help, report_command, rollout_command,
+        serve, status, table_command,
     },
     pico_args::Arguments,
     std::{ffi::OsString, process::ExitCode},
@@ -45,6 +45,7 @@
         "serve" => (help::SERVE, serve::serve),
         "gateway" => (help::GATEWAY, gateway_command::gateway),
         "explain" => (help::EXPLAIN, explain::explain),
+        "rollout" => (help::ROLLOUT, rollout_command::rollout),
         "check" => (help::CHECK, check::check),
         "table" => (help::TABLE, table_command::table),
         "status" => (help::STATUS, status::status),
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -39,6 +39,10 @@
 pub const IS_HUB: &str = "saddlepulley_is_hub";
 /// How many daemons let requests in through this one, itself included.
 pub const LEANING: &str = "saddlepulley_leaning_daemons";
+/// The share of a service's requests that a new version gets, by service and version.
+pub const ROLLOUT_SHARE: &str = "saddlepulley_rollout_share";
+/// Answers during a roll-out, by service, version and whether they were bad.
+pub const ROLLOUT_ANSWERS: &str = "saddlepulley_rollout_answers_total";
 /// Whether this daemon has the duties.
 pub const HOLDS_DUTIES: &str = "saddlepulley_holds_duties";
 
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -144,6 +144,10 @@
     metrics::gauge!(LEANING).set(f64::from(leaning));
     let age_ms = gateway.members.lock().oldest_loads_ms(gateway.steady_ms());
     metrics::gauge!(LOADS_AGE).set(age_ms as f64 / 1_000.0);
+    for rollout in gateway.told_rollouts() {
+        let labels = [("service", rollout.service), ("version", rollout.target)];
+        metrics::gauge!(ROLLOUT_SHARE, &labels).set(f64::from(rollout.share));
+    }
     let holds = gateway.holds_duties.load(Ordering::Relaxed);
     metrics::gauge!(HOLDS_DUTIES).set(f64::from(u8::from(holds)));
 }
--- a/src/gateway/rollout_state.rs
+++ b/src/gateway/rollout_state.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Gateway, PlaceRequest, RequestContext},
+    super::{Gateway, PlaceRequest, ROLLOUT_ANSWERS, RequestContext},
     crate::{
         names::now_ms,
         policy::name_hash,
@@ -105,6 +105,14 @@
                 None => (0, false),
             }
         };
+        if order > 0 {
+            let labels = [
+                ("service", service.to_string()),
+                ("version", upstream.version.to_string()),
+                ("failed", time_ms.is_none().to_string()),
+            ];
+            metrics::counter!(ROLLOUT_ANSWERS, &labels).increment(1);
+        }
         let mut outcomes = self.outcomes.lock();
         let meter = outcomes.entry(context.service.clone()).or_default();
         meter.of_order(order).note(route, is_target, time_ms);
--- a/src/logs/story.rs
+++ b/src/logs/story.rs
@@ -3,8 +3,19 @@
     std::{fmt::Write, io::BufRead},
 };
 
-/// Tells the story of one request from the logs of all daemons: each line that
-/// names it, in the order of time, behind the name of its source.
+/// A source of log lines, with its name.
+pub type LogSource = (String, Box<dyn BufRead>);
+
+/// A log line, and who wrote it.
+#[derive(Clone, Debug)]
+pub struct ToldLine {
+    /// The line.
+    pub line: LogLine,
+    /// The name of its source, or what a collector put before it.
+    pub source: String,
+}
+
+/// Reads the lines of all sources that `is_wanted` picks, in the order of time.
 ///
 /// Lines that are not log lines are passed over, as is what stands before the
 /// first brace of a line (a collector's prefix).
@@ -12,26 +23,46 @@
 /// # Errors
 ///
 /// Returns the error of a source that can't be read.
-pub fn tell_story(
-    request: &str,
-    sources: Vec<(String, Box<dyn BufRead>)>,
-) -> std::io::Result<String> {
+pub fn read_lines(
+    sources: Vec<LogSource>,
+    is_wanted: impl Fn(&LogLine) -> bool,
+) -> std::io::Result<Vec<ToldLine>> {
     let mut lines = Vec::new();
     for (name, source) in sources {
         for text in source.lines() {
-            let text = text?;
-            if let Some((prefix, line)) = parse(&text)
-                && line.value("request") == Some(request)
-            {
-                lines.push((line, name.clone(), prefix));
+            let Some((prefix, line)) = parse(&text?) else {
+                continue;
+            };
+            if is_wanted(&line) {
+                let source = if prefix.is_empty() {
+                    name.clone()
+                } else {
+                    prefix
+                };
+                lines.push(ToldLine { line, source });
             }
         }
     }
-    lines.sort_by_key(|(line, _, _)| line.time_ms);
+    lines.sort_by_key(|told| told.line.time_ms);
+    Ok(lines)
+}
+
+/// Tells the story of one request from the logs of all daemons: each line that
+/// names it, in the order of time, behind the name of its source.
+///
+/// # Errors
+///
+/// Returns the error of a source that can't be read.
+pub fn tell_story(request: &str, sources: Vec<LogSource>) -> std::io::Result<String> {
+    let names_it = |line: &LogLine| line.value("request") == Some(request);
+    Ok(story_of(&read_lines(sources, names_it)?))
+}
+
+/// Writes lines with the times since the first one.
+pub fn story_of(lines: &[ToldLine]) -> String {
     let mut story = String::new();
-    let first_ms = lines.first().map_or(0, |(line, _, _)| line.time_ms);
-    for (line, name, prefix) in lines {
-        let source = if prefix.is_empty() { &name } else { &prefix };
+    let first_ms = lines.first().map_or(0, |told| told.line.time_ms);
+    for ToldLine { line, source } in lines {
         let after_ms = line.time_ms - first_ms;
         let _ = writeln!(
             story,
@@ -39,7 +70,7 @@
             line.part, line.message
         );
     }
-    Ok(story)
+    story
 }
 
 fn parse(text: &str) -> Option<(String, LogLine)> {
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -35,7 +35,7 @@
     pub target: String,
     /// Within how long it is to be decided, in seconds.
     pub deadline_s: f64,
-    /// Where the order stands in its source: a later one takes its place.
+    /// Rises with the order's place in its source, from 1: a later one takes its place.
     pub offset: u64,
 }
 
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -160,6 +160,9 @@
     tokio::time::sleep(Duration::from_secs(1)).await;
     assert_eq!(old.requests(), sent);
     assert_eq!(load.failed(), 0);
+    let page = daemon.metrics_page().await;
+    assert!(page.contains("saddlepulley_rollout_share{service=\"s\",version=\"v2\"} 1"));
+    assert!(page.contains("saddlepulley_rollout_answers_total"));
 }
 
 #[tokio::test]
--- a/tests/it/cli.rs
+++ b/tests/it/cli.rs
@@ -27,7 +27,7 @@
 #[test]
 fn every_command_has_help_with_an_example() {
     for command in [
-        "serve", "check", "table", "status", "report", "drain", "demo",
+        "serve", "check", "table", "status", "report", "drain", "demo", "rollout",
     ] {
         let out = run(&[command, "--help"]);
         assert_eq!(code(&out), 0, "{command}");
@@ -36,6 +36,37 @@
     }
 }
 
+#[test]
+fn the_steps_of_a_roll_out_are_told_from_logs() {
+    let dir = tempfile::TempDir::new().unwrap();
+    let line = |time_ms: u64, message: &str| {
+        format!(
+            "{{\"time_ms\":{time_ms},\"level\":\"INFO\",\"part\":\"rollout\",\"message\":\"{message}\"}}\n"
+        )
+    };
+    let (first, second) = (dir.path().join("a.log"), dir.path().join("b.log"));
+    let last = "step. service=s target=v2 state=rolled_back share=0 bad=17 log_ratio=12.5";
+    fs::write(&first, line(2_000, last) + "no log line\n").unwrap();
+    let begun = "step. service=s target=v2 state=in_progress share=0.05 bad=0";
+    let heard = "heard. service=s target=v2 state=in_progress share=0.05";
+    let other = "step. service=t target=v7 state=completed share=1";
+    let text_b = line(1_000, begun) + &line(1_050, heard) + &line(1_500, other);
+    fs::write(&second, text_b).unwrap();
+    let files = [first.to_str().unwrap(), second.to_str().unwrap()];
+    let explain = run(&["rollout", "explain", "s", files[0], files[1]]);
+    let told = text(&explain.stdout);
+    assert_eq!(told.lines().count(), 2, "{told}");
+    let place = |words: &str| told.find(words).unwrap();
+    assert!(place("in_progress") < place("rolled_back"), "{told}");
+    let status = run(&["rollout", "status", "--json", files[0], files[1]]);
+    let status: serde_json::Value = serde_json::from_slice(&status.stdout).unwrap();
+    assert_eq!(status[0]["state"], "rolled_back");
+    assert_eq!(status[0]["log_ratio"], 12.5);
+    assert_eq!(status[1]["service"], "t");
+    assert_eq!(code(&run(&["rollout", "explain", "u", files[0]])), 1);
+    assert_eq!(code(&run(&["rollout"])), 2);
+}
+
 #[test]
 fn wrong_usage_exits_2_and_says_what() {
     for args in [
