A holder of the duties that is no hub gives them back once others read the source

Such a holder hears the demand of its own failure domain only and orders too few upstreams.

Hypothesis: a hub that holds the duties from the store's return on orders in time.

--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duty_runner.rs
@@ -6,7 +6,9 @@
     crate::{
         gateway::{Gateway, GatewayPhase},
         names::{BoxId, now_ms},
-        policy::{Claimer, DutyLog, DutyRecord, LeaseRecord, LeaseStep, UsageReadiness},
+        policy::{
+            Claimer, DutyFitness, DutyLog, DutyRecord, LeaseRecord, LeaseStep, UsageReadiness,
+        },
     },
     bytes::Bytes,
     std::{
@@ -75,14 +77,15 @@
                 self.gateway.until_reading_source().await;
             }
             let stopping = *self.gateway.phase.borrow() != GatewayPhase::Ready;
+            let is_fit = self.fitness(stopping).keeps();
             let other_holds = self.gateway.peers.lock().has_duty_holder();
             if !holds && other_holds && !self.gateway.watches_duties() {
                 // Enough others count from the last renewal when the lease ends.
                 tokio::time::sleep(PAUSE).await;
                 continue;
             }
-            if stopping || (!holds && other_holds) {
-                if stopping && holds {
+            if !is_fit || (!holds && other_holds) {
+                if holds {
                     self.release_lease().await;
                 }
                 self.tell(false);
@@ -106,6 +109,14 @@
         }
     }
 
+    fn fitness(&self, is_stopping: bool) -> DutyFitness {
+        DutyFitness {
+            is_stopping,
+            is_hub: self.gateway.is_hub(),
+            reads_source: *self.gateway.reads_source.borrow(),
+        }
+    }
+
     /// Reads along while another daemon holds the lease, so that the time to
     /// wait for its end is counted from its last renewal.
     async fn watch_holder(&mut self) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod clients;
 mod concurrency;
 mod domain_reach;
+mod duty_fitness;
 mod duty_log;
 mod engine_model;
 mod engine_times;
@@ -39,9 +40,9 @@
 
 pub use {
     admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
-    claimant::*, clients::*, concurrency::*, domain_reach::*, duty_log::*, engine_model::*,
-    engine_times::*, estimate::*, first_event::*, fleet::*, holder::*, hubs::*, lease::*,
-    neighbours::*, placement::*, placement_cheapest::*, placement_keep_work::*, placement_naive::*,
-    quota::*, reading_speed::*, reclaim::*, retry::*, retry_allowance::*, retry_situation::*,
-    sources::*, spill::*, splice::*, stall::*, usage_due::*, usage_windows::*,
+    claimant::*, clients::*, concurrency::*, domain_reach::*, duty_fitness::*, duty_log::*,
+    engine_model::*, engine_times::*, estimate::*, first_event::*, fleet::*, holder::*, hubs::*,
+    lease::*, neighbours::*, placement::*, placement_cheapest::*, placement_keep_work::*,
+    placement_naive::*, quota::*, reading_speed::*, reclaim::*, retry::*, retry_allowance::*,
+    retry_situation::*, sources::*, spill::*, splice::*, stall::*, usage_due::*, usage_windows::*,
 };
--- a/tests/decisions/duties.rs
+++ b/tests/decisions/duties.rs
@@ -187,3 +187,25 @@
     assert!(readiness(9_300.0, false, 300.0).is_due());
     assert!(!readiness(13_000.0, true, 9_000.0).is_due(), "too late");
 }
+
+/// A daemon that is no hub took the duties while the source turned the hubs away, and
+/// kept them for the rest of the day, though it heard of its own domain's demand only.
+#[test]
+fn one_that_is_no_hub_holds_the_duties_only_while_it_reads_the_source() {
+    let fitness = |is_stopping, is_hub, reads_source| DutyFitness {
+        is_stopping,
+        is_hub,
+        reads_source,
+    };
+    assert!(fitness(false, true, true).keeps());
+    assert!(fitness(false, true, false).keeps(), "a hub hears of all");
+    assert!(
+        fitness(false, false, true).keeps(),
+        "nobody else may reach it"
+    );
+    assert!(
+        !fitness(false, false, false).keeps(),
+        "others read it again"
+    );
+    assert!(!fitness(true, true, true).keeps(), "it stops");
+}
