A completed roll-out bars other versions only while the old ones stop

Later versions come without an order, too: one after the other, they would have got no request until the last upstream of the version before had gone.

--- a/src/rollouts/rollout_table.rs
+++ b/src/rollouts/rollout_table.rs
@@ -4,6 +4,10 @@
 /// some digests of a large system. A daemon that is cut off from the leader sends nothing
 /// to a version that is not known to be good, since it would not hear that it is bad.
 const SHARE_LEASE_MS: u64 = 2_500;
+/// For how long after a roll-out is completed only the new version gets requests, in
+/// milliseconds: the old ones stop at once, and their entries go some heartbeats later.
+/// Versions that come after that need no order.
+const OLD_ONES_STOP_MS: u64 = 30_000;
 /// Up to which share a version counts as not known to be good yet.
 const UNPROVED_SHARE: f32 = 0.3;
 
@@ -100,13 +104,15 @@
         let Some(known) = self.known.get_mut(service) else {
             return AllowedVersions::Any;
         };
+        let age_ms = now_ms.saturating_sub(known.said_ms);
         match known.rollout.state {
+            RolloutState::Completed if age_ms > OLD_ONES_STOP_MS => return AllowedVersions::Any,
             RolloutState::Completed => return AllowedVersions::Target,
             RolloutState::RolledBack => return AllowedVersions::OnlyOthers,
             RolloutState::InProgress => {}
         }
         let share = known.rollout.share;
-        let is_stale = now_ms.saturating_sub(known.said_ms) > SHARE_LEASE_MS;
+        let is_stale = age_ms > SHARE_LEASE_MS;
         if failed_at_target || share <= 0.0 || (is_stale && share < UNPROVED_SHARE) {
             return AllowedVersions::Others;
         }
