--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -12,6 +12,7 @@
 mod planned_soak;
 mod raw_client;
 mod repeats;
+mod restart_soak;
 mod rollouts;
 mod soak;
 mod start;
