A leader of roll-outs takes the board over before it reads what is written

Cause, found by reading: a leader that had lost the lease could still have an outcome on its way after its successor had read; the operator then would read two that differ. A write whose number is out of order takes the number that the store wants.

Two locks that were held at once are taken one after the other.

--- a/src/cluster/duty_borders.rs
+++ b/src/cluster/duty_borders.rs
@@ -68,9 +68,26 @@
     pub rollout: Rollout,
 }
 
+/// How a write of a record ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteEnd {
+    /// It is written.
+    Taken,
+    /// It is not: this number comes next.
+    Renumber(u64),
+}
+
 /// Where the outcomes of roll-outs are written for the operator. It outlives daemons.
 #[async_trait]
 pub trait StatusBoard: Send + Sync {
+    /// Takes the board over: what daemons with earlier fences write from now on, or wrote
+    /// and is still on its way, is refused.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the call failed.
+    async fn take_over(&self, fence: u64) -> Result<(), BorderError>;
+
     /// Reads the newest record of each service.
     ///
     /// # Errors
@@ -89,7 +106,7 @@
         record: &RolloutRecord,
         fence: u64,
         number: u64,
-    ) -> Result<(), BorderError>;
+    ) -> Result<WriteEnd, BorderError>;
 }
 
 /// In whose name a duty is done.
--- a/src/cluster/rollout_duty.rs
+++ b/src/cluster/rollout_duty.rs
@@ -1,5 +1,5 @@
 use {
-    super::{BorderError, RolloutRecord, StatusBoard},
+    super::{BorderError, RolloutRecord, StatusBoard, WriteEnd},
     crate::{
         gateway::Gateway,
         names::now_ms,
@@ -73,8 +73,11 @@
         self.write(fence).await
     }
 
-    /// Begins to lead: goes on from what is written.
+    /// Begins to lead: goes on from what is written. The board is taken over before it is
+    /// read: else a leader before could still write an outcome that is not seen here, and
+    /// the operator would read two that differ.
     async fn begin(&mut self, gateway: &Gateway, fence: u64) -> Result<(), BorderError> {
+        self.board.take_over(fence).await?;
         let records = self.board.read().await?;
         let written: Vec<Rollout> = records.into_iter().map(|r| r.rollout).collect();
         gateway.hear_rollouts(&written);
@@ -154,11 +157,25 @@
     /// been taken, and is sent again under its number.
     async fn write(&mut self, fence: u64) -> Result<(), BorderError> {
         while let Some((number, record)) = self.unwritten.front() {
-            self.board.write(record, fence, *number).await?;
-            self.unwritten.pop_front();
+            match self.board.write(record, fence, *number).await? {
+                WriteEnd::Taken => {
+                    self.unwritten.pop_front();
+                }
+                WriteEnd::Renumber(next) => {
+                    self.renumber(next);
+                    return Ok(());
+                }
+            }
         }
         Ok(())
     }
+
+    fn renumber(&mut self, next: u64) {
+        for ((number, _), in_turn) in self.unwritten.iter_mut().zip(next..) {
+            *number = in_turn;
+            self.last_number = in_turn;
+        }
+    }
 }
 
 fn view_of(gateway: &Gateway, rollout: &Rollout, judge: &Judge, started_ms: u64) -> RolloutView {
--- a/src/cluster/versions_teller.rs
+++ b/src/cluster/versions_teller.rs
@@ -21,23 +21,23 @@
             }
             gateway.version_book.lock().hear(part);
         }
-        let rollouts = gateway.rollouts.lock();
-        let is_open = |service: &str, order| {
-            let open = rollouts.get(service);
-            open.is_some_and(|r| r.order == order && r.state == RolloutState::InProgress)
-        };
+        let open = open_orders(&gateway);
+        let is_open = |service: &str, order| open.iter().any(|(s, o)| s == service && *o == order);
         gateway.version_book.lock().retain(is_open);
     }
 }
 
+/// Returns the services and orders of the roll-outs that are in progress.
+fn open_orders(gateway: &Gateway) -> Vec<(String, u64)> {
+    let rollouts = gateway.rollouts.lock();
+    let open = rollouts
+        .iter()
+        .filter(|r| r.state == RolloutState::InProgress);
+    open.map(|r| (r.service.clone(), r.order)).collect()
+}
+
 fn own_parts(gateway: &Gateway) -> Vec<VersionsPart> {
-    let open: Vec<(String, u64)> = {
-        let rollouts = gateway.rollouts.lock();
-        let open = rollouts.iter();
-        open.filter(|r| r.state == RolloutState::InProgress)
-            .map(|r| (r.service.clone(), r.order))
-            .collect()
-    };
+    let open = open_orders(gateway);
     let outcomes = gateway.outcomes.lock();
     let parts = open.into_iter().filter_map(|(service, order)| {
         let counts = outcomes.get(service.as_str())?.counts(order);
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -23,6 +23,7 @@
 mod quota;
 mod reclaim;
 mod report;
+mod rollout_duty;
 mod rollouts;
 mod routed;
 mod sources;
