--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -244,7 +244,8 @@
     }
 
     /// Takes in what has changed in another daemon's directory, as of that daemon's
-    /// position. What has lapsed here may still come back. Changes count from what was
+    /// position. What has lapsed here is gone, too, if another that heard the source all
+    /// the time says so: only this daemon may have been cut off. Changes count from what was
     /// taken in of that daemon before: what it passed over since, by a listing, it can't
     /// name as gone, so what it doesn't have of that part of the source is gone, too.
     pub fn apply(&mut self, changes: DirectoryChanges) {
@@ -258,7 +259,7 @@
         gone.extend(changes.gone);
         for id in gone {
             let is_older = self.get(&id).is_some_and(|known| known.offset < position);
-            if is_older && !self.lapsed.contains_key(&id) {
+            if is_older {
                 self.forget(&id);
             }
         }
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -324,3 +324,17 @@
     own.apply(late.changes_since(None));
     assert!(!own.is_ready(&upstream(1, 0).id));
 }
+
+/// A daemon that alone was cut off from the source takes what is missing at its return
+/// for lapsed; one that was not knows better.
+#[test]
+fn what_lapsed_here_is_gone_if_another_says_so() {
+    let mut own = UpstreamDirectory::default();
+    own.replace(vec![upstream(0, 1), upstream(1, 2)], 3, None);
+    own.replace(vec![upstream(0, 1)], 6, Some(2_000));
+    assert!(own.is_ready(&upstream(1, 0).id), "it may have lapsed");
+    let mut other = UpstreamDirectory::default();
+    other.replace(vec![upstream(0, 1)], 6, None);
+    own.apply(other.changes_since(None));
+    assert!(!own.is_ready(&upstream(1, 0).id));
+}
