Read as a newcomer: one type for a roll-out, also where it is written; the schedule without a mark

A record that only wrapped a roll-out goes; the age of a roll-out is worked out where it is used; the first share is no longer a negative number in a table.

--- a/src/cluster/duty_borders.rs
+++ b/src/cluster/duty_borders.rs
@@ -61,13 +61,6 @@
     ) -> Result<AppendEnd, BorderError>;
 }
 
-/// What is written of a roll-out.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RolloutRecord {
-    /// The roll-out.
-    pub rollout: Rollout,
-}
-
 /// How a write of a record ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteEnd {
@@ -88,14 +81,14 @@
     /// Returns how the call failed.
     async fn take_over(&self, fence: u64) -> Result<(), BorderError>;
 
-    /// Reads the newest record of each service.
+    /// Reads what was written last of each service's roll-out.
     ///
     /// # Errors
     ///
     /// Returns how the read failed.
-    async fn read(&self) -> Result<Vec<RolloutRecord>, BorderError>;
+    async fn read(&self) -> Result<Vec<Rollout>, BorderError>;
 
-    /// Writes a record, unless a daemon with a later fence has written. Records of one
+    /// Writes how far a roll-out is, unless a daemon with a later fence has written. Records of one
     /// fence are numbered from 1; one that is written again under its number counts once.
     ///
     /// # Errors
@@ -103,7 +96,7 @@
     /// Returns how the write failed.
     async fn write(
         &self,
-        record: &RolloutRecord,
+        rollout: &Rollout,
         fence: u64,
         number: u64,
     ) -> Result<WriteEnd, BorderError>;
--- a/src/cluster/rollout_duty.rs
+++ b/src/cluster/rollout_duty.rs
@@ -1,5 +1,5 @@
 use {
-    super::{BorderError, RolloutRecord, StatusBoard, WriteEnd},
+    super::{BorderError, StatusBoard, WriteEnd},
     crate::{
         gateway::Gateway,
         names::now_ms,
@@ -28,7 +28,7 @@
     /// The fence under which what is written was read.
     read_under: Option<u64>,
     /// Records that the board has not taken yet, with their numbers.
-    unwritten: VecDeque<(u64, RolloutRecord)>,
+    unwritten: VecDeque<(u64, Rollout)>,
     last_number: u64,
 }
 
@@ -78,9 +78,7 @@
     /// the operator would read two that differ.
     async fn begin(&mut self, gateway: &Gateway, fence: u64) -> Result<(), BorderError> {
         self.board.take_over(fence).await?;
-        let records = self.board.read().await?;
-        let written: Vec<Rollout> = records.into_iter().map(|r| r.rollout).collect();
-        gateway.hear_rollouts(&written);
+        gateway.hear_rollouts(&self.board.read().await?);
         self.led.clear();
         self.unwritten.clear();
         self.last_number = 0;
@@ -149,15 +147,14 @@
             view.busy_others
         );
         self.last_number += 1;
-        let record = RolloutRecord { rollout: told };
-        self.unwritten.push_back((self.last_number, record));
+        self.unwritten.push_back((self.last_number, told));
     }
 
     /// Writes what the board has not taken yet, in order: one that got no answer may have
     /// been taken, and is sent again under its number.
     async fn write(&mut self, fence: u64) -> Result<(), BorderError> {
-        while let Some((number, record)) = self.unwritten.front() {
-            match self.board.write(record, fence, *number).await? {
+        while let Some((number, rollout)) = self.unwritten.front() {
+            match self.board.write(rollout, fence, *number).await? {
                 WriteEnd::Taken => {
                     self.unwritten.pop_front();
                 }
@@ -183,7 +180,7 @@
     let service = rollout.service.as_str().into();
     let table = gateway.table();
     RolloutView {
-        elapsed_ms: gateway.rollout_age_ms(started_ms),
+        elapsed_ms: now_ms().saturating_sub(started_ms),
         deadline_ms: (rollout.deadline_s.max(0.0) * 1_000.0) as u64,
         is_known: table.is_none_or(|t| t.find_service(&service).is_some()),
         target_slots,
--- a/src/gateway/rollout_state.rs
+++ b/src/gateway/rollout_state.rs
@@ -1,7 +1,6 @@
 use {
     super::{Gateway, PlaceRequest, ROLLOUT_ANSWERS, RequestContext},
     crate::{
-        names::now_ms,
         policy::name_hash,
         rollouts::{AllowedVersions, Rollout, RolloutOrder},
         upstreams::{ReadyUpstreams, Upstream},
@@ -141,9 +140,4 @@
         let busy = others.filter_map(|u| loads.get(&u.id));
         busy.map(|(active, _)| *active).sum()
     }
-
-    /// Returns for how long a roll-out has been in progress, in milliseconds.
-    pub fn rollout_age_ms(&self, started_ms: u64) -> u64 {
-        now_ms().saturating_sub(started_ms)
-    }
 }
--- a/src/rollouts/rollout_steps.rs
+++ b/src/rollouts/rollout_steps.rs
@@ -1,12 +1,12 @@
 use super::{Judgement, RolloutState};
 
-/// The part of the time until the deadline for which a version gets its first share, and
-/// the shares that follow, each until a part of the time. Late and fast: while a version
-/// may still turn out bad, it gets a small share; what it gets while it rises counts
-/// towards the bound, too, and the rest is left for the old ones to become idle.
-const SCHEDULE: [(f64, f32); 4] = [(0.5, FIRST_SHARE), (0.58, 0.25), (0.66, 0.6), (1.0, 1.0)];
-/// Stands for the first share, which depends on the bound.
-const FIRST_SHARE: f32 = -1.0;
+/// The shares that follow the first one, each until a part of the time until the
+/// deadline. Late and fast: while a version may still turn out bad, it gets a small share;
+/// what it gets while it rises counts towards the bound, too, and the rest is left for the
+/// old ones to become idle.
+const RISE: [(f64, f32); 3] = [(0.58, 0.25), (0.66, 0.6), (1.0, 1.0)];
+/// Until which part of the time a version keeps its first share.
+const FIRST_UNTIL: f64 = 0.5;
 /// Of the share that a bad version may get, how much the first share is: the rest is for
 /// what comes before a version is found to be bad that turns bad late.
 const FIRST_PART: f32 = 0.5;
@@ -105,10 +105,10 @@
 
     fn next_share(&self, view: RolloutView) -> f32 {
         let part = view.elapsed_ms as f64 / view.deadline_ms.max(1) as f64;
-        let planned = SCHEDULE.iter().find(|(until, _)| part < *until);
+        let planned = RISE.iter().find(|(until, _)| part < *until);
         let planned = planned.map_or(1.0, |(_, share)| *share);
         let first = self.most_unproved * FIRST_PART;
-        let is_first = planned == FIRST_SHARE || view.judgement == Judgement::Unknown;
+        let is_first = part < FIRST_UNTIL || view.judgement == Judgement::Unknown;
         let share = match view.judgement {
             _ if is_first => first,
             Judgement::Suspected | Judgement::StronglySuspected => {
--- a/tests/decisions/rollout_duty.rs
+++ b/tests/decisions/rollout_duty.rs
@@ -8,7 +8,7 @@
         cluster::*,
         conf::GatewaySettings,
         gateway::{Gateway, HeaderNames},
-        rollouts::{RolloutOrder, RolloutState, RolloutTable},
+        rollouts::{Rollout, RolloutOrder, RolloutState, RolloutTable},
     },
     std::sync::Arc,
 };
@@ -28,14 +28,14 @@
         Ok(())
     }
 
-    async fn read(&self) -> Result<Vec<RolloutRecord>, BorderError> {
+    async fn read(&self) -> Result<Vec<Rollout>, BorderError> {
         self.calls.lock().push("read".into());
         Ok(Vec::new())
     }
 
     async fn write(
         &self,
-        record: &RolloutRecord,
+        rollout: &Rollout,
         fence: u64,
         number: u64,
     ) -> Result<WriteEnd, BorderError> {
@@ -44,8 +44,8 @@
         if let Some(wanted) = wants.filter(|wanted| *wanted != number) {
             return Ok(WriteEnd::Renumber(wanted));
         }
-        let state = record.rollout.state;
-        self.written.lock().push((fence, number, state));
+        let taken = (fence, number, rollout.state);
+        self.written.lock().push(taken);
         Ok(WriteEnd::Taken)
     }
 }
