Sight: which requests were on an upstream when it ended

Cause: the logs of the incident can't tell which requests are the same one come again, whether an upstream ended or only the connection, and which requests were on an upstream when it ended. No decision changes: a connection that the upstream ended is told apart as its own kind of failure, one connection is opened to find out whether the upstream lives, and lines and a counter tell of it.

Ruled out: a line for each send with the fingerprint (a hash for each request at all times).

--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -37,7 +37,7 @@
             SendFailure::NotSent(_) => {}
             // It was sent to none of the service's upstreams.
             SendFailure::Misdirected => self.arrivals += 1,
-            SendFailure::Refused(_) | SendFailure::MayHaveRun(_) => {
+            SendFailure::Refused(_) | SendFailure::MayHaveRun(_) | SendFailure::CutOff(_) => {
                 self.arrivals += 1;
                 self.sends += 1;
             }
--- /dev/null
+++ b/src/gateway/cut_offs.rs
@@ -0,0 +1,71 @@
+use {
+    super::{ENDED_UPSTREAMS, Gateway},
+    crate::{
+        names::{RequestFingerprint, UpstreamId},
+        upstreams::*,
+    },
+    std::{
+        collections::{BTreeSet, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// How long an upstream has to take a connection that ended one: as long as a send
+/// gives it.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// How many requests are kept that were cut off at one upstream: more ran beside each
+/// other on none that was seen.
+const MAX_REQUESTS: usize = 256;
+
+/// Requests that were cut off, by the upstream they were at, until it is known whether
+/// it ended.
+pub(super) type CutOffs = HashMap<UpstreamId, BTreeSet<RequestFingerprint>>;
+
+/// Whether upstreams end under requests.
+impl Gateway {
+    /// Notes that an upstream ended the connection that a request ran on, and finds out
+    /// whether the upstream has ended: one connection is opened for all requests that
+    /// were cut off there. One that comes up is used for the next request.
+    pub(super) fn note_cut_off(
+        self: &Arc<Self>,
+        fingerprint: RequestFingerprint,
+        upstream: &Arc<Upstream>,
+    ) {
+        let mut cut_offs = self.cut_offs.lock();
+        let is_first = !cut_offs.contains_key(&upstream.id);
+        let requests = cut_offs.entry(upstream.id.clone()).or_default();
+        if requests.len() < MAX_REQUESTS {
+            requests.insert(fingerprint);
+        }
+        drop(cut_offs);
+        if is_first {
+            tokio::spawn(check_upstream(self.clone(), upstream.clone()));
+        }
+    }
+}
+
+async fn check_upstream(gateway: Arc<Gateway>, upstream: Arc<Upstream>) {
+    let connected = UpstreamPool::connect(upstream.address, CHECK_TIMEOUT).await;
+    let requests = gateway.cut_offs.lock().remove(&upstream.id);
+    let requests = requests.unwrap_or_default();
+    match connected {
+        Ok(connection) => gateway.pool.put(&upstream.id, connection, None),
+        Err(failure) => {
+            metrics::counter!(ENDED_UPSTREAMS).increment(1);
+            log::warn!(
+                target: "crash",
+                "an upstream ended under requests. upstream={} domain={} requests={} fingerprints={} cause=\"{failure}\"",
+                upstream.id,
+                upstream.domain,
+                requests.len(),
+                listed(&requests)
+            );
+        }
+    }
+}
+
+fn listed(requests: &BTreeSet<RequestFingerprint>) -> String {
+    let texts: Vec<String> = requests.iter().map(ToString::to_string).collect();
+    texts.join(",")
+}
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,5 +1,5 @@
 use {
-    super::{attempts::Attempts, *},
+    super::{attempts::Attempts, cut_offs::CutOffs, *},
     crate::{
         cluster::{
             DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, UsageTeller,
@@ -75,6 +75,8 @@
     pub directory: RwLock<UpstreamDirectory>,
     /// How they fare.
     pub loads: Mutex<LoadTable>,
+    /// Requests that were cut off at upstreams which may have ended.
+    pub(super) cut_offs: Mutex<CutOffs>,
     /// Connections to them.
     pub pool: Arc<UpstreamPool>,
     /// The other daemons.
@@ -166,6 +168,7 @@
             incarnation: seed,
             directory: RwLock::default(),
             loads: Mutex::default(),
+            cut_offs: Mutex::default(),
             pool: Arc::default(),
             peers: Mutex::new(PeerTable::new(own)),
             members: Mutex::default(),
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -12,6 +12,8 @@
 pub const ANSWER_SECONDS: &str = "saddlepulley_answer_seconds";
 /// Counts sends to upstreams that failed, by what is known of the run.
 pub const FAILED_SENDS: &str = "saddlepulley_failed_sends_total";
+/// Counts upstreams that ended while requests ran on them, as far as this daemon saw.
+pub const ENDED_UPSTREAMS: &str = "saddlepulley_ended_upstreams_total";
 /// Counts requests refused for their client account's quota.
 pub const QUOTA_REFUSALS: &str = "saddlepulley_quota_refusals_total";
 /// Counts streams that were broken off before their end.
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -7,7 +7,7 @@
         routing::AccountTerms,
         upstreams::*,
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// How many upstreams that a daemon can't reach it names to a hub.
@@ -360,11 +360,21 @@
 
     /// Notes that a send failed.
     pub fn note_send_failure(
-        &self,
+        self: &Arc<Self>,
         context: &RequestContext,
-        upstream: &Upstream,
+        upstream: &Arc<Upstream>,
         failure: &SendFailure,
     ) {
+        if let SendFailure::CutOff(_) = failure {
+            let fingerprint = context.fingerprint();
+            log::info!(
+                target: "crash",
+                "cut off. request={} fingerprint={fingerprint} upstream={}",
+                context.id_text(),
+                upstream.id
+            );
+            self.note_cut_off(fingerprint, upstream);
+        }
         metrics::counter!(FAILED_SENDS, "run" => failure.kind()).increment(1);
         if !matches!(failure, SendFailure::NotSent(_)) {
             self.note_answer(context, upstream, None);
@@ -372,7 +382,7 @@
         match failure {
             SendFailure::NotSent(_) => {}
             SendFailure::Misdirected => self.note_misdirected(&upstream.id),
-            SendFailure::Refused(_) | SendFailure::MayHaveRun(_) => {
+            SendFailure::Refused(_) | SendFailure::MayHaveRun(_) | SendFailure::CutOff(_) => {
                 self.note_outcome(&upstream.id, true);
             }
         }
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -1,13 +1,16 @@
 use {
     super::{Placement, Prompt},
     crate::{
-        names::{ClientAccount, ServiceName},
+        names::{ClientAccount, RequestFingerprint, ServiceName},
         routing::Route,
     },
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Uri},
     parking_lot::Mutex,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
     tokio::time::Instant,
 };
 
@@ -32,6 +35,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// What it is known by, once that was asked for.
+    pub known_by: OnceLock<RequestFingerprint>,
     /// Its prompt.
     pub prompt: Prompt,
     /// The last event that the client has.
@@ -45,6 +50,15 @@
 }
 
 impl RequestContext {
+    /// Returns what the request is known by when it comes again.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        *self.known_by.get_or_init(|| {
+            let method = self.method.as_str();
+            let target = self.target.to_string();
+            RequestFingerprint::of(self.account.as_ref(), method, &target, &self.body)
+        })
+    }
+
     /// Returns the time left.
     pub fn time_left(&self) -> Duration {
         self.give_up_at.saturating_duration_since(Instant::now())
--- a/src/names/mod.rs
+++ b/src/names/mod.rs
@@ -2,7 +2,8 @@
 
 mod clock;
 mod name;
+mod request_fingerprint;
 mod request_id;
 mod upstream_id;
 
-pub use {clock::*, name::*, request_id::*, upstream_id::*};
+pub use {clock::*, name::*, request_fingerprint::*, request_id::*, upstream_id::*};
--- a/src/upstreams/exchange.rs
+++ b/src/upstreams/exchange.rs
@@ -5,7 +5,7 @@
     http::{HeaderMap, Request, header, response::Parts},
     http_body_util::{BodyExt, Full},
     hyper::body::Incoming,
-    std::{sync::Arc, time::Duration},
+    std::{error::Error, io, sync::Arc, time::Duration},
 };
 
 /// An answer whose body is still being read. Dropping it before the end
@@ -36,10 +36,9 @@
         let answer = answer.map_err(|mut e| {
             // The message comes back only if no byte of it was written.
             let unsent = e.take_message().is_some();
-            let detail = e.error().to_string();
             match unsent {
-                true => SendFailure::NotSent(detail),
-                false => SendFailure::MayHaveRun(detail),
+                true => SendFailure::NotSent(e.error().to_string()),
+                false => broken(e.error()),
             }
         })?;
         let (head, body) = answer.into_parts();
@@ -56,7 +55,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendFailure::MayHaveRun`] if the answer breaks off.
+    /// Returns [`SendFailure::MayHaveRun`] or [`SendFailure::CutOff`] if the answer breaks
+    /// off.
     pub async fn next_piece(&mut self) -> Option<Result<Bytes, SendFailure>> {
         loop {
             match self.body.frame().await {
@@ -66,7 +66,7 @@
                 }
                 Some(Err(e)) => {
                     self.connection = None;
-                    return Some(Err(SendFailure::MayHaveRun(e.to_string())));
+                    return Some(Err(broken(&e)));
                 }
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
@@ -81,7 +81,8 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SendFailure::MayHaveRun`] if it breaks off or is too large.
+    /// Returns [`SendFailure::MayHaveRun`] or [`SendFailure::CutOff`] if it breaks off or is
+    /// too large.
     pub async fn read_whole(&mut self, most: usize) -> Result<Bytes, SendFailure> {
         let mut whole = bytes::BytesMut::new();
         while let Some(piece) = self.next_piece().await {
@@ -107,6 +108,19 @@
     }
 }
 
+/// Tells a connection that its upstream ended from an answer that is none, and from a
+/// path on which nothing is heard any more.
+fn broken(e: &hyper::Error) -> SendFailure {
+    let cause = e
+        .source()
+        .and_then(|cause| cause.downcast_ref::<io::Error>());
+    let is_silence = cause.is_some_and(|cause| cause.kind() == io::ErrorKind::TimedOut);
+    match e.is_parse() || is_silence {
+        true => SendFailure::MayHaveRun(e.to_string()),
+        false => SendFailure::CutOff(e.to_string()),
+    }
+}
+
 fn closes(headers: &HeaderMap) -> bool {
     let connection = headers.get(header::CONNECTION);
     connection.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
--- a/src/upstreams/send_failure.rs
+++ b/src/upstreams/send_failure.rs
@@ -11,6 +11,8 @@
     Misdirected,
     /// may have run: {0}
     MayHaveRun(String),
+    /// may have run, the connection ended under it: {0}
+    CutOff(String),
 }
 
 impl SendFailure {
@@ -21,11 +23,12 @@
             Self::Refused(_) => "refused",
             Self::Misdirected => "misdirected",
             Self::MayHaveRun(_) => "may-have-run",
+            Self::CutOff(_) => "cut-off",
         }
     }
 
     /// Returns whether the request certainly did not run there.
     pub fn is_not_run(&self) -> bool {
-        !matches!(self, Self::MayHaveRun(_))
+        !matches!(self, Self::MayHaveRun(_) | Self::CutOff(_))
     }
 }
