--- a/standin/src/runner/behaviour.rs
+++ b/standin/src/runner/behaviour.rs
@@ -9,6 +9,9 @@
     LoseAnswer,
     /// Runs them, and closes the connection inside the event with this number.
     CutStream(u64),
+    /// Runs them; one whose body begins with "crash" ends the runner soon after it began
+    /// to run, and with it all that runs beside it. The runner is back a little later.
+    CrashOnOrder,
     /// Runs them, and says nothing any more.
     Hang,
     /// Runs them, and answers that it failed.
--- a/standin/src/runner/service.rs
+++ b/standin/src/runner/service.rs
@@ -15,11 +15,18 @@
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
+        sync::watch,
         task::AbortHandle,
     },
 };
 
 const EVENT_PAUSE: Duration = Duration::from_millis(15);
+/// What the body of a request begins with that crashes a runner.
+const CRASH_ORDER: &[u8] = b"crash";
+/// How long after it began to run such a request crashes its runner.
+const CRASH_AFTER: Duration = Duration::from_millis(40);
+/// How long a runner is gone that crashed.
+const DOWN: Duration = Duration::from_millis(1_200);
 
 type RunnerBody = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -46,6 +53,8 @@
     abandoned: Mutex<u64>,
     /// Requests that it did not begin.
     refusals: Mutex<u64>,
+    /// How often it crashed.
+    crashes: watch::Sender<u64>,
 }
 
 /// A runner; it stops when dropped.
@@ -78,8 +87,9 @@
             runs: Mutex::default(),
             abandoned: Mutex::default(),
             refusals: Mutex::default(),
+            crashes: watch::Sender::new(0),
         });
-        let task = tokio::spawn(accept(listener, shared.clone()));
+        let task = tokio::spawn(live_on(listener, address, shared.clone()));
         Ok(Self {
             shared,
             address,
@@ -112,24 +122,60 @@
         *self.shared.refusals.lock()
     }
 
+    /// Returns how often it crashed.
+    pub fn crashes(&self) -> u64 {
+        *self.shared.crashes.borrow()
+    }
+
     /// Returns how many answers were dropped before their end.
     pub fn abandoned(&self) -> u64 {
         *self.shared.abandoned.lock()
     }
 }
 
-async fn accept(listener: TcpListener, shared: Arc<Shared>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        tokio::spawn(serve(stream, shared.clone()));
+/// Serves one life after the other.
+async fn live_on(first: TcpListener, address: SocketAddr, shared: Arc<Shared>) {
+    let mut listener = first;
+    loop {
+        accept(listener, &shared).await;
+        listener = loop {
+            tokio::time::sleep(DOWN).await;
+            if let Ok(listener) = TcpListener::bind(address).await {
+                break listener;
+            }
+        };
+    }
+}
+
+/// Accepts connections until the runner crashes.
+async fn accept(listener: TcpListener, shared: &Arc<Shared>) {
+    let mut crashed = shared.crashes.subscribe();
+    loop {
+        tokio::select! {
+            _ = crashed.changed() => return,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => drop(tokio::spawn(serve(stream, shared.clone()))),
+                Err(_) => return,
+            },
+        }
     }
 }
 
 async fn serve(stream: TcpStream, shared: Arc<Shared>) {
+    let mut crashed = shared.crashes.subscribe();
     let service = service_fn(move |request| answer(request, shared.clone()));
-    // An answer that fails closes the connection: that is what is wanted.
-    let _ = http1::Builder::new()
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+    tokio::select! {
+        // An answer that fails closes the connection: that is what is wanted.
+        _ = connection => {}
+        _ = crashed.changed() => {}
+    }
+}
+
+/// Crashes the runner a little later.
+async fn crash_soon(shared: Arc<Shared>) {
+    tokio::time::sleep(CRASH_AFTER).await;
+    shared.crashes.send_modify(|n| *n += 1);
 }
 
 async fn answer(
@@ -159,6 +205,9 @@
         headers: head.headers.clone(),
         body: body.clone(),
     });
+    if behaviour == Behaviour::CrashOnOrder && body.starts_with(CRASH_ORDER) {
+        tokio::spawn(crash_soon(shared.clone()));
+    }
     let is_stream = head.uri.path().starts_with("/stream/");
     match behaviour {
         Behaviour::LoseAnswer => Err(io::ErrorKind::ConnectionReset.into()),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod configuration;
+mod crashing_requests;
 mod duties;
 mod entries;
 mod large_configuration;
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -178,16 +178,21 @@
 
     /// Starts a daemon on a file of routes.
     pub fn start_unready(routes: &str) -> Self {
+        Self::spawn_on_file("n1", routes, Vec::new())
+    }
+
+    /// Starts a daemon on a file of routes that knows other daemons.
+    pub fn spawn_on_file(name: &'static str, routes: &str, seeds: Vec<SocketAddr>) -> Self {
         let dir = TempDir::new().unwrap();
         let path = dir.path().join("routes.toml");
         if !routes.is_empty() {
             fs::write(&path, routes).unwrap();
         }
         let settings = DaemonSettings {
-            name: "n1",
+            name,
             source: format!("kind = \"file\"\npath = \"{}\"", path.display()),
             more: String::new(),
-            seeds: Vec::new(),
+            seeds,
             stdout: Stdio::null(),
         };
         Self::spawn(dir, settings)
