Requests under which upstreams end are held back, by all daemons and across their loss

Cause: a broken send taught something of the upstream only. The next try of the same request was a new one to every daemon.

The mend: each end of an upstream counts for all requests that it cut off, known by caller, method, path and body. A request is held back (503, not run, with the time it is held) once three ends are its own: no other request was there under which as many ended. An answer that is whole clears it. Daemons tell each other at most 24 ends each 200 ms, hubs tell the rest of what is held; what is held is written on the platform by those that saw an end, and read once by each that begins to read the source. A request under which one upstream ended is placed by itself, no longer by its prompt, so that requests of one session come apart.

Ruled out: counting connections that broke (faults of connections would hold requests back; one connection tells whether the upstream ended); a fixed number of ends whoever was there (holds back what came as often beside it); agreeing on each release (votes).

The stand-in's crash on order answered requests that are no streams before it crashed: such an answer rightly cleared the request. It now crashes first.

--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -73,5 +73,6 @@
         tried: Vec::new(),
         avoided: Vec::new(),
         domain: FailureDomain::from("a"),
+        apart_by: None,
     }
 }
--- a/src/cluster/ask.rs
+++ b/src/cluster/ask.rs
@@ -46,6 +46,8 @@
     pub tried: Vec<String>,
     /// Others that the daemon can't reach now.
     pub avoided: Vec<String>,
+    /// By what it is placed in place of its prompt, if it is to run apart from others.
+    pub apart_by: Option<u64>,
 }
 
 /// A hub's answer.
--- a/src/cluster/datagram.rs
+++ b/src/cluster/datagram.rs
@@ -5,7 +5,7 @@
 };
 
 /// The version of the messages; those of another version are not understood.
-const DATAGRAM_VERSION: u8 = 6;
+const DATAGRAM_VERSION: u8 = 7;
 /// The largest datagram, in bytes: one packet, not split on its way.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// How much of a datagram a list that is sent in parts may take, in bytes.
@@ -46,6 +46,8 @@
     UsageHeard(UsageHeard),
     /// A daemon tells the leader of a roll-out how answers of both versions are.
     Versions(VersionsPart),
+    /// A daemon tells of upstreams that ended under requests.
+    Crashes(CrashesPart),
 }
 
 impl Datagram {
--- a/src/cluster/digest_teller.rs
+++ b/src/cluster/digest_teller.rs
@@ -102,6 +102,9 @@
         digest.known.clear();
     }
     gateway.send_datagram(&Datagram::Digest(digest), to).await;
+    if report.wants_all {
+        tell_held_to(gateway, to).await;
+    }
     if report.wants_all && report.leans_on_you {
         let sequence = gateway.next_sequence();
         let told = gateway.told_quotas();
--- a/src/cluster/duty_borders.rs
+++ b/src/cluster/duty_borders.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         names::{BoxId, FailureDomain, ServiceName},
-        policy::AccountCounts,
+        policy::{AccountCounts, HeldRequest, KnownEnd},
         rollouts::Rollout,
     },
     async_trait::async_trait,
@@ -102,6 +102,25 @@
     ) -> Result<WriteEnd, BorderError>;
 }
 
+/// Where requests that are held back are kept. It outlives daemons.
+#[async_trait]
+pub trait QuarantineRecords: Send + Sync {
+    /// Reads the ends under all requests that are held back; `unix_ms` is the time.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the read failed.
+    async fn read(&self, unix_ms: u64) -> Result<Vec<KnownEnd>, BorderError>;
+
+    /// Writes the ends under a request, in place of what was written before; one without
+    /// ends is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the write failed.
+    async fn write(&self, held: &HeldRequest, unix_ms: u64) -> Result<(), BorderError>;
+}
+
 /// In whose name a duty is done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DutyClaim {
--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -20,7 +20,8 @@
         tell_digests(gateway.clone()),
         tell_reports(gateway.clone()),
         tell_usage(gateway.clone()),
-        tell_versions(gateway)
+        tell_versions(gateway.clone()),
+        tell_crashes(gateway)
     );
 }
 
@@ -64,6 +65,7 @@
                 gateway.hub_desk.hear(answer);
             }
         }
+        Datagram::Crashes(part) => hear_crashes(gateway, &part),
         Datagram::Versions(part) => gateway.version_book.lock().hear(part),
         Datagram::Usage(part) => hear_usage(gateway, &part, from, now_ms).await,
         Datagram::UsageHeard(heard) => {
@@ -75,6 +77,14 @@
     }
 }
 
+fn hear_crashes(gateway: &Gateway, part: &CrashesPart) {
+    // A hub passes on what it hears: of hubs to those that report to it, of others to all.
+    let passes_on = gateway.is_hub().then_some(!part.among_hubs);
+    for told in &part.ends {
+        gateway.hear_end(&told.known(), passes_on);
+    }
+}
+
 fn hear_quotas(gateway: &Gateway, part: &QuotasPart, now_ms: u64) {
     if !gateway.peers.lock().hear_quotas(part, now_ms) {
         return;
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -4,6 +4,8 @@
 mod config_follower;
 mod config_message;
 mod config_teller;
+mod crash_teller;
+mod crashes_part;
 mod daemon_entry;
 mod datagram;
 mod digest;
@@ -19,6 +21,7 @@
 mod member_table;
 mod peer;
 mod peer_table;
+mod quarantine_keeper;
 mod quotas_part;
 mod report;
 mod report_teller;
@@ -31,10 +34,10 @@
 mod versions_teller;
 
 pub use {
-    ask::*, config_follower::*, config_message::*, config_teller::*, daemon_entry::*, datagram::*,
-    digest::*, duty_borders::*, duty_runner::*, event_log::*, exchange::*, fleet_scaler::*,
-    hub_desk::*, loads_part::*, lone_quotas::*, member_table::*, peer_table::*, quotas_part::*,
-    report::*, rollout_duty::*, state_feed::*, state_source::*, usage_part::*, usage_teller::*,
-    versions_part::*,
+    ask::*, config_follower::*, config_message::*, config_teller::*, crashes_part::*,
+    daemon_entry::*, datagram::*, digest::*, duty_borders::*, duty_runner::*, event_log::*,
+    exchange::*, fleet_scaler::*, hub_desk::*, loads_part::*, lone_quotas::*, member_table::*,
+    peer_table::*, quarantine_keeper::*, quotas_part::*, report::*, rollout_duty::*, state_feed::*,
+    state_source::*, usage_part::*, usage_teller::*, versions_part::*,
 };
-use {digest_teller::*, report_teller::*, versions_teller::*};
+use {crash_teller::*, digest_teller::*, report_teller::*, versions_teller::*};
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -141,6 +141,13 @@
         self.hubs_of(&self.own.domain)
     }
 
+    /// Returns the daemons of the own failure domain that are no hubs.
+    pub fn own_members(&self) -> BTreeSet<SocketAddr> {
+        let ranked = self.ranked(&self.own.domain).into_iter();
+        let members = ranked.filter(|p| p.as_hub().is_none());
+        members.map(|p| p.entry.address).collect()
+    }
+
     fn hubs_of(&self, domain: &str) -> Vec<SocketAddr> {
         let ranked = self.ranked(domain).into_iter().take(HUBS_PER_DOMAIN);
         ranked.map(|p| p.entry.address).collect()
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -3,7 +3,7 @@
     crate::{
         contracts::line_of,
         names::{BoxId, FailureDomain},
-        policy::{FleetPolicy, QuotaBounds},
+        policy::{FleetPolicy, QuarantineBounds, QuotaBounds},
     },
     serde::Deserialize,
     std::{
@@ -140,6 +140,8 @@
     pub canary_share: f64,
     /// How exactly quotas have to hold.
     pub quotas: QuotaBounds,
+    /// When a request is held back under which upstreams end.
+    pub quarantine: QuarantineBounds,
 }
 
 impl Default for GatewayBounds {
@@ -151,6 +153,7 @@
             drain_ms: 2_000,
             canary_share: 0.1,
             quotas: QuotaBounds::default(),
+            quarantine: QuarantineBounds::default(),
         }
     }
 }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -53,6 +53,8 @@
         };
         let draws_on_budget = self.arrivals > 0;
         self.last_failure = Some(failure);
-        situation.allows_another() && (!draws_on_budget || gateway.spend_retry(context))
+        situation.allows_another()
+            && gateway.held_for(context).is_none()
+            && (!draws_on_budget || gateway.spend_retry(context))
     }
 }
--- /dev/null
+++ b/src/gateway/crash_state.rs
@@ -0,0 +1,112 @@
+use {
+    super::{Gateway, RequestContext},
+    crate::{
+        names::{RequestFingerprint, UpstreamId},
+        policy::KnownEnd,
+    },
+    http::StatusCode,
+    rand::seq::IteratorRandom,
+    std::time::Duration,
+};
+
+/// Requests under which upstreams end.
+impl Gateway {
+    /// Returns for how long a request is held back; none if it may be sent.
+    pub fn held_for(&self, context: &RequestContext) -> Option<Duration> {
+        let crashes = self.crashes.lock();
+        // Without this a fingerprint was computed for each request.
+        if crashes.is_empty() {
+            return None;
+        }
+        let held_ms = crashes.held_for(context.fingerprint(), self.steady_ms());
+        held_ms.map(Duration::from_millis)
+    }
+
+    /// Returns by what a request is placed under which an upstream ended; none for others.
+    ///
+    /// Requests of one session have one home. Without this they followed each other from
+    /// upstream to upstream, and the one that ended them could not be told from the rest.
+    pub(super) fn placed_apart_by(&self, context: &RequestContext) -> Option<u64> {
+        let crashes = self.crashes.lock();
+        if crashes.is_empty() {
+            return None;
+        }
+        let fingerprint = context.fingerprint();
+        crashes
+            .is_suspect(fingerprint)
+            .then(|| fingerprint.number() as u64)
+    }
+
+    /// Notes that an upstream ended under requests.
+    pub(super) fn note_upstream_end(
+        &self,
+        upstream: &UpstreamId,
+        requests: impl Iterator<Item = RequestFingerprint>,
+    ) {
+        let now_ms = self.steady_ms();
+        for fingerprint in requests {
+            let mut crashes = self.crashes.lock();
+            let was_held = crashes.held_for(fingerprint, now_ms).is_some();
+            crashes.note_end(fingerprint, upstream, now_ms);
+            let is_held = crashes.held_for(fingerprint, now_ms).is_some();
+            drop(crashes);
+            log_if_held(fingerprint, was_held, is_held);
+        }
+    }
+
+    /// Notes that a request was answered whole. Only a success shows that it ran: an
+    /// upstream that is full or late answers with a failure, too, and lives.
+    pub(super) fn note_whole_answer(&self, context: &RequestContext, status: StatusCode) {
+        let mut crashes = self.crashes.lock();
+        if status.is_success() && !crashes.is_empty() && crashes.note_whole(context.fingerprint()) {
+            log::info!(
+                target: "crash",
+                "a request is cleared: it was answered whole. fingerprint={}",
+                context.fingerprint()
+            );
+        }
+    }
+
+    /// Takes in what another daemon told.
+    pub fn hear_end(&self, told: &KnownEnd, passes_on: Option<bool>) {
+        let now_ms = self.steady_ms();
+        let mut crashes = self.crashes.lock();
+        let was_held = crashes.held_for(told.fingerprint, now_ms).is_some();
+        crashes.hear(told, passes_on, now_ms);
+        let is_held = crashes.held_for(told.fingerprint, now_ms).is_some();
+        drop(crashes);
+        log_if_held(told.fingerprint, was_held, is_held);
+    }
+
+    /// Takes in what was written down before.
+    pub fn hear_written(&self, ends: &[KnownEnd]) {
+        for end in ends {
+            self.hear_end(end, Some(true));
+        }
+    }
+
+    /// Forgets what is old.
+    pub fn tick_crashes(&self) {
+        self.crashes.lock().tick(self.steady_ms());
+    }
+
+    /// Draws some of a list.
+    pub fn draw_some<T>(&self, list: Vec<T>, some: usize) -> Vec<T> {
+        list.into_iter()
+            .choose_multiple(&mut *self.rng.lock(), some)
+    }
+}
+
+fn log_if_held(fingerprint: RequestFingerprint, was_held: bool, is_held: bool) {
+    match (was_held, is_held) {
+        (false, true) => log::warn!(
+            target: "crash",
+            "a request is held back: upstreams end under it. fingerprint={fingerprint}"
+        ),
+        (true, false) => log::info!(
+            target: "crash",
+            "a request is no longer held back. fingerprint={fingerprint}"
+        ),
+        _ => {}
+    }
+}
--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -61,6 +61,7 @@
                 requests.len(),
                 listed(&requests)
             );
+            gateway.note_upstream_end(&upstream.id, requests.into_iter());
         }
     }
 }
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -253,6 +253,8 @@
                         self.last_id
                     );
                     sent.active.ended_whole();
+                    self.gateway
+                        .note_whole_answer(&self.context, sent.answer.head.status);
                     let time_ms = sent.active.age_ms();
                     self.gateway
                         .note_whole(&self.context, &sent.upstream, time_ms);
--- a/src/gateway/forward_whole.rs
+++ b/src/gateway/forward_whole.rs
@@ -54,6 +54,7 @@
                     return None;
                 }
                 gateway.note_run(context);
+                gateway.note_whole_answer(context, head.status);
                 return Some((head, body));
             }
             Err(failure) => failure,
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -75,6 +75,8 @@
     pub directory: RwLock<UpstreamDirectory>,
     /// How they fare.
     pub loads: Mutex<LoadTable>,
+    /// Requests under which upstreams ended.
+    pub crashes: Mutex<CrashBook>,
     /// Requests that were cut off at upstreams which may have ended.
     pub(super) cut_offs: Mutex<CutOffs>,
     /// Connections to them.
@@ -163,6 +165,7 @@
         };
         Self {
             pace: SourcePace::for_bound(settings.bounds.drain_ms),
+            crashes: Mutex::new(CrashBook::new(settings.bounds.quarantine)),
             settings,
             names,
             incarnation: seed,
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -167,6 +167,7 @@
             tried: typed(&ask.place.tried),
             avoided: typed(&ask.place.avoided),
             domain,
+            apart_by: ask.place.apart_by,
         };
         let Some(placement) = self.choose(&request, &ask.request) else {
             return Verdict::NoUpstream;
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -162,10 +162,28 @@
         give_up_at: started + Duration::from_millis(wait_ms),
         route,
     };
+    if let Some(hold) = gateway.held_for(&context) {
+        return Err(refuse_held(&context, hold));
+    }
     admit(gateway, &context, terms.as_deref(), patience).await?;
     Ok(context)
 }
 
+/// Refuses a request under which upstreams ended: it has not run this time. Its caller is
+/// told the truth of when it may come back, since asking sooner is of no use to it.
+fn refuse_held(context: &RequestContext, hold: Duration) -> Box<Response<AnswerBody>> {
+    metrics::counter!(HELD_REFUSALS).increment(1);
+    log::warn!(
+        target: "crash",
+        "refused: upstreams ended under this request. request={} fingerprint={} held_s={}",
+        context.id_text(),
+        context.fingerprint(),
+        hold.as_secs()
+    );
+    let detail = "not run: upstreams ended each time that this request ran";
+    Box::new(refusal(StatusCode::SERVICE_UNAVAILABLE, detail, hold))
+}
+
 /// Returns for how long a request may be held so that its answer is still likely
 /// to be in time, by how long answers of its service take.
 fn patience(gateway: &Gateway, service: &ServiceName, route: &Route) -> Duration {
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -14,6 +14,10 @@
 pub const FAILED_SENDS: &str = "saddlepulley_failed_sends_total";
 /// Counts upstreams that ended while requests ran on them, as far as this daemon saw.
 pub const ENDED_UPSTREAMS: &str = "saddlepulley_ended_upstreams_total";
+/// Counts requests that were refused because upstreams end under them.
+pub const HELD_REFUSALS: &str = "saddlepulley_held_refusals_total";
+/// Requests that are held back because upstreams end under them.
+pub const HELD_REQUESTS: &str = "saddlepulley_held_requests";
 /// Counts requests refused for their client account's quota.
 pub const QUOTA_REFUSALS: &str = "saddlepulley_quota_refusals_total";
 /// Counts streams that were broken off before their end.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod budgets;
 mod client_connection;
 mod client_socket;
+mod crash_state;
 mod cut_offs;
 mod engines;
 mod event_border;
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -31,6 +31,8 @@
     pub avoided: Vec<UpstreamId>,
     /// The failure domain of its daemon.
     pub domain: FailureDomain,
+    /// By what it is placed in place of its prompt, so that it runs apart from others.
+    pub apart_by: Option<u64>,
 }
 
 /// Where requests are sent, and what is learned from how they fare.
@@ -114,6 +116,7 @@
             parts: parts.map(|p| (p.chain, p.tokens)).collect(),
             tried: tried.iter().map(ToString::to_string).collect(),
             avoided,
+            apart_by: self.placed_apart_by(context),
         }
     }
 
@@ -162,6 +165,7 @@
             tried: tried.to_vec(),
             avoided: Vec::new(),
             domain: self.domain().clone(),
+            apart_by: self.placed_apart_by(context),
         };
         self.choose(&request, context.id_text())
     }
@@ -303,7 +307,7 @@
         if !self.settings.mechanisms.homes {
             return None;
         }
-        let chain = request.prompt.shared_chain()?;
+        let chain = request.apart_by.or(request.prompt.shared_chain())?;
         let is_tried = |index: &usize| request.tried.contains(&ready.upstreams[*index].id);
         let is_barred = |index: &usize| barred.get(*index).copied().unwrap_or(false);
         let usable = 0..ready.hashes.len();
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -148,6 +148,8 @@
         let labels = [("service", rollout.service), ("version", rollout.target)];
         metrics::gauge!(ROLLOUT_SHARE, &labels).set(f64::from(rollout.share));
     }
+    let held = gateway.crashes.lock().held(gateway.steady_ms()).len();
+    metrics::gauge!(HELD_REQUESTS).set(held as f64);
     let holds = gateway.holds_duties.load(Ordering::Relaxed);
     metrics::gauge!(HOLDS_DUTIES).set(f64::from(u8::from(holds)));
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,6 +25,7 @@
 mod placement_cheapest;
 mod placement_keep_work;
 mod placement_naive;
+mod quarantine;
 mod quota;
 mod reading_speed;
 mod reclaim;
@@ -43,6 +44,7 @@
     claimant::*, clients::*, concurrency::*, domain_reach::*, duty_fitness::*, duty_log::*,
     engine_model::*, engine_times::*, estimate::*, first_event::*, fleet::*, holder::*, hubs::*,
     lease::*, neighbours::*, placement::*, placement_cheapest::*, placement_keep_work::*,
-    placement_naive::*, quota::*, reading_speed::*, reclaim::*, retry::*, retry_allowance::*,
-    retry_situation::*, sources::*, spill::*, splice::*, stall::*, usage_due::*, usage_windows::*,
+    placement_naive::*, quarantine::*, quota::*, reading_speed::*, reclaim::*, retry::*,
+    retry_allowance::*, retry_situation::*, sources::*, spill::*, splice::*, stall::*,
+    usage_due::*, usage_windows::*,
 };
--- a/standin/src/runner/service.rs
+++ b/standin/src/runner/service.rs
@@ -205,10 +205,14 @@
         headers: head.headers.clone(),
         body: body.clone(),
     });
+    let is_stream = head.uri.path().starts_with("/stream/");
     if behaviour == Behaviour::CrashOnOrder && body.starts_with(CRASH_ORDER) {
         tokio::spawn(crash_soon(shared.clone()));
+        if !is_stream {
+            // It crashes before it answers.
+            std::future::pending::<()>().await;
+        }
     }
-    let is_stream = head.uri.path().starts_with("/stream/");
     match behaviour {
         Behaviour::LoseAnswer => Err(io::ErrorKind::ConnectionReset.into()),
         Behaviour::Hang => std::future::pending().await,
--- a/standin/src/store/service.rs
+++ b/standin/src/store/service.rs
@@ -106,6 +106,15 @@
         mine.collect()
     }
 
+    /// Returns the keys of a keyed topic that have a value.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let newest = self.shared.topics.lock().newest(topic);
+        let kept = newest
+            .into_iter()
+            .filter(|(_, (_, value))| !value.is_empty());
+        kept.map(|(key, _)| key).collect()
+    }
+
     /// Drops a key of a keyed topic.
     pub fn drop_key(&self, topic: &str, key: &str) {
         self.shared.topics.lock().put(topic, key, &[]);
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -20,6 +20,7 @@
 mod members;
 mod placement;
 mod platform;
+mod quarantine;
 mod quota;
 mod reclaim;
 mod report;
--- a/tests/decisions/members.rs
+++ b/tests/decisions/members.rs
@@ -57,6 +57,7 @@
             parts: Vec::new(),
             tried: Vec::new(),
             avoided: Vec::new(),
+            apart_by: None,
         },
     }
 }
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -18,13 +18,22 @@
 //! what daemons don't tell each other is the cause.
 
 use {
-    crate::support::*,
+    crate::{store_support::*, support::*},
     http::StatusCode,
-    saddlepulley_standin::runner::{Behaviour, Runner},
+    nix::sys::signal::Signal,
+    saddlepulley_standin::{
+        runner::{Behaviour, Runner},
+        store::Store,
+    },
     std::{
         net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
+    tokio::{io::AsyncReadExt, net::TcpListener},
 };
 
 const UPSTREAMS: usize = 12;
@@ -199,3 +208,63 @@
     assert!(asked > 10, "{asked} asked");
     assert_eq!(served, asked, "of innocent requests, once all know");
 }
+
+/// An upstream that ends under the first request that it gets.
+async fn one_shot_upstream() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = requests.clone();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4_096];
+        if stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {
+            count.fetch_add(1, Ordering::SeqCst);
+        }
+        // Both end with this task.
+    });
+    (address, requests)
+}
+
+/// All daemons are killed at once, and with them what they told each other.
+#[tokio::test]
+async fn what_is_held_back_outlives_all_daemons() {
+    let store = Store::start().await.unwrap();
+    store.put("keyed.op", "config", &config(3, "/p/"));
+    for n in 0..ENDS {
+        let (address, _) = one_shot_upstream().await;
+        let id = format!("i-{n}");
+        store.put("keyed.servers", &id, &entry(address, "ready", 1));
+    }
+    let first = daemon("n1", &store, &[]);
+    first.wait_ready().await;
+    let other = daemon("n2", &store, &[&first]);
+    other.wait_ready().await;
+    eventually("held back at both", async || {
+        ask(&first, "/p/x").await;
+        ask(&other, "/p/x").await;
+        let refuses = async |daemon: &GatewayDaemon| {
+            let page = daemon.metrics_page().await;
+            page.contains("saddlepulley_held_refusals_total")
+        };
+        refuses(&first).await && refuses(&other).await
+    })
+    .await;
+    eventually("written", async || {
+        !store.keys("keyed.quarantine").is_empty()
+    })
+    .await;
+    first.signal(Signal::SIGKILL);
+    other.signal(Signal::SIGKILL);
+    drop((first, other));
+    let (address, requests) = one_shot_upstream().await;
+    store.put("keyed.servers", "i-new", &entry(address, "ready", 1));
+    let again = daemon("n3", &store, &[]);
+    again.wait_ready().await;
+    tokio::time::sleep(TOLD_WITHIN).await;
+    assert_eq!(ask(&again, "/p/x").await, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(requests.load(Ordering::SeqCst), 0);
+    // Another path is another request.
+    ask(&again, "/p/y").await;
+    assert_eq!(requests.load(Ordering::SeqCst), 1);
+}
