Leases, deadlines and ages go by a clock that counts while the machine is suspended

Cause: the steady clock stands still while a machine is suspended, and all timers with it. Leases of the duties, ages of what other daemons and the source told, quotas, clients' deadlines, time left as told to upstreams, rests of connections and the times of a planned stop went on where they had stopped: a holder of the duties would act by a lease that another had long taken, and upstreams would be given more time than remains.

Now one clock (src/clock/, CLOCK_BOOTTIME) for all of these on both request paths; waits for deadlines are woken when the machine is resumed, which is noticed by the two clocks moving apart. A result that is there by then counts, also late.

Ruled out: the time of day (it jumps); short sleeps everywhere (wake-ups are paid for).

--- a/src/app/duties.rs
+++ b/src/app/duties.rs
@@ -1,11 +1,7 @@
 use {
     super::{model_loads::ModelLoads, replacements::Replacements, *},
-    crate::policy::*,
-    std::{
-        collections::BTreeMap,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    crate::{clock::BootInstant, policy::*},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
 };
 
 const READ_WAIT_MS: u64 = 1_000;
@@ -18,14 +14,14 @@
 /// This box's part in its failure domain's duties.
 #[derive(Debug)]
 pub struct DutyClock {
-    started: Instant,
+    started: BootInstant,
 }
 
 impl DutyClock {
     /// Starts the clock.
     pub fn new() -> Self {
         Self {
-            started: Instant::now(),
+            started: BootInstant::now(),
         }
     }
 
--- a/src/cluster/hub_desk.rs
+++ b/src/cluster/hub_desk.rs
@@ -1,13 +1,13 @@
 use {
     super::{Answer, Ask, AskedPlace, AskedQuota, Datagram, Verdict},
-    crate::{gateway::Gateway, policy::HubContact},
+    crate::{clock::BootInstant, gateway::Gateway, policy::HubContact},
     parking_lot::Mutex,
     std::{
         collections::{BTreeSet, HashMap},
         net::SocketAddr,
         time::Duration,
     },
-    tokio::{sync::mpsc, time::Instant},
+    tokio::sync::mpsc,
 };
 
 /// How many hubs are asked before a daemon decides for itself.
@@ -94,7 +94,7 @@
         answers: &mut mpsc::UnboundedReceiver<Verdict>,
     ) -> Option<Verdict> {
         for time in 1..=ASKED_TIMES {
-            let asked_at = Instant::now();
+            let asked_at = BootInstant::now();
             gateway.send_datagram(ask, hub).await;
             let wait = self.timeout(hub) * time;
             if let Ok(Some(verdict)) = tokio::time::timeout(wait, answers.recv()).await {
--- a/src/gateway/budgets.rs
+++ b/src/gateway/budgets.rs
@@ -1,8 +1,7 @@
 use {
     super::*,
-    crate::{names::ServiceName, policy::*, routing::AccountTerms},
+    crate::{clock::BootInstant, names::ServiceName, policy::*, routing::AccountTerms},
     std::time::Duration,
-    tokio::time::Instant,
 };
 
 /// Of the budget for repeated sends, how much is used.
@@ -82,7 +81,7 @@
             true => patience,
             false => Duration::ZERO,
         };
-        let until = Instant::now() + patience;
+        let until = BootInstant::now() + patience;
         let start_part = 1.0 / self.daemons() as f64;
         self.quotas
             .lock()
@@ -98,7 +97,7 @@
                 QuotaWait::UsedUp(wait_ms) => Duration::from_millis(wait_ms),
                 QuotaWait::OutOfTurn => TURN_PAUSE,
             };
-            if Instant::now() + back > until {
+            if BootInstant::now() + back > until {
                 return Err(Duration::from_millis(wait.retry_after_ms()));
             }
             tokio::time::sleep(back).await;
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -1,13 +1,16 @@
 use {
     super::{attempts::Attempts, forward_whole::speaks_for_itself, send::*, *},
-    crate::{policy::StallLimits, upstreams::*},
+    crate::{
+        clock::{BootInstant, timeout, timeout_at},
+        policy::StallLimits,
+        upstreams::*,
+    },
     bytes::Bytes,
     futures_util::stream,
     http::{Response, response::Parts},
     http_body_util::{BodyExt, StreamBody},
     hyper::body::Frame,
     std::{io, sync::Arc, time::Duration},
-    tokio::time::Instant,
 };
 
 /// How often a silent upstream is looked at.
@@ -20,7 +23,7 @@
 ) -> Response<AnswerBody> {
     let mut relay = StreamRelay::new(gateway.clone(), context);
     let give_up_at = relay.context.give_up_at;
-    let first = tokio::time::timeout_at(give_up_at, relay.first()).await;
+    let first = timeout_at(give_up_at, relay.first()).await;
     match first {
         Ok(Some((head, bytes))) => relayed(head, relay.into_body(bytes)),
         Ok(None) => gateway.give_up(&relay.context, &relay.attempts, false),
@@ -171,7 +174,7 @@
         let started_ms = self.gateway.steady_ms();
         tokio::pin!(send);
         loop {
-            match tokio::time::timeout(STALL_CHECK, &mut send).await {
+            match timeout(STALL_CHECK, &mut send).await {
                 Ok(sent) => return sent,
                 Err(_) => self.check_stall(&placement.upstream, started_ms)?,
             }
@@ -188,12 +191,12 @@
                 return Err(SendFailure::NotSent("not sent".into()));
             };
             let wake_at = match can_move {
-                true => (Instant::now() + STALL_CHECK).min(give_up_at),
+                true => (BootInstant::now() + STALL_CHECK).min(give_up_at),
                 false => give_up_at,
             };
-            let next = tokio::time::timeout_at(wake_at, sent.answer.next_piece()).await;
+            let next = timeout_at(wake_at, sent.answer.next_piece()).await;
             let Ok(piece) = next else {
-                if Instant::now() >= give_up_at {
+                if BootInstant::now() >= give_up_at {
                     return Err(SendFailure::MayHaveRun("the time is up".into()));
                 }
                 let upstream = sent.upstream.clone();
--- a/src/gateway/forward_whole.rs
+++ b/src/gateway/forward_whole.rs
@@ -1,10 +1,12 @@
 use {
     super::{attempts::Attempts, send::*, *},
-    crate::upstreams::*,
+    crate::{
+        clock::{BootInstant, timeout, timeout_at},
+        upstreams::*,
+    },
     bytes::Bytes,
     http::{Response, StatusCode, response::Parts},
     std::{sync::Arc, time::Duration},
-    tokio::time::Instant,
 };
 
 /// The largest answer that is read whole before it is passed on, in bytes.
@@ -21,7 +23,7 @@
 ) -> Response<AnswerBody> {
     let mut attempts = Attempts::default();
     let forward = try_upstreams(gateway, context, &mut attempts);
-    let answer = tokio::time::timeout_at(context.give_up_at, forward).await;
+    let answer = timeout_at(context.give_up_at, forward).await;
     match answer {
         Ok(Some((head, body))) => relayed(head, whole_body(body)),
         Ok(None) => gateway.give_up(context, &attempts, false),
@@ -37,7 +39,7 @@
     loop {
         let placement = attempts.place(gateway, context).await?;
         let upstream = &placement.upstream;
-        let sent = Instant::now();
+        let sent = BootInstant::now();
         let failure = match send_in_time(gateway, context, &placement, attempts).await {
             Ok((head, body)) => {
                 let failed = head.status.is_server_error();
@@ -85,7 +87,7 @@
         return whole.await;
     }
     let patience = (context.target_latency() * SLOW_FACTOR).max(MIN_PATIENCE);
-    let answer = tokio::time::timeout(patience, whole).await;
+    let answer = timeout(patience, whole).await;
     answer.unwrap_or_else(|_| Err(SendFailure::MayHaveRun("no answer in time".into())))
 }
 
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -1,6 +1,7 @@
 use {
     super::{attempts::Attempts, cut_offs::CutOffs, *},
     crate::{
+        clock::BootInstant,
         cluster::{
             DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, UsageTeller,
             VersionBook,
@@ -23,7 +24,7 @@
             Arc, OnceLock,
             atomic::{AtomicBool, AtomicU64, AtomicUsize},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{
         net::UdpSocket,
@@ -147,7 +148,7 @@
     pub(super) rng: Mutex<ChaCha8Rng>,
     /// When the planned stop began, by the steady clock, and its times.
     stop: OnceLock<(u64, StopTimes)>,
-    started: Instant,
+    started: BootInstant,
 }
 
 impl Gateway {
@@ -207,11 +208,12 @@
             engines: Mutex::default(),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
             stop: OnceLock::new(),
-            started: Instant::now(),
+            started: BootInstant::now(),
         }
     }
 
-    /// Returns the milliseconds since the start, by the steady clock.
+    /// Returns the milliseconds since the start. They count on while the machine is
+    /// suspended: leases, ages and quotas go by them.
     pub fn steady_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
@@ -241,7 +243,7 @@
         {
             return false;
         }
-        let indexing = Instant::now();
+        let indexing = BootInstant::now();
         let next = RouteTable::new(config);
         log::info!(
             target: "config",
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -3,6 +3,7 @@
         forward_stream::forward_stream, forward_whole::forward_whole, open_request::OpenRequest, *,
     },
     crate::{
+        clock::{BootInstant, timeout},
         http::{BodyLimits, RequestBody},
         names::ServiceName,
         routing::{AccountTerms, ClientLimits, Route, RouteKind, RouteTable},
@@ -15,7 +16,6 @@
     http_body_util::{BodyExt, LengthLimitError, Limited},
     hyper::body::{Body, Incoming},
     std::{sync::Arc, time::Duration},
-    tokio::time::Instant,
 };
 
 /// The wait that is told while a daemon has no configuration.
@@ -111,7 +111,7 @@
 async fn take_in(
     gateway: &Arc<Gateway>,
     request: Request<Incoming>,
-    started: Instant,
+    started: BootInstant,
 ) -> Result<RequestContext, Box<Response<AnswerBody>>> {
     let limits = gateway.client_limits();
     let (head, body) = request.into_parts();
@@ -207,7 +207,7 @@
     let mut news = gateway.news.subscribe();
     let known = news.wait_for(|_| gateway.table().is_some());
     // In vain: the caller answers without a configuration.
-    let _ = tokio::time::timeout(CONFIG_PATIENCE, known).await;
+    let _ = timeout(CONFIG_PATIENCE, known).await;
     gateway.table()
 }
 
@@ -277,9 +277,9 @@
     limits: &ClientLimits,
     body: RequestBody,
 ) -> Result<Bytes, Box<Response<AnswerBody>>> {
-    let timeout = Duration::from_millis(limits.body_timeout_ms);
+    let patience = Duration::from_millis(limits.body_timeout_ms);
     let limited = Limited::new(body, limits.max_body_bytes).collect();
-    match tokio::time::timeout(timeout, limited).await {
+    match timeout(patience, limited).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(e)) if e.is::<LengthLimitError>() => {
             Err(last(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
--- a/src/gateway/open_request.rs
+++ b/src/gateway/open_request.rs
@@ -1,5 +1,6 @@
 use {
     super::{AnswerBody, BusyConnection, Gateway},
+    crate::clock::BootInstant,
     bytes::Bytes,
     http::{HeaderValue, Response},
     http_body_util::BodyExt,
@@ -10,7 +11,6 @@
         sync::{Arc, atomic::Ordering},
         task::{Context, Poll, ready},
     },
-    tokio::time::Instant,
 };
 
 /// Counts a request for as long as it is in flight, and tells of one whose
@@ -19,7 +19,7 @@
     gateway: Arc<Gateway>,
     id: Option<HeaderValue>,
     /// When it came.
-    pub started: Instant,
+    pub started: BootInstant,
     has_ended: bool,
     _busy: BusyConnection,
 }
@@ -31,7 +31,7 @@
         Self {
             gateway: gateway.clone(),
             id,
-            started: Instant::now(),
+            started: BootInstant::now(),
             has_ended: false,
             _busy: busy,
         }
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -1,11 +1,14 @@
 use {
     super::*,
-    crate::cluster,
+    crate::{
+        clock::{self, BootInstant, watch_for_suspensions},
+        cluster,
+    },
     std::{
         io,
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::{
         net::{TcpListener, UdpSocket},
@@ -61,6 +64,7 @@
         tasks.spawn(cluster::follow_daemons(gateway.clone()));
         tasks.spawn(cluster::follow_config_of_daemons(gateway.clone()));
         tasks.spawn(sweep(gateway.clone()));
+        tasks.spawn(watch_for_suspensions());
         if let Some(listener) = metrics {
             tasks.spawn(serve_metrics(listener));
         }
@@ -84,10 +88,10 @@
     /// Stops as planned: takes no new clients, finishes what is in flight, and
     /// only then closes idle connections.
     pub async fn stop(mut self) {
-        let began = Instant::now();
+        let began = BootInstant::now();
         let times = self.gateway.begin_stop();
         log::info!(target: "gateway", "stopping. requests={}", self.open_requests());
-        tokio::time::sleep(Duration::from_millis(times.notice_ms)).await;
+        clock::sleep(Duration::from_millis(times.notice_ms)).await;
         self.connections.close_idle();
         let end = Duration::from_millis(times.end_ms);
         while began.elapsed() < end && self.has_work() {
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -1,6 +1,7 @@
 use {
     super::{Placement, Prompt},
     crate::{
+        clock::BootInstant,
         names::{ClientAccount, RequestFingerprint, ServiceName},
         routing::Route,
     },
@@ -11,7 +12,6 @@
         sync::{Arc, OnceLock},
         time::Duration,
     },
-    tokio::time::Instant,
 };
 
 /// A request that was let in.
@@ -44,9 +44,9 @@
     /// Where it is to go first, if a hub has said so.
     pub placed: Mutex<Option<Placement>>,
     /// When its head arrived.
-    pub started: Instant,
+    pub started: BootInstant,
     /// When it is given up: the client's deadline or the route's timeout.
-    pub give_up_at: Instant,
+    pub give_up_at: BootInstant,
 }
 
 impl RequestContext {
@@ -61,7 +61,7 @@
 
     /// Returns the time left.
     pub fn time_left(&self) -> Duration {
-        self.give_up_at.saturating_duration_since(Instant::now())
+        self.give_up_at.left()
     }
 
     /// Returns the attempt's id as text, for logs.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,10 +1,9 @@
 use {
     super::{Gateway, Placement, RequestContext},
-    crate::{policy::FirstEvent, upstreams::*},
+    crate::{clock::BootInstant, policy::FirstEvent, upstreams::*},
     http::{HeaderValue, Request, StatusCode, Version},
     http_body_util::Full,
     std::{sync::Arc, time::Duration},
-    tokio::time::Instant,
 };
 
 /// How long opening a connection to an upstream may take.
@@ -24,7 +23,7 @@
     unread_tokens: u64,
     /// Whether nothing else is known to wait there, and this is the first try.
     is_alone: bool,
-    started: Instant,
+    started: BootInstant,
 }
 
 impl ActiveSend {
@@ -42,7 +41,7 @@
             waiting_tokens: unread_tokens,
             unread_tokens,
             is_alone: placement.waiting_tokens == 0 && !placement.is_repeat,
-            started: Instant::now(),
+            started: BootInstant::now(),
         }
     }
 
--- a/src/http/call_once.rs
+++ b/src/http/call_once.rs
@@ -1,5 +1,6 @@
 use {
     super::{HttpError, whole_body},
+    crate::clock,
     bytes::Bytes,
     http::{Request, StatusCode, header},
     http_body_util::Full,
@@ -30,7 +31,7 @@
     request: Request<Full<Bytes>>,
     timeout: Duration,
 ) -> Result<(StatusCode, Bytes), HttpError> {
-    let answer = tokio::time::timeout(timeout, exchange(address, request)).await;
+    let answer = clock::timeout(timeout, exchange(address, request)).await;
     answer.map_err(|_| HttpError::Timeout(timeout))?
 }
 
--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -1,5 +1,6 @@
 use {
     super::HttpError,
+    crate::clock,
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, Request, Response, StatusCode},
     http_body_util::{BodyExt, Full, Limited},
@@ -65,7 +66,7 @@
         req: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, HttpError> {
-        let answer = tokio::time::timeout(timeout, self.client.request(req)).await;
+        let answer = clock::timeout(timeout, self.client.request(req)).await;
         let rep = answer
             .map_err(|_| HttpError::Timeout(timeout))?
             .map_err(from_client)?;
@@ -170,7 +171,7 @@
     let mut body = Limited::new(body, MAX_WHOLE_BODY);
     let mut whole = BytesMut::new();
     loop {
-        let next = tokio::time::timeout(silence, body.frame()).await;
+        let next = clock::timeout(silence, body.frame()).await;
         let Some(frame) = next.map_err(|_| HttpError::Timeout(silence))? else {
             return Ok(whole.freeze());
         };
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod boxes;
 pub mod caller;
 pub mod cli;
+pub mod clock;
 pub mod cluster;
 pub mod conf;
 pub mod contracts;
--- a/src/upstreams/upstream_pool.rs
+++ b/src/upstreams/upstream_pool.rs
@@ -1,17 +1,13 @@
 use {
     super::SendFailure,
-    crate::{http::reset_on_close, names::UpstreamId},
+    crate::{clock::BootInstant, http::reset_on_close, names::UpstreamId},
     bytes::Bytes,
     http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     parking_lot::Mutex,
     socket2::{SockRef, TcpKeepalive},
-    std::{
-        collections::HashMap,
-        net::SocketAddr,
-        time::{Duration, Instant},
-    },
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
     tokio::{net::TcpStream, task::AbortHandle},
 };
 
@@ -41,8 +37,8 @@
 #[derive(Debug)]
 struct IdleConnection {
     connection: UpstreamConnection,
-    since: Instant,
-    until: Instant,
+    since: BootInstant,
+    until: BootInstant,
 }
 
 /// Connections to upstreams that rest until they are used again.
@@ -56,7 +52,7 @@
     pub fn take(&self, id: &UpstreamId, max_rest: Duration) -> Option<UpstreamConnection> {
         let mut idle = self.idle.lock();
         let rested = idle.get_mut(id)?;
-        let now = Instant::now();
+        let now = BootInstant::now();
         while let Some(entry) = rested.pop() {
             let connection = entry.connection;
             let usable = connection.sender.is_ready() && !connection.sender.is_closed();
@@ -69,7 +65,7 @@
 
     /// Lets a connection rest, for as long as its upstream said that it keeps it.
     pub fn put(&self, id: &UpstreamId, connection: UpstreamConnection, kept: Option<Duration>) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         let rest = kept.map_or(MAX_IDLE, |kept| kept.mul_f64(0.8).min(MAX_IDLE));
         let mut idle = self.idle.lock();
         let rested = idle.entry(id.clone()).or_default();
@@ -86,7 +82,7 @@
     /// Closes the resting connections of upstreams that `is_known` doesn't
     /// know, and those that have rested for too long.
     pub fn sweep(&self, is_known: impl Fn(&UpstreamId) -> bool) {
-        let now = Instant::now();
+        let now = BootInstant::now();
         self.idle.lock().retain(|id, rested| {
             rested.retain(|entry| now < entry.until && !entry.connection.sender.is_closed());
             is_known(id) && !rested.is_empty()
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -31,5 +31,6 @@
 mod spill;
 mod splice;
 mod support;
+mod suspension;
 mod table_fold;
 mod usage;
