A client is told at once that its stream broke off

After a broken answer the daemon read on for a second before it closed anything, for the sake of bytes that the client may still send.

Now it ends its own side first, and then reads on.

Ruled out: closing at once (bytes that stand unread would reset the connection and take away what the client has not read).

--- a/src/gateway/client_connection.rs
+++ b/src/gateway/client_connection.rs
@@ -9,7 +9,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     parking_lot::Mutex,
     std::{convert::Infallible, sync::Arc, time::Duration},
-    tokio::{net::TcpStream, sync::watch, time::Instant},
+    tokio::{io::AsyncWriteExt, net::TcpStream, sync::watch, time::Instant},
 };
 
 /// The least rest that a connection is allowed between requests.
@@ -154,11 +154,14 @@
 
     /// Reads on after the last answer until the client closes its side, too: bytes
     /// that stand unread when a socket is closed reset the connection, and a reset
-    /// takes away what the client has not read.
+    /// takes away what the client has not read. It is told the end first: else a client
+    /// saw that its stream broke off, and came again, only after all of this time.
     async fn linger(mut self) {
         if self.socket.unread() == Unread::End {
             return;
         }
+        // One that fails has no other side any more.
+        let _ = self.socket.shutdown().await;
         let mut sink = tokio::io::sink();
         let rest = tokio::io::copy(&mut self.socket, &mut sink);
         // In vain: a client that goes on sending sees a reset.
--- a/tests/gateway/streams.rs
+++ b/tests/gateway/streams.rs
@@ -5,6 +5,11 @@
     crate::support::*,
     http::StatusCode,
     saddlepulley_standin::runner::{Behaviour, Runner},
+    std::time::Duration,
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::TcpStream,
+    },
 };
 
 fn events(from: u64, to: u64) -> String {
@@ -89,3 +94,27 @@
         .await;
     eventually("cancelled", async || runner.abandoned() == 1).await;
 }
+
+/// A stream breaks off, and its client keeps its own side of the connection open, as a
+/// client does that has seen no end yet. It was told the end only when the daemon had read
+/// on in vain for a second, and the connection was gone.
+#[tokio::test]
+async fn a_client_is_told_at_once_that_its_stream_broke_off() {
+    let runner = Runner::start("b1", 8).await.unwrap();
+    runner.behave(Behaviour::CutStream(3));
+    let daemon = GatewayDaemon::start(&routes_file(1, &[&STREAM_ONCE], &[&runner])).await;
+    let mut stream = TcpStream::connect(daemon.clients).await.unwrap();
+    let head = "POST /stream/once/x HTTP/1.1\r\nhost: h.example\r\nsaddlepulley-attempt: a1\r\n\
+                saddlepulley-key: key-1\r\nsaddlepulley-deadline-ms: 4000\r\ncontent-length: 0\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.expect("no reset");
+    let answer = String::from_utf8_lossy(&answer);
+    assert!(answer.contains("event 2"));
+    assert!(!answer.ends_with("0\r\n\r\n"), "it must not look complete");
+    // The daemon still reads: what the client sends meets no reset.
+    for _ in 0..2 {
+        stream.write_all(b"x").await.expect("still read");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
