Suspects are written and read along; an upstream that ends step by step counts as ended

Traced by the stand-in waiting 20 ms there: red each time; a process that ends may do the same. A connection that comes up has now to stay open for 50 ms, three times at most: an upstream that is full closes new ones, too.

Ruled out: load on the machine as the cause (the order of closes alone brings it about).

--- a/src/cluster/duty_borders.rs
+++ b/src/cluster/duty_borders.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         names::{BoxId, FailureDomain, ServiceName},
-        policy::{AccountCounts, HeldRequest, KnownEnd},
+        policy::{AccountCounts, SuspectRecord},
         rollouts::Rollout,
     },
     async_trait::async_trait,
@@ -102,23 +102,32 @@
     ) -> Result<WriteEnd, BorderError>;
 }
 
-/// Where requests that are held back are kept. It outlives daemons.
+/// What was written of requests under which upstreams ended, from a position on.
+#[derive(Clone, Debug, Default)]
+pub struct QuarantinePage {
+    /// The records. One without ends is of a request that is cleared, or dropped.
+    pub records: Vec<SuspectRecord>,
+    /// Where the next page begins.
+    pub next: u64,
+}
+
+/// Where requests under which upstreams ended are kept. It outlives daemons.
 #[async_trait]
 pub trait QuarantineRecords: Send + Sync {
-    /// Reads the ends under all requests that are held back; `unix_ms` is the time.
+    /// Reads on from a position, or everything that is kept; waits a while for a record.
     ///
     /// # Errors
     ///
     /// Returns how the read failed.
-    async fn read(&self, unix_ms: u64) -> Result<Vec<KnownEnd>, BorderError>;
+    async fn read_on(&self, from: Option<u64>) -> Result<QuarantinePage, BorderError>;
 
     /// Writes the ends under a request, in place of what was written before; one without
-    /// ends is dropped.
+    /// ends is dropped. `unix_ms` is the time.
     ///
     /// # Errors
     ///
     /// Returns how the write failed.
-    async fn write(&self, held: &HeldRequest, unix_ms: u64) -> Result<(), BorderError>;
+    async fn write(&self, record: &SuspectRecord, unix_ms: u64) -> Result<(), BorderError>;
 }
 
 /// In whose name a duty is done.
--- a/src/cluster/quarantine_keeper.rs
+++ b/src/cluster/quarantine_keeper.rs
@@ -6,35 +6,57 @@
 
 /// How often is looked whether something has to be written.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
-/// The pause after a call that failed: the requests are held back meanwhile, by what
-/// daemons tell each other.
+/// How many records are written after one look: some tens a second from all daemons that
+/// see a failure domain end, and of each only the first seconds.
+const MOST_WRITTEN: usize = 4;
+/// The pause after a call that failed: daemons tell each other meanwhile.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
-/// Keeps the requests that are held back where they outlive all daemons: reads them once,
-/// when this daemon begins to read the shared source, and writes those of which it saw an
-/// upstream end. Without this each loss of all daemons cost three more upstreams for each
-/// such request, and some for each daemon that it came to before they had told each other.
+/// Keeps requests under which upstreams ended where they outlive all daemons: writes those
+/// of which this daemon saw an end, and reads along while it reads the shared source.
+///
+/// Without this each loss of all daemons cost three more upstreams for each such request,
+/// and some for each daemon that it came to before they had told each other; and failure
+/// domains that are cut off from each other did not know of each other's.
 pub async fn keep_quarantine(gateway: Arc<Gateway>, records: Arc<dyn QuarantineRecords>) {
     tokio::join!(
-        read_when_reader(&gateway, &*records),
-        write_held(&gateway, &*records)
+        read_along(&gateway, &*records),
+        write_news(&gateway, &*records)
     );
 }
 
-async fn read_when_reader(gateway: &Gateway, records: &dyn QuarantineRecords) {
+async fn read_along(gateway: &Gateway, records: &dyn QuarantineRecords) {
+    let mut position = None;
     loop {
         gateway.until_reading_source().await;
-        match records.read(now_ms()).await {
-            Ok(ends) => return gateway.hear_written(&ends),
-            Err(e) => {
-                log::info!(target: "crash", "held requests not read. error=\"{e}\"");
-                tokio::time::sleep(FAILURE_PAUSE).await;
-            }
+        if let Err(e) = read_page(gateway, records, &mut position).await {
+            log::info!(target: "crash", "held requests not read. error=\"{e}\"");
+            tokio::time::sleep(FAILURE_PAUSE).await;
+        }
+    }
+}
+
+async fn read_page(
+    gateway: &Gateway,
+    records: &dyn QuarantineRecords,
+    position: &mut Option<u64>,
+) -> Result<(), BorderError> {
+    let page = records.read_on(*position).await?;
+    for record in &page.records {
+        let is_outdated = gateway.crashes.lock().is_outdated(record);
+        if is_outdated && !record.ends.is_empty() {
+            let mut dropped = record.clone();
+            dropped.ends.clear();
+            records.write(&dropped, now_ms()).await?;
+            continue;
         }
+        gateway.hear_written(record);
     }
+    *position = Some(page.next);
+    Ok(())
 }
 
-async fn write_held(gateway: &Gateway, records: &dyn QuarantineRecords) {
+async fn write_news(gateway: &Gateway, records: &dyn QuarantineRecords) {
     loop {
         tokio::time::sleep(LOOK_EVERY).await;
         if let Err(e) = write_due(gateway, records).await {
@@ -45,10 +67,11 @@
 }
 
 async fn write_due(gateway: &Gateway, records: &dyn QuarantineRecords) -> Result<(), BorderError> {
-    let due = gateway.crashes.lock().to_write(gateway.steady_ms());
-    for held in due {
-        records.write(&held, now_ms()).await?;
-        gateway.crashes.lock().note_written(&held);
+    let now = gateway.steady_ms();
+    let due = gateway.crashes.lock().to_write(MOST_WRITTEN, now);
+    for record in due {
+        records.write(&record, now_ms()).await?;
+        gateway.crashes.lock().note_written(&record);
     }
     Ok(())
 }
--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -2,7 +2,7 @@
     super::{Gateway, RequestContext},
     crate::{
         names::{RequestFingerprint, UpstreamId},
-        policy::KnownEnd,
+        policy::{KnownEnd, SuspectRecord},
     },
     http::StatusCode,
     rand::seq::IteratorRandom,
@@ -78,9 +78,12 @@
         log_if_held(told.fingerprint, was_held, is_held);
     }
 
-    /// Takes in what was written down before.
-    pub fn hear_written(&self, ends: &[KnownEnd]) {
-        for end in ends {
+    /// Takes in what was written down of a request.
+    pub fn hear_written(&self, record: &SuspectRecord) {
+        if record.ends.is_empty() {
+            self.crashes.lock().hear_cleared(record.fingerprint);
+        }
+        for end in &record.ends {
             self.hear_end(end, Some(true));
         }
     }
--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -14,6 +14,12 @@
 /// How long an upstream has to take a connection that ended one: as long as a send
 /// gives it.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a connection has to stay open that an upstream took: one that ends may close
+/// the connections that it has some moments before the socket on which it takes new ones.
+const SETTLE: Duration = Duration::from_millis(50);
+/// How many connections it may close at once and still count as alive: one that has as
+/// many as it takes does that.
+const CHECKS: usize = 3;
 /// How many requests are kept that were cut off at one upstream: more ran beside each
 /// other on none that was seen.
 const MAX_REQUESTS: usize = 256;
@@ -46,24 +52,38 @@
 }
 
 async fn check_upstream(gateway: Arc<Gateway>, upstream: Arc<Upstream>) {
-    let connected = UpstreamPool::connect(upstream.address, CHECK_TIMEOUT).await;
+    let end = find_end(&gateway, &upstream).await;
     let requests = gateway.cut_offs.lock().remove(&upstream.id);
-    let requests = requests.unwrap_or_default();
-    match connected {
-        Ok(connection) => gateway.pool.put(&upstream.id, connection, None),
-        Err(failure) => {
-            metrics::counter!(ENDED_UPSTREAMS).increment(1);
-            log::warn!(
-                target: "crash",
-                "an upstream ended under requests. upstream={} domain={} requests={} fingerprints={} cause=\"{failure}\"",
-                upstream.id,
-                upstream.domain,
-                requests.len(),
-                listed(&requests)
-            );
-            gateway.note_upstream_end(&upstream.id, requests.into_iter());
+    let (Some(cause), Some(requests)) = (end, requests) else {
+        return;
+    };
+    metrics::counter!(ENDED_UPSTREAMS).increment(1);
+    log::warn!(
+        target: "crash",
+        "an upstream ended under requests. upstream={} domain={} requests={} fingerprints={} cause=\"{cause}\"",
+        upstream.id,
+        upstream.domain,
+        requests.len(),
+        listed(&requests)
+    );
+    gateway.note_upstream_end(&upstream.id, requests.into_iter());
+}
+
+/// Finds out whether an upstream takes connections and keeps them; returns how it fails to.
+async fn find_end(gateway: &Gateway, upstream: &Upstream) -> Option<SendFailure> {
+    for _ in 0..CHECKS {
+        match UpstreamPool::connect(upstream.address, CHECK_TIMEOUT).await {
+            Err(failure) => return Some(failure),
+            Ok(connection) => {
+                tokio::time::sleep(SETTLE).await;
+                if connection.is_open() {
+                    gateway.pool.put(&upstream.id, connection, None);
+                    return None;
+                }
+            }
         }
     }
+    None
 }
 
 fn listed(requests: &BTreeSet<RequestFingerprint>) -> String {
--- a/src/policy/quarantine/crash_book.rs
+++ b/src/policy/quarantine/crash_book.rs
@@ -33,12 +33,12 @@
     pub is_cleared: bool,
 }
 
-/// What is written down of a request that is held back.
+/// What is written down of a request under which upstreams ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HeldRequest {
+pub struct SuspectRecord {
     /// The request.
     pub fingerprint: RequestFingerprint,
-    /// The upstreams that ended under it; none if it is no longer held back.
+    /// The upstreams that ended under it; none if that is nothing to go by any more.
     pub ends: Vec<KnownEnd>,
 }
 
@@ -237,34 +237,51 @@
         ends.take(most).collect()
     }
 
-    /// Returns what this daemon has to write down: of requests that are held back and of
-    /// which it saw an end, if more is known than when it wrote last; and of those that it
-    /// wrote down and that were answered whole since.
-    pub fn to_write(&self, now_ms: u64) -> Vec<HeldRequest> {
-        let all = self.suspects.iter();
-        let due = all.filter(|(fingerprint, suspect)| {
+    /// Returns what this daemon has to write down, at most some: of requests of which it
+    /// saw an end, if more is known than when it wrote last; and of those that it wrote
+    /// down and that were answered whole since.
+    ///
+    /// What is one end short of being held back is written, too: daemons of failure
+    /// domains that are cut off from each other, but not from what is written, would each
+    /// go on up to that number else.
+    pub fn to_write(&self, most: usize, now_ms: u64) -> Vec<SuspectRecord> {
+        let least = self.bounds.ends.saturating_sub(1).max(1);
+        let due = self.suspects.iter().filter(|(_, suspect)| {
             let count = suspect.count();
             let is_own = suspect.ends.iter().any(|end| end.is_own);
-            let is_held = count > suspect.written && self.held_for(**fingerprint, now_ms).is_some();
-            is_own && is_held || count == 0 && suspect.written > 0
+            let is_news = is_own && count >= least && count > suspect.written;
+            is_news || count == 0 && suspect.written > 0
         });
-        due.map(|(fingerprint, suspect)| HeldRequest {
+        let records = due.map(|(fingerprint, suspect)| SuspectRecord {
             fingerprint: *fingerprint,
             ends: suspect
                 .open_ends()
                 .map(|end| known_end(*fingerprint, end, now_ms))
                 .collect(),
-        })
-        .collect()
+        });
+        records.take(most).collect()
     }
 
     /// Notes what was written down.
-    pub fn note_written(&mut self, held: &HeldRequest) {
-        if let Some(suspect) = self.suspects.get_mut(&held.fingerprint) {
-            suspect.written = held.ends.len();
+    pub fn note_written(&mut self, record: &SuspectRecord) {
+        if let Some(suspect) = self.suspects.get_mut(&record.fingerprint) {
+            suspect.written = record.ends.len();
+        }
+    }
+
+    /// Takes in that what was written down of a request is nothing to go by any more.
+    pub fn hear_cleared(&mut self, fingerprint: RequestFingerprint) {
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.clear(0);
         }
     }
 
+    /// Returns whether what was written down is too old to go by.
+    pub fn is_outdated(&self, record: &SuspectRecord) -> bool {
+        let mut ends = record.ends.iter();
+        ends.all(|end| end.age_ms >= self.kept_ms())
+    }
+
     /// Forgets requests under which no upstream ended for twice the time that they are
     /// held back, and the least suspected where there are too many.
     pub fn tick(&mut self, now_ms: u64) {
--- a/src/upstreams/upstream_pool.rs
+++ b/src/upstreams/upstream_pool.rs
@@ -28,6 +28,13 @@
     task: AbortHandle,
 }
 
+impl UpstreamConnection {
+    /// Returns whether neither side has closed it, as far as is known.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+}
+
 impl Drop for UpstreamConnection {
     fn drop(&mut self) {
         self.task.abort();
--- a/tests/decisions/quarantine.rs
+++ b/tests/decisions/quarantine.rs
@@ -165,20 +165,23 @@
 #[test]
 fn what_is_to_be_written_is_written_by_those_that_saw_it_and_dropped_when_cleared() {
     let (mut here, mut there, poison) = (book(), book(), request("p"));
-    for n in 0..3 {
+    here.note_end(poison, &upstream(0), 0);
+    assert!(here.to_write(9, 0).is_empty(), "one end is no pattern");
+    for n in 1..3 {
         here.note_end(poison, &upstream(n), n);
+        assert_eq!(here.to_write(9, n)[0].ends.len() as u64, n + 1);
     }
     for end in here.to_tell(24, 3).hubs {
         there.hear(&end, Some(true), 3);
     }
     assert!(there.held_for(poison, 3).is_some());
-    assert!(there.to_write(3).is_empty(), "it saw none of them");
-    let due = here.to_write(3);
+    assert!(there.to_write(9, 3).is_empty(), "it saw none of them");
+    let due = here.to_write(9, 3);
     assert_eq!(due[0].ends.len(), 3);
     here.note_written(&due[0]);
-    assert!(here.to_write(3).is_empty());
+    assert!(here.to_write(9, 3).is_empty());
     here.note_whole(poison);
-    assert!(here.to_write(3)[0].ends.is_empty());
+    assert!(here.to_write(9, 3)[0].ends.is_empty());
 }
 
 /// A daemon of the simulation: what it knows, and what is on its way to it.
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -209,7 +209,9 @@
     assert_eq!(served, asked, "of innocent requests, once all know");
 }
 
-/// An upstream that ends under the first request that it gets.
+/// An upstream that ends under the first request that it gets. Its connections end first;
+/// the socket on which it takes new ones some milliseconds later, as a process may that is
+/// busy as it ends.
 async fn one_shot_upstream() -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -221,12 +223,19 @@
         if stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {
             count.fetch_add(1, Ordering::SeqCst);
         }
-        // Both end with this task.
+        drop(stream);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        // The listener ends with this task.
     });
     (address, requests)
 }
 
-/// All daemons are killed at once, and with them what they told each other.
+fn is_written(store: &Store) -> bool {
+    !store.keys("keyed.quarantine").is_empty()
+}
+
+/// All daemons are killed at once, and with them what they told each other; and one never
+/// hears another, as in failure domains that are cut off from each other.
 #[tokio::test]
 async fn what_is_held_back_outlives_all_daemons() {
     let store = Store::start().await.unwrap();
@@ -240,23 +249,25 @@
     first.wait_ready().await;
     let other = daemon("n2", &store, &[&first]);
     other.wait_ready().await;
-    eventually("held back at both", async || {
+    let apart = daemon("n4", &store, &[]);
+    apart.wait_ready().await;
+    eventually("held back at all", async || {
         ask(&first, "/p/x").await;
         ask(&other, "/p/x").await;
+        if is_written(&store) {
+            ask(&apart, "/p/x").await;
+        }
         let refuses = async |daemon: &GatewayDaemon| {
             let page = daemon.metrics_page().await;
             page.contains("saddlepulley_held_refusals_total")
         };
-        refuses(&first).await && refuses(&other).await
+        refuses(&first).await && refuses(&other).await && refuses(&apart).await
     })
     .await;
-    eventually("written", async || {
-        !store.keys("keyed.quarantine").is_empty()
-    })
-    .await;
-    first.signal(Signal::SIGKILL);
-    other.signal(Signal::SIGKILL);
-    drop((first, other));
+    for daemon in [&first, &other, &apart] {
+        daemon.signal(Signal::SIGKILL);
+    }
+    drop((first, other, apart));
     let (address, requests) = one_shot_upstream().await;
     store.put("keyed.servers", "i-new", &entry(address, "ready", 1));
     let again = daemon("n3", &store, &[]);
