--- a/src/conf/checked_numbers.rs
+++ b/src/conf/checked_numbers.rs
@@ -44,3 +44,15 @@
         ))),
     }
 }
+
+/// Reads a count.
+///
+/// # Errors
+///
+/// Returns what was expected if it is 0.
+pub fn at_least_one<'de, D: Deserializer<'de>>(deserializer: D) -> Result<usize, D::Error> {
+    match usize::deserialize(deserializer)? {
+        0 => Err(D::Error::custom("expected 1 or more, found 0")),
+        count => Ok(count),
+    }
+}
--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -22,10 +22,12 @@
         held_ms.map(Duration::from_millis)
     }
 
-    /// Returns by what a request is placed under which an upstream ended; none for others.
+    /// Returns by what a request is placed under which upstreams ended; none for others.
     ///
     /// Requests of one session have one home. Without this they followed each other from
     /// upstream to upstream, and the one that ended them could not be told from the rest.
+    /// Those under which one ended keep their home: with the first end already, all that ran
+    /// on a lost upstream read their prompts anew.
     pub(super) fn placed_apart_by(&self, context: &RequestContext) -> Option<u64> {
         let crashes = self.crashes.lock();
         if crashes.is_empty() {
--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -57,6 +57,11 @@
     let (Some(cause), Some(requests)) = (end, requests) else {
         return;
     };
+    // One that leaves ends as it said, whatever runs there: a stream that three waves of
+    // reclaims moved on would be held back.
+    if !gateway.directory.read().is_ready(&upstream.id) {
+        return;
+    }
     metrics::counter!(ENDED_UPSTREAMS).increment(1);
     log::warn!(
         target: "crash",
--- a/src/policy/quarantine/bounds.rs
+++ b/src/policy/quarantine/bounds.rs
@@ -1,4 +1,4 @@
-use serde::Deserialize;
+use {crate::conf::at_least_one, serde::Deserialize};
 
 /// When a request is held back under which upstreams end.
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
@@ -6,6 +6,7 @@
 pub struct QuarantineBounds {
     /// How many upstreams may end under it. Two are a coincidence now and then: a request
     /// is sent on when its upstream is lost, and that one may be lost as well.
+    #[serde(deserialize_with = "at_least_one")]
     pub ends: usize,
     /// For how long after the last of them it is held back, in seconds. Then one more end
     /// holds it back again. A default without a measurement: longer than callers go on
--- a/src/policy/quarantine/crash_book.rs
+++ b/src/policy/quarantine/crash_book.rs
@@ -149,10 +149,11 @@
         suspect.is_some_and(|suspect| suspect.clear(TELLINGS))
     }
 
-    /// Returns whether upstreams ended under a request that it may have ended.
+    /// Returns whether more than one upstream ended under a request that it may have ended:
+    /// one ends under all that run there, whatever the cause.
     pub fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
         let suspect = self.suspects.get(&fingerprint);
-        suspect.is_some_and(|suspect| suspect.count() > 0)
+        suspect.is_some_and(|suspect| suspect.count() > 1)
     }
 
     /// Returns for how long a request is held back, in milliseconds; none if it is not.
--- a/tests/decisions/gateway_files.rs
+++ b/tests/decisions/gateway_files.rs
@@ -51,6 +51,7 @@
         ("[fleet]\nnow_decay_ms = 0.0\n", "above 0"),
         ("[bounds.quotas]\novershoot = -0.1\n", "0 or more"),
         ("[first_guess]\nstay_ms = 0.0\n", "above 0"),
+        ("[bounds.quarantine]\nends = 0\n", "1 or more"),
         ("[mechanisms]\nhomes = 1\n", "a boolean"),
     ];
     for (table, expected) in wrong {
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -33,7 +33,7 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{io::AsyncReadExt, net::TcpListener},
+    tokio::{io::AsyncReadExt, net::TcpListener, task::JoinHandle},
 };
 
 const UPSTREAMS: usize = 12;
@@ -91,11 +91,11 @@
     }
 
     async fn ask(&self, daemon: usize, attempt: &str, path: &str, body: &str) -> Option<Answer> {
-        ask_at(self.daemons[daemon].clients, attempt.into(), path, body).await
+        ask_as(self.daemons[daemon].clients, attempt.into(), path, body).await
     }
 }
 
-async fn ask_at(to: SocketAddr, attempt: String, path: &str, body: &str) -> Option<Answer> {
+async fn ask_as(to: SocketAddr, attempt: String, path: &str, body: &str) -> Option<Answer> {
     let mut client = Client::connect(to).await?;
     client.send(request(&attempt, path), body).await.ok()
 }
@@ -114,7 +114,7 @@
     loop {
         let daemon = n % world.daemons.len();
         // Callers don't wait for each other.
-        tokio::spawn(ask_at(
+        tokio::spawn(ask_as(
             world.daemons[daemon].clients,
             format!("p{n}"),
             path,
@@ -279,3 +279,47 @@
     ask(&again, "/p/y").await;
     assert_eq!(requests.load(Ordering::SeqCst), 1);
 }
+
+/// Longer than a daemon needs to take in an entry of the store.
+const TAKEN_IN: Duration = Duration::from_millis(1_500);
+
+/// An upstream that holds a request until it is ended.
+async fn holding_upstream() -> (SocketAddr, JoinHandle<()>, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicUsize::new(0));
+    let count = requests.clone();
+    let task = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buffer = [0; 4_096];
+        let _ = stream.read(&mut buffer).await;
+        count.fetch_add(1, Ordering::SeqCst);
+        std::future::pending::<()>().await;
+    });
+    (address, task, requests)
+}
+
+/// One request is on three upstreams in turn that say that they leave, and end as they said.
+#[tokio::test]
+async fn upstreams_that_leave_count_against_no_request() {
+    let store = Store::start().await.unwrap();
+    store.put("keyed.op", "config", &config(3, "/p/"));
+    let daemon = daemon("n1", &store, &[]);
+    for n in 0..=ENDS {
+        let (address, task, requests) = holding_upstream().await;
+        let id = format!("i-{n}");
+        store.put("keyed.servers", &id, &entry(address, "ready", 1));
+        daemon.wait_ready().await;
+        tokio::time::sleep(TAKEN_IN).await;
+        let asks = tokio::spawn({
+            let clients = daemon.clients;
+            async move { ask_at(clients, "/p/x").await }
+        });
+        eventually("it runs", async || requests.load(Ordering::SeqCst) == 1).await;
+        store.put("keyed.servers", &id, &entry(address, "draining", 2));
+        // Longer than a reader needs to hear of it, and less than the request waits.
+        tokio::time::sleep(Duration::from_millis(700)).await;
+        task.abort();
+        assert_eq!(asks.await.unwrap(), Some(StatusCode::BAD_GATEWAY), "{n}");
+    }
+}
