--- a/src/gateway/client_connection.rs
+++ b/src/gateway/client_connection.rs
@@ -1,5 +1,5 @@
 use {
-    super::{intake::say_close, listen::until_closing, *},
+    super::{intake::say_close, open_connections::until_closing, *},
     crate::{
         policy::{ClientActivity, CloseReason, CloseStep},
         upstreams::set_socket_options,
--- a/src/gateway/listen.rs
+++ b/src/gateway/listen.rs
@@ -1,25 +1,12 @@
 use {
-    super::{client_connection::serve_client, *},
+    super::{client_connection::serve_client, open_connections::*, *},
     crate::upstreams::{UNACKNOWLEDGED_TIMEOUT, set_socket_options},
     futures_util::FutureExt,
     http::{Method, Request, Response, StatusCode},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::rt::{TokioIo, TokioTimer},
-    std::{
-        convert::Infallible,
-        future::ready,
-        io,
-        net::SocketAddr,
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
-        time::Duration,
-    },
-    tokio::{
-        net::{TcpListener, TcpStream},
-        sync::watch,
-    },
+    std::{convert::Infallible, future::ready, io, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::net::{TcpListener, TcpStream},
 };
 
 /// How long to wait after a failed accept: descriptors may be short.
@@ -30,59 +17,13 @@
 /// The longest rest of a connection between requests to us.
 const MAX_IDLE: Duration = Duration::from_secs(10);
 
-/// The connections of clients.
-#[derive(Debug)]
-pub struct ClientConnections {
-    open: AtomicUsize,
-    /// Set when idle connections are to be closed.
-    closing: watch::Sender<bool>,
-}
-
-impl Default for ClientConnections {
-    fn default() -> Self {
-        Self {
-            open: AtomicUsize::new(0),
-            closing: watch::Sender::new(false),
-        }
-    }
-}
-
-impl ClientConnections {
-    /// Closes connections once they are idle.
-    pub fn close_idle(&self) {
-        self.closing.send_replace(true);
-    }
-
-    /// Returns how many are open.
-    pub fn open(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
-    }
-}
-
-/// Counts a connection from the moment at which it was accepted: a stop waits for
-/// those, too, of which nothing was read yet.
-struct OpenConnection(Arc<ClientConnections>);
-
-impl OpenConnection {
-    fn new(connections: &Arc<ClientConnections>) -> Self {
-        connections.open.fetch_add(1, Ordering::Relaxed);
-        Self(connections.clone())
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Serves clients until idle connections are closed; then no more are accepted.
 pub async fn serve_clients(
     listener: TcpListener,
     gateway: Arc<Gateway>,
     connections: Arc<ClientConnections>,
 ) {
-    let mut closing = connections.closing.subscribe();
+    let mut closing = connections.closing();
     loop {
         tokio::select! {
             accepted = listener.accept() => {
@@ -98,12 +39,6 @@
     }
 }
 
-/// Waits until idle connections are to be closed.
-pub(super) async fn until_closing(closing: &mut watch::Receiver<bool>) {
-    // The sender lives as long as the daemon: its end is a stop, too.
-    let _ = closing.wait_for(|closing| *closing).await;
-}
-
 fn serve_accepted(
     accepted: io::Result<(TcpStream, SocketAddr)>,
     gateway: &Arc<Gateway>,
@@ -111,7 +46,7 @@
 ) -> io::Result<()> {
     let (stream, _) = accepted?;
     let open = OpenConnection::new(connections);
-    let served = serve_client(stream, gateway.clone(), connections.closing.subscribe());
+    let served = serve_client(stream, gateway.clone(), connections.closing());
     tokio::spawn(async move {
         served.await;
         drop(open);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod intake;
 mod listen;
 mod metrics_page;
+mod open_connections;
 mod open_request;
 mod placing;
 mod process;
@@ -26,10 +27,11 @@
 mod request_context;
 mod rollout_state;
 mod send;
+mod send_notes;
 mod source_state;
 
 pub use {
     answer::*, client_connection::*, client_socket::*, event_border::*, follow_file::*,
     gateway_state::*, header_names::*, hub_state::*, intake::*, listen::*, metrics_page::*,
-    placing::*, process::*, prompt::*, request_context::*,
+    open_connections::*, placing::*, process::*, prompt::*, request_context::*,
 };
--- /dev/null
+++ b/src/gateway/send_notes.rs
@@ -0,0 +1,92 @@
+use {
+    super::*,
+    crate::{cluster::MemberEvent, names::UpstreamId, upstreams::*},
+    std::sync::Arc,
+};
+
+/// What is learned of upstreams from how requests fare there.
+impl Gateway {
+    /// Notes that an upstream reads a request's prompt.
+    pub fn note_cached(&self, prompt: &Prompt, upstream: &Upstream) {
+        let parts = prompt.parts.iter().map(|p| p.chain);
+        let now_ms = self.steady_ms();
+        self.caches.lock().note(&upstream.id, parts, now_ms);
+    }
+
+    /// Notes whether a connection to an upstream came up.
+    pub fn note_reach(&self, upstream: &Upstream, reached: bool) {
+        let now_ms = self.steady_ms();
+        if reached {
+            return self.domain_reach.lock().note_reached(&upstream.domain);
+        }
+        self.loads
+            .lock()
+            .entry(&upstream.id)
+            .note_unreachable(now_ms);
+        self.note_event(|| MemberEvent::Unreachable {
+            upstream: upstream.id.to_string(),
+        });
+        self.domain_reach
+            .lock()
+            .note_unreachable(&upstream.domain, &upstream.id, now_ms);
+    }
+
+    /// Notes how a request ended at an upstream.
+    pub fn note_outcome(&self, upstream: &UpstreamId, failed: bool) {
+        let now_ms = self.steady_ms();
+        self.loads
+            .lock()
+            .entry(upstream)
+            .note_outcome(failed, now_ms);
+        self.note_event(|| MemberEvent::Ended {
+            upstream: upstream.to_string(),
+            failed,
+        });
+    }
+
+    /// Notes that another upstream has the address of one.
+    fn note_misdirected(&self, upstream: &UpstreamId) {
+        let now_ms = self.steady_ms();
+        self.loads.lock().entry(upstream).note_misdirected(now_ms);
+        self.note_event(|| MemberEvent::Misdirected {
+            upstream: upstream.to_string(),
+        });
+    }
+
+    /// Notes that a send failed.
+    pub fn note_send_failure(
+        self: &Arc<Self>,
+        context: &RequestContext,
+        upstream: &Arc<Upstream>,
+        failure: &SendFailure,
+    ) {
+        if let SendFailure::CutOff(_) = failure {
+            let fingerprint = context.fingerprint();
+            log::info!(
+                target: "crash",
+                "cut off. request={} fingerprint={fingerprint} upstream={}",
+                context.id_text(),
+                upstream.id
+            );
+            self.note_cut_off(fingerprint, upstream);
+        }
+        metrics::counter!(FAILED_SENDS, "run" => failure.kind()).increment(1);
+        if !matches!(failure, SendFailure::NotSent(_)) {
+            self.note_answer(context, upstream, None);
+        }
+        match failure {
+            SendFailure::NotSent(_) => {}
+            SendFailure::Misdirected => self.note_misdirected(&upstream.id),
+            SendFailure::Refused(_) | SendFailure::MayHaveRun(_) | SendFailure::CutOff(_) => {
+                self.note_outcome(&upstream.id, true);
+            }
+        }
+        log::warn!(
+            target: "send",
+            "failed. request={} upstream={} domain={} cause=\"{failure}\"",
+            context.id_text(),
+            upstream.id,
+            upstream.domain
+        );
+    }
+}
