--- a/tests/decisions/datagrams.rs
+++ b/tests/decisions/datagrams.rs
@@ -33,6 +33,27 @@
     }
 }
 
+#[test]
+fn ends_of_upstreams_fit_whatever_their_names() {
+    let ends = (0..24).map(|n| ToldEnd {
+        fingerprint: u128::MAX - n,
+        upstream: format!("an-upstream-with-a-long-name-{n}~1764720000123"),
+        age_ms: u32::MAX,
+        is_cleared: true,
+    });
+    let parts = in_parts(ends.collect());
+    assert_eq!(parts.iter().map(Vec::len).sum::<usize>(), 24);
+    for ends in parts {
+        let sent = Datagram::Crashes(CrashesPart {
+            among_hubs: true,
+            ends,
+        });
+        let bytes = sent.encode().unwrap();
+        assert!(bytes.len() <= MAX_DATAGRAM_BYTES, "{}", bytes.len());
+        assert_eq!(Datagram::decode(&bytes).unwrap(), sent);
+    }
+}
+
 #[test]
 fn what_is_no_datagram_of_ours_is_refused() {
     assert!(Datagram::decode(&[]).is_err());
--- a/tests/decisions/foreign_bytes.rs
+++ b/tests/decisions/foreign_bytes.rs
@@ -8,8 +8,11 @@
     bytes::Bytes,
     proptest::{prelude::*, test_runner::RngSeed},
     saddlepulley::{
-        cluster::{Datagram, FeedAsk, FeedNews, decode},
-        platform::{config_from_record, read_answer, split_keyed, upstream_from_entry},
+        cluster::{CrashesPart, Datagram, FeedAsk, FeedNews, decode},
+        platform::{
+            KeyedRecord, config_from_record, read_answer, split_keyed, suspect_record,
+            upstream_from_entry,
+        },
         routing::unpack_config,
     },
 };
@@ -57,6 +60,35 @@
     }
 }
 
+/// A record under which nothing is to be held back is told from one that is none.
+#[test]
+fn records_of_held_requests_are_read_whole_or_not_at_all() {
+    let record = |key: &str, value: Option<&str>| KeyedRecord {
+        key: key.to_string(),
+        value: value.map(|text| Bytes::copy_from_slice(text.as_bytes())),
+        offset: 1,
+    };
+    let key = "000000000000000000000000000000ff";
+    let ends = r#"{"ends":[{"upstream":"u","at_ms":400},{"upstream":"v","at_ms":9000}]}"#;
+    let read = suspect_record(&record(key, Some(ends)), 1_000).unwrap();
+    let ages: Vec<u64> = read.ends.iter().map(|end| end.age_ms).collect();
+    assert_eq!(ages, [600, 0], "one of a clock ahead of ours has just been");
+    assert!(
+        suspect_record(&record(key, None), 1_000)
+            .unwrap()
+            .ends
+            .is_empty()
+    );
+    for (key, value) in [
+        ("no number", ends),
+        (key, "{}"),
+        (key, "[1]"),
+        (key, "\u{7}"),
+    ] {
+        assert!(suspect_record(&record(key, Some(value)), 1_000).is_none());
+    }
+}
+
 proptest! {
     #![proptest_config(config())]
 
@@ -75,7 +107,9 @@
 
     #[test]
     fn a_datagram_of_our_version_with_any_bytes_is_read_or_refused(bytes in any_bytes()) {
-        let mut datagram = vec![6];
+        let ours = Datagram::Crashes(CrashesPart { among_hubs: true, ends: Vec::new() });
+        let version = ours.encode().unwrap()[0];
+        let mut datagram = vec![version];
         datagram.extend(bytes);
         let _ = Datagram::decode(&datagram);
     }
