Ends count in turn: upstreams that are lost together are one end

Cause, found by reading: a service's three upstreams that are lost at one moment end under each request that runs on all of them, such as a lookup that is asked all the time. An end now counts only if the request was sent to that upstream after the one before had ended; each end tells how long the request had been there.

Ruled out: remembering every request that was answered (a hash for each request at all times); a longer row of ends (more upstreams end before a request is held back).

Records are written one after a look, the most suspected first: with 16 a second from each daemon the loss of failure domains in turn could take the calls that leases need.

--- a/src/cluster/crashes_part.rs
+++ b/src/cluster/crashes_part.rs
@@ -25,6 +25,8 @@
     pub upstream: String,
     /// How long ago, in milliseconds.
     pub age_ms: u32,
+    /// For how long the request had been there by then, in milliseconds.
+    pub ran_ms: u32,
     /// Whether the request was answered whole since.
     pub is_cleared: bool,
 }
@@ -36,6 +38,7 @@
             fingerprint: known.fingerprint.number(),
             upstream: known.upstream.to_string(),
             age_ms: u32::try_from(known.age_ms).unwrap_or(u32::MAX),
+            ran_ms: u32::try_from(known.ran_ms).unwrap_or(u32::MAX),
             is_cleared: known.is_cleared,
         }
     }
@@ -46,6 +49,7 @@
             fingerprint: RequestFingerprint::from_number(self.fingerprint),
             upstream: UpstreamId::from(self.upstream.as_str()),
             age_ms: u64::from(self.age_ms),
+            ran_ms: u64::from(self.ran_ms),
             is_cleared: self.is_cleared,
         }
     }
--- a/src/cluster/quarantine_keeper.rs
+++ b/src/cluster/quarantine_keeper.rs
@@ -6,9 +6,10 @@
 
 /// How often is looked whether something has to be written.
 const LOOK_EVERY: Duration = Duration::from_millis(250);
-/// How many records are written after one look: some tens a second from all daemons that
-/// see a failure domain end, and of each only the first seconds.
-const MOST_WRITTEN: usize = 4;
+/// How many records are written after one look, those of the most suspected requests
+/// first: four a second from each daemon while upstreams end, less than half of the calls
+/// that the platform takes from the daemons of each deployment that is designed for.
+const MOST_WRITTEN: usize = 1;
 /// The pause after a call that failed: daemons tell each other meanwhile.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -5,7 +5,7 @@
         upstreams::*,
     },
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, HashMap},
         sync::Arc,
         time::Duration,
     },
@@ -24,9 +24,9 @@
 /// other on none that was seen.
 const MAX_REQUESTS: usize = 256;
 
-/// Requests that were cut off, by the upstream they were at, until it is known whether
-/// it ended.
-pub(super) type CutOffs = HashMap<UpstreamId, BTreeSet<RequestFingerprint>>;
+/// Requests that were cut off, and how long they had been there, by the upstream they were
+/// at, until it is known whether it ended.
+pub(super) type CutOffs = HashMap<UpstreamId, BTreeMap<RequestFingerprint, Duration>>;
 
 /// Whether upstreams end under requests.
 impl Gateway {
@@ -36,13 +36,16 @@
     pub(super) fn note_cut_off(
         self: &Arc<Self>,
         fingerprint: RequestFingerprint,
+        ran: Duration,
         upstream: &Arc<Upstream>,
     ) {
         let mut cut_offs = self.cut_offs.lock();
         let is_first = !cut_offs.contains_key(&upstream.id);
         let requests = cut_offs.entry(upstream.id.clone()).or_default();
         if requests.len() < MAX_REQUESTS {
-            requests.insert(fingerprint);
+            // Of tries of one request that were there together, the first one counts.
+            let longest = requests.entry(fingerprint).or_default();
+            *longest = ran.max(*longest);
         }
         drop(cut_offs);
         if is_first {
@@ -91,7 +94,7 @@
     None
 }
 
-fn listed(requests: &BTreeSet<RequestFingerprint>) -> String {
-    let texts: Vec<String> = requests.iter().map(ToString::to_string).collect();
+fn listed(requests: &BTreeMap<RequestFingerprint, Duration>) -> String {
+    let texts: Vec<String> = requests.keys().map(ToString::to_string).collect();
     texts.join(",")
 }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -147,6 +147,7 @@
     let patience = patience(gateway, &service, &route);
     let context = RequestContext {
         placed: parking_lot::Mutex::default(),
+        sent_at: parking_lot::Mutex::default(),
         attempt_id: head.headers.get(&gateway.names.attempt_id).cloned(),
         priority: priority_of(&route, terms.as_deref()),
         service,
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -43,6 +43,8 @@
     pub last_event_id: Option<u64>,
     /// Where it is to go first, if a hub has said so.
     pub placed: Mutex<Option<Placement>>,
+    /// When it was sent to an upstream last.
+    pub sent_at: Mutex<Option<BootInstant>>,
     /// When its head arrived.
     pub started: BootInstant,
     /// When it is given up: the client's deadline or the route's timeout.
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -122,6 +122,7 @@
     if !gateway.directory.read().is_ready(&upstream.id) {
         return Err(SendFailure::NotSent("the upstream is leaving".into()));
     }
+    *context.sent_at.lock() = Some(BootInstant::now());
     gateway.note_cached(&context.prompt, upstream);
     let request = build_request(gateway, context, upstream, last_event_id);
     let answer = OpenAnswer::open(&gateway.pool, &upstream.id, connection, request).await?;
--- a/src/gateway/send_notes.rs
+++ b/src/gateway/send_notes.rs
@@ -1,7 +1,7 @@
 use {
     super::*,
-    crate::{cluster::MemberEvent, names::UpstreamId, upstreams::*},
-    std::sync::Arc,
+    crate::{clock::BootInstant, cluster::MemberEvent, names::UpstreamId, upstreams::*},
+    std::{sync::Arc, time::Duration},
 };
 
 /// What is learned of upstreams from how requests fare there.
@@ -68,7 +68,9 @@
                 context.id_text(),
                 upstream.id
             );
-            self.note_cut_off(fingerprint, upstream);
+            let sent_at = *context.sent_at.lock();
+            let ran = sent_at.map_or(Duration::ZERO, BootInstant::elapsed);
+            self.note_cut_off(fingerprint, ran, upstream);
         }
         metrics::counter!(FAILED_SENDS, "run" => failure.kind()).increment(1);
         if !matches!(failure, SendFailure::NotSent(_)) {
--- a/src/policy/quarantine/crash_book.rs
+++ b/src/policy/quarantine/crash_book.rs
@@ -29,6 +29,8 @@
     pub upstream: UpstreamId,
     /// How long ago, in milliseconds.
     pub age_ms: u64,
+    /// For how long the request had been there by then, in milliseconds.
+    pub ran_ms: u64,
     /// Whether the request was answered whole since.
     pub is_cleared: bool,
 }
@@ -57,7 +59,8 @@
 /// at any daemon. Nothing in one try tells it from those that ran beside it: what does is
 /// that it was there each time, and is never answered. So each end counts for all requests
 /// that were cut off by it; a request is held back once enough ends are its own, that is, no
-/// request was there under which as many ended. An answer that is whole clears a request.
+/// request was there under which as many ended. Ends count in turn: those of upstreams that
+/// are lost together are one. An answer that is whole clears a request.
 ///
 /// What daemons tell each other can be taken in in any order, and more than once.
 #[derive(Debug)]
@@ -86,12 +89,13 @@
         self.suspects.len()
     }
 
-    /// Notes that an upstream ended under a request, as this daemon saw; returns whether
-    /// that is news.
+    /// Notes that an upstream ended under a request that had been there for `ran_ms`, as
+    /// this daemon saw; returns whether that is news.
     pub fn note_end(
         &mut self,
         fingerprint: RequestFingerprint,
         upstream: &UpstreamId,
+        ran_ms: u64,
         now_ms: u64,
     ) -> bool {
         let suspect = self.suspect(fingerprint);
@@ -103,6 +107,7 @@
         suspect.add(UpstreamEnd {
             upstream: upstream.clone(),
             at_ms: now_ms,
+            ran_ms,
             is_cleared: false,
             is_own: true,
             tellings: TELLINGS,
@@ -135,6 +140,7 @@
         suspect.add(UpstreamEnd {
             upstream: told.upstream.clone(),
             at_ms,
+            ran_ms: told.ran_ms,
             is_cleared: told.is_cleared,
             is_own: false,
             tellings,
@@ -172,11 +178,11 @@
         }
         let others = |end: &UpstreamEnd| self.others_at(end, fingerprint);
         let own = suspect.open_ends().filter(|end| others(end) < count);
-        if own.count() >= self.bounds.ends {
+        if in_turn(own) >= self.bounds.ends {
             return true;
         }
         let shared = suspect.open_ends().filter(|end| others(end) <= count);
-        shared.count() >= self.bounds.ends + ENDS_IN_COMPANY
+        in_turn(shared) >= self.bounds.ends + ENDS_IN_COMPANY
     }
 
     /// Returns under how many ends any other request was that was there at one.
@@ -248,12 +254,14 @@
     pub fn to_write(&self, most: usize, now_ms: u64) -> Vec<SuspectRecord> {
         let least = self.bounds.ends.saturating_sub(1).max(1);
         let due = self.suspects.iter().filter(|(_, suspect)| {
-            let count = suspect.count();
+            let known = suspect.open_ends().count();
             let is_own = suspect.ends.iter().any(|end| end.is_own);
-            let is_news = is_own && count >= least && count > suspect.written;
-            is_news || count == 0 && suspect.written > 0
+            let is_news = is_own && suspect.count() >= least && known > suspect.written;
+            is_news || known == 0 && suspect.written > 0
         });
-        let records = due.map(|(fingerprint, suspect)| SuspectRecord {
+        let mut due: Vec<_> = due.collect();
+        due.sort_unstable_by_key(|(_, suspect)| std::cmp::Reverse(suspect.count()));
+        let records = due.into_iter().map(|(fingerprint, suspect)| SuspectRecord {
             fingerprint: *fingerprint,
             ends: suspect
                 .open_ends()
@@ -314,6 +322,7 @@
         fingerprint,
         upstream: end.upstream.clone(),
         age_ms: now_ms.saturating_sub(end.at_ms),
+        ran_ms: end.ran_ms,
         is_cleared: end.is_cleared,
     }
 }
--- a/src/policy/quarantine/suspect.rs
+++ b/src/policy/quarantine/suspect.rs
@@ -9,6 +9,8 @@
     pub upstream: UpstreamId,
     /// When, in milliseconds of the daemon's clock.
     pub at_ms: u64,
+    /// For how long the request had been there, in milliseconds.
+    pub ran_ms: u64,
     /// Whether the request has since been answered whole: it doesn't end what runs it.
     pub is_cleared: bool,
     /// Whether this daemon saw it.
@@ -36,9 +38,10 @@
 }
 
 impl Suspect {
-    /// Returns how many upstreams ended under it that it may have ended.
+    /// Returns how many upstreams ended under it, one after the other, that it may have
+    /// ended.
     pub fn count(&self) -> usize {
-        self.open_ends().count()
+        in_turn(self.open_ends())
     }
 
     /// Returns the ends that it may have caused.
@@ -72,3 +75,21 @@
             > 0
     }
 }
+
+/// Returns how many of some ends came in turn: the request was sent to each after the one
+/// before had ended. Upstreams that are lost together end under whatever is asked often;
+/// counted by themselves, the loss of a service's three upstreams at one moment held back
+/// each request that had been running on all of them.
+pub(super) fn in_turn<'a>(ends: impl Iterator<Item = &'a UpstreamEnd>) -> usize {
+    let mut ends: Vec<&UpstreamEnd> = ends.collect();
+    ends.sort_unstable_by_key(|end| end.at_ms);
+    let (mut count, mut last_ms) = (0, 0);
+    for end in ends {
+        let began_ms = end.at_ms.saturating_sub(end.ran_ms);
+        if count == 0 || began_ms >= last_ms {
+            count += 1;
+            last_ms = end.at_ms;
+        }
+    }
+    count
+}
--- a/tests/decisions/datagrams.rs
+++ b/tests/decisions/datagrams.rs
@@ -39,6 +39,7 @@
         fingerprint: u128::MAX - n,
         upstream: format!("an-upstream-with-a-long-name-{n}~1764720000123"),
         age_ms: u32::MAX,
+        ran_ms: u32::MAX,
         is_cleared: true,
     });
     let parts = in_parts(ends.collect());
