An end counts from when its requests were cut off, not from when it was found out

Cause, found by reading: to find out whether an upstream ended takes up to 300 ms and three waits of 50 ms. By then the request has been sent on: the next end would not have counted as in turn, or ends of upstreams lost together would have.

No figure: the tests of ends in turn pass before and after; no stand-in on loopback makes connections hang.

--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Gateway, RequestContext},
+    super::{Gateway, RequestContext, cut_offs::CutOff},
     crate::{
         names::{RequestFingerprint, UpstreamId},
         policy::{KnownEnd, SuspectRecord},
@@ -43,13 +43,13 @@
     pub(super) fn note_upstream_end(
         &self,
         upstream: &UpstreamId,
-        requests: impl Iterator<Item = (RequestFingerprint, Duration)>,
+        requests: impl Iterator<Item = (RequestFingerprint, CutOff)>,
     ) {
         let now_ms = self.steady_ms();
-        for (fingerprint, ran) in requests {
+        for (fingerprint, cut_off) in requests {
             let mut crashes = self.crashes.lock();
             let was_held = crashes.held_for(fingerprint, now_ms).is_some();
-            crashes.note_end(fingerprint, upstream, ran.as_millis() as u64, now_ms);
+            crashes.note_end(fingerprint, upstream, cut_off.ran_ms, cut_off.at_ms);
             let is_held = crashes.held_for(fingerprint, now_ms).is_some();
             drop(crashes);
             log_if_held(fingerprint, was_held, is_held);
--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -24,9 +24,19 @@
 /// other on none that was seen.
 const MAX_REQUESTS: usize = 256;
 
-/// Requests that were cut off, and how long they had been there, by the upstream they were
-/// at, until it is known whether it ended.
-pub(super) type CutOffs = HashMap<UpstreamId, BTreeMap<RequestFingerprint, Duration>>;
+/// Requests that were cut off, by the upstream they were at, until it is known whether it
+/// ended.
+pub(super) type CutOffs = HashMap<UpstreamId, BTreeMap<RequestFingerprint, CutOff>>;
+
+/// When a request was cut off. To find out whether its upstream ended takes up to some
+/// hundred milliseconds more, in which the request has long been sent on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CutOff {
+    /// In milliseconds of the daemon's clock.
+    pub at_ms: u64,
+    /// For how long it had been there, in milliseconds.
+    pub ran_ms: u64,
+}
 
 /// Whether upstreams end under requests.
 impl Gateway {
@@ -42,10 +52,14 @@
         let mut cut_offs = self.cut_offs.lock();
         let is_first = !cut_offs.contains_key(&upstream.id);
         let requests = cut_offs.entry(upstream.id.clone()).or_default();
+        let cut_off = CutOff {
+            at_ms: self.steady_ms(),
+            ran_ms: ran.as_millis() as u64,
+        };
         if requests.len() < MAX_REQUESTS {
             // Of tries of one request that were there together, the first one counts.
-            let longest = requests.entry(fingerprint).or_default();
-            *longest = ran.max(*longest);
+            let known = requests.entry(fingerprint).or_insert(cut_off);
+            known.ran_ms = known.ran_ms.max(cut_off.ran_ms);
         }
         drop(cut_offs);
         if is_first {
@@ -94,7 +108,7 @@
     None
 }
 
-fn listed(requests: &BTreeMap<RequestFingerprint, Duration>) -> String {
+fn listed(requests: &BTreeMap<RequestFingerprint, CutOff>) -> String {
     let texts: Vec<String> = requests.keys().map(ToString::to_string).collect();
     texts.join(",")
 }
--- a/src/policy/quarantine/crash_book.rs
+++ b/src/policy/quarantine/crash_book.rs
@@ -89,24 +89,24 @@
         self.suspects.len()
     }
 
-    /// Notes that an upstream ended under a request that had been there for `ran_ms`, as
-    /// this daemon saw; returns whether that is news.
+    /// Notes that an upstream ended at `at_ms` under a request that had been there for
+    /// `ran_ms`, as this daemon saw; returns whether that is news.
     pub fn note_end(
         &mut self,
         fingerprint: RequestFingerprint,
         upstream: &UpstreamId,
         ran_ms: u64,
-        now_ms: u64,
+        at_ms: u64,
     ) -> bool {
         let suspect = self.suspect(fingerprint);
-        let is_same = |end: &&mut UpstreamEnd| end.is_same(upstream, now_ms, OWN_APART_MS);
+        let is_same = |end: &&mut UpstreamEnd| end.is_same(upstream, at_ms, OWN_APART_MS);
         if let Some(known) = suspect.ends.iter_mut().find(is_same) {
             known.is_own = true;
             return false;
         }
         suspect.add(UpstreamEnd {
             upstream: upstream.clone(),
-            at_ms: now_ms,
+            at_ms,
             ran_ms,
             is_cleared: false,
             is_own: true,
