Deadlines of the older path, too, pass while the machine is suspended

Cause: waits for a turn, for an import and for a whole plain answer were held by the steady clock on the path of serve. Same clock and same wake-up as on the routed path; its daemon looks for suspensions, too. Left on the steady clock, on purpose: pauses between looks and silences of some hundred milliseconds to some seconds, which only start anew.

--- a/src/app/admission_desk.rs
+++ b/src/app/admission_desk.rs
@@ -1,6 +1,6 @@
 use {
     super::World,
-    crate::{contracts::Contract, names::*, policy::*},
+    crate::{clock, contracts::Contract, names::*, policy::*},
     parking_lot::Mutex,
     std::{
         collections::{BTreeMap, HashMap},
@@ -214,7 +214,7 @@
 
 impl Waiting<'_> {
     async fn turn(mut self, left_ms: u64) -> Result<(), Rejection> {
-        let turn = tokio::time::timeout(Duration::from_millis(left_ms), &mut self.rx).await;
+        let turn = clock::timeout(Duration::from_millis(left_ms), &mut self.rx).await;
         if matches!(turn, Ok(Ok(()))) {
             self.done = true;
             return Ok(());
--- a/src/app/daemon.rs
+++ b/src/app/daemon.rs
@@ -4,8 +4,8 @@
         peer_desk::PeerDesk, reclaim_watch::watch_reclaims, sweep::*, table_watch::*, *,
     },
     crate::{
-        caller::serve_callers, conf::Settings, engine::*, names::*, peer::*, policy::BoxState,
-        provider::*,
+        caller::serve_callers, clock::watch_for_suspensions, conf::Settings, engine::*, names::*,
+        peer::*, policy::BoxState, provider::*,
     },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, task::JoinSet},
@@ -66,6 +66,7 @@
         );
         let mut tasks = JoinSet::new();
         let desk = Arc::new(PeerDesk::new(world.clone()));
+        tasks.spawn(watch_for_suspensions());
         tasks.spawn(serve_peers(peers, tls, desk));
         tasks.spawn(serve_callers(callers, world.clone()));
         tasks.spawn(crate::caller::serve_operators(operators, world.clone()));
--- a/src/app/reclaim_watch.rs
+++ b/src/app/reclaim_watch.rs
@@ -1,6 +1,6 @@
 use {
     super::{attempt::*, *},
-    crate::{names::*, policy::*, requests::*},
+    crate::{clock, names::*, policy::*, requests::*},
     std::{
         collections::{BTreeMap, BTreeSet},
         sync::Arc,
@@ -103,7 +103,7 @@
                         .engine
                         .import_kv(place.address, leaving.address, id.uuid());
                 let left = Duration::from_millis(notice_ms);
-                let imported = tokio::time::timeout(left, import).await;
+                let imported = clock::timeout(left, import).await;
                 let to = matches!(imported, Ok(Ok(()))).then(|| place.id.clone());
                 send_off(cell, &leaving.id, to);
             }
--- a/src/app/run_plain.rs
+++ b/src/app/run_plain.rs
@@ -1,6 +1,12 @@
 use {
     super::{attempt::*, run_model::finish, *},
-    crate::{engine::*, names::*, policy::*, requests::*},
+    crate::{
+        clock::{BootInstant, timeout_at},
+        engine::*,
+        names::*,
+        policy::*,
+        requests::*,
+    },
     http::{HeaderMap, HeaderValue},
     std::{collections::BTreeSet, sync::Arc, time::Duration},
 };
@@ -241,8 +247,8 @@
         Ok(frames) => frames,
         Err(e) => return CallEnd::Failed(e),
     };
-    let end = tokio::time::Instant::now() + left;
-    while let Ok(Some(Ok(frame))) = tokio::time::timeout_at(end, frames.recv()).await {
+    let end = BootInstant::now() + left;
+    while let Ok(Some(Ok(frame))) = timeout_at(end, frames.recv()).await {
         let tokens = splice.take(Piece {
             attempt: frame.attempt,
             offset: frame.offset,
