Sight: what upstreams name as their limit is read, logged and counted

Callers saw an upstream in need get more than it had said that it takes. The header has a name of its own, is read as a plain decimal number, and has a line and a counter. No request is placed in another way. The stand-in of an upstream names any text on order and notes when requests came.

--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -38,6 +38,9 @@
     pub continue_from: HeaderName,
     /// Another upstream that a prompt's memory is fetched from.
     pub fetch_from: HeaderName,
+    /// How many requests a second an upstream takes from all daemons together, named in
+    /// its answers for as long as that is so.
+    pub upstream_limit: HeaderName,
 }
 
 impl HeaderNames {
@@ -81,6 +84,7 @@
             backup_to: name("saddlepulley-backup-to"),
             continue_from: name("saddlepulley-continue-from"),
             fetch_from: name("saddlepulley-fetch-from"),
+            upstream_limit: name("saddlepulley-limit"),
         }
     }
 }
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -18,6 +18,8 @@
 pub const HELD_REFUSALS: &str = "saddlepulley_held_refusals_total";
 /// Requests that are held back because upstreams end under them.
 pub const HELD_REQUESTS: &str = "saddlepulley_held_requests";
+/// Counts answers in which upstreams name how many requests a second they take.
+pub const LIMITED_ANSWERS: &str = "saddlepulley_limited_answers_total";
 /// Counts requests refused for their client account's quota.
 pub const QUOTA_REFUSALS: &str = "saddlepulley_quota_refusals_total";
 /// Counts streams that were broken off before their end.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod header_names;
 mod hub_state;
 mod intake;
+mod limit_state;
 mod listen;
 mod metrics_page;
 mod open_connections;
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -127,7 +127,9 @@
     let request = build_request(gateway, context, upstream, last_event_id);
     let answer = OpenAnswer::open(&gateway.pool, &upstream.id, connection, request).await?;
     active.progress();
-    check_head(gateway, context, &answer)?;
+    check_owner(gateway, context, &answer)?;
+    gateway.note_named_limit(context, upstream, &answer.head.headers);
+    check_run(gateway, &answer)?;
     Ok(Sent {
         upstream: upstream.clone(),
         answer,
@@ -188,13 +190,12 @@
     request
 }
 
-/// Checks that an answer belongs to the request and that the upstream ran it.
-fn check_head(
+/// Checks that an answer belongs to the request, and is of the upstream it was meant for.
+fn check_owner(
     gateway: &Gateway,
     context: &RequestContext,
     answer: &OpenAnswer,
 ) -> Result<(), SendFailure> {
-    let status = answer.head.status;
     let headers = &answer.head.headers;
     let other = context.attempt_id.is_some()
         && headers
@@ -205,11 +206,16 @@
             "an answer of another request".into(),
         ));
     }
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return Err(SendFailure::Misdirected);
+    match answer.head.status {
+        StatusCode::MISDIRECTED_REQUEST => Err(SendFailure::Misdirected),
+        _ => Ok(()),
     }
-    if headers.contains_key(&gateway.names.not_run) {
-        return Err(SendFailure::Refused(status.as_u16()));
+}
+
+/// Checks that the upstream ran the request.
+fn check_run(gateway: &Gateway, answer: &OpenAnswer) -> Result<(), SendFailure> {
+    match answer.head.headers.contains_key(&gateway.names.not_run) {
+        true => Err(SendFailure::Refused(answer.head.status.as_u16())),
+        false => Ok(()),
     }
-    Ok(())
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,6 +20,7 @@
 mod holder;
 mod hubs;
 mod lease;
+mod limits;
 mod neighbours;
 mod placement;
 mod placement_cheapest;
@@ -43,8 +44,8 @@
     admission::*, box_state::*, cache_memory::*, choose_upstream::*, claim::*, claim_fold::*,
     claimant::*, clients::*, concurrency::*, domain_reach::*, duty_fitness::*, duty_log::*,
     engine_model::*, engine_times::*, estimate::*, first_event::*, fleet::*, holder::*, hubs::*,
-    lease::*, neighbours::*, placement::*, placement_cheapest::*, placement_keep_work::*,
-    placement_naive::*, quarantine::*, quota::*, reading_speed::*, reclaim::*, retry::*,
-    retry_allowance::*, retry_situation::*, sources::*, spill::*, splice::*, stall::*,
-    usage_due::*, usage_windows::*,
+    lease::*, limits::*, neighbours::*, placement::*, placement_cheapest::*,
+    placement_keep_work::*, placement_naive::*, quarantine::*, quota::*, reading_speed::*,
+    reclaim::*, retry::*, retry_allowance::*, retry_situation::*, sources::*, spill::*, splice::*,
+    stall::*, usage_due::*, usage_windows::*,
 };
--- a/standin/src/runner/service.rs
+++ b/standin/src/runner/service.rs
@@ -12,7 +12,12 @@
     },
     hyper_util::rt::TokioIo,
     parking_lot::Mutex,
-    std::{io, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::watch,
@@ -41,6 +46,8 @@
     pub headers: HeaderMap,
     /// The body.
     pub body: Bytes,
+    /// When it came.
+    pub at: Instant,
 }
 
 #[derive(Debug)]
@@ -55,6 +62,8 @@
     refusals: Mutex<u64>,
     /// How often it crashed.
     crashes: watch::Sender<u64>,
+    /// What it names in each answer as the requests a second that it takes.
+    limit: Mutex<Option<HeaderValue>>,
 }
 
 /// A runner; it stops when dropped.
@@ -88,6 +97,7 @@
             abandoned: Mutex::default(),
             refusals: Mutex::default(),
             crashes: watch::Sender::new(0),
+            limit: Mutex::default(),
         });
         let task = tokio::spawn(live_on(listener, address, shared.clone()));
         Ok(Self {
@@ -112,6 +122,17 @@
         *self.shared.behaviour.lock() = behaviour;
     }
 
+    /// Changes how many requests a second it says that it takes from all together: any
+    /// text, or nothing. It takes all that come all the same.
+    ///
+    /// # Panics
+    ///
+    /// Panics on a text that no header can hold.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        let value = limit.map(|text| HeaderValue::from_str(text).expect("a header's value"));
+        *self.shared.limit.lock() = value;
+    }
+
     /// Returns what it began to run.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.runs.lock().clone()
@@ -192,18 +213,19 @@
     let expected = text("saddlepulley-expected-upstream");
     if expected != shared.id {
         *shared.refusals.lock() += 1;
-        return Ok(refused(StatusCode::MISDIRECTED_REQUEST));
+        return Ok(refused(&shared, StatusCode::MISDIRECTED_REQUEST));
     }
     let behaviour = *shared.behaviour.lock();
     if behaviour == Behaviour::Refuse {
         *shared.refusals.lock() += 1;
-        return Ok(refused(StatusCode::SERVICE_UNAVAILABLE));
+        return Ok(refused(&shared, StatusCode::SERVICE_UNAVAILABLE));
     }
     shared.runs.lock().push(Run {
         attempt: attempt.clone(),
         target: head.uri.to_string(),
         headers: head.headers.clone(),
         body: body.clone(),
+        at: Instant::now(),
     });
     let is_stream = head.uri.path().starts_with("/stream/");
     if behaviour == Behaviour::CrashOnOrder && body.starts_with(CRASH_ORDER) {
@@ -245,14 +267,21 @@
     }
 }
 
-fn refused(status: StatusCode) -> Response<RunnerBody> {
+fn refused(shared: &Shared, status: StatusCode) -> Response<RunnerBody> {
     let mut answer = Response::new(full("not started"));
     *answer.status_mut() = status;
     let yes = HeaderValue::from_static("1");
     answer.headers_mut().insert("x-not-started", yes);
+    name_limit(&mut answer, shared);
     answer
 }
 
+fn name_limit(answer: &mut Response<RunnerBody>, shared: &Shared) {
+    if let Some(limit) = shared.limit.lock().clone() {
+        answer.headers_mut().insert("saddlepulley-limit", limit);
+    }
+}
+
 fn whole(shared: &Shared, attempt: &str, status: StatusCode, body: &str) -> Response<RunnerBody> {
     let mut answer = Response::new(full(body));
     *answer.status_mut() = status;
@@ -276,6 +305,7 @@
     if let Ok(value) = HeaderValue::from_str(attempt) {
         headers.insert("saddlepulley-attempt", value);
     }
+    name_limit(answer, shared);
 }
 
 /// Counts an answer that is dropped before its end.
