Failing tests: upstreams that name a limit get more

Callers saw nothing; an upstream in need got more than it had said that it takes. What is no limit does no harm already.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,3 +21,4 @@
 mod store_support;
 mod streams;
 mod support;
+mod upstream_limits;
