Upstreams get what they name as their limit, from all daemons together

Cause: what an answer says beside its status was learned from by nobody. Class: a word of an upstream on itself that reaches one daemon, in one answer, and goes to the client only. Ruled out: that daemons don't tell each other (one daemon alone sends as much), and that the limit is known too late (the excess lasts for as long as it is named).

What is named is kept by upstream, ordered by versions, and told between daemons. A permit for each request to such an upstream comes from one hub, of the upstream's failure domain where there is one, at the pace that is named: so a limit holds however many daemons there are, and is used up wherever the load comes in. Whoever has none places the request elsewhere; where all have used their limits up it is refused at once, with the time in which permits come as Retry-After. A limit lapses with the answer that names none to a request sent after it was last named. One that names 0 is asked once in four seconds.

Landed builds read each message as before: what is new stands behind messages that they know, in extensions with kind and length, and they don't look there. What their daemons send to an upstream is estimated by the loads that they tell and taken off.

--- a/src/cluster/crash_teller.rs
+++ b/src/cluster/crash_teller.rs
@@ -33,31 +33,20 @@
 }
 
 async fn tell_news(gateway: &Gateway) {
-    let is_hub = gateway.is_hub();
-    let own = gateway.settings.listen.peers;
-    let (mut hubs, mut members) = {
-        let peers = gateway.peers.lock();
-        match is_hub {
-            true => (peers.hub_addresses(), peers.own_members()),
-            false => (peers.own_hubs().into_iter().collect(), BTreeSet::new()),
-        }
-    };
-    hubs.remove(&own);
-    members.retain(|member| !hubs.contains(member));
+    let (hubs, members) = gateway.hubs_and_members();
     if hubs.is_empty() && members.is_empty() {
         return;
     }
     let now_ms = gateway.steady_ms();
     let told = gateway.crashes.lock().to_tell(MOST_TOLD, now_ms);
+    let is_hub = gateway.is_hub();
     send_ends(gateway, &told.hubs, is_hub, &hubs).await;
     send_ends(gateway, &told.members, is_hub, &members).await;
 }
 
 async fn tell_held(gateway: &Gateway) {
-    let hubs = gateway.peers.lock().hub_addresses();
-    let others = hubs.into_iter();
-    let others = others.filter(|hub| *hub != gateway.settings.listen.peers);
-    let drawn = gateway.draw_some(others.collect(), HUBS_TOLD);
+    let hubs = gateway.other_hubs().into_iter().collect();
+    let drawn = gateway.draw_some(hubs, HUBS_TOLD);
     let now_ms = gateway.steady_ms();
     let held = gateway.crashes.lock().held_ends(MOST_TOLD, now_ms);
     send_ends(gateway, &held, true, &drawn.into_iter().collect()).await;
--- a/src/cluster/datagram.rs
+++ b/src/cluster/datagram.rs
@@ -12,7 +12,7 @@
 const MAX_PART_BYTES: usize = 1_150;
 /// How much memory a datagram may claim when it is decoded, in bytes: lists take
 /// more there than on their way.
-const MAX_DECODED_BYTES: usize = 16 * MAX_DATAGRAM_BYTES;
+pub(super) const MAX_DECODED_BYTES: usize = 16 * MAX_DATAGRAM_BYTES;
 
 /// Why bytes are no datagram.
 #[derive(Debug, Display, thiserror::Error)]
@@ -73,6 +73,15 @@
     ///
     /// Returns why the bytes are none.
     pub fn decode(bytes: &[u8]) -> Result<Self, DatagramError> {
+        Self::decode_first(bytes).map(|(datagram, _)| datagram)
+    }
+
+    /// Decodes a datagram; returns what stands behind it, too.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the bytes are none.
+    pub(super) fn decode_first(bytes: &[u8]) -> Result<(Self, &[u8]), DatagramError> {
         match bytes.first() {
             Some(&DATAGRAM_VERSION) => {}
             Some(other) => return Err(DatagramError::OtherVersion(*other)),
@@ -80,8 +89,8 @@
         }
         let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
         let decoded = bincode::decode_from_slice(&bytes[1..], config);
-        let (datagram, _) = decoded.map_err(|e| DatagramError::Malformed(e.to_string()))?;
-        Ok(datagram)
+        let (datagram, length) = decoded.map_err(|e| DatagramError::Malformed(e.to_string()))?;
+        Ok((datagram, &bytes[1 + length..]))
     }
 }
 
--- a/src/cluster/digest_teller.rs
+++ b/src/cluster/digest_teller.rs
@@ -31,7 +31,7 @@
             // It no longer is one: whoever took it for a hub hears so.
             let digest = own_digest(&gateway, gateway.domain().as_str(), MEMBERS_EVERY_MS);
             let told = std::mem::take(&mut told);
-            send_all(&gateway, &[Datagram::Digest(digest)], &told).await;
+            send_all(&gateway, &[digest_packet(digest)], &told).await;
         }
         // Sooner, if an account at its limit was let in more than others know.
         let early = gateway.tell_early.notified();
@@ -54,15 +54,11 @@
     hubs.remove(&own);
     let digest = own_digest(gateway, gateway.domain().as_str(), every_ms);
     let age_ms = gateway.hub_age_ms();
-    let mut datagrams = vec![Datagram::Digest(digest.clone())];
-    datagrams.extend(quotas_parts(
-        gateway,
-        gateway.tick_quotas(),
-        sequence,
-        age_ms,
-    ));
-    datagrams.extend(loads_parts(gateway, &gateway.led_loads(), sequence, 0));
-    send_all(gateway, &datagrams, &hubs).await;
+    let mut packets = vec![digest_packet(digest.clone())];
+    let quotas = quotas_parts(gateway, gateway.tick_quotas(), sequence, age_ms);
+    let loads = loads_parts(gateway, &gateway.led_loads(), sequence, 0);
+    packets.extend(quotas.into_iter().chain(loads).map(Packet::from));
+    send_all(gateway, &packets, &hubs).await;
     // Others hear of this hub more seldom, and are told so: at its own pace it
     // would seem silent to them.
     let seeds = gateway.settings.peers.seeds.iter().copied();
@@ -74,19 +70,23 @@
         let to: BTreeSet<SocketAddr> = to.into_iter().filter(is_other).collect();
         let mut digest = digest.clone();
         digest.every_ms = (every_ms * each) as u32;
-        send_all(gateway, &[Datagram::Digest(digest)], &to).await;
+        send_all(gateway, &[digest_packet(digest)], &to).await;
     }
     hubs
 }
 
-async fn send_all(gateway: &Gateway, datagrams: &[Datagram], to: &BTreeSet<SocketAddr>) {
-    for datagram in datagrams {
+async fn send_all(gateway: &Gateway, packets: &[Packet], to: &BTreeSet<SocketAddr>) {
+    for packet in packets {
         for address in to {
-            gateway.send_datagram(datagram, *address).await;
+            gateway.send_packet(packet, *address).await;
         }
     }
 }
 
+fn digest_packet(digest: Digest) -> Packet {
+    Packet::from(Datagram::Digest(digest)).with(Extension::Level(EXTENSION_LEVEL))
+}
+
 /// Tells a daemon that reports to this one.
 pub(super) async fn tell_member(gateway: &Gateway, report: &Report) {
     let to = report.daemon.address;
@@ -101,9 +101,10 @@
     if !report.wants_all {
         digest.known.clear();
     }
-    gateway.send_datagram(&Datagram::Digest(digest), to).await;
+    gateway.send_packet(&digest_packet(digest), to).await;
     if report.wants_all {
         tell_held_to(gateway, to).await;
+        tell_in_force(gateway, &BTreeSet::from([to])).await;
     }
     if report.wants_all && report.leans_on_you {
         let sequence = gateway.next_sequence();
--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -21,7 +21,8 @@
         tell_reports(gateway.clone()),
         tell_usage(gateway.clone()),
         tell_versions(gateway.clone()),
-        tell_crashes(gateway)
+        tell_crashes(gateway.clone()),
+        tell_limits(gateway)
     );
 }
 
@@ -36,20 +37,47 @@
                 continue;
             }
         };
-        match Datagram::decode(&buf[..length]) {
-            Ok(datagram) => take_in(&gateway, datagram, from).await,
+        match Packet::decode(&buf[..length]) {
+            Ok(packet) => take_in_packet(&gateway, packet, from).await,
             Err(e) => log::warn!(target: "peers", "datagram refused. error=\"{e}\""),
         }
     }
 }
 
-async fn take_in(gateway: &Arc<Gateway>, datagram: Datagram, from: SocketAddr) {
+async fn take_in_packet(gateway: &Arc<Gateway>, packet: Packet, from: SocketAddr) {
+    let level = packet.level();
+    let has_permit = packet.extensions.contains(&Extension::HasPermit);
+    for extension in packet.extensions {
+        match extension {
+            Extension::Limits(part) => hear_limits(gateway, &part),
+            Extension::PermitAsk(ask) => answer_permit_ask(gateway, ask, from),
+            Extension::PermitAnswer(answer) => {
+                if answer.life == gateway.incarnation {
+                    gateway.permit_desk.hear(answer);
+                }
+            }
+            Extension::Level(_) | Extension::HasPermit => {}
+        }
+    }
+    take_in(gateway, packet.datagram, from, level, has_permit).await;
+}
+
+async fn take_in(
+    gateway: &Arc<Gateway>,
+    datagram: Datagram,
+    from: SocketAddr,
+    level: u8,
+    has_permit: bool,
+) {
     let now_ms = gateway.steady_ms();
     gateway.hub_desk.note_heard(from);
     match datagram {
         Datagram::Digest(digest) => {
             gateway.hear_rollouts(&digest.rollouts);
-            gateway.peers.lock().hear_digest(digest, now_ms);
+            let name = digest.daemon.name.clone();
+            let mut peers = gateway.peers.lock();
+            peers.hear_digest(digest, now_ms);
+            peers.note_level(&name, level);
         }
         Datagram::Quotas(part) => hear_quotas(gateway, &part, now_ms),
         Datagram::Loads(part) => {
@@ -58,11 +86,14 @@
                 gateway.members.lock().hear_loads(part, now_ms);
             }
         }
-        Datagram::Report(report) => hear_report(gateway, &report, now_ms).await,
+        Datagram::Report(report) => {
+            hear_report(gateway, &report, now_ms).await;
+            gateway.peers.lock().note_level(&report.daemon.name, level);
+        }
         Datagram::Ask(ask) => answer_ask(gateway, ask, from).await,
         Datagram::Answer(answer) => {
             if answer.life == gateway.incarnation {
-                gateway.hub_desk.hear(answer);
+                gateway.hub_desk.hear(answer, has_permit);
             }
         }
         Datagram::Crashes(part) => hear_crashes(gateway, &part),
@@ -77,6 +108,42 @@
     }
 }
 
+fn hear_limits(gateway: &Gateway, part: &LimitsPart) {
+    // A hub passes on what it hears: of hubs to those that report to it, of others to all.
+    let passes_on = gateway.is_hub().then_some(!part.among_hubs);
+    for told in part.limits.iter().filter_map(ToldLimit::known) {
+        gateway.hear_limit(&told, passes_on);
+    }
+}
+
+fn answer_permit_ask(gateway: &Arc<Gateway>, ask: PermitAsk, from: SocketAddr) {
+    let Some(limit) = ask.limit.known() else {
+        return;
+    };
+    gateway.hear_limit(&limit, None);
+    let gateway = gateway.clone();
+    // It may have to ask another daemon first: nothing else waits for that.
+    tokio::spawn(async move {
+        let id = limit.upstream;
+        let taken = match ask.is_passed_on {
+            true => gateway.deal_permit(&id),
+            false => gateway.take_permit(&id, true).await,
+        };
+        let known = gateway.limits.lock().known(&id, gateway.steady_ms());
+        let answer = PermitAnswer {
+            life: ask.life,
+            id: ask.id,
+            is_granted: taken.is_ok(),
+            wait_ms: taken
+                .err()
+                .map_or(0, |ms| u32::try_from(ms).unwrap_or(u32::MAX)),
+            limit: known.as_ref().map(ToldLimit::of),
+        };
+        let answer = Extension::PermitAnswer(answer);
+        gateway.send_packet(&answer.into(), from).await;
+    });
+}
+
 fn hear_crashes(gateway: &Gateway, part: &CrashesPart) {
     // A hub passes on what it hears: of hubs to those that report to it, of others to all.
     let passes_on = gateway.is_hub().then_some(!part.among_hubs);
@@ -189,7 +256,9 @@
         life: ask.life,
         verdict,
     };
-    gateway.send_datagram(&Datagram::Answer(answer), to).await;
+    // What this daemon places has a permit where that is needed.
+    let packet = Packet::from(Datagram::Answer(answer)).with(Extension::HasPermit);
+    gateway.send_packet(&packet, to).await;
 }
 
 /// Decides for another daemon whether a request is let in, and where it runs.
@@ -215,7 +284,7 @@
         }
     }
     let domain = gateway.domain().clone();
-    gateway.place_asked(&ask, service, domain)
+    gateway.place_asked(&ask, service, domain).await
 }
 
 async fn hear_usage(gateway: &Gateway, part: &UsagePart, from: SocketAddr, now_ms: u64) {
--- /dev/null
+++ b/src/cluster/extension.rs
@@ -0,0 +1,96 @@
+use {
+    super::{LimitsPart, PermitAnswer, PermitAsk},
+    bincode::{
+        Decode, Encode, config, decode_from_slice, encode_into_std_write, error::EncodeError,
+    },
+};
+
+/// Up to which kind of extension this build knows all.
+pub const EXTENSION_LEVEL: u8 = 1;
+/// From which level on a daemon knows of limits that upstreams name.
+pub const LIMITS_LEVEL: u8 = 1;
+/// How many bytes stand before an extension: its kind, and its length in two.
+const HEAD_BYTES: usize = 3;
+
+const LEVEL: u8 = 1;
+const LIMITS: u8 = 2;
+const PERMIT_ASK: u8 = 3;
+const PERMIT_ANSWER: u8 = 4;
+const HAS_PERMIT: u8 = 5;
+
+/// What stands behind a datagram's message, each with its kind and length: builds that
+/// don't know a kind pass over it, and builds that know of no extensions don't look behind
+/// the message. New kinds are added, none is changed; a kind's own fields may only grow at
+/// their end.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Extension {
+    /// Up to which kind the sender knows all: [`EXTENSION_LEVEL`] of its build.
+    Level(u8),
+    /// The sender tells of limits that upstreams name.
+    Limits(LimitsPart),
+    /// The sender asks for a permit.
+    PermitAsk(PermitAsk),
+    /// The sender answers such a question.
+    PermitAnswer(PermitAnswer),
+    /// The placement in the message has a permit, where its upstream names a limit.
+    HasPermit,
+}
+
+impl Extension {
+    /// Appends the extension.
+    ///
+    /// # Errors
+    ///
+    /// Returns why it can't be encoded.
+    pub(super) fn encode(&self, bytes: &mut Vec<u8>) -> Result<(), EncodeError> {
+        match self {
+            Self::Level(level) => append(bytes, LEVEL, level),
+            Self::Limits(part) => append(bytes, LIMITS, part),
+            Self::PermitAsk(ask) => append(bytes, PERMIT_ASK, ask),
+            Self::PermitAnswer(answer) => append(bytes, PERMIT_ANSWER, answer),
+            Self::HasPermit => append(bytes, HAS_PERMIT, &()),
+        }
+    }
+
+    /// Reads all extensions that this build knows; what is none, and what can't be read, is
+    /// passed over.
+    pub(super) fn decode_all(mut bytes: &[u8]) -> Vec<Self> {
+        let mut extensions = Vec::new();
+        while let [kind, low, high, rest @ ..] = bytes {
+            let length = usize::from(u16::from_le_bytes([*low, *high]));
+            let Some((body, rest)) = rest.split_at_checked(length) else {
+                break;
+            };
+            extensions.extend(Self::decode(*kind, body));
+            bytes = rest;
+        }
+        extensions
+    }
+
+    fn decode(kind: u8, body: &[u8]) -> Option<Self> {
+        match kind {
+            LEVEL => read(body).map(Self::Level),
+            LIMITS => read(body).map(Self::Limits),
+            PERMIT_ASK => read(body).map(Self::PermitAsk),
+            PERMIT_ANSWER => read(body).map(Self::PermitAnswer),
+            HAS_PERMIT => Some(Self::HasPermit),
+            _ => None,
+        }
+    }
+}
+
+fn append(bytes: &mut Vec<u8>, kind: u8, body: &impl Encode) -> Result<(), EncodeError> {
+    let start = bytes.len();
+    bytes.extend([kind, 0, 0]);
+    encode_into_std_write(body, bytes, config::standard())?;
+    let length = bytes.len() - start - HEAD_BYTES;
+    let length = u16::try_from(length).map_err(|_| EncodeError::Other("too long"))?;
+    bytes[start + 1..start + HEAD_BYTES].copy_from_slice(&length.to_le_bytes());
+    Ok(())
+}
+
+/// Reads a body; what stands behind it is of later builds.
+fn read<T: Decode<()>>(body: &[u8]) -> Option<T> {
+    let limited = config::standard().with_limit::<{ super::MAX_DECODED_BYTES }>();
+    decode_from_slice(body, limited).ok().map(|(read, _)| read)
+}
--- a/src/cluster/hub_desk.rs
+++ b/src/cluster/hub_desk.rs
@@ -14,8 +14,9 @@
 const ASKED_HUBS: usize = 2;
 /// How often each is asked: a datagram may be lost.
 const ASKED_TIMES: u32 = 2;
-/// How much longer than its hold an answer may take that a hub holds back.
-const HOLD_GRACE: Duration = Duration::from_millis(40);
+/// How much longer than its hold an answer may take that a hub holds back: it may have to
+/// ask others for a permit, for as long as [`PermitDesk`](super::PermitDesk) waits at most.
+const HOLD_GRACE: Duration = Duration::from_millis(200);
 
 /// A daemon's questions to the hubs of its failure domain.
 #[derive(Debug, Default)]
@@ -28,10 +29,20 @@
     last_id: u64,
     /// Questions whose requests are not counted at an upstream yet.
     open: BTreeSet<u64>,
-    waiting: HashMap<u64, mpsc::UnboundedSender<Verdict>>,
+    waiting: HashMap<u64, mpsc::UnboundedSender<HeardVerdict>>,
     hubs: HashMap<SocketAddr, HubContact>,
 }
 
+/// What a hub decided, as this daemon heard it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeardVerdict {
+    /// What is to be done.
+    pub verdict: Verdict,
+    /// Whether the placement has a permit, where its upstream names a limit: hubs of earlier
+    /// builds know of none.
+    pub has_permit: bool,
+}
+
 /// A question that is open until its request is counted, or over.
 #[derive(Debug)]
 struct OpenAsk<'a> {
@@ -56,7 +67,7 @@
         request: &str,
         quota: Option<AskedQuota>,
         place: AskedPlace,
-    ) -> Option<Verdict> {
+    ) -> Option<HeardVerdict> {
         let hubs = self.hubs_to_ask(gateway);
         let (open, mut answers) = self.open();
         let ask = Ask {
@@ -73,12 +84,12 @@
         for hub in hubs {
             match self.ask_hub(gateway, hub, &datagram, &mut answers).await {
                 // It said that it would answer later.
-                Some(Verdict::Held) => {
-                    if let Some(verdict) = decided_within(hold, &mut answers).await {
-                        return Some(verdict);
+                Some(heard) if heard.verdict == Verdict::Held => {
+                    if let Some(heard) = decided_within(hold, &mut answers).await {
+                        return Some(heard);
                     }
                 }
-                Some(verdict) => return Some(verdict),
+                Some(heard) => return Some(heard),
                 None => self.note_silent(hub, gateway),
             }
         }
@@ -91,22 +102,22 @@
         gateway: &Gateway,
         hub: SocketAddr,
         ask: &Datagram,
-        answers: &mut mpsc::UnboundedReceiver<Verdict>,
-    ) -> Option<Verdict> {
+        answers: &mut mpsc::UnboundedReceiver<HeardVerdict>,
+    ) -> Option<HeardVerdict> {
         for time in 1..=ASKED_TIMES {
             let asked_at = BootInstant::now();
             gateway.send_datagram(ask, hub).await;
             let wait = self.timeout(hub) * time;
-            if let Ok(Some(verdict)) = tokio::time::timeout(wait, answers.recv()).await {
+            if let Ok(Some(heard)) = tokio::time::timeout(wait, answers.recv()).await {
                 // The time to an answer is known only if it was asked once.
                 self.note_answer(hub, (time == 1).then(|| asked_at.elapsed()));
-                return Some(verdict);
+                return Some(heard);
             }
         }
         None
     }
 
-    fn open(&self) -> (OpenAsk<'_>, mpsc::UnboundedReceiver<Verdict>) {
+    fn open(&self) -> (OpenAsk<'_>, mpsc::UnboundedReceiver<HeardVerdict>) {
         let (tx, rx) = mpsc::unbounded_channel();
         let mut state = self.state.lock();
         state.last_id += 1;
@@ -143,11 +154,15 @@
     }
 
     /// Takes in a hub's answer.
-    pub fn hear(&self, answer: Answer) {
+    pub fn hear(&self, answer: Answer, has_permit: bool) {
         let state = self.state.lock();
         if let Some(tx) = state.waiting.get(&answer.id) {
+            let verdict = answer.verdict;
             // One that no longer waits has decided otherwise.
-            let _ = tx.send(answer.verdict);
+            let _ = tx.send(HeardVerdict {
+                verdict,
+                has_permit,
+            });
         }
     }
 
@@ -186,13 +201,13 @@
 /// it holds the request.
 async fn decided_within(
     hold: Duration,
-    answers: &mut mpsc::UnboundedReceiver<Verdict>,
-) -> Option<Verdict> {
+    answers: &mut mpsc::UnboundedReceiver<HeardVerdict>,
+) -> Option<HeardVerdict> {
     let decided = async {
         loop {
-            match answers.recv().await? {
-                Verdict::Held => {}
-                verdict => return Some(verdict),
+            let heard = answers.recv().await?;
+            if heard.verdict != Verdict::Held {
+                return Some(heard);
             }
         }
     };
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -14,13 +14,19 @@
 mod duty_runner;
 mod event_log;
 mod exchange;
+mod extension;
 mod fleet_scaler;
 mod hub_desk;
+mod limit_teller;
+mod limits_part;
 mod loads_part;
 mod lone_quotas;
 mod member_table;
+mod packet;
 mod peer;
 mod peer_table;
+mod permit_ask;
+mod permit_desk;
 mod quarantine_keeper;
 mod quotas_part;
 mod report;
@@ -36,8 +42,9 @@
 pub use {
     ask::*, config_follower::*, config_message::*, config_teller::*, crashes_part::*,
     daemon_entry::*, datagram::*, digest::*, duty_borders::*, duty_runner::*, event_log::*,
-    exchange::*, fleet_scaler::*, hub_desk::*, loads_part::*, lone_quotas::*, member_table::*,
-    peer_table::*, quarantine_keeper::*, quotas_part::*, report::*, rollout_duty::*, state_feed::*,
+    exchange::*, extension::*, fleet_scaler::*, hub_desk::*, limits_part::*, loads_part::*,
+    lone_quotas::*, member_table::*, packet::*, peer_table::*, permit_ask::*, permit_desk::*,
+    quarantine_keeper::*, quotas_part::*, report::*, rollout_duty::*, state_feed::*,
     state_source::*, usage_part::*, usage_teller::*, versions_part::*,
 };
-use {crash_teller::*, digest_teller::*, report_teller::*, versions_teller::*};
+use {crash_teller::*, digest_teller::*, limit_teller::*, report_teller::*, versions_teller::*};
--- a/src/cluster/peer.rs
+++ b/src/cluster/peer.rs
@@ -37,6 +37,8 @@
     pub(super) hub: Option<HubView>,
     /// The number of its last report.
     report_sequence: u64,
+    /// Up to which kind of extension it knows all.
+    pub(super) level: u8,
 }
 
 /// What a hub told.
@@ -68,6 +70,7 @@
             status: DaemonStatus::default(),
             hub: None,
             report_sequence: 0,
+            level: 0,
         }
     }
 
@@ -129,6 +132,7 @@
         if self.life != life {
             self.life = life;
             self.report_sequence = 0;
+            self.level = 0;
             self.hub = None;
         }
     }
@@ -157,6 +161,12 @@
         self.hub.as_ref().filter(|_| self.status.is_hub)
     }
 
+    /// Returns whether it deals out permits for upstreams that name a limit: a hub that
+    /// stays, of a build that knows of them.
+    pub(super) fn deals_permits(&self, now_ms: u64) -> bool {
+        self.as_hub().is_some() && self.is_candidate(now_ms) && self.level >= LIMITS_LEVEL
+    }
+
     /// Returns how many daemons let requests in through it.
     pub(super) fn leaning(&self) -> u32 {
         self.as_hub().map_or(0, |hub| hub.digest.leaning)
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -2,7 +2,10 @@
     super::{peer::Peer, *},
     crate::{
         names::{ClientAccount, UpstreamId},
-        policy::{DaemonRank, DomainDaemon, HUBS_PER_DOMAIN, OtherDaemon, ReadingSpeed, ToldQuota},
+        policy::{
+            DaemonRank, DomainDaemon, HUBS_PER_DOMAIN, OtherDaemon, ReadingSpeed, ToldQuota,
+            home_rank,
+        },
     },
     rand::{Rng, seq::IteratorRandom},
     std::{
@@ -28,6 +31,17 @@
 /// and those that come next.
 const NAMED_OF_DOMAIN: usize = 6;
 
+/// Who deals out the permits of an upstream that names a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PermitDealer {
+    /// This daemon.
+    Own,
+    /// Another one.
+    Other(SocketAddr),
+    /// None that this daemon hears.
+    Nobody,
+}
+
 /// The other daemons, by what they told last. Times are milliseconds of the
 /// daemon's steady clock.
 #[derive(Debug)]
@@ -203,6 +217,40 @@
         named
     }
 
+    /// Notes up to which kind of extension a daemon knows all, as its digests and reports
+    /// tell.
+    pub fn note_level(&mut self, name: &str, level: u8) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.level = level;
+        }
+    }
+
+    /// Returns who deals out the permits of an upstream that names a limit, by the hash of
+    /// its name and its failure domain: a hub of that domain, if there is one. Whoever is
+    /// cut off from it is cut off from the upstream, too, as a rule. All daemons that know
+    /// the same hubs return the same one.
+    pub fn permit_dealer(&self, upstream: u64, domain: &str, own_deals: bool) -> PermitDealer {
+        let key = |rank: DaemonRank, at: &str| (at == domain, home_rank(rank.drawn(), upstream));
+        let others = self.peers.values().filter(|p| p.deals_permits(self.now_ms));
+        let others = others.map(|p| {
+            let dealer = PermitDealer::Other(p.entry.address);
+            (key(p.rank, &p.entry.domain), dealer)
+        });
+        let own = own_deals.then(|| (key(self.own_rank, &self.own.domain), PermitDealer::Own));
+        let first = others.chain(own).max_by_key(|(key, _)| *key);
+        first.map_or(PermitDealer::Nobody, |(_, dealer)| dealer)
+    }
+
+    /// Returns how many requests hubs, and those that ask them, have at an upstream whose
+    /// builds know of no limits.
+    pub fn unaware_at(&self, id: &UpstreamId) -> u32 {
+        let hubs = self.peers.values();
+        let hubs = hubs.filter(|p| p.level < LIMITS_LEVEL && p.has_fresh_loads(self.now_ms));
+        let loads = hubs.filter_map(|p| p.as_hub()).flat_map(|h| &h.loads.loads);
+        let there = loads.filter(|(at, ..)| at == id);
+        there.map(|(_, active, _)| *active).sum()
+    }
+
     fn is_hub_there(&self, peer: &Peer) -> bool {
         peer.as_hub().is_some()
             || self
--- /dev/null
+++ b/src/cluster/permit_ask.rs
@@ -0,0 +1,33 @@
+use {
+    super::ToldLimit,
+    bincode::{Decode, Encode},
+};
+
+/// A daemon's question for a permit to send one request to an upstream that names a limit,
+/// to the daemon that deals these out.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct PermitAsk {
+    /// Which life of the daemon asks.
+    pub life: u64,
+    /// The number of the question.
+    pub id: u64,
+    /// Whether it is passed on: then it is decided here, whoever deals out permits.
+    pub is_passed_on: bool,
+    /// The limit, as the daemon knows it.
+    pub limit: ToldLimit,
+}
+
+/// The answer.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct PermitAnswer {
+    /// Which life of the daemon asked.
+    pub life: u64,
+    /// The number of the question.
+    pub id: u64,
+    /// Whether the request may be sent.
+    pub is_granted: bool,
+    /// If not, when to ask again, in milliseconds.
+    pub wait_ms: u32,
+    /// The limit, if the one who answers knows of any.
+    pub limit: Option<ToldLimit>,
+}
--- /dev/null
+++ b/src/cluster/permit_desk.rs
@@ -0,0 +1,105 @@
+use {
+    super::{Extension, PermitAnswer, PermitAsk, ToldLimit},
+    crate::{clock::BootInstant, gateway::Gateway, policy::HubContact},
+    parking_lot::Mutex,
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    tokio::sync::oneshot,
+};
+
+/// How many times an answer of a hub usually takes one for a permit is waited for: it may
+/// stand in another failure domain, and may have to ask once more itself.
+const PATIENCE_FACTOR: f64 = 2.0;
+
+/// A daemon's questions for permits to send requests to upstreams that name a limit.
+#[derive(Debug, Default)]
+pub struct PermitDesk {
+    state: Mutex<DeskState>,
+}
+
+#[derive(Debug, Default)]
+struct DeskState {
+    last_id: u64,
+    waiting: HashMap<u64, oneshot::Sender<PermitAnswer>>,
+    daemons: HashMap<SocketAddr, HubContact>,
+}
+
+/// A question that is open.
+#[derive(Debug)]
+struct OpenAsk<'a> {
+    desk: &'a PermitDesk,
+    id: u64,
+}
+
+impl Drop for OpenAsk<'_> {
+    fn drop(&mut self) {
+        self.desk.state.lock().waiting.remove(&self.id);
+    }
+}
+
+impl PermitDesk {
+    /// Asks the daemon that deals out permits for one; none if it doesn't answer in time,
+    /// or did not lately.
+    pub async fn ask(
+        &self,
+        gateway: &Gateway,
+        dealer: SocketAddr,
+        limit: ToldLimit,
+        is_passed_on: bool,
+    ) -> Option<PermitAnswer> {
+        let (open, answer, patience) = self.open(dealer, gateway.steady_ms())?;
+        let asked_at = BootInstant::now();
+        let ask = Extension::PermitAsk(PermitAsk {
+            life: gateway.incarnation,
+            id: open.id,
+            is_passed_on,
+            limit,
+        });
+        gateway.send_packet(&ask.into(), dealer).await;
+        let answer = tokio::time::timeout(patience, answer).await;
+        let answer = answer.ok().and_then(Result::ok);
+        let mut state = self.state.lock();
+        let contact = state.daemons.entry(dealer).or_default();
+        match answer {
+            Some(_) => contact.note_answer(asked_at.elapsed().as_secs_f64() * 1_000.0),
+            None => {
+                contact.note_silent(gateway.steady_ms());
+                log::info!(target: "limit", "no answer for a permit. daemon={dealer}");
+            }
+        }
+        answer
+    }
+
+    fn open(
+        &self,
+        dealer: SocketAddr,
+        now_ms: u64,
+    ) -> Option<(OpenAsk<'_>, oneshot::Receiver<PermitAnswer>, Duration)> {
+        let mut state = self.state.lock();
+        let contact = state.daemons.get(&dealer).copied().unwrap_or_default();
+        if contact.is_avoided(now_ms) {
+            return None;
+        }
+        let (tx, rx) = oneshot::channel();
+        state.last_id += 1;
+        let id = state.last_id;
+        state.waiting.insert(id, tx);
+        let patience_ms = contact.timeout_ms() * PATIENCE_FACTOR;
+        let patience = Duration::from_secs_f64(patience_ms / 1_000.0);
+        Some((OpenAsk { desk: self, id }, rx, patience))
+    }
+
+    /// Takes in an answer.
+    pub fn hear(&self, answer: PermitAnswer) {
+        let waiting = self.state.lock().waiting.remove(&answer.id);
+        if let Some(tx) = waiting {
+            // One that no longer waits has sent its request elsewhere.
+            let _ = tx.send(answer);
+        }
+    }
+
+    /// Forgets daemons that are not there any more.
+    pub fn retain(&self, is_known: impl Fn(&SocketAddr) -> bool) {
+        let mut state = self.state.lock();
+        state.daemons.retain(|address, _| is_known(address));
+    }
+}
--- a/src/cluster/report_teller.rs
+++ b/src/cluster/report_teller.rs
@@ -50,7 +50,7 @@
                 let hubs: BTreeSet<_> = gateway.peers.lock().own_hubs().into_iter().collect();
                 for hub in hubs.into_iter().filter(|h| Some(*h) != leans_on) {
                     let report = own_report(&gateway, hub, ALIVE_EVERY_MS);
-                    gateway.send_datagram(&Datagram::Report(report), hub).await;
+                    gateway.send_packet(&report_packet(report), hub).await;
                 }
             }
         }
@@ -68,9 +68,7 @@
         }
         let mut report = own_report(gateway, *seed, HELLO_EVERY_MS);
         (report.wants_digest, report.wants_all) = (true, true);
-        gateway
-            .send_datagram(&Datagram::Report(report), *seed)
-            .await;
+        gateway.send_packet(&report_packet(report), *seed).await;
     }
 }
 
@@ -85,7 +83,7 @@
         false => MAX_EVENTS / 2,
     };
     report.events = gateway.events.lock().to_tell(events);
-    gateway.send_datagram(&Datagram::Report(report), hub).await;
+    gateway.send_packet(&report_packet(report), hub).await;
     let counted = gateway.hub_desk.counted();
     let loads = gateway.own_loads();
     let sequence = gateway.next_sequence();
@@ -94,6 +92,10 @@
     }
 }
 
+fn report_packet(report: Report) -> Packet {
+    Packet::from(Datagram::Report(report)).with(Extension::Level(EXTENSION_LEVEL))
+}
+
 fn own_report(gateway: &Gateway, hub: SocketAddr, every_ms: u64) -> Report {
     let peers = gateway.peers.lock();
     let daemon = peers.own().clone();
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -3,8 +3,8 @@
     crate::{
         clock::BootInstant,
         cluster::{
-            DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, UsageTeller,
-            VersionBook,
+            DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, PermitDesk,
+            UsageTeller, VersionBook,
         },
         conf::GatewaySettings,
         names::{FailureDomain, ServiceName, UpstreamId},
@@ -59,6 +59,8 @@
     /// Whether it is a try after one that failed: what broke that one may have
     /// broken resting connections, too.
     pub is_repeat: bool,
+    /// Whether it has a permit, where the upstream names a limit.
+    pub has_permit: bool,
 }
 
 /// What the parts of a daemon share.
@@ -78,6 +80,10 @@
     pub loads: Mutex<LoadTable>,
     /// Requests under which upstreams ended.
     pub crashes: Mutex<CrashBook>,
+    /// How much upstreams take that say so.
+    pub limits: Mutex<LimitBook>,
+    /// Questions for permits to send to them.
+    pub permit_desk: PermitDesk,
     /// Requests that were cut off at upstreams which may have ended.
     pub(super) cut_offs: Mutex<CutOffs>,
     /// Connections to them.
@@ -172,6 +178,8 @@
             incarnation: seed,
             directory: RwLock::default(),
             loads: Mutex::default(),
+            limits: Mutex::default(),
+            permit_desk: PermitDesk::default(),
             cut_offs: Mutex::default(),
             pool: Arc::default(),
             peers: Mutex::new(PeerTable::new(own)),
@@ -351,7 +359,8 @@
         refusal(
             StatusCode::SERVICE_UNAVAILABLE,
             "no upstream took the request",
-            SHORT_RETRY_AFTER,
+            self.limits_wait(&context.service)
+                .unwrap_or(SHORT_RETRY_AFTER),
         )
     }
 
@@ -375,6 +384,9 @@
         let is_known = |id: &UpstreamId| known.contains(id);
         self.pool.sweep(is_known);
         self.loads.lock().retain(is_known);
+        self.limits.lock().retain(is_known);
+        let live: HashSet<_> = self.peers.lock().live_addresses().into_iter().collect();
+        self.permit_desk.retain(|address| live.contains(address));
         self.caches.lock().retain(is_known, self.steady_ms());
     }
 }
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -5,6 +5,7 @@
         names::{FailureDomain, ServiceName, UpstreamId},
     },
     std::{
+        collections::BTreeSet,
         net::SocketAddr,
         sync::{Arc, atomic::Ordering},
     },
@@ -28,10 +29,19 @@
 
     /// Sends a datagram. It may be lost: what matters is told again.
     pub async fn send_datagram(&self, datagram: &Datagram, to: SocketAddr) {
+        self.send_encoded(datagram.encode(), to).await;
+    }
+
+    /// Sends a datagram with what stands behind its message.
+    pub async fn send_packet(&self, packet: &Packet, to: SocketAddr) {
+        self.send_encoded(packet.encode(), to).await;
+    }
+
+    async fn send_encoded(&self, encoded: Result<Vec<u8>, DatagramError>, to: SocketAddr) {
         let Some(socket) = self.datagrams.get() else {
             return;
         };
-        match datagram.encode() {
+        match encoded {
             Ok(bytes) => {
                 // A failed send is a lost datagram.
                 let _ = socket.send_to(&bytes, to).await;
@@ -53,6 +63,28 @@
         self.peers.lock().is_hub()
     }
 
+    /// Returns where the other hubs listen for datagrams.
+    pub fn other_hubs(&self) -> BTreeSet<SocketAddr> {
+        let mut hubs = self.peers.lock().hub_addresses();
+        hubs.remove(&self.settings.listen.peers);
+        hubs
+    }
+
+    /// Returns whom this daemon tells what it hears first: a hub all hubs and those that
+    /// report to it, another daemon its own hubs.
+    pub fn hubs_and_members(&self) -> (BTreeSet<SocketAddr>, BTreeSet<SocketAddr>) {
+        let is_hub = self.is_hub();
+        let peers = self.peers.lock();
+        let (mut hubs, mut members) = match is_hub {
+            true => (peers.hub_addresses(), peers.own_members()),
+            false => (peers.own_hubs().into_iter().collect(), BTreeSet::new()),
+        };
+        drop(peers);
+        hubs.remove(&self.settings.listen.peers);
+        members.retain(|member| !hubs.contains(member));
+        (hubs, members)
+    }
+
     /// Notes the time in what is known of the others; returns whether this
     /// daemon is a hub.
     pub fn tick_peers(&self) -> bool {
@@ -156,7 +188,12 @@
     }
 
     /// Places a request of another daemon, and takes its prompt as kept there.
-    pub fn place_asked(&self, ask: &Ask, service: ServiceName, domain: FailureDomain) -> Verdict {
+    pub async fn place_asked(
+        &self,
+        ask: &Ask,
+        service: ServiceName,
+        domain: FailureDomain,
+    ) -> Verdict {
         let typed = |names: &[String]| -> Vec<UpstreamId> {
             names.iter().map(|n| UpstreamId::from(n.as_str())).collect()
         };
@@ -169,7 +206,7 @@
             domain,
             apart_by: ask.place.apart_by,
         };
-        let Some(placement) = self.choose(&request, &ask.request) else {
+        let Some(placement) = self.choose_permitted(&request, &ask.request).await else {
             return Verdict::NoUpstream;
         };
         self.note_cached(&request.prompt, &placement.upstream);
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -20,6 +20,10 @@
 pub const HELD_REQUESTS: &str = "saddlepulley_held_requests";
 /// Counts answers in which upstreams name how many requests a second they take.
 pub const LIMITED_ANSWERS: &str = "saddlepulley_limited_answers_total";
+/// Upstreams that name a limit now.
+pub const LIMITED_UPSTREAMS: &str = "saddlepulley_limited_upstreams";
+/// Counts questions for permits to send to them, by outcome.
+pub const PERMITS: &str = "saddlepulley_permits_total";
 /// Counts requests refused for their client account's quota.
 pub const QUOTA_REFUSALS: &str = "saddlepulley_quota_refusals_total";
 /// Counts streams that were broken off before their end.
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -1,7 +1,7 @@
 use {
     super::{Placement, *},
     crate::{
-        cluster::{AskedPlace, AskedQuota, Verdict},
+        cluster::{AskedPlace, AskedQuota, HeardVerdict, Verdict},
         names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
         routing::AccountTerms,
@@ -69,14 +69,15 @@
         });
         let place = self.asked_place(context, &[]);
         let request = context.id_text();
-        match self.hub_desk.ask(self, request, quota, place).await {
-            Some(Verdict::Refused { wait_ms }) => Err(Duration::from_millis(wait_ms)),
+        let heard = self.hub_desk.ask(self, request, quota, place).await;
+        match heard.as_ref().map(|heard| &heard.verdict) {
+            Some(Verdict::Refused { wait_ms }) => Err(Duration::from_millis(*wait_ms)),
             Some(Verdict::Unknown | Verdict::Held) | None => match limited {
                 Some(account) => self.admit_alone(account, cost),
                 None => Ok(()),
             },
-            Some(verdict) => {
-                *context.placed.lock() = self.asked_placement(&verdict, false);
+            Some(Verdict::Placed { .. } | Verdict::NoUpstream) => {
+                *context.placed.lock() = heard.and_then(|h| self.asked_placement(&h, false));
                 Ok(())
             }
         }
@@ -122,12 +123,12 @@
 
     /// Returns the placement that a hub decided on, if its upstream is known and
     /// ready here, too.
-    fn asked_placement(&self, verdict: &Verdict, is_repeat: bool) -> Option<Placement> {
+    fn asked_placement(&self, heard: &HeardVerdict, is_repeat: bool) -> Option<Placement> {
         let Verdict::Placed {
             upstream,
             unread_tokens,
             waiting_tokens,
-        } = verdict
+        } = &heard.verdict
         else {
             return None;
         };
@@ -139,6 +140,7 @@
             unread_tokens: *unread_tokens,
             waiting_tokens: *waiting_tokens,
             is_repeat,
+            has_permit: heard.has_permit,
         })
     }
 
@@ -151,9 +153,9 @@
         if !self.is_hub() {
             let place = self.asked_place(context, tried);
             let answer = self.hub_desk.ask(self, context.id_text(), None, place);
-            let verdict = answer.await;
+            let heard = answer.await;
             let is_repeat = !tried.is_empty();
-            let placement = verdict.and_then(|v| self.asked_placement(&v, is_repeat));
+            let placement = heard.and_then(|h| self.asked_placement(&h, is_repeat));
             if placement.is_some() {
                 return placement;
             }
@@ -167,13 +169,23 @@
             domain: self.domain().clone(),
             apart_by: self.placed_apart_by(context),
         };
-        self.choose(&request, context.id_text())
+        self.choose_permitted(&request, context.id_text()).await
     }
 
     /// Chooses an upstream by what this daemon knows.
     pub fn choose(&self, request: &PlaceRequest, id: &str) -> Option<Placement> {
+        self.choose_after(request, id, 0)
+    }
+
+    /// Chooses an upstream after a permit was denied for some.
+    pub(super) fn choose_after(
+        &self,
+        request: &PlaceRequest,
+        id: &str,
+        denials: usize,
+    ) -> Option<Placement> {
         let ready = self.directory.read().ready_list(&request.service);
-        let barred = self.barred_by_rollout(request, &ready).unwrap_or_default();
+        let barred = self.barred(request, &ready, denials);
         let home = self.home_of(request, &ready, &barred);
         let mut candidates = self.candidates(request, &ready, home);
         for (candidate, is_barred) in candidates.iter_mut().zip(&barred) {
@@ -184,7 +196,7 @@
         let chosen = choose_upstream(&candidates, &times, request.target_ms, &mut *rng);
         drop(rng);
         let is_repeat = !request.tried.is_empty();
-        if !is_repeat {
+        if !is_repeat && denials == 0 {
             // What finds no upstream is demand, too.
             let unread = chosen.map(|index| candidates[index].unread_tokens);
             let all_tokens = request.prompt.tokens();
@@ -215,9 +227,22 @@
             unread_tokens,
             waiting_tokens,
             is_repeat,
+            has_permit: false,
         })
     }
 
+    /// Returns which ready upstreams a request must not go to; nothing, if it may go to any.
+    fn barred(&self, request: &PlaceRequest, ready: &ReadyUpstreams, denials: usize) -> Vec<bool> {
+        let mut barred = self.barred_by_rollout(request, ready).unwrap_or_default();
+        for id in self.barred_by_limits(denials) {
+            if let Some(index) = ready.index_of(&id) {
+                barred.resize(ready.upstreams.len(), false);
+                barred[index] = true;
+            }
+        }
+        barred
+    }
+
     /// Returns what is known of each upstream. All are alike but for the few that
     /// something is known of: these are filled in one by one.
     fn candidates(
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -154,6 +154,8 @@
     }
     let held = gateway.crashes.lock().held(gateway.steady_ms()).len();
     metrics::gauge!(HELD_REQUESTS).set(held as f64);
+    let limited = gateway.limits.lock().limited().count();
+    metrics::gauge!(LIMITED_UPSTREAMS).set(limited as f64);
     let holds = gateway.holds_duties.load(Ordering::Relaxed);
     metrics::gauge!(HOLDS_DUTIES).set(f64::from(u8::from(holds)));
 }
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -116,6 +116,11 @@
     last_event_id: Option<u64>,
 ) -> Result<Sent, SendFailure> {
     let upstream = &placement.upstream;
+    // Where an earlier build placed it, which knows of no limits.
+    if !placement.has_permit && gateway.take_permit(&upstream.id, false).await.is_err() {
+        let cause = "the upstream's limit is used up";
+        return Err(SendFailure::NotSent(cause.into()));
+    }
     let mut active = ActiveSend::start(gateway, placement);
     let connection = connect(gateway, context, placement).await?;
     // What is true now counts, not what was when the upstream was chosen.
@@ -125,10 +130,11 @@
     *context.sent_at.lock() = Some(BootInstant::now());
     gateway.note_cached(&context.prompt, upstream);
     let request = build_request(gateway, context, upstream, last_event_id);
+    let sent_ms = gateway.steady_ms();
     let answer = OpenAnswer::open(&gateway.pool, &upstream.id, connection, request).await?;
     active.progress();
     check_owner(gateway, context, &answer)?;
-    gateway.note_named_limit(context, upstream, &answer.head.headers);
+    gateway.note_named_limit(upstream, &answer.head.headers, sent_ms);
     check_run(gateway, &answer)?;
     Ok(Sent {
         upstream: upstream.clone(),
--- a/tests/decisions/foreign_bytes.rs
+++ b/tests/decisions/foreign_bytes.rs
@@ -8,7 +8,7 @@
     bytes::Bytes,
     proptest::{prelude::*, test_runner::RngSeed},
     saddlepulley::{
-        cluster::{CrashesPart, Datagram, FeedAsk, FeedNews, decode},
+        cluster::{CrashesPart, Datagram, FeedAsk, FeedNews, Packet, decode},
         platform::{
             KeyedRecord, config_from_record, read_answer, split_keyed, suspect_record,
             upstream_from_entry,
@@ -114,6 +114,14 @@
         let _ = Datagram::decode(&datagram);
     }
 
+    #[test]
+    fn any_bytes_behind_a_message_leave_it_as_it_is(bytes in any_bytes()) {
+        let ours = Datagram::Crashes(CrashesPart { among_hubs: true, ends: Vec::new() });
+        let mut datagram = ours.encode().unwrap();
+        datagram.extend(bytes);
+        prop_assert_eq!(Packet::decode(&datagram).unwrap().datagram, ours);
+    }
+
     #[test]
     fn an_entry_with_a_byte_changed_is_whole_or_none(at in 0..ENTRY.len(), byte: u8) {
         let mut bytes = ENTRY.as_bytes().to_vec();
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -16,6 +16,7 @@
 mod gateway_files;
 mod hubs;
 mod lease;
+mod limits;
 mod lives;
 mod members;
 mod placement;
