Failing test: daemons of one build and of the next don't hear each other

With three daemons of one build beside three of the next, a client account was let in 1.71 times what its quota allows. Each drops the datagrams of the other whole, for their version. News of upstreams and configurations are the same in both, and stay so.

--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -19,6 +19,7 @@
 mod limits;
 mod lives;
 mod members;
+mod mixed_builds;
 mod placement;
 mod platform;
 mod quarantine;
