Daemons of this build and of the two landed before it understand each other

Callers saw quotas let in 1.71 times over while boxes of one build stood beside boxes of the next, and 1.45 times during a roll. Cause: a datagram of another version was dropped whole, so two systems that don't hear each other stood before the same upstreams.

Each daemon is told in the version that it speaks, learned from what it sends; in both while nothing is known of it. Version 6 differs from 7 by one field at the end of a question and by one kind of message: read as absent, and not sent. From here on what is new stands behind messages, in extensions with kind and length, which builds that don't know them pass over. Ruled out: self-describing messages (those of landed builds can't be changed, and each would grow), and new kinds beside old ones only (a line in their logs for each).

--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -19,7 +19,8 @@
   drain          stop a daemon as planned
   demo           stand-ins and three daemons in one process
 
-`saddlepulley <command> --help` shows a command's options with an example.
+`saddlepulley <command> --help` shows a command's options with an example;
+`saddlepulley --version` the build, and the oldest whose daemons it speaks with.
 Exit codes: 0 done, 1 failed, 2 usage or wrong file, 3 conflict.
 ";
 
--- a/src/cli/run.rs
+++ b/src/cli/run.rs
@@ -3,6 +3,7 @@
         CliError, check, demo, explain, gateway_command, help, report_command, rollout_command,
         serve, status, table_command,
     },
+    crate::cluster::{DATAGRAM_VERSION, OLDEST_DATAGRAM_VERSION},
     pico_args::Arguments,
     std::{ffi::OsString, process::ExitCode},
 };
@@ -20,6 +21,10 @@
 
 fn dispatch(mut args: Arguments) -> Result<(), CliError> {
     let wants_help = args.contains(["-h", "--help"]);
+    if args.contains(["-V", "--version"]) {
+        println!("{}", version());
+        return finish(args);
+    }
     let command = args.subcommand()?;
     let Some((text, run)) = command.as_deref().and_then(find) else {
         if wants_help || command.is_none() {
@@ -38,6 +43,16 @@
     run(args)
 }
 
+/// Returns the version of this build, that of the messages which its daemons speak, and the
+/// oldest that they speak with others.
+fn version() -> String {
+    format!(
+        "saddlepulley {}, messages {DATAGRAM_VERSION}, speaks with daemons from messages \
+         {OLDEST_DATAGRAM_VERSION} on",
+        env!("CARGO_PKG_VERSION")
+    )
+}
+
 type Command = fn(Arguments) -> Result<(), CliError>;
 
 fn find(name: &str) -> Option<(&'static str, Command)> {
--- a/src/cluster/datagram.rs
+++ b/src/cluster/datagram.rs
@@ -4,8 +4,16 @@
     displaydoc::Display,
 };
 
-/// The version of the messages; those of another version are not understood.
-const DATAGRAM_VERSION: u8 = 7;
+/// The version of the messages.
+pub const DATAGRAM_VERSION: u8 = 7;
+/// The oldest version that is understood and spoken, too: that of the landing before the
+/// last one. Daemons that don't hear each other stand before the same upstreams as two
+/// systems: six daemons of two builds let a client account in 1.71 times what its quota
+/// allows.
+pub const OLDEST_DATAGRAM_VERSION: u8 = 6;
+/// What stands at the end of messages of [`DATAGRAM_VERSION`] and is missing in older ones:
+/// that a request is placed by its prompt.
+const MISSING_IN_OLDEST: u8 = 0;
 /// The largest datagram, in bytes: one packet, not split on its way.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
 /// How much of a datagram a list that is sent in parts may take, in bytes.
@@ -76,21 +84,47 @@
         Self::decode_first(bytes).map(|(datagram, _)| datagram)
     }
 
+    /// Encodes the datagram as builds of a version understand it; nothing, if they know of
+    /// no such message.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DatagramError::TooLarge`] for more than [`MAX_DATAGRAM_BYTES`].
+    pub fn encode_for(&self, version: u8) -> Result<Option<Vec<u8>>, DatagramError> {
+        if version == OLDEST_DATAGRAM_VERSION && matches!(self, Self::Crashes(_)) {
+            return Ok(None);
+        }
+        let mut bytes = self.encode()?;
+        // What stands at the end of later messages is not looked at by earlier builds.
+        bytes[0] = version;
+        Ok(Some(bytes))
+    }
+
     /// Decodes a datagram; returns what stands behind it, too.
     ///
     /// # Errors
     ///
     /// Returns why the bytes are none.
     pub(super) fn decode_first(bytes: &[u8]) -> Result<(Self, &[u8]), DatagramError> {
-        match bytes.first() {
-            Some(&DATAGRAM_VERSION) => {}
-            Some(other) => return Err(DatagramError::OtherVersion(*other)),
-            None => return Err(DatagramError::Malformed("empty".into())),
+        match bytes {
+            [DATAGRAM_VERSION, body @ ..] => {
+                let (datagram, length) = Self::decode_body(body)?;
+                Ok((datagram, &body[length..]))
+            }
+            [OLDEST_DATAGRAM_VERSION, body @ ..] => {
+                let body = [body, &[MISSING_IN_OLDEST]].concat();
+                Ok((Self::decode_body(&body)?.0, &[]))
+            }
+            [other, ..] => Err(DatagramError::OtherVersion(*other)),
+            [] => Err(DatagramError::Malformed("empty".into())),
         }
+    }
+
+    /// Decodes a datagram behind its version; returns how long it is, too.
+    fn decode_body(body: &[u8]) -> Result<(Self, usize), DatagramError> {
         let config = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
-        let decoded = bincode::decode_from_slice(&bytes[1..], config);
-        let (datagram, length) = decoded.map_err(|e| DatagramError::Malformed(e.to_string()))?;
-        Ok((datagram, &bytes[1 + length..]))
+        let decoded = bincode::decode_from_slice(body, config);
+        decoded.map_err(|e| DatagramError::Malformed(e.to_string()))
     }
 }
 
--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -38,7 +38,12 @@
             }
         };
         match Packet::decode(&buf[..length]) {
-            Ok(packet) => take_in_packet(&gateway, packet, from).await,
+            Ok(packet) => {
+                let version = buf[0];
+                let now_ms = gateway.steady_ms();
+                gateway.spoken.lock().note(from, version, now_ms);
+                take_in_packet(&gateway, packet, from).await;
+            }
             Err(e) => log::warn!(target: "peers", "datagram refused. error=\"{e}\""),
         }
     }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -32,6 +32,7 @@
 mod report;
 mod report_teller;
 mod rollout_duty;
+mod spoken_versions;
 mod state_feed;
 mod state_source;
 mod usage_part;
@@ -44,7 +45,7 @@
     daemon_entry::*, datagram::*, digest::*, duty_borders::*, duty_runner::*, event_log::*,
     exchange::*, extension::*, fleet_scaler::*, hub_desk::*, limits_part::*, loads_part::*,
     lone_quotas::*, member_table::*, packet::*, peer_table::*, permit_ask::*, permit_desk::*,
-    quarantine_keeper::*, quotas_part::*, report::*, rollout_duty::*, state_feed::*,
-    state_source::*, usage_part::*, usage_teller::*, versions_part::*,
+    quarantine_keeper::*, quotas_part::*, report::*, rollout_duty::*, spoken_versions::*,
+    state_feed::*, state_source::*, usage_part::*, usage_teller::*, versions_part::*,
 };
 use {crash_teller::*, digest_teller::*, limit_teller::*, report_teller::*, versions_teller::*};
--- a/src/cluster/packet.rs
+++ b/src/cluster/packet.rs
@@ -60,6 +60,19 @@
         Ok(bytes)
     }
 
+    /// Encodes the packet as builds of a version understand it; nothing, if they know of no
+    /// such message. Those of the oldest version know of no extensions.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DatagramError::TooLarge`] for more than [`MAX_DATAGRAM_BYTES`].
+    pub fn encode_for(&self, version: u8) -> Result<Option<Vec<u8>>, DatagramError> {
+        match version {
+            DATAGRAM_VERSION => self.encode().map(Some),
+            _ => self.datagram.encode_for(version),
+        }
+    }
+
     /// Decodes a packet.
     ///
     /// # Errors
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -4,7 +4,7 @@
         clock::BootInstant,
         cluster::{
             DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, PermitDesk,
-            UsageTeller, VersionBook,
+            SpokenVersions, UsageTeller, VersionBook,
         },
         conf::GatewaySettings,
         names::{FailureDomain, ServiceName, UpstreamId},
@@ -84,6 +84,8 @@
     pub limits: Mutex<LimitBook>,
     /// Questions for permits to send to them.
     pub permit_desk: PermitDesk,
+    /// Which version of the messages other daemons speak.
+    pub spoken: Mutex<SpokenVersions>,
     /// Requests that were cut off at upstreams which may have ended.
     pub(super) cut_offs: Mutex<CutOffs>,
     /// Connections to them.
@@ -180,6 +182,7 @@
             loads: Mutex::default(),
             limits: Mutex::default(),
             permit_desk: PermitDesk::default(),
+            spoken: Mutex::default(),
             cut_offs: Mutex::default(),
             pool: Arc::default(),
             peers: Mutex::new(PeerTable::new(own)),
@@ -383,6 +386,7 @@
         };
         let is_known = |id: &UpstreamId| known.contains(id);
         self.pool.sweep(is_known);
+        self.spoken.lock().tick(self.steady_ms());
         self.loads.lock().retain(is_known);
         self.limits.lock().retain(is_known);
         let live: HashSet<_> = self.peers.lock().live_addresses().into_iter().collect();
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -29,26 +29,37 @@
 
     /// Sends a datagram. It may be lost: what matters is told again.
     pub async fn send_datagram(&self, datagram: &Datagram, to: SocketAddr) {
-        self.send_encoded(datagram.encode(), to).await;
+        self.send_encoded(|version| datagram.encode_for(version), to)
+            .await;
     }
 
-    /// Sends a datagram with what stands behind its message.
+    /// Sends a datagram with what stands behind its message, in the version that the other
+    /// daemon speaks.
     pub async fn send_packet(&self, packet: &Packet, to: SocketAddr) {
-        self.send_encoded(packet.encode(), to).await;
+        self.send_encoded(|version| packet.encode_for(version), to)
+            .await;
     }
 
-    async fn send_encoded(&self, encoded: Result<Vec<u8>, DatagramError>, to: SocketAddr) {
+    async fn send_encoded(
+        &self,
+        encode_for: impl Fn(u8) -> Result<Option<Vec<u8>>, DatagramError>,
+        to: SocketAddr,
+    ) {
         let Some(socket) = self.datagrams.get() else {
             return;
         };
-        match encoded {
-            Ok(bytes) => {
-                // A failed send is a lost datagram.
-                let _ = socket.send_to(&bytes, to).await;
-            }
-            Err(e) => {
-                metrics::counter!(TOO_LARGE).increment(1);
-                log::warn!(target: "peers", "datagram not sent. to={to} error=\"{e}\"");
+        let versions = self.spoken.lock().for_daemon(to, self.steady_ms());
+        for version in versions {
+            match encode_for(*version) {
+                Ok(Some(bytes)) => {
+                    // A failed send is a lost datagram.
+                    let _ = socket.send_to(&bytes, to).await;
+                }
+                Ok(None) => {}
+                Err(e) => {
+                    metrics::counter!(TOO_LARGE).increment(1);
+                    log::warn!(target: "peers", "datagram not sent. to={to} error=\"{e}\"");
+                }
             }
         }
     }
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -39,6 +39,8 @@
 pub const SOURCE_AGE: &str = "saddlepulley_source_age_seconds";
 /// Other daemons that were heard from lately.
 pub const LIVE_PEERS: &str = "saddlepulley_live_peers";
+/// Daemons that were heard lately, by the version of the messages that they speak.
+pub const PEERS_BY_MESSAGES: &str = "saddlepulley_peers_by_messages";
 /// Counts calls to the platform, which has a price for each, by what is called.
 pub const PLATFORM_CALLS: &str = "saddlepulley_platform_calls_total";
 /// Counts entries in the platform's store that name no upstream to use.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -51,10 +51,13 @@
         let connections = Arc::new(ClientConnections::default());
         log::info!(
             target: "gateway",
-            "started. node={} domain={} incarnation={}",
+            "started. node={} domain={} incarnation={} build={} messages={} since={}",
             gateway.settings.node.name,
             gateway.settings.node.zone,
-            gateway.incarnation
+            gateway.incarnation,
+            env!("CARGO_PKG_VERSION"),
+            cluster::DATAGRAM_VERSION,
+            cluster::OLDEST_DATAGRAM_VERSION
         );
         let mut tasks = JoinSet::new();
         tasks.spawn(serve_clients(clients, gateway.clone(), connections.clone()));
@@ -154,6 +157,10 @@
     }
     let held = gateway.crashes.lock().held(gateway.steady_ms()).len();
     metrics::gauge!(HELD_REQUESTS).set(held as f64);
+    for (version, daemons) in gateway.spoken.lock().counts() {
+        let label = [("messages", version.to_string())];
+        metrics::gauge!(PEERS_BY_MESSAGES, &label).set(daemons as f64);
+    }
     let limited = gateway.limits.lock().limited().count();
     metrics::gauge!(LIMITED_UPSTREAMS).set(limited as f64);
     let holds = gateway.holds_duties.load(Ordering::Relaxed);
--- a/tests/decisions/mixed_builds.rs
+++ b/tests/decisions/mixed_builds.rs
@@ -13,9 +13,10 @@
 
 use {
     messages::*,
+    proptest::{prelude::*, test_runner::RngSeed},
     saddlepulley::cluster::*,
     serde::{Serialize, de::DeserializeOwned},
-    std::{fmt::Debug, fs, path::Path},
+    std::{fmt::Debug, fs, net::SocketAddr, path::Path},
 };
 
 const LANDED: [u8; 2] = [6, 7];
@@ -41,6 +42,35 @@
     }
 }
 
+/// Byte for byte what they write themselves; behind it may stand what they don't look at.
+#[test]
+fn landed_builds_are_told_what_they_understand() {
+    for version in LANDED {
+        for (name, datagram) in datagrams() {
+            let packet = Packet::from(datagram).with(Extension::Level(EXTENSION_LEVEL));
+            let bytes = packet.encode_for(version).unwrap();
+            if version == 6 && name == "crashes" {
+                assert_eq!(bytes, None, "they know of no such message");
+                continue;
+            }
+            let theirs = landed(version, name);
+            let bytes = bytes.unwrap();
+            assert!(bytes.len() >= theirs.len(), "{name} of {version}");
+            assert_eq!(bytes[..theirs.len()], theirs, "{name} of {version}");
+        }
+    }
+}
+
+#[test]
+fn what_only_extensions_say_is_not_sent_to_builds_that_know_none() {
+    let packet = Packet::from(Extension::HasPermit);
+    assert_eq!(packet.encode_for(6).unwrap(), None);
+    assert_eq!(
+        packet.encode_for(7).unwrap(),
+        Some(packet.encode().unwrap())
+    );
+}
+
 fn assert_same<T>(message: &T, name: &str)
 where
     T: Serialize + DeserializeOwned + PartialEq + Debug,
@@ -65,3 +95,63 @@
         assert_same(&answer, name);
     }
 }
+
+fn at(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+#[test]
+fn each_daemon_is_told_what_it_speaks() {
+    let mut spoken = SpokenVersions::default();
+    assert_eq!(
+        spoken.for_daemon(at(1), 0),
+        &[7, 6],
+        "nothing is known of it"
+    );
+    spoken.note(at(1), 6, 0);
+    spoken.note(at(2), 7, 0);
+    assert_eq!(spoken.for_daemon(at(1), 100), &[6]);
+    assert_eq!(spoken.for_daemon(at(2), 100), &[7]);
+    // It knows nothing of this daemon either, and tells it everything twice.
+    spoken.note(at(2), 6, 100);
+    assert_eq!(spoken.for_daemon(at(2), 100), &[7]);
+    // It was replaced by an earlier build, and by a later one.
+    spoken.note(at(2), 6, 4_000);
+    assert_eq!(spoken.for_daemon(at(2), 4_000), &[6]);
+    spoken.note(at(2), 7, 4_100);
+    assert_eq!(spoken.for_daemon(at(2), 4_100), &[7]);
+    // It has been silent for long: whatever is there now understands one of both.
+    assert_eq!(spoken.for_daemon(at(2), 60_000), &[7, 6]);
+    assert!(spoken.counts().eq([(6, 1), (7, 1)]));
+    spoken.tick(60_000);
+    assert!(spoken.counts().eq([(6, 0), (7, 0)]));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// A later build adds kinds of extensions and fields: what is known stays understood.
+    #[test]
+    fn unknown_kinds_and_fields_make_nobody_deaf(
+        which in 0..13_usize,
+        unknown in prop::collection::vec((100..=255_u8, prop::collection::vec(any::<u8>(), 0..20)), 0..4),
+        later_field in prop::collection::vec(any::<u8>(), 0..20),
+    ) {
+        let (_, datagram) = datagrams().swap_remove(which);
+        let mut bytes = datagram.encode().unwrap();
+        for (kind, body) in &unknown {
+            bytes.extend([*kind, body.len() as u8, 0]);
+            bytes.extend(body);
+        }
+        bytes.extend([1, 1 + later_field.len() as u8, 0, 9]);
+        bytes.extend(&later_field);
+        let packet = Packet::decode(&bytes).unwrap();
+        prop_assert_eq!(packet.datagram, datagram);
+        prop_assert_eq!(packet.extensions, [Extension::Level(9)]);
+    }
+}
