--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod logs;
 mod lost_requests;
 mod misdirected;
+mod mixed_builds;
 mod planned_soak;
 mod raw_client;
 mod repeats;
--- a/tests/gateway/planned_soak.rs
+++ b/tests/gateway/planned_soak.rs
@@ -8,6 +8,10 @@
 //! ask again. What may end without an answer is just this: a request sent after
 //! a stop's notice was over, which no upstream has run.
 //!
+//! With `SADDLEPULLEY_OLD` naming the binary of a landed build, each second daemon that is
+//! started is of that one: both stand side by side all the time, and boxes roll forward and
+//! back.
+//!
 //! `SADDLEPULLEY_SOAK_S=60 SADDLEPULLEY_SOAK_SEED=7 SADDLEPULLEY_SOAK_CLIENTS=200
 //! SADDLEPULLEY_SOAK_DAEMONS=40 SADDLEPULLEY_SOAK_BUSY=12 SADDLEPULLEY_SOAK_REFUSED=0
 //! cargo test --test gateway planned_soak`
@@ -112,6 +116,8 @@
     daemons: Mutex<Vec<(GatewayDaemon, Seen)>>,
     runners: Vec<Runner>,
     version: AtomicU64,
+    /// How many daemons were started.
+    started: AtomicU64,
 }
 
 impl Fleet {
@@ -124,6 +130,7 @@
             daemons: Mutex::default(),
             runners,
             version: AtomicU64::new(1),
+            started: AtomicU64::new(0),
         });
         let daemons = from_env("SADDLEPULLEY_SOAK_DAEMONS", SHORT_DAEMONS);
         for n in 0..daemons {
@@ -160,7 +167,12 @@
             seeds,
             stdout: Stdio::null(),
         };
-        let daemon = GatewayDaemon::spawn(dir, settings);
+        let started = self.started.fetch_add(1, Ordering::SeqCst);
+        let build = match started % 2 {
+            0 => this_build(),
+            _ => other_build(),
+        };
+        let daemon = GatewayDaemon::spawn_build(&build, dir, settings);
         daemon.wait_ready().await;
         let seen = Seen {
             name,
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -15,7 +15,7 @@
         fmt::Write,
         fs,
         net::SocketAddr,
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::{
             LazyLock,
@@ -27,6 +27,21 @@
     tokio::net::TcpStream,
 };
 
+/// The binary that the tests are about.
+const THIS_BUILD: &str = env!("CARGO_BIN_EXE_saddlepulley");
+
+/// Returns the binary of another build that is to run beside this one, if one is named:
+/// by hand, `SADDLEPULLEY_OLD=/path/to/saddlepulley`. Else this one.
+pub fn other_build() -> PathBuf {
+    let named = std::env::var_os("SADDLEPULLEY_OLD");
+    named.map_or_else(|| PathBuf::from(THIS_BUILD), PathBuf::from)
+}
+
+/// Returns the binary of this build.
+pub fn this_build() -> PathBuf {
+    PathBuf::from(THIS_BUILD)
+}
+
 /// How long anything may take that is waited for.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -200,6 +215,11 @@
 
     /// Starts a daemon with given settings.
     pub fn spawn(dir: TempDir, settings: DaemonSettings) -> Self {
+        Self::spawn_build(Path::new(THIS_BUILD), dir, settings)
+    }
+
+    /// Starts a daemon of a build.
+    pub fn spawn_build(build: &Path, dir: TempDir, settings: DaemonSettings) -> Self {
         let [clients, readiness, peers, metrics] = [(); 4].map(|()| free_address());
         let seeds: Vec<String> = settings.seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let text = format!(
@@ -213,7 +233,7 @@
         );
         let path = dir.path().join("settings.toml");
         fs::write(&path, text).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_saddlepulley"))
+        let child = Command::new(build)
             .args(["gateway", "--settings"])
             .arg(&path)
             .stdout(settings.stdout)
