--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -7,6 +7,7 @@
 mod duties;
 mod entries;
 mod large_configuration;
+mod limits_soak;
 mod logs;
 mod lost_requests;
 mod misdirected;
