--- a/tests/gateway/mixed_builds.rs
+++ b/tests/gateway/mixed_builds.rs
@@ -137,13 +137,17 @@
     client.ask(&attempt, "/look/x", "").await.status
 }
 
-/// Checks that quotas hold in each window, and are used.
-fn check(what: &str, times: &[Instant]) {
+fn most_in_a_window(times: &[Instant]) -> f64 {
     let in_window = |from: Instant| {
         let later = times.iter().filter(|at| **at >= from);
         later.filter(|at| **at < from + WINDOW).count()
     };
-    let most = times.iter().map(|at| in_window(*at)).max().unwrap_or(0) as f64;
+    times.iter().map(|at| in_window(*at)).max().unwrap_or(0) as f64
+}
+
+/// Checks that quotas hold in each window, and are used.
+fn check(what: &str, times: &[Instant]) {
+    let most = most_in_a_window(times);
     let used = (times.len() as f64 - BURST) / (RATE * RUN.as_secs_f64());
     println!(
         "{what}: {:.2} of what a window allows, {used:.2} of the rate",
@@ -168,6 +172,27 @@
     check("side by side", &world.runs());
 }
 
+/// All boxes are lost while three of six are replaced, and come back as they were.
+#[tokio::test]
+async fn quotas_hold_over_a_loss_of_all_half_way() {
+    let (old, new) = (other_build(), this_build());
+    let builds = [&old, &old, &old, &new, &new, &new].map(PathBuf::clone);
+    let world = World::start(builds.clone()).await;
+    world.clone().load(Duration::from_secs(5)).await;
+    // Dropped daemons are killed.
+    world.boxes.lock().unwrap().clear();
+    for (name, build) in NAMES.into_iter().zip(builds) {
+        world.add(name, build).await;
+    }
+    world.clone().load(Duration::from_secs(8)).await;
+    let most = most_in_a_window(&world.runs());
+    println!(
+        "loss of all half-way: {:.2} of what a window allows",
+        most / ALLOWED
+    );
+    assert!(most <= ALLOWED, "{most} in a window, {ALLOWED} allowed");
+}
+
 #[tokio::test]
 async fn quotas_hold_over_a_roll_forward_and_back() {
     let (old, new) = (other_build(), this_build());
--- a/tests/gateway/planned_soak.rs
+++ b/tests/gateway/planned_soak.rs
@@ -116,8 +116,6 @@
     daemons: Mutex<Vec<(GatewayDaemon, Seen)>>,
     runners: Vec<Runner>,
     version: AtomicU64,
-    /// How many daemons were started.
-    started: AtomicU64,
 }
 
 impl Fleet {
@@ -130,7 +128,6 @@
             daemons: Mutex::default(),
             runners,
             version: AtomicU64::new(1),
-            started: AtomicU64::new(0),
         });
         let daemons = from_env("SADDLEPULLEY_SOAK_DAEMONS", SHORT_DAEMONS);
         for n in 0..daemons {
@@ -167,12 +164,7 @@
             seeds,
             stdout: Stdio::null(),
         };
-        let started = self.started.fetch_add(1, Ordering::SeqCst);
-        let build = match started % 2 {
-            0 => this_build(),
-            _ => other_build(),
-        };
-        let daemon = GatewayDaemon::spawn_build(&build, dir, settings);
+        let daemon = GatewayDaemon::spawn(dir, settings);
         daemon.wait_ready().await;
         let seen = Seen {
             name,
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -19,7 +19,7 @@
         process::{Child, Command, Stdio},
         sync::{
             LazyLock,
-            atomic::{AtomicU16, Ordering},
+            atomic::{AtomicU16, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -34,7 +34,7 @@
 /// by hand, `SADDLEPULLEY_OLD=/path/to/saddlepulley`. Else this one.
 pub fn other_build() -> PathBuf {
     let named = std::env::var_os("SADDLEPULLEY_OLD");
-    named.map_or_else(|| PathBuf::from(THIS_BUILD), PathBuf::from)
+    named.map_or_else(this_build, PathBuf::from)
 }
 
 /// Returns the binary of this build.
@@ -42,6 +42,17 @@
     PathBuf::from(THIS_BUILD)
 }
 
+/// Returns the binaries of both builds by turns: with another one named, both stand side by
+/// side in each test. The other one is first with `SADDLEPULLEY_OLD_FIRST=1`.
+fn next_build() -> PathBuf {
+    static STARTED: AtomicUsize = AtomicUsize::new(0);
+    let other_first = usize::from(std::env::var_os("SADDLEPULLEY_OLD_FIRST").is_some());
+    match (STARTED.fetch_add(1, Ordering::Relaxed) + other_first) % 2 {
+        0 => this_build(),
+        _ => other_build(),
+    }
+}
+
 /// How long anything may take that is waited for.
 const PATIENCE: Duration = Duration::from_secs(20);
 
@@ -215,7 +226,7 @@
 
     /// Starts a daemon with given settings.
     pub fn spawn(dir: TempDir, settings: DaemonSettings) -> Self {
-        Self::spawn_build(Path::new(THIS_BUILD), dir, settings)
+        Self::spawn_build(&next_build(), dir, settings)
     }
 
     /// Starts a daemon of a build.
