--- /dev/null
+++ b/src/cluster/ask_answers.rs
@@ -0,0 +1,76 @@
+use {
+    super::*,
+    crate::gateway::Gateway,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Answers a question of a daemon that reports to this one: at once, or later where the
+/// request is held or a permit has to be asked for.
+pub(super) async fn answer_ask(gateway: &Arc<Gateway>, ask: Ask, from: SocketAddr) {
+    let now_ms = gateway.steady_ms();
+    let known = gateway.members.lock().known_answer(&ask, now_ms);
+    let verdict = match known {
+        Some(verdict) => verdict,
+        None => {
+            let mut decision = Box::pin(decide(gateway.clone(), ask.clone()));
+            match futures_util::poll!(decision.as_mut()) {
+                std::task::Poll::Ready(verdict) => verdict,
+                std::task::Poll::Pending => {
+                    // Ends by itself when the request has been held long enough.
+                    tokio::spawn(answer_later(gateway.clone(), ask.clone(), decision, from));
+                    Verdict::Held
+                }
+            }
+        }
+    };
+    answer(gateway, &ask, verdict, from).await;
+}
+
+async fn answer_later(
+    gateway: Arc<Gateway>,
+    ask: Ask,
+    decision: std::pin::Pin<Box<impl Future<Output = Verdict> + Send>>,
+    to: SocketAddr,
+) {
+    let verdict = decision.await;
+    answer(&gateway, &ask, verdict, to).await;
+}
+
+async fn answer(gateway: &Gateway, ask: &Ask, verdict: Verdict, to: SocketAddr) {
+    let now_ms = gateway.steady_ms();
+    gateway.members.lock().note_answer(ask, &verdict, now_ms);
+    let answer = Answer {
+        id: ask.id,
+        life: ask.life,
+        verdict,
+    };
+    // What this daemon places has a permit where that is needed.
+    let packet = Packet::from(Datagram::Answer(answer)).with(Extension::HasPermit);
+    gateway.send_packet(&packet, to).await;
+}
+
+/// Decides for another daemon whether a request is let in, and where it runs.
+async fn decide(gateway: Arc<Gateway>, ask: Ask) -> Verdict {
+    let Some(table) = gateway.table() else {
+        return Verdict::Unknown;
+    };
+    let service = ask.place.service.as_str().into();
+    if table.find_service(&service).is_none() {
+        return Verdict::Unknown;
+    }
+    if let Some(quota) = &ask.quota {
+        let mut accounts = table.config().accounts.iter();
+        let Some(account) = accounts.find(|t| t.name.as_str() == quota.account) else {
+            return Verdict::Unknown;
+        };
+        let patience = Duration::from_millis(u64::from(quota.patience_ms));
+        if let Err(wait) = gateway.admit(account, quota.cost, patience).await {
+            gateway.log_refusal(account, quota.cost, wait, &ask.request);
+            return Verdict::Refused {
+                wait_ms: wait.as_millis() as u64,
+            };
+        }
+    }
+    let domain = gateway.domain().clone();
+    gateway.place_asked(&ask, service, domain).await
+}
--- a/src/cluster/exchange.rs
+++ b/src/cluster/exchange.rs
@@ -42,14 +42,14 @@
                 let version = buf[0];
                 let now_ms = gateway.steady_ms();
                 gateway.spoken.lock().note(from, version, now_ms);
-                take_in_packet(&gateway, packet, from).await;
+                take_in(&gateway, packet, from).await;
             }
             Err(e) => log::warn!(target: "peers", "datagram refused. error=\"{e}\""),
         }
     }
 }
 
-async fn take_in_packet(gateway: &Arc<Gateway>, packet: Packet, from: SocketAddr) {
+async fn take_in(gateway: &Arc<Gateway>, packet: Packet, from: SocketAddr) {
     let level = packet.level();
     let has_permit = packet.extensions.contains(&Extension::HasPermit);
     for extension in packet.extensions {
@@ -64,19 +64,9 @@
             Extension::Level(_) | Extension::HasPermit => {}
         }
     }
-    take_in(gateway, packet.datagram, from, level, has_permit).await;
-}
-
-async fn take_in(
-    gateway: &Arc<Gateway>,
-    datagram: Datagram,
-    from: SocketAddr,
-    level: u8,
-    has_permit: bool,
-) {
     let now_ms = gateway.steady_ms();
     gateway.hub_desk.note_heard(from);
-    match datagram {
+    match packet.datagram {
         Datagram::Digest(digest) => {
             gateway.hear_rollouts(&digest.rollouts);
             let name = digest.daemon.name.clone();
@@ -113,42 +103,6 @@
     }
 }
 
-fn hear_limits(gateway: &Gateway, part: &LimitsPart) {
-    // A hub passes on what it hears: of hubs to those that report to it, of others to all.
-    let passes_on = gateway.is_hub().then_some(!part.among_hubs);
-    for told in part.limits.iter().filter_map(ToldLimit::known) {
-        gateway.hear_limit(&told, passes_on);
-    }
-}
-
-fn answer_permit_ask(gateway: &Arc<Gateway>, ask: PermitAsk, from: SocketAddr) {
-    let Some(limit) = ask.limit.known() else {
-        return;
-    };
-    gateway.hear_limit(&limit, None);
-    let gateway = gateway.clone();
-    // It may have to ask another daemon first: nothing else waits for that.
-    tokio::spawn(async move {
-        let id = limit.upstream;
-        let taken = match ask.is_passed_on {
-            true => gateway.deal_permit(&id),
-            false => gateway.take_permit(&id, true).await,
-        };
-        let known = gateway.limits.lock().known(&id, gateway.steady_ms());
-        let answer = PermitAnswer {
-            life: ask.life,
-            id: ask.id,
-            is_granted: taken.is_ok(),
-            wait_ms: taken
-                .err()
-                .map_or(0, |ms| u32::try_from(ms).unwrap_or(u32::MAX)),
-            limit: known.as_ref().map(ToldLimit::of),
-        };
-        let answer = Extension::PermitAnswer(answer);
-        gateway.send_packet(&answer.into(), from).await;
-    });
-}
-
 fn hear_crashes(gateway: &Gateway, part: &CrashesPart) {
     // A hub passes on what it hears: of hubs to those that report to it, of others to all.
     let passes_on = gateway.is_hub().then_some(!part.among_hubs);
@@ -223,75 +177,6 @@
     }
 }
 
-async fn answer_ask(gateway: &Arc<Gateway>, ask: Ask, from: SocketAddr) {
-    let now_ms = gateway.steady_ms();
-    let known = gateway.members.lock().known_answer(&ask, now_ms);
-    let verdict = match known {
-        Some(verdict) => verdict,
-        None => {
-            let mut decision = Box::pin(decide(gateway.clone(), ask.clone()));
-            match futures_util::poll!(decision.as_mut()) {
-                std::task::Poll::Ready(verdict) => verdict,
-                std::task::Poll::Pending => {
-                    // Ends by itself when the request has been held long enough.
-                    tokio::spawn(answer_later(gateway.clone(), ask.clone(), decision, from));
-                    Verdict::Held
-                }
-            }
-        }
-    };
-    answer(gateway, &ask, verdict, from).await;
-}
-
-async fn answer_later(
-    gateway: Arc<Gateway>,
-    ask: Ask,
-    decision: std::pin::Pin<Box<impl Future<Output = Verdict> + Send>>,
-    to: SocketAddr,
-) {
-    let verdict = decision.await;
-    answer(&gateway, &ask, verdict, to).await;
-}
-
-async fn answer(gateway: &Gateway, ask: &Ask, verdict: Verdict, to: SocketAddr) {
-    let now_ms = gateway.steady_ms();
-    gateway.members.lock().note_answer(ask, &verdict, now_ms);
-    let answer = Answer {
-        id: ask.id,
-        life: ask.life,
-        verdict,
-    };
-    // What this daemon places has a permit where that is needed.
-    let packet = Packet::from(Datagram::Answer(answer)).with(Extension::HasPermit);
-    gateway.send_packet(&packet, to).await;
-}
-
-/// Decides for another daemon whether a request is let in, and where it runs.
-async fn decide(gateway: Arc<Gateway>, ask: Ask) -> Verdict {
-    let Some(table) = gateway.table() else {
-        return Verdict::Unknown;
-    };
-    let service = ask.place.service.as_str().into();
-    if table.find_service(&service).is_none() {
-        return Verdict::Unknown;
-    }
-    if let Some(quota) = &ask.quota {
-        let mut accounts = table.config().accounts.iter();
-        let Some(account) = accounts.find(|t| t.name.as_str() == quota.account) else {
-            return Verdict::Unknown;
-        };
-        let patience = Duration::from_millis(u64::from(quota.patience_ms));
-        if let Err(wait) = gateway.admit(account, quota.cost, patience).await {
-            gateway.log_refusal(account, quota.cost, wait, &ask.request);
-            return Verdict::Refused {
-                wait_ms: wait.as_millis() as u64,
-            };
-        }
-    }
-    let domain = gateway.domain().clone();
-    gateway.place_asked(&ask, service, domain).await
-}
-
 async fn hear_usage(gateway: &Gateway, part: &UsagePart, from: SocketAddr, now_ms: u64) {
     let counts = part.counts.iter();
     let counts = counts.map(|(name, n)| (name.as_str().into(), u64::from(*n)));
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -1,6 +1,7 @@
 //! What equal daemons tell each other, and the duties that one has at a time.
 
 mod ask;
+mod ask_answers;
 mod config_follower;
 mod config_message;
 mod config_teller;
@@ -25,6 +26,7 @@
 mod packet;
 mod peer;
 mod peer_table;
+mod permit_answers;
 mod permit_ask;
 mod permit_desk;
 mod quarantine_keeper;
@@ -48,4 +50,7 @@
     quarantine_keeper::*, quotas_part::*, report::*, rollout_duty::*, spoken_versions::*,
     state_feed::*, state_source::*, usage_part::*, usage_teller::*, versions_part::*,
 };
-use {crash_teller::*, digest_teller::*, limit_teller::*, report_teller::*, versions_teller::*};
+use {
+    ask_answers::*, crash_teller::*, digest_teller::*, limit_teller::*, permit_answers::*,
+    report_teller::*, versions_teller::*,
+};
--- /dev/null
+++ b/src/cluster/permit_answers.rs
@@ -0,0 +1,43 @@
+use {
+    super::*,
+    crate::gateway::Gateway,
+    std::{net::SocketAddr, sync::Arc},
+};
+
+/// Takes in limits that another daemon told.
+pub(super) fn hear_limits(gateway: &Gateway, part: &LimitsPart) {
+    // A hub passes on what it hears: of hubs to those that report to it, of others to all.
+    let passes_on = gateway.is_hub().then_some(!part.among_hubs);
+    for told in part.limits.iter().filter_map(ToldLimit::known) {
+        gateway.hear_limit(&told, passes_on);
+    }
+}
+
+/// Answers a daemon's question for a permit.
+pub(super) fn answer_permit_ask(gateway: &Arc<Gateway>, ask: PermitAsk, from: SocketAddr) {
+    let Some(limit) = ask.limit.known() else {
+        return;
+    };
+    gateway.hear_limit(&limit, None);
+    let gateway = gateway.clone();
+    // It may have to ask another daemon first: nothing else waits for that.
+    tokio::spawn(async move {
+        let id = limit.upstream;
+        let taken = match ask.is_passed_on {
+            true => gateway.deal_permit(&id),
+            false => gateway.take_permit(&id, true).await,
+        };
+        let known = gateway.limits.lock().known(&id, gateway.steady_ms());
+        let answer = PermitAnswer {
+            life: ask.life,
+            id: ask.id,
+            is_granted: taken.is_ok(),
+            wait_ms: taken
+                .err()
+                .map_or(0, |ms| u32::try_from(ms).unwrap_or(u32::MAX)),
+            limit: known.as_ref().map(ToldLimit::of),
+        };
+        let answer = Extension::PermitAnswer(answer);
+        gateway.send_packet(&answer.into(), from).await;
+    });
+}
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -10,7 +10,7 @@
         names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
         rollouts::{OutcomeMeter, RolloutTable},
-        routing::{AccountTerms, ClientLimits, RouteTable, RoutingConfig},
+        routing::RouteTable,
         upstreams::*,
     },
     http::{Response, StatusCode},
@@ -36,33 +36,6 @@
 const ASSUMED_PER_DOMAIN: usize = 3;
 const SHORT_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Whether a daemon takes new clients.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum GatewayPhase {
-    /// It lacks a configuration or upstreams.
-    Starting,
-    /// It takes clients.
-    Ready,
-    /// It will stop: it finishes what it has.
-    Stopping,
-}
-
-/// Where a request is sent.
-#[derive(Clone, Debug)]
-pub struct Placement {
-    /// The upstream.
-    pub upstream: Arc<Upstream>,
-    /// The prompt tokens that it is expected to read.
-    pub unread_tokens: u64,
-    /// The prompt tokens of other requests that it is known to read first.
-    pub waiting_tokens: u64,
-    /// Whether it is a try after one that failed: what broke that one may have
-    /// broken resting connections, too.
-    pub is_repeat: bool,
-    /// Whether it has a permit, where the upstream names a limit.
-    pub has_permit: bool,
-}
-
 /// What the parts of a daemon share.
 ///
 /// Locks are held one at a time and never across an await.
@@ -155,7 +128,7 @@
     pub(super) engines: Mutex<HashMap<ServiceName, EngineModel>>,
     pub(super) rng: Mutex<ChaCha8Rng>,
     /// When the planned stop began, by the steady clock, and its times.
-    stop: OnceLock<(u64, StopTimes)>,
+    pub(super) stop: OnceLock<(u64, StopTimes)>,
     started: BootInstant,
 }
 
@@ -229,87 +202,6 @@
         self.started.elapsed().as_millis() as u64
     }
 
-    /// Returns the routes in force; none before the first configuration.
-    pub fn table(&self) -> Option<Arc<RouteTable>> {
-        self.table.read().clone()
-    }
-
-    /// Returns what clients may send, by the configuration in force.
-    pub fn client_limits(&self) -> ClientLimits {
-        let limits = self.table().map(|t| t.config().limits.clone());
-        limits.unwrap_or_default()
-    }
-
-    /// Returns the version of the configuration in force; 0 before the first.
-    pub fn config_version(&self) -> u64 {
-        self.table().map_or(0, |t| t.version())
-    }
-
-    /// Puts a configuration in force, unless it is older than the one that is.
-    pub fn apply_config(&self, config: RoutingConfig) -> bool {
-        let mut table = self.table.write();
-        if table
-            .as_ref()
-            .is_some_and(|t| t.version() >= config.version)
-        {
-            return false;
-        }
-        let indexing = BootInstant::now();
-        let next = RouteTable::new(config);
-        log::info!(
-            target: "config",
-            "in force. version={} size={} index_ms={}",
-            next.version(),
-            next.config().size(),
-            indexing.elapsed().as_millis()
-        );
-        *table = Some(Arc::new(next));
-        drop(table);
-        self.news.send_modify(|n| *n += 1);
-        true
-    }
-
-    /// Becomes ready once a configuration and upstreams are known.
-    pub fn check_ready(&self) {
-        let known = self.table().is_some() && self.directory.read().revision() > 0;
-        self.phase.send_if_modified(|phase| {
-            let becomes = known && *phase == GatewayPhase::Starting;
-            if becomes {
-                log::info!(target: "gateway", "ready.");
-                *phase = GatewayPhase::Ready;
-            }
-            becomes
-        });
-    }
-
-    /// Returns whether new clients are taken.
-    pub fn is_ready(&self) -> bool {
-        *self.phase.borrow() == GatewayPhase::Ready
-    }
-
-    /// Begins a planned stop; returns its times.
-    pub fn begin_stop(&self) -> StopTimes {
-        let stop_ms = (self.settings.bounds.stop_s * 1_000.0) as u64;
-        let began = (self.steady_ms(), StopTimes::new(stop_ms));
-        let (_, times) = self.stop.get_or_init(|| began);
-        self.phase.send_replace(GatewayPhase::Stopping);
-        self.tell_early.notify_one();
-        *times
-    }
-
-    /// Returns whether a request is taken whose client waits for that long, in
-    /// milliseconds.
-    pub fn takes_request(&self, wait_ms: u64) -> bool {
-        let now_ms = self.steady_ms();
-        let stop = self.stop.get();
-        stop.is_none_or(|(began_ms, times)| times.takes(now_ms.saturating_sub(*began_ms), wait_ms))
-    }
-
-    /// Returns whether this daemon will stop.
-    pub fn is_stopping(&self) -> bool {
-        *self.phase.borrow() == GatewayPhase::Stopping
-    }
-
     /// Draws a number.
     pub fn draw(&self) -> u64 {
         self.rng.lock().random()
@@ -372,12 +264,6 @@
         &self.settings.node.zone
     }
 
-    /// Returns the client accounts in force.
-    pub fn account_terms(&self) -> Vec<AccountTerms> {
-        let table = self.table();
-        table.map_or_else(Vec::new, |t| t.config().accounts.clone())
-    }
-
     /// Forgets what concerns upstreams that are gone.
     pub fn sweep(&self) {
         let known: HashSet<UpstreamId> = {
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod budgets;
 mod client_connection;
 mod client_socket;
+mod config_state;
 mod crash_state;
 mod cut_offs;
 mod engines;
@@ -13,6 +14,7 @@
 mod follow_file;
 mod forward_stream;
 mod forward_whole;
+mod gateway_phase;
 mod gateway_state;
 mod header_names;
 mod hub_state;
@@ -22,6 +24,8 @@
 mod metrics_page;
 mod open_connections;
 mod open_request;
+mod phase_state;
+mod placement;
 mod placing;
 mod process;
 mod prompt;
@@ -33,6 +37,7 @@
 
 pub use {
     answer::*, client_connection::*, client_socket::*, event_border::*, follow_file::*,
-    gateway_state::*, header_names::*, hub_state::*, intake::*, listen::*, metrics_page::*,
-    open_connections::*, placing::*, process::*, prompt::*, request_context::*,
+    gateway_phase::*, gateway_state::*, header_names::*, hub_state::*, intake::*, listen::*,
+    metrics_page::*, open_connections::*, placement::*, placing::*, process::*, prompt::*,
+    request_context::*,
 };
--- a/src/policy/neighbours.rs
+++ b/src/policy/copies/neighbours.rs
@@ -1,4 +1,4 @@
-use {super::HolderCandidate, crate::names::*};
+use {crate::names::*, crate::policy::HolderCandidate};
 
 /// Links to the next boxes of the own failure domain's ring.
 pub const RING_LINKS: usize = 2;
--- a/src/policy/claim_fold.rs
+++ b/src/policy/duties/claim_fold.rs
@@ -1,5 +1,5 @@
 use {
-    super::*,
+    crate::policy::*,
     std::collections::{BTreeMap, BTreeSet},
     uuid::Uuid,
 };
--- a/src/policy/claimant.rs
+++ b/src/policy/duties/claimant.rs
@@ -1,4 +1,4 @@
-use {super::*, uuid::Uuid};
+use {crate::policy::*, uuid::Uuid};
 
 /// How far one box is with one non-repeatable request.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/src/policy/duty_log.rs
+++ b/src/policy/duties/duty_log.rs
@@ -1,5 +1,5 @@
 use {
-    super::{AccountCounts, Claimer, LeaseRecord, LeaseStep, LeaseView},
+    crate::policy::{AccountCounts, Claimer, LeaseRecord, LeaseStep, LeaseView},
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
--- a/src/policy/lease.rs
+++ b/src/policy/duties/lease.rs
@@ -1,5 +1,5 @@
 use {
-    super::Claimer,
+    crate::policy::Claimer,
     serde::{Deserialize, Serialize},
 };
 
--- /dev/null
+++ b/src/policy/duties/mod.rs
@@ -0,0 +1,15 @@
+//! What one daemon does at a time: leases, claims, and usage by window.
+
+mod claim;
+mod claim_fold;
+mod claimant;
+mod duty_fitness;
+mod duty_log;
+mod lease;
+mod usage_due;
+mod usage_windows;
+
+pub use {
+    claim::*, claim_fold::*, claimant::*, duty_fitness::*, duty_log::*, lease::*, usage_due::*,
+    usage_windows::*,
+};
--- a/src/policy/engine_model.rs
+++ b/src/policy/engines/engine_model.rs
@@ -1,5 +1,5 @@
 use {
-    super::{FirstEvent, ReadingSpeed},
+    crate::policy::{FirstEvent, ReadingSpeed},
     std::collections::VecDeque,
 };
 
--- a/src/policy/placement_cheapest.rs
+++ b/src/policy/placement/cheapest_on_target.rs
@@ -1,4 +1,4 @@
-use {super::*, rand::RngCore};
+use {crate::policy::*, rand::RngCore};
 
 /// A miss of the target by its whole length counts as much as this many times
 /// the price: being late is worse than being dear.
--- a/src/policy/choose_upstream.rs
+++ b/src/policy/placement/choose_upstream.rs
@@ -1,4 +1,4 @@
-use {super::EngineTimes, rand::Rng};
+use {crate::policy::EngineTimes, rand::Rng};
 
 /// How much a request that runs at an upstream slows a new one's first event, as
 /// a share of the time that it takes there alone. Small: it only decides between
--- a/src/policy/estimate.rs
+++ b/src/policy/placement/estimate.rs
@@ -1,4 +1,4 @@
-use super::{Ask, UpstreamView};
+use crate::policy::{Ask, UpstreamView};
 
 /// What a request would meet on an upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/policy/placement_keep_work.rs
+++ b/src/policy/placement/keep_work.rs
@@ -1,4 +1,4 @@
-use {super::*, rand::RngCore};
+use {crate::policy::*, rand::RngCore};
 
 /// Tokens that a miss of the target by its whole length counts as.
 const MISS_TOKENS: f64 = 4_000.0;
--- /dev/null
+++ b/src/policy/placement/mod.rs
@@ -0,0 +1,15 @@
+//! Where a request runs: policies of the table, and the choice of an upstream by its cost.
+
+mod cheapest_on_target;
+mod choose_upstream;
+mod domain_reach;
+mod estimate;
+mod keep_work;
+mod naive;
+mod placement_policy;
+mod spill;
+
+pub use {
+    cheapest_on_target::*, choose_upstream::*, domain_reach::*, estimate::*, keep_work::*,
+    naive::*, placement_policy::*, spill::*,
+};
--- a/src/policy/placement_naive.rs
+++ b/src/policy/placement/naive.rs
@@ -1,5 +1,5 @@
 use {
-    super::*,
+    crate::policy::*,
     rand::{Rng, RngCore},
 };
 
--- a/src/policy/placement.rs
+++ b/src/policy/placement/placement_policy.rs
@@ -1,5 +1,5 @@
 use {
-    super::*,
+    crate::policy::*,
     crate::{contracts::ClassPreference, names::*},
     rand::RngCore,
     std::{collections::BTreeSet, net::SocketAddr},
--- a/src/policy/spill.rs
+++ b/src/policy/placement/spill.rs
@@ -1,6 +1,6 @@
 use {
-    super::*,
     crate::names::*,
+    crate::policy::*,
     rand::{Rng, RngCore},
 };
 
--- a/src/policy/reclaim.rs
+++ b/src/policy/reclaim/stream_moves.rs
@@ -1,4 +1,4 @@
-use {super::*, crate::names::*, std::collections::BTreeMap};
+use {crate::names::*, crate::policy::*, std::collections::BTreeMap};
 
 /// A stream on a leaving upstream.
 #[derive(Clone, Debug, PartialEq)]
--- /dev/null
+++ b/src/policy/retries/mod.rs
@@ -0,0 +1,8 @@
+//! Whether and when a request is sent again.
+
+mod retry;
+mod retry_allowance;
+mod retry_situation;
+mod stall;
+
+pub use {retry::*, retry_allowance::*, retry_situation::*, stall::*};
