A digest that does not tell what its sender knows takes nothing back

A hub that has just started says everything in both versions, the earlier one without extensions, and a full digest leaves its extension out. Each such digest made it a daemon that deals out no permits until the next: permits were dealt out by two hubs by turns, so an upstream could get more than it names. Found by reading.

--- a/tests/decisions/limits.rs
+++ b/tests/decisions/limits.rs
@@ -399,6 +399,18 @@
     assert_eq!(alone.permit_dealer(1, "b", false), PermitDealer::Nobody);
 }
 
+/// A hub that has just started says everything in both versions, and a full digest has no
+/// room for what stands behind it: nobody dealt out permits then, by turns.
+#[test]
+fn a_digest_that_does_not_tell_takes_nothing_back() {
+    let mut table = table("a1", "a", &[("a2", "a", 1)]);
+    table.note_level("a2", 0);
+    assert_eq!(
+        table.permit_dealer(1, "a", false),
+        PermitDealer::Other(address(0))
+    );
+}
+
 /// One that starts again may be of another build: what it knows is told anew.
 #[test]
 fn a_daemon_that_starts_again_deals_nothing_until_it_says_that_it_can() {
