A service without upstreams is no service whose limits are used up

Clients of a service without ready upstreams were told to wait 5 s in place of 0.3 s: the sum of no limits is 0, and one over it the longest wait. Found by reading before it landed. Without upstreams there is no limit to wait for, and the next one may be there at once. The test failed before (5.0).

--- a/src/gateway/limit_state.rs
+++ b/src/gateway/limit_state.rs
@@ -190,19 +190,19 @@
     }
 
     /// Returns when a client may come back whose service has used up the limits of all its
-    /// upstreams; none if any names no limit. Then it waits for as long as permits are
-    /// apart.
+    /// upstreams, as long as permits are apart; none if there are no upstreams, or any names
+    /// no limit: then there may be a place at once.
     pub(super) fn limits_wait(&self, service: &ServiceName) -> Option<Duration> {
         let ready = self.directory.read().ready_list(service);
         let limits = self.limits.lock();
         let rates = ready.upstreams.iter().map(|u| limits.rate(&u.id));
         let rates = rates.collect::<Option<Vec<RequestRate>>>()?;
+        if rates.is_empty() {
+            return None;
+        }
         let per_s: f64 = rates.into_iter().map(RequestRate::per_s).sum();
-        let wait = Duration::try_from_secs_f64(1.0 / per_s);
-        Some(
-            wait.unwrap_or(MAX_RETRY_AFTER)
-                .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
-        )
+        let wait = Duration::try_from_secs_f64(1.0 / per_s).unwrap_or(MAX_RETRY_AFTER);
+        Some(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER))
     }
 }
 
--- a/tests/gateway/upstream_limits.rs
+++ b/tests/gateway/upstream_limits.rs
@@ -215,6 +215,19 @@
     }
 }
 
+/// No upstream is no limit that is used up: the next one may be there at once. Clients were
+/// told the longest wait, 5 s.
+#[tokio::test]
+async fn a_service_without_upstreams_names_no_limit() {
+    let runner = Runner::start("u0", 3).await.unwrap();
+    let routes = routes_file(1, &[&IDEMPOTENT], &[&runner]);
+    let routes = routes.replace("service = \"s\"\naddress", "service = \"other\"\naddress");
+    let daemon = GatewayDaemon::start(&routes).await;
+    let told = ask_once(daemon.clients, "a".into()).await;
+    assert_eq!(told.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(told.retry_after_s, Some(0.3));
+}
+
 #[tokio::test]
 async fn what_is_no_limit_does_no_harm() {
     let world = World::start(1, 1).await;
