--- a/tests/decisions/mixed_builds.rs
+++ b/tests/decisions/mixed_builds.rs
@@ -14,6 +14,8 @@
 use {
     messages::*,
     proptest::{prelude::*, test_runner::RngSeed},
+    rand::{Rng, SeedableRng},
+    rand_chacha::ChaCha8Rng,
     saddlepulley::cluster::*,
     serde::{Serialize, de::DeserializeOwned},
     std::{fmt::Debug, fs, net::SocketAddr, path::Path},
@@ -127,6 +129,88 @@
     assert!(spoken.counts().eq([(6, 0), (7, 0)]));
 }
 
+/// Which messages a build understands, and whether it speaks in what others speak.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Build {
+    Landed(u8),
+    New,
+}
+
+impl Build {
+    fn understands(self, version: u8) -> bool {
+        match self {
+            Self::Landed(own) => own == version,
+            Self::New => LANDED.contains(&version),
+        }
+    }
+}
+
+const DAEMONS: usize = 6;
+const TELL_MS: u64 = 250;
+/// From when a daemon is replaced until all have to hear it, and it them.
+const HEARD_WITHIN_MS: u64 = 5_000;
+
+/// Daemons that tell each other each quarter of a second and are replaced by those of other
+/// builds, at the same addresses, forward and back; datagrams get lost, and a domain of two
+/// is cut off now and then.
+#[test]
+fn no_daemon_of_this_build_stays_deaf_to_any_other() {
+    for seed in 0..200 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let old = LANDED[rng.random_range(0..2)];
+        let mut builds = [Build::Landed(old); DAEMONS];
+        let mut spoken = vec![SpokenVersions::default(); DAEMONS];
+        let mut changed_ms = [0; DAEMONS];
+        let mut heard_ms = [[0; DAEMONS]; DAEMONS];
+        let mut cut_until_ms = 0;
+        for now_ms in (0..90_000).step_by(TELL_MS as usize) {
+            if rng.random_bool(0.02) {
+                let at = rng.random_range(0..DAEMONS);
+                builds[at] = match builds[at] {
+                    Build::New => Build::Landed(old),
+                    Build::Landed(_) => Build::New,
+                };
+                spoken[at] = SpokenVersions::default();
+                changed_ms[at] = now_ms;
+            }
+            if now_ms >= cut_until_ms && rng.random_bool(0.01) {
+                cut_until_ms = now_ms + rng.random_range(500..14_000);
+            }
+            for from in 0..DAEMONS {
+                for to in (0..DAEMONS).filter(|to| *to != from) {
+                    let versions = match builds[from] {
+                        Build::Landed(own) => vec![own],
+                        Build::New => spoken[from].for_daemon(at(to as u16), now_ms).to_vec(),
+                    };
+                    let is_cut = now_ms < cut_until_ms && (from < 2) != (to < 2);
+                    for version in versions {
+                        if is_cut || rng.random_bool(0.1) || !builds[to].understands(version) {
+                            continue;
+                        }
+                        heard_ms[to][from] = now_ms;
+                        spoken[to].note(at(from as u16), version, now_ms);
+                    }
+                }
+            }
+            for from in 0..DAEMONS {
+                for to in (0..DAEMONS).filter(|to| *to != from) {
+                    if builds[from] != Build::New && builds[to] != Build::New {
+                        continue;
+                    }
+                    let since = changed_ms[from].max(changed_ms[to]).max(cut_until_ms);
+                    let deaf_ms = now_ms.saturating_sub(heard_ms[to][from].max(since));
+                    assert!(
+                        deaf_ms <= HEARD_WITHIN_MS,
+                        "seed {seed} at {now_ms}: {to} ({:?}) hears nothing of {from} ({:?})",
+                        builds[to],
+                        builds[from]
+                    );
+                }
+            }
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 2_000,
