Less is kept of the permits that nobody asks for

Cause: each hub that comes to deal out permits may have kept half a second's worth, beside the pace.

--- a/tests/decisions/limits.rs
+++ b/tests/decisions/limits.rs
@@ -97,7 +97,7 @@
         // Nobody asks for a while: some permits are kept, not all.
         let times = take_all(&mut book, 30_000, 130_000);
         let most = most_in_4_s(&times) as f64;
-        assert!(most <= 4.0 * per_s * 1.13 + 1.0, "{per_s}: {most}");
+        assert!(most <= 4.0 * per_s * 1.07 + 1.0, "{per_s}: {most}");
         assert!(
             times.len() as f64 >= 0.97 * 100.0 * per_s,
             "{per_s}: {}",
@@ -152,8 +152,8 @@
     book.note_answer(&u("u"), named(1.0), 70_100, 70_200);
     let times = take_all(&mut book, 70_200, 74_200);
     assert!(
-        times.len() <= 55,
-        "{}: half a second's worth and 4",
+        times.len() <= 29,
+        "{}: a quarter of a second's worth and 4",
         times.len()
     );
 }
