Tests: each test process has ports of its own

Cause: test processes took ports from one range, from places apart; where they met, a daemon's port was taken between the look and its start, and the test talked to a daemon of the soak, which has one route (404) and version 1 of its configuration. Ruled out: a fault of the daemons (both answers are those of the soak's configuration). Each process now reserves a block of ports for as long as it lives.

--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -14,7 +14,7 @@
     std::{
         fmt::Write,
         fs,
-        net::SocketAddr,
+        net::{SocketAddr, TcpListener, UdpSocket},
         path::{Path, PathBuf},
         process::{Child, Command, Stdio},
         sync::{
@@ -72,27 +72,55 @@
 /// gives to clients' connections, which would else take one now and then.
 const FIRST_PORT: u16 = 18_000;
 const LAST_PORT: u16 = 31_000;
-/// How far apart test processes with neighbouring ids begin, in ports: more than
-/// one process uses. Begun side by side, one took a port between another's look
-/// and its daemon's start (4 of 50 soaks, four at a time).
-const PORTS_APART: u32 = 977;
+/// How many ports a test process has for itself: all tests of one take fewer than a
+/// thousand.
+const BLOCK: u16 = 1_300;
+
+/// The ports of this process. Processes that took them from one range, even from places far
+/// apart, met beside each other: a daemon's port was taken between the look and its start,
+/// and the test talked to the daemon of another one (two tests of a whole run beside four
+/// soaks that start daemons anew all the time).
+struct Ports {
+    first: u16,
+    next: AtomicU16,
+    /// Held for as long as the process lives: no other takes its ports.
+    _reservation: UdpSocket,
+}
+
+impl Ports {
+    fn reserve() -> Self {
+        let blocks = (LAST_PORT - FIRST_PORT) / BLOCK;
+        let begin = (std::process::id() % u32::from(blocks)) as u16;
+        loop {
+            for n in 0..blocks {
+                let first = FIRST_PORT + (begin + n) % blocks * BLOCK;
+                if let Ok(reservation) = UdpSocket::bind(("127.0.0.1", first)) {
+                    return Self {
+                        first,
+                        next: AtomicU16::new(1),
+                        _reservation: reservation,
+                    };
+                }
+            }
+            // Others end sometime.
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    }
+
+    fn next(&self) -> u16 {
+        let n = self.next.fetch_add(1, Ordering::Relaxed);
+        // The first port of the block is the reservation.
+        self.first + 1 + n % (BLOCK - 1)
+    }
+}
 
 /// Returns an address that no test has been given before and that is free.
 pub fn free_address() -> SocketAddr {
-    static NEXT: LazyLock<AtomicU16> = LazyLock::new(|| {
-        let spread =
-            std::process::id().wrapping_mul(PORTS_APART) % u32::from(LAST_PORT - FIRST_PORT);
-        AtomicU16::new(FIRST_PORT + spread as u16)
-    });
+    static PORTS: LazyLock<Ports> = LazyLock::new(Ports::reserve);
     loop {
-        let port = NEXT.fetch_add(1, Ordering::Relaxed);
-        if port >= LAST_PORT {
-            NEXT.store(FIRST_PORT, Ordering::Relaxed);
-            continue;
-        }
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        let is_free = std::net::TcpListener::bind(address).is_ok();
-        if is_free && std::net::UdpSocket::bind(address).is_ok() {
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.next()));
+        let is_free = TcpListener::bind(address).is_ok();
+        if is_free && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
