--- a/src/cluster/peer.rs
+++ b/src/cluster/peer.rs
@@ -161,9 +161,9 @@
         self.hub.as_ref().filter(|_| self.status.is_hub)
     }
 
-    /// Returns whether it deals out permits for upstreams that name a limit: a hub that
+    /// Returns whether it issues permits for upstreams that name a limit: a hub that
     /// stays, of a build that knows of them.
-    pub(super) fn deals_permits(&self, now_ms: u64) -> bool {
+    pub(super) fn issues_permits(&self, now_ms: u64) -> bool {
         self.as_hub().is_some() && self.is_candidate(now_ms) && self.level >= LIMITS_LEVEL
     }
 
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -31,9 +31,9 @@
 /// and those that come next.
 const NAMED_OF_DOMAIN: usize = 6;
 
-/// Who deals out the permits of an upstream that names a limit.
+/// Who issues the permits of an upstream that names a limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PermitDealer {
+pub enum PermitIssuer {
     /// This daemon.
     Own,
     /// Another one.
@@ -226,20 +226,23 @@
         }
     }
 
-    /// Returns who deals out the permits of an upstream that names a limit, by the hash of
+    /// Returns who issues the permits of an upstream that names a limit, by the hash of
     /// its name and its failure domain: a hub of that domain, if there is one. Whoever is
     /// cut off from it is cut off from the upstream, too, as a rule. All daemons that know
     /// the same hubs return the same one.
-    pub fn permit_dealer(&self, upstream: u64, domain: &str, own_deals: bool) -> PermitDealer {
+    pub fn permit_issuer(&self, upstream: u64, domain: &str, own_issues: bool) -> PermitIssuer {
         let key = |rank: DaemonRank, at: &str| (at == domain, home_rank(rank.drawn(), upstream));
-        let others = self.peers.values().filter(|p| p.deals_permits(self.now_ms));
+        let others = self
+            .peers
+            .values()
+            .filter(|p| p.issues_permits(self.now_ms));
         let others = others.map(|p| {
-            let dealer = PermitDealer::Other(p.entry.address);
-            (key(p.rank, &p.entry.domain), dealer)
+            let issuer = PermitIssuer::Other(p.entry.address);
+            (key(p.rank, &p.entry.domain), issuer)
         });
-        let own = own_deals.then(|| (key(self.own_rank, &self.own.domain), PermitDealer::Own));
+        let own = own_issues.then(|| (key(self.own_rank, &self.own.domain), PermitIssuer::Own));
         let first = others.chain(own).max_by_key(|(key, _)| *key);
-        first.map_or(PermitDealer::Nobody, |(_, dealer)| dealer)
+        first.map_or(PermitIssuer::Nobody, |(_, issuer)| issuer)
     }
 
     /// Returns how many requests hubs, and those that ask them, have at an upstream whose
--- a/src/cluster/permit_answers.rs
+++ b/src/cluster/permit_answers.rs
@@ -24,7 +24,7 @@
     tokio::spawn(async move {
         let id = limit.upstream;
         let taken = match ask.is_passed_on {
-            true => gateway.deal_permit(&id),
+            true => gateway.issue_permit(&id),
             false => gateway.take_permit(&id, true).await,
         };
         let known = gateway.limits.lock().known(&id, gateway.steady_ms());
--- a/src/cluster/permit_ask.rs
+++ b/src/cluster/permit_ask.rs
@@ -4,14 +4,14 @@
 };
 
 /// A daemon's question for a permit to send one request to an upstream that names a limit,
-/// to the daemon that deals these out.
+/// to the daemon that issues these.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct PermitAsk {
     /// Which life of the daemon asks.
     pub life: u64,
     /// The number of the question.
     pub id: u64,
-    /// Whether it is passed on: then it is decided here, whoever deals out permits.
+    /// Whether it is passed on: then it is decided here, whoever issues permits.
     pub is_passed_on: bool,
     /// The limit, as the daemon knows it.
     pub limit: ToldLimit,
--- a/src/cluster/permit_desk.rs
+++ b/src/cluster/permit_desk.rs
@@ -37,16 +37,16 @@
 }
 
 impl PermitDesk {
-    /// Asks the daemon that deals out permits for one; none if it doesn't answer in time,
+    /// Asks the daemon that issues permits for one; none if it doesn't answer in time,
     /// or did not lately.
     pub async fn ask(
         &self,
         gateway: &Gateway,
-        dealer: SocketAddr,
+        issuer: SocketAddr,
         limit: ToldLimit,
         is_passed_on: bool,
     ) -> Option<PermitAnswer> {
-        let (open, answer, patience) = self.open(dealer, gateway.steady_ms())?;
+        let (open, answer, patience) = self.open(issuer, gateway.steady_ms())?;
         let asked_at = BootInstant::now();
         let ask = Extension::PermitAsk(PermitAsk {
             life: gateway.incarnation,
@@ -54,16 +54,16 @@
             is_passed_on,
             limit,
         });
-        gateway.send_packet(&ask.into(), dealer).await;
+        gateway.send_packet(&ask.into(), issuer).await;
         let answer = tokio::time::timeout(patience, answer).await;
         let answer = answer.ok().and_then(Result::ok);
         let mut state = self.state.lock();
-        let contact = state.daemons.entry(dealer).or_default();
+        let contact = state.daemons.entry(issuer).or_default();
         match answer {
             Some(_) => contact.note_answer(asked_at.elapsed().as_secs_f64() * 1_000.0),
             None => {
                 contact.note_silent(gateway.steady_ms());
-                log::info!(target: "limit", "no answer for a permit. daemon={dealer}");
+                log::info!(target: "limit", "no answer for a permit. daemon={issuer}");
             }
         }
         answer
@@ -71,11 +71,11 @@
 
     fn open(
         &self,
-        dealer: SocketAddr,
+        issuer: SocketAddr,
         now_ms: u64,
     ) -> Option<(OpenAsk<'_>, oneshot::Receiver<PermitAnswer>, Duration)> {
         let mut state = self.state.lock();
-        let contact = state.daemons.get(&dealer).copied().unwrap_or_default();
+        let contact = state.daemons.get(&issuer).copied().unwrap_or_default();
         if contact.is_avoided(now_ms) {
             return None;
         }
--- a/src/gateway/limit_state.rs
+++ b/src/gateway/limit_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{Gateway, LIMITED_ANSWERS, PERMITS, PlaceRequest, Placement},
     crate::{
-        cluster::{PermitDealer, ToldLimit},
+        cluster::{PermitIssuer, ToldLimit},
         names::{ServiceName, UpstreamId},
         policy::{KnownLimit, NamedLimit, PermitShare, RequestRate, name_hash},
         upstreams::Upstream,
@@ -14,7 +14,7 @@
 /// name a limit are left out: each time is a question to another daemon.
 const MAX_DENIALS: usize = 3;
 /// When to ask again for a permit that could not be asked for, in milliseconds: others are
-/// found to deal them out in about twice that.
+/// found to issue them in about twice that.
 const UNANSWERED_WAIT_MS: u64 = 300;
 /// The least and the most that a client is told to wait where all upstreams of its service
 /// have used their limits up: below, it is back before any permit can be; above, a limit
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Takes a permit to send a request to an upstream from the daemon that deals them out;
+    /// Takes a permit to send a request to an upstream from the daemon that issues them;
     /// one is always there for an upstream that names no limit. `is_passed_on` says whether
     /// another daemon asked this one.
     ///
@@ -112,11 +112,11 @@
         let Some(known) = known else {
             return Ok(());
         };
-        let taken = match self.permit_dealer(id) {
-            PermitDealer::Own => self.deal_permit(id),
-            PermitDealer::Other(dealer) => {
+        let taken = match self.permit_issuer(id) {
+            PermitIssuer::Own => self.issue_permit(id),
+            PermitIssuer::Other(issuer) => {
                 let limit = ToldLimit::of(&known);
-                let answer = self.permit_desk.ask(self, dealer, limit, is_passed_on);
+                let answer = self.permit_desk.ask(self, issuer, limit, is_passed_on);
                 match answer.await {
                     Some(answer) => {
                         let known = answer.limit.as_ref().and_then(ToldLimit::known);
@@ -129,8 +129,8 @@
                     None => Err(UNANSWERED_WAIT_MS),
                 }
             }
-            // Nobody deals them out: each daemon takes an even part.
-            PermitDealer::Nobody => self.take_share(
+            // Nobody issues them: each daemon takes an even part.
+            PermitIssuer::Nobody => self.take_share(
                 id,
                 PermitShare {
                     part: 1.0 / self.daemons().max(1) as f64,
@@ -147,12 +147,12 @@
         taken
     }
 
-    /// Takes a permit of those that this daemon deals out.
+    /// Takes a permit of those that this daemon issues.
     ///
     /// # Errors
     ///
     /// Returns in how many milliseconds to come again.
-    pub fn deal_permit(&self, id: &UpstreamId) -> Result<(), u64> {
+    pub fn issue_permit(&self, id: &UpstreamId) -> Result<(), u64> {
         let share = PermitShare {
             unaware_per_s: self.unaware_per_s(id),
             ..PermitShare::ALL
@@ -179,14 +179,14 @@
         stay_ms.map_or(0.0, |ms| f64::from(active) * 1_000.0 / ms.max(1.0))
     }
 
-    fn permit_dealer(&self, id: &UpstreamId) -> PermitDealer {
+    fn permit_issuer(&self, id: &UpstreamId) -> PermitIssuer {
         let directory = self.directory.read();
         let domain = directory.get(id).map(|u| u.domain.clone());
         drop(directory);
         let domain = domain.as_ref().unwrap_or(self.domain());
-        let own_deals = self.is_hub() && !self.is_stopping();
+        let own_issues = self.is_hub() && !self.is_stopping();
         let peers = self.peers.lock();
-        peers.permit_dealer(name_hash(id.as_str()), domain.as_str(), own_deals)
+        peers.permit_issuer(name_hash(id.as_str()), domain.as_str(), own_issues)
     }
 
     /// Returns when a client may come back whose service has used up the limits of all its
--- a/src/policy/limits/limit_book.rs
+++ b/src/policy/limits/limit_book.rs
@@ -34,7 +34,7 @@
 }
 
 /// The limits that upstreams name, by what this daemon heard and others told, and the
-/// permits that it deals out.
+/// permits that it issues.
 ///
 /// The newest answer counts, of whatever daemon's request. One that names no limit lifts it
 /// only if its request was sent after the limit was last named: an answer may have begun
@@ -44,7 +44,7 @@
 /// too low by the time on the way, at each daemon that passes them on. Who hears something
 /// older tells what is newer.
 ///
-/// One daemon deals out the permits of an upstream, at the pace that it names, to whoever
+/// One daemon issues the permits of an upstream, at the pace that it names, to whoever
 /// asks first: so a limit is used up wherever the load comes in, and not exceeded however
 /// many daemons there are. Times are milliseconds of the daemon's steady clock.
 #[derive(Clone, Debug, Default)]
--- a/tests/decisions/limits.rs
+++ b/tests/decisions/limits.rs
@@ -106,12 +106,12 @@
     }
 }
 
-/// Many daemons ask one that deals out permits, each again when it was told to.
+/// Many daemons ask one that issues permits, each again when it was told to.
 #[test]
 fn a_limit_is_used_up_wherever_the_load_comes_in() {
     for (daemons, seed) in [(1, 1), (2, 2), (8, 3), (45, 4)] {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
-        let mut dealer = book_of(5.0);
+        let mut issuer = book_of(5.0);
         let mut asking: Vec<LimitBook> = (0..daemons).map(|_| book_of(5.0)).collect();
         let (mut times, mut asked) = (Vec::new(), 0);
         for now_ms in (1_000..61_000).step_by(2) {
@@ -120,7 +120,7 @@
                 continue;
             }
             asked += 1;
-            match dealer.take(&u("u"), PermitShare::ALL, now_ms) {
+            match issuer.take(&u("u"), PermitShare::ALL, now_ms) {
                 Ok(()) => times.push(now_ms),
                 Err(wait_ms) => book.note_used_up(&u("u"), wait_ms, now_ms),
             }
@@ -325,7 +325,7 @@
     }
 }
 
-/// Where nobody is known who deals out permits, each of six daemons takes an even part.
+/// Where nobody is known who issues permits, each of six daemons takes an even part.
 #[test]
 fn even_parts_add_up_to_the_whole() {
     let share = PermitShare {
@@ -359,7 +359,7 @@
 }
 
 #[test]
-fn all_hubs_find_the_same_dealer_and_it_stands_beside_the_upstream() {
+fn all_hubs_find_the_same_issuer_and_it_stands_beside_the_upstream() {
     let hubs = [
         ("a1", "a", 1),
         ("a2", "a", 1),
@@ -368,20 +368,20 @@
         ("b3", "b", 0),
     ];
     for upstream in 0..50 {
-        let mut dealers = HashSet::new();
+        let mut issuers = HashSet::new();
         for (n, (name, domain, level)) in hubs.iter().enumerate() {
             let table = table(name, domain, &hubs);
-            let dealer = match table.permit_dealer(upstream, "b", *level > 0) {
-                PermitDealer::Own => Some(address(n)),
-                PermitDealer::Other(at) => Some(at),
-                PermitDealer::Nobody => None,
+            let issuer = match table.permit_issuer(upstream, "b", *level > 0) {
+                PermitIssuer::Own => Some(address(n)),
+                PermitIssuer::Other(at) => Some(at),
+                PermitIssuer::Nobody => None,
             };
-            dealers.insert(dealer);
+            issuers.insert(issuer);
         }
-        assert_eq!(dealers.len(), 1, "upstream {upstream}: {dealers:?}");
-        let dealer = dealers.into_iter().next().unwrap().unwrap();
+        assert_eq!(issuers.len(), 1, "upstream {upstream}: {issuers:?}");
+        let issuer = issuers.into_iter().next().unwrap().unwrap();
         assert!(
-            dealer == address(2) || dealer == address(3),
+            issuer == address(2) || issuer == address(3),
             "of domain b, and aware"
         );
     }
@@ -389,38 +389,38 @@
         .map(|upstream| {
             format!(
                 "{:?}",
-                table("a1", "a", &hubs).permit_dealer(upstream, "b", true)
+                table("a1", "a", &hubs).permit_issuer(upstream, "b", true)
             )
         })
         .collect();
-    assert_eq!(spread.len(), 2, "both deal");
+    assert_eq!(spread.len(), 2, "both issue");
     let alone = table("a1", "a", &[("b3", "b", 0)]);
-    assert_eq!(alone.permit_dealer(1, "b", true), PermitDealer::Own);
-    assert_eq!(alone.permit_dealer(1, "b", false), PermitDealer::Nobody);
+    assert_eq!(alone.permit_issuer(1, "b", true), PermitIssuer::Own);
+    assert_eq!(alone.permit_issuer(1, "b", false), PermitIssuer::Nobody);
 }
 
 /// A hub that has just started says everything in both versions, and a full digest has no
-/// room for what stands behind it: nobody dealt out permits then, by turns.
+/// room for what stands behind it: nobody issued permits then, by turns.
 #[test]
 fn a_digest_that_does_not_tell_takes_nothing_back() {
     let mut table = table("a1", "a", &[("a2", "a", 1)]);
     table.note_level("a2", 0);
     assert_eq!(
-        table.permit_dealer(1, "a", false),
-        PermitDealer::Other(address(0))
+        table.permit_issuer(1, "a", false),
+        PermitIssuer::Other(address(0))
     );
 }
 
 /// One that starts again may be of another build: what it knows is told anew.
 #[test]
-fn a_daemon_that_starts_again_deals_nothing_until_it_says_that_it_can() {
+fn a_daemon_that_starts_again_issues_nothing_until_it_says_that_it_can() {
     let mut table = table("a1", "a", &[("a2", "a", 1)]);
     assert_eq!(
-        table.permit_dealer(1, "a", false),
-        PermitDealer::Other(address(0))
+        table.permit_issuer(1, "a", false),
+        PermitIssuer::Other(address(0))
     );
     let mut digest = Digest::new(entry("a2", "a", 0), 2, 1);
     digest.every_ms = 250;
     table.hear_digest(digest, 1_200);
-    assert_eq!(table.permit_dealer(1, "a", false), PermitDealer::Nobody);
+    assert_eq!(table.permit_issuer(1, "a", false), PermitIssuer::Nobody);
 }
