Who is hub where is kept with each change, not sorted out of all peers for each message

Cause: naming other daemons to one that asks asked of each far peer whether it is a hub, which filtered and sorted all peers: n² log n for one answer, n³ for a start. is_hub, own_hubs, hub_addresses, demand and quotas of hubs walked all peers for each request or message, too.

Ruled out: hearing a report (0.5 to 0.7 us at any size).

PeerIndex keeps, with each change of a peer, those of a failure domain by rank, the hubs, the holders of the duties, and who listens where. An answer looks at as many peers as it holds.

decisions/fleet_size counts the peers that are looked at (a counter that the tables had to get first): the same bound at 100 to 2,000 daemons.

--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -25,6 +25,7 @@
 mod member_table;
 mod packet;
 mod peer;
+mod peer_index;
 mod peer_table;
 mod permit_answers;
 mod permit_ask;
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -1,5 +1,5 @@
 use {
-    super::{peer::Peer, *},
+    super::{peer::Peer, peer_index::PeerIndex, *},
     crate::{
         names::{ClientAccount, UpstreamId},
         policy::{
@@ -9,9 +9,10 @@
     },
     rand::{Rng, seq::IteratorRandom},
     std::{
-        cell::RefCell,
+        cell::{Cell, RefCell},
         collections::{BTreeMap, BTreeSet, HashMap},
         net::SocketAddr,
+        sync::Arc,
     },
 };
 
@@ -49,7 +50,10 @@
     own: DaemonEntry,
     own_rank: DaemonRank,
     own_leaning: u32,
-    peers: BTreeMap<String, Peer>,
+    peers: BTreeMap<Arc<str>, Peer>,
+    index: PeerIndex,
+    /// How many peers were looked at so far.
+    looked_at: Cell<u64>,
     /// Daemons that were told a configuration lately, by what tellers say.
     told_config: HashMap<SocketAddr, u64>,
     now_ms: u64,
@@ -65,6 +69,8 @@
             own,
             own_leaning: 1,
             peers: BTreeMap::new(),
+            index: PeerIndex::default(),
+            looked_at: Cell::new(0),
             told_config: HashMap::new(),
             now_ms: 0,
             loads: RefCell::default(),
@@ -82,14 +88,13 @@
         if digest.daemon.name == self.own.name {
             return false;
         }
-        let known = digest.known.clone();
-        let peer = self.peer(&digest.daemon);
-        if !peer.hear_digest(digest, now_ms) {
+        let (daemon, known) = (digest.daemon.clone(), digest.known.clone());
+        if !self.change(&daemon, |peer| peer.hear_digest(digest, now_ms)) {
             return false;
         }
         for entry in known {
             if entry.name != self.own.name {
-                self.peer(&entry).note_told(entry, now_ms);
+                self.change(&entry, |peer| peer.note_told(entry.clone(), now_ms));
             }
         }
         self.loads.take();
@@ -99,18 +104,18 @@
     /// Takes in a report; returns whether it is news.
     pub fn hear_report(&mut self, report: &Report, now_ms: u64) -> bool {
         self.now_ms = self.now_ms.max(now_ms);
-        self.peer(&report.daemon).hear_report(report, now_ms)
+        self.change(&report.daemon, |peer| peer.hear_report(report, now_ms))
     }
 
     /// Takes in what a hub tells of quotas; returns whether it is news.
     pub fn hear_quotas(&mut self, part: &QuotasPart, now_ms: u64) -> bool {
-        let peer = self.peers.get_mut(&part.name);
+        let peer = self.peers.get_mut(part.name.as_str());
         peer.is_some_and(|p| p.hear_quotas(part, now_ms))
     }
 
     /// Takes in what a hub has at upstreams; returns whether it is one.
     pub fn hear_loads(&mut self, part: &LoadsPart, now_ms: u64) -> bool {
-        let peer = self.peers.get_mut(&part.name);
+        let peer = self.peers.get_mut(part.name.as_str());
         let hub = peer
             .filter(|p| p.as_hub().is_some())
             .and_then(|p| p.hub.as_mut());
@@ -124,12 +129,17 @@
         true
     }
 
-    fn peer(&mut self, entry: &DaemonEntry) -> &mut Peer {
+    /// Changes what is known of a peer, which is made if there is none yet.
+    fn change<T>(&mut self, entry: &DaemonEntry, change: impl FnOnce(&mut Peer) -> T) -> T {
+        let known = self.peers.get_key_value(entry.name.as_str());
+        let name = known.map_or_else(|| entry.name.as_str().into(), |(name, _)| name.clone());
         let now_ms = self.now_ms;
-        let peers = &mut self.peers;
-        peers
-            .entry(entry.name.clone())
-            .or_insert_with(|| Peer::told(entry.clone(), now_ms))
+        let told = || Peer::told(entry.clone(), now_ms);
+        let peer = self.peers.entry(name.clone()).or_insert_with(told);
+        self.index.remove(&name, peer);
+        let changed = change(peer);
+        self.index.add(&name, peer);
+        changed
     }
 
     /// Notes the time and how many daemons let requests in through this one,
@@ -137,67 +147,102 @@
     pub fn tick(&mut self, leaning: u32, now_ms: u64) {
         self.now_ms = now_ms;
         self.own_leaning = leaning;
-        self.peers
-            .retain(|_, p| now_ms < p.last_ms() + FORGOTTEN_MS);
+        let index = &mut self.index;
+        self.peers.retain(|name, peer| {
+            let is_kept = now_ms < peer.last_ms() + FORGOTTEN_MS;
+            match is_kept {
+                true if peer.is_candidate(now_ms) => {}
+                true => index.unrank(name, peer),
+                false => index.remove(name, peer),
+            }
+            is_kept
+        });
         self.loads.take();
     }
 
+    /// Returns how many peers this table looked at so far to answer what it was asked.
+    pub fn looked_at(&self) -> u64 {
+        self.looked_at.get()
+    }
+
+    fn note_looked_at(&self) {
+        self.looked_at.set(self.looked_at.get() + 1);
+    }
+
+    /// Returns peers of the index.
+    fn named<'a>(
+        &'a self,
+        names: impl Iterator<Item = &'a Arc<str>>,
+    ) -> impl Iterator<Item = &'a Peer> {
+        let peers = names.filter_map(|name| self.peers.get(name));
+        peers.inspect(|_| self.note_looked_at())
+    }
+
+    /// Returns all peers.
+    fn all(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().inspect(|_| self.note_looked_at())
+    }
+
+    /// Returns those that said last that they are hubs.
+    fn told_hubs(&self) -> impl Iterator<Item = &Peer> {
+        self.named(self.index.hubs())
+    }
+
     /// Returns whether this daemon is a hub of its failure domain: it decides
     /// for itself, and for those that ask it.
     pub fn is_hub(&self) -> bool {
-        let ahead = self.of_domain(&self.own.domain);
-        let ahead = ahead.filter(|p| p.rank > self.own_rank);
+        let first = self.of_domain(&self.own.domain).take(HUBS_PER_DOMAIN);
+        let ahead = first.filter(|p| p.rank > self.own_rank);
         ahead.count() < HUBS_PER_DOMAIN
     }
 
     /// Returns the hubs of the daemon's failure domain, the first to ask first.
     pub fn own_hubs(&self) -> Vec<SocketAddr> {
-        self.hubs_of(&self.own.domain)
+        let hubs = self.hubs_of(&self.own.domain);
+        hubs.map(|p| p.entry.address).collect()
     }
 
     /// Returns the daemons of the own failure domain that are no hubs.
     pub fn own_members(&self) -> BTreeSet<SocketAddr> {
-        let ranked = self.ranked(&self.own.domain).into_iter();
-        let members = ranked.filter(|p| p.as_hub().is_none());
+        let there = self.of_domain(&self.own.domain);
+        let members = there.filter(|p| p.as_hub().is_none());
         members.map(|p| p.entry.address).collect()
     }
 
-    fn hubs_of(&self, domain: &str) -> Vec<SocketAddr> {
-        let ranked = self.ranked(domain).into_iter().take(HUBS_PER_DOMAIN);
-        ranked.map(|p| p.entry.address).collect()
+    fn hubs_of<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a Peer> {
+        self.of_domain(domain).take(HUBS_PER_DOMAIN)
     }
 
-    fn ranked<'a>(&'a self, domain: &'a str) -> Vec<&'a Peer> {
-        let mut peers: Vec<_> = self.of_domain(domain).collect();
-        peers.sort_by_key(|p| std::cmp::Reverse(p.rank));
-        peers
+    /// Returns the live daemons of a failure domain that stay, in the order in which they
+    /// are its hubs.
+    fn of_domain<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a Peer> {
+        let ranked = self.named(self.index.ranked(domain));
+        ranked.filter(|p| p.is_candidate(self.now_ms))
     }
 
-    fn of_domain<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a Peer> {
-        let live = self.peers.values().filter(|p| p.is_candidate(self.now_ms));
-        live.filter(move |p| p.entry.domain == domain)
+    /// Returns those that are hubs by their place, and those that said that they are.
+    fn hubs_anywhere(&self) -> impl Iterator<Item = &Peer> {
+        let placed = self.index.domains().flat_map(|d| self.hubs_of(d));
+        placed.chain(self.told_hubs())
     }
 
     /// Returns how many live hubs of all failure domains rank ahead of this
     /// daemon.
     pub fn hubs_ahead(&self) -> usize {
-        let hubs = self.live().filter(|p| p.as_hub().is_some());
+        let hubs = self.told_hubs().filter(|p| p.is_live(self.now_ms));
         hubs.filter(|p| p.rank > self.own_rank).count()
     }
 
     /// Returns where a hub's digests go to: to the hubs of all failure domains,
     /// and to those that were, as long as they may only be cut off.
     pub fn hub_addresses(&self) -> BTreeSet<SocketAddr> {
-        let domains: BTreeSet<&str> = self.peers.values().map(|p| &*p.entry.domain).collect();
-        let ranked = domains.into_iter().flat_map(|d| self.hubs_of(d));
-        let told = self.peers.values().filter(|p| p.as_hub().is_some());
-        ranked.chain(told.map(|p| p.entry.address)).collect()
+        self.hubs_anywhere().map(|p| p.entry.address).collect()
     }
 
     /// Returns the daemons of the own failure domain that fell silent: one that
     /// starts again hears of the others by being told.
     pub fn silent_neighbours(&self) -> Vec<SocketAddr> {
-        let silent = self.peers.values().filter(|p| {
+        let silent = self.all().filter(|p| {
             p.entry.domain == self.own.domain && p.heard_ms.is_some() && p.is_silent(self.now_ms)
         });
         silent.map(|p| p.entry.address).collect()
@@ -206,13 +251,13 @@
     /// Returns daemons to name to one of a failure domain: the first ones of
     /// that domain, and some hubs of the others, drawn anew each time.
     pub fn named_for(&self, domain: &str, rng: &mut impl Rng) -> Vec<DaemonEntry> {
-        let near = self.ranked(domain).into_iter().take(NAMED_OF_DOMAIN);
+        let near = self.of_domain(domain).take(NAMED_OF_DOMAIN);
         let mut named: Vec<DaemonEntry> = near.map(|p| p.entry.clone()).collect();
-        let far = self.peers.values().filter(|p| {
-            p.entry.domain != domain && p.is_candidate(self.now_ms) && self.is_hub_there(p)
-        });
+        let hubs = self.hubs_anywhere();
+        let far = hubs.filter(|p| p.entry.domain != domain && p.is_candidate(self.now_ms));
+        let far: BTreeMap<&str, &Peer> = far.map(|p| (p.entry.name.as_str(), p)).collect();
         let left = MAX_DIGEST_DAEMONS.saturating_sub(named.len());
-        let drawn = far.choose_multiple(rng, left);
+        let drawn = far.into_values().choose_multiple(rng, left);
         named.extend(drawn.into_iter().map(|p| p.entry.clone()));
         named
     }
@@ -232,10 +277,8 @@
     /// the same hubs return the same one.
     pub fn permit_issuer(&self, upstream: u64, domain: &str, own_issues: bool) -> PermitIssuer {
         let key = |rank: DaemonRank, at: &str| (at == domain, home_rank(rank.drawn(), upstream));
-        let others = self
-            .peers
-            .values()
-            .filter(|p| p.issues_permits(self.now_ms));
+        let others = self.told_hubs();
+        let others = others.filter(|p| p.issues_permits(self.now_ms));
         let others = others.map(|p| {
             let issuer = PermitIssuer::Other(p.entry.address);
             (key(p.rank, &p.entry.domain), issuer)
@@ -248,20 +291,13 @@
     /// Returns how many requests hubs, and those that ask them, have at an upstream whose
     /// builds know of no limits.
     pub fn unaware_at(&self, id: &UpstreamId) -> u32 {
-        let hubs = self.peers.values();
+        let hubs = self.told_hubs();
         let hubs = hubs.filter(|p| p.level < LIMITS_LEVEL && p.has_fresh_loads(self.now_ms));
         let loads = hubs.filter_map(|p| p.as_hub()).flat_map(|h| &h.loads.loads);
         let there = loads.filter(|(at, ..)| at == id);
         there.map(|(_, active, _)| *active).sum()
     }
 
-    fn is_hub_there(&self, peer: &Peer) -> bool {
-        peer.as_hub().is_some()
-            || self
-                .hubs_of(&peer.entry.domain)
-                .contains(&peer.entry.address)
-    }
-
     /// Returns the addresses of daemons that are alive.
     pub fn live_addresses(&self) -> Vec<SocketAddr> {
         self.live().map(|p| p.entry.address).collect()
@@ -269,13 +305,13 @@
 
     /// Returns whether any hub's digest came lately.
     pub fn hears_hubs(&self) -> bool {
-        self.live().any(|p| p.as_hub().is_some())
+        self.live_hubs().next().is_some()
     }
 
     /// Returns whether a digest is due from a hub at an address, if the newest
     /// is `wanted_ms` old.
     pub fn wants_digest(&self, hub: SocketAddr, wanted_ms: u64) -> bool {
-        let peer = self.peers.values().find(|p| p.entry.address == hub);
+        let peer = self.named(self.index.at(hub).into_iter()).next();
         let heard_ms = peer.and_then(|p| p.heard_ms);
         heard_ms.is_none_or(|heard| self.now_ms >= heard + wanted_ms)
     }
@@ -288,8 +324,7 @@
             let others: u32 = hubs.iter().map(|p| p.leaning().max(1)).sum();
             return (others + self.own_leaning) as usize;
         }
-        let told = self.live().filter_map(|p| p.as_hub());
-        let told = told.map(|hub| hub.digest.daemons as usize).max();
+        let told = self.live_hubs().map(|d| d.daemons as usize).max();
         told.unwrap_or(0).max(hubs.len() + 1)
     }
 
@@ -322,7 +357,7 @@
     /// Returns what this daemon was told of an account's quota by the hub that
     /// told it last.
     pub fn told_quota(&self, account: &ClientAccount) -> Option<ToldQuota> {
-        let hubs = self.peers.values().filter_map(|p| p.as_hub());
+        let hubs = self.told_hubs().filter_map(|p| p.as_hub());
         let told = hubs.filter_map(|hub| Some((hub.quotas_ms, hub.quotas.get(account)?)));
         let (at_ms, told) = told.max_by_key(|(at_ms, _)| *at_ms)?;
         Some(ToldQuota {
@@ -343,8 +378,9 @@
     /// The same for any other hub of its failure domain.
     fn is_replaced_there(&self, peer: &Peer) -> bool {
         peer.is_late(self.now_ms)
-            && self.live().any(|other| {
+            && self.told_hubs().any(|other| {
                 other.entry.domain == peer.entry.domain
+                    && other.is_live(self.now_ms)
                     && !other.is_late(self.now_ms)
                     && took_over(other.leaning(), peer.leaning())
             })
@@ -353,7 +389,7 @@
     /// Returns how many other hubs' loads count, and how old they are in sum, in
     /// milliseconds.
     pub fn loads_ages(&self) -> (u64, u64) {
-        let fresh = self.peers.values();
+        let fresh = self.told_hubs();
         let fresh = fresh.filter(|p| p.has_fresh_loads(self.now_ms));
         let ages = fresh.filter_map(|p| p.as_hub());
         let ages = ages.map(|hub| self.now_ms.saturating_sub(hub.loads_ms));
@@ -366,7 +402,7 @@
         let mut cached = self.loads.borrow_mut();
         let told = cached.get_or_insert_with(|| {
             let mut told = LoadSums::default();
-            let fresh = self.peers.values();
+            let fresh = self.told_hubs();
             let fresh = fresh.filter(|p| p.has_fresh_loads(self.now_ms));
             for hub in fresh.filter_map(|p| p.as_hub()) {
                 for (id, active, tokens) in &hub.loads.loads {
@@ -409,9 +445,10 @@
     /// report: 8 windows of usage of a day held 1 in 100 requests (a simulation of 70
     /// daemons, the hubs of which the source turned away).
     pub fn reporting_duty_holders(&self) -> Vec<DutyDaemon> {
-        let members = self.live().filter(|p| p.as_hub().is_none());
-        let holders = members.filter(|p| p.status.holds_duties);
-        let holders = holders.map(|p| DutyDaemon {
+        let holders = self.named(self.index.duty_holders());
+        let live = holders.filter(|p| p.is_live(self.now_ms));
+        let members = live.filter(|p| p.as_hub().is_none());
+        let holders = members.map(|p| DutyDaemon {
             address: p.entry.address,
             life: p.life,
             holds: true,
@@ -464,8 +501,8 @@
         *told = version.max(*told);
         let newest = self.told_config.values().copied().max();
         self.told_config.retain(|_, told| Some(*told) == newest);
-        let peers = self.peers.values_mut();
-        for peer in peers.filter(|p| p.entry.address == address) {
+        let name = self.index.at(address);
+        if let Some(peer) = name.and_then(|name| self.peers.get_mut(name)) {
             peer.status.config_version = peer.status.config_version.max(version);
         }
     }
@@ -498,8 +535,7 @@
 
     /// Hubs whose part of the quotas is their own.
     fn reserved(&self) -> impl Iterator<Item = &Peer> {
-        let hubs = self.peers.values().filter(|p| p.as_hub().is_some());
-        let heard = hubs.filter(|p| {
+        let heard = self.told_hubs().filter(|p| {
             p.heard_ms
                 .is_some_and(|heard| self.now_ms < heard + RESERVED_MS)
         });
@@ -507,12 +543,12 @@
     }
 
     fn live(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(|p| p.is_live(self.now_ms))
+        self.all().filter(|p| p.is_live(self.now_ms))
     }
 
     fn live_hubs(&self) -> impl Iterator<Item = &Digest> {
-        self.live()
-            .filter_map(|p| p.as_hub().map(|hub| &hub.digest))
+        let live = self.told_hubs().filter(|p| p.is_live(self.now_ms));
+        live.filter_map(|p| p.as_hub().map(|hub| &hub.digest))
     }
 
     /// Returns the time between two digests of a hub, in milliseconds.
--- /dev/null
+++ b/tests/decisions/fleet_size.rs
@@ -0,0 +1,118 @@
+//! What a message or a question costs does not depend on how many daemons there are.
+
+use {
+    crate::cluster_support::*,
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    saddlepulley::cluster::*,
+};
+
+const SIZES: [usize; 4] = [100, 300, 1_000, 2_000];
+const DOMAINS: usize = 5;
+/// Of each failure domain, the hubs and as many again that come next.
+const MOST_OF_DOMAIN: u64 = 6;
+/// The hubs of all failure domains, by their place and by their word.
+const MOST_HUBS: u64 = 30;
+
+fn domain(n: usize) -> String {
+    format!("domain-{}", n % DOMAINS)
+}
+
+fn report(n: usize, sequence: u64) -> Report {
+    Report {
+        daemon: entry(&format!("n{n}"), &domain(n), n),
+        life: 1,
+        sequence,
+        every_ms: 500,
+        leans_on_you: true,
+        wants_digest: true,
+        wants_all: true,
+        status: DaemonStatus::default(),
+        events: Vec::new(),
+        alone: Vec::new(),
+        alone_batch: 0,
+    }
+}
+
+/// Makes the table of a daemon to which all others report, as they do to a seed.
+fn seed_of(daemons: usize) -> PeerTable {
+    let mut table = PeerTable::new(entry("n0", &domain(0), 0));
+    for n in 1..daemons {
+        table.hear_report(&report(n, 1), 1_000);
+    }
+    table.tick(1, 1_000);
+    table
+}
+
+/// Returns how many peers a table looks at to answer.
+fn looked_at<T>(table: &PeerTable, ask: impl FnOnce(&PeerTable) -> T) -> u64 {
+    let before = table.looked_at();
+    ask(table);
+    table.looked_at() - before
+}
+
+#[test]
+fn who_is_hub_and_whom_to_name_costs_the_same_in_any_fleet() {
+    for daemons in SIZES {
+        let table = seed_of(daemons);
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        let named = looked_at(&table, |t| t.named_for(&domain(3), &mut rng));
+        assert!(named <= MOST_OF_DOMAIN + MOST_HUBS, "{daemons}: {named}");
+        let is_hub = looked_at(&table, |t| t.is_hub());
+        assert!(is_hub <= MOST_OF_DOMAIN, "{daemons}: {is_hub}");
+        let own_hubs = looked_at(&table, |t| t.own_hubs());
+        assert!(own_hubs <= MOST_OF_DOMAIN, "{daemons}: {own_hubs}");
+        let hubs = looked_at(&table, |t| t.hub_addresses());
+        assert!(hubs <= MOST_HUBS, "{daemons}: {hubs}");
+        let known = looked_at(&table, |t| t.daemons());
+        assert!(known <= MOST_HUBS, "{daemons}: {known}");
+        let holders = looked_at(&table, |t| t.duty_daemons());
+        assert!(holders <= MOST_HUBS, "{daemons}: {holders}");
+        let wants = looked_at(&table, |t| t.wants_digest(address(9), 600));
+        assert!(wants <= 1, "{daemons}: {wants}");
+    }
+}
+
+#[test]
+fn hearing_a_daemon_costs_the_same_in_any_fleet() {
+    for daemons in SIZES {
+        let mut table = seed_of(daemons);
+        let before = table.looked_at();
+        assert!(table.hear_report(&report(9, 2), 1_100));
+        let digest = digest_of("n7", 1);
+        assert!(table.hear_digest(digest, 1_100));
+        assert_eq!(table.looked_at(), before, "{daemons}");
+    }
+}
+
+#[test]
+fn daemons_that_fell_silent_are_not_looked_at_again_and_again() {
+    let mut table = seed_of(2_000);
+    table.hear_report(&report(9, 2), 10_000);
+    table.tick(1, 10_000);
+    let is_hub = looked_at(&table, |t| t.is_hub());
+    assert!(is_hub <= MOST_OF_DOMAIN, "{is_hub}");
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let named = table.named_for(&domain(9), &mut rng);
+    let names: Vec<&str> = named.iter().map(|entry| entry.name.as_str()).collect();
+    assert_eq!(names, ["n9"], "only this one was heard since");
+}
+
+#[test]
+fn one_that_moved_or_left_is_found_only_where_it_is() {
+    let mut table = seed_of(100);
+    let mut moved = report(8, 2);
+    moved.daemon.domain = "elsewhere".into();
+    moved.daemon.address = address(500);
+    assert!(table.hear_report(&moved, 1_100));
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let there = table.named_for("elsewhere", &mut rng);
+    assert_eq!(there[0].address, address(500));
+    let mut leaving = moved.clone();
+    leaving.sequence = 3;
+    leaving.status.is_leaving = true;
+    assert!(table.hear_report(&leaving, 1_200));
+    let there = table.named_for("elsewhere", &mut rng);
+    assert!(there.iter().all(|entry| entry.domain != "elsewhere"));
+    assert!(table.wants_digest(address(8), 0), "it is not there any more");
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -11,6 +11,7 @@
 mod duties;
 mod engine_model;
 mod files;
+mod fleet_size;
 mod fleet;
 mod foreign_bytes;
 mod gateway_files;
