Of upstreams that are gone, the first to go are forgotten first

What followers saw: once 4,096 upstreams had gone, all that had gone was forgotten at once, so that each follower was told the whole directory anew, and a life that had left could come back by an old word. Cause: a bound of one size for any fleet, kept by forgetting all.

Now the oldest are forgotten one by one, and as many are kept as there are two for each known upstream, if that is more. What happened after a revision is found by an index, not by a look at all upstreams for each follower.

decisions/sources, what_went_is_remembered_while_a_whole_fleet_is_replaced: 10,000 upstreams replaced while a follower hears of them in steps of 500; told one by one each time.

--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -3,8 +3,10 @@
 mod directory_changes;
 mod directory_notes;
 mod exchange;
+mod gone_upstreams;
 mod newest_lives;
 mod ready_upstreams;
+mod revision_index;
 mod send_failure;
 mod upstream;
 mod upstream_directory;
--- a/src/upstreams/newest_lives.rs
+++ b/src/upstreams/newest_lives.rs
@@ -24,8 +24,10 @@
         before.filter(|before| before != id)
     }
 
-    /// Forgets upstreams of whose newest life `is_known` knows nothing.
-    pub fn retain(&mut self, is_known: impl Fn(&UpstreamId) -> bool) {
-        self.by_upstream.retain(|_, id| is_known(id));
+    /// Forgets an upstream whose newest life is this one.
+    pub fn forget(&mut self, id: &UpstreamId) {
+        if self.get(id.upstream()) == Some(id) {
+            self.by_upstream.remove(id.upstream());
+        }
     }
 }
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -1,6 +1,7 @@
 use {
     super::{
         DirectoryChanges, DirectoryNotes, NewestLives, ReadyUpstreams, ToldDirectory, Upstream,
+        gone_upstreams::GoneUpstreams, revision_index::RevisionIndex,
     },
     crate::names::{ServiceName, UpstreamId},
     parking_lot::Mutex,
@@ -10,10 +11,13 @@
     },
 };
 
-/// How many lives of upstreams that are gone are remembered. Their entries don't come
-/// back without this: it tells other daemons of them one by one, and keeps a life that
-/// was leaving from new work for good.
-const MAX_GONE: usize = 4_096;
+/// How many lives of upstreams that are gone are remembered at least. Their entries don't
+/// come back without this: it tells other daemons of them one by one, and keeps a life
+/// that was leaving from new work for good.
+const MIN_GONE: usize = 4_096;
+/// How many are remembered for each upstream that is known, where that is more: a whole
+/// directory may be replaced before a daemon that was cut off hears of any of it.
+const GONE_PER_KNOWN: usize = 2;
 
 /// The upstreams that are known, by service.
 ///
@@ -36,36 +40,25 @@
     position: u64,
     /// Whether it is fed by a source that no other daemon has.
     has_own_source: bool,
-    gone: HashMap<UpstreamId, Gone>,
+    gone: GoneUpstreams,
     /// With which revision each changed last.
-    changed: HashMap<UpstreamId, u64>,
+    changed: RevisionIndex,
     /// Entries that went while their source was away, with until when they may
     /// come back, in milliseconds of the daemon's steady clock.
     lapsed: HashMap<UpstreamId, u64>,
     revision: u64,
-    /// Before this revision, changes can't be told one by one.
-    told_from: u64,
     /// What was learned and not logged yet.
     notes: DirectoryNotes,
     /// By service, the list of ready ones and the revision that it is of.
     ready_lists: Mutex<HashMap<ServiceName, (u64, Arc<ReadyUpstreams>)>>,
 }
 
-/// What is remembered of a life of an upstream that is gone.
-#[derive(Clone, Copy, Debug)]
-struct Gone {
-    /// Whether it had said that it leaves: this life of it never comes back.
-    was_leaving: bool,
-    revision: u64,
-}
-
 impl UpstreamDirectory {
     /// Takes in what an upstream says; returns whether it changed anything that
     /// matters for routing.
     pub fn upsert(&mut self, mut upstream: Upstream) -> bool {
         let id = upstream.id.clone();
-        let is_over = self.gone.get(&id).is_some_and(|gone| gone.was_leaving);
-        if is_over || self.lives.is_over(&id) {
+        if self.gone.had_left(&id) || self.lives.is_over(&id) {
             return false;
         }
         let known = self.get(&id).cloned();
@@ -74,7 +67,7 @@
             Some(known) if upstream.offset < known.offset && !upstream.draining => return false,
             _ => {}
         }
-        self.gone.remove(&id);
+        self.gone.forget(&id);
         if let Some(before) = self.lives.note(&id) {
             self.forget(&before);
         }
@@ -97,7 +90,7 @@
         }
         self.store(upstream);
         self.revision += 1;
-        self.changed.insert(id, self.revision);
+        self.changed.note(&id, self.revision);
         true
     }
 
@@ -141,24 +134,18 @@
             return;
         };
         self.revision += 1;
-        self.changed.remove(id);
+        self.changed.forget(id);
         self.lapsed.remove(id);
         let removed = self.by_service.get_mut(&service).and_then(|b| b.remove(id));
         let Some(upstream) = removed else {
             return;
         };
         self.notes.gone.push((id.clone(), upstream.offset));
-        if self.gone.len() >= MAX_GONE {
-            self.gone.clear();
-            self.told_from = self.revision;
-            let service_of = &self.service_of;
-            self.lives.retain(|id| service_of.contains_key(id));
+        self.gone.note(id, upstream.draining, self.revision);
+        let most = MIN_GONE.max(GONE_PER_KNOWN * self.service_of.len());
+        for forgotten in self.gone.forget_first(most) {
+            self.lives.forget(&forgotten);
         }
-        let gone = Gone {
-            was_leaving: upstream.draining,
-            revision: self.revision,
-        };
-        self.gone.insert(id.clone(), gone);
     }
 
     /// Removes the entries that lapsed and did not come back in time.
@@ -217,17 +204,18 @@
     /// Returns what has changed since it was told last; everything, if that can't be
     /// told one by one.
     pub fn changes_since(&self, last: Option<ToldDirectory>) -> DirectoryChanges {
-        let last = last.filter(|t| t.revision >= self.told_from && t.revision <= self.revision);
+        let can_tell = |t: &ToldDirectory| {
+            t.revision <= self.revision && self.gone.has_all_since(t.revision)
+        };
+        let last = last.filter(can_tell);
         let last = last.unwrap_or_default();
         let is_whole = last.position == 0;
         let is_news = |upstream: &&Arc<Upstream>| {
-            let changed = self.changed.get(&upstream.id);
             is_whole
                 || upstream.offset >= last.position
-                || changed.is_some_and(|revision| *revision > last.revision)
+                || self.changed.is_since(&upstream.id, last.revision)
         };
-        let gone = self.gone.iter();
-        let gone = gone.filter(|(_, gone)| !is_whole && gone.revision > last.revision);
+        let gone = (!is_whole).then(|| self.gone.since(last.revision));
         DirectoryChanges {
             told: ToldDirectory {
                 revision: self.revision,
@@ -239,7 +227,7 @@
                 .filter(is_news)
                 .map(|b| b.as_ref().clone())
                 .collect(),
-            gone: gone.map(|(id, _)| id.clone()).collect(),
+            gone: gone.into_iter().flatten().cloned().collect(),
         }
     }
 
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -338,3 +338,59 @@
     own.apply(other.changes_since(None));
     assert!(!own.is_ready(&upstream(1, 0).id));
 }
+
+/// While many upstreams were replaced at once, what had gone was forgotten as a whole: all
+/// followers were told the whole directory anew, and a life that had left could come back.
+#[test]
+fn what_went_is_remembered_while_a_whole_fleet_is_replaced() {
+    for fleet in [1_000, 10_000_u32] {
+        let listing = (0..fleet).map(|n| upstream(n, u64::from(n) + 1));
+        let mut theirs = UpstreamDirectory::default();
+        let mut position = u64::from(fleet) + 1;
+        theirs.replace(listing.collect(), position, None);
+        let mut own = UpstreamDirectory::default();
+        own.apply(theirs.changes_since(None));
+        let mut known = theirs.changes_since(None).told;
+        for n in 0..fleet {
+            let mut leaving = upstream(n, position);
+            leaving.draining = true;
+            theirs.upsert(leaving);
+            theirs.remove(upstream(n, 0).id.as_str(), position + 1);
+            theirs.upsert(upstream(fleet + n, position + 2));
+            position += 3;
+            theirs.read_to(position);
+            if n % 500 == 499 {
+                let changes = theirs.changes_since(Some(known));
+                assert_ne!(changes.all_since, 0, "told one by one, after {n} of {fleet}");
+                known = changes.told;
+                own.apply(changes);
+            }
+        }
+        assert!(!theirs.upsert(upstream(fleet - 1, position)), "it had left");
+        assert_eq!(own.all().count(), fleet as usize);
+        assert!(own.all().all(|u| own.is_ready(&u.id)));
+    }
+}
+
+/// Only those that went first are forgotten, and with them what a daemon that heard nothing
+/// since could be told one by one.
+#[test]
+fn what_went_first_is_forgotten_first() {
+    let mut theirs = UpstreamDirectory::default();
+    theirs.replace(vec![upstream(0, 1)], 2, None);
+    let early = theirs.changes_since(None).told;
+    let mut late = early;
+    for n in 1..10_000_u32 {
+        let position = 2 * u64::from(n);
+        theirs.upsert(upstream(n, position));
+        theirs.remove(upstream(n, 0).id.as_str(), position + 1);
+        theirs.read_to(position + 2);
+        if n == 9_000 {
+            late = theirs.changes_since(None).told;
+        }
+    }
+    assert_eq!(theirs.changes_since(Some(early)).all_since, 0, "the whole");
+    let changes = theirs.changes_since(Some(late));
+    assert_ne!(changes.all_since, 0);
+    assert_eq!(changes.gone.len(), 999);
+}
