Daemons follow each other by news without heartbeats

A new path (/cluster/feed/4) beside the landed one, which stays as it is for landed builds; asked where the other daemon says that it knows it (level 2 in digests and reports). The whole directory is told packed, and packed once for all that are told it.

The feed stands in a folder of its own: messages, teller, follower.

--- a/src/cluster/extension.rs
+++ b/src/cluster/extension.rs
@@ -5,10 +5,13 @@
     },
 };
 
-/// Up to which kind of extension this build knows all.
-pub const EXTENSION_LEVEL: u8 = 1;
+/// How much beside the messages this build knows: it rises with what is added.
+pub const EXTENSION_LEVEL: u8 = 2;
 /// From which level on a daemon knows of limits that upstreams name.
 pub const LIMITS_LEVEL: u8 = 1;
+/// From which level on a daemon tells changes of its directory without words that only say
+/// that an upstream lives.
+pub const UPDATES_LEVEL: u8 = 2;
 /// How many bytes stand before an extension: its kind, and its length in two.
 const HEAD_BYTES: usize = 3;
 
--- /dev/null
+++ b/src/cluster/feed/follower.rs
@@ -0,0 +1,210 @@
+use {
+    super::{messages::*, state_source::StateSource},
+    crate::{
+        cluster::UPDATES_LEVEL,
+        gateway::Gateway,
+        http::HttpClient,
+        policy::SourceTries,
+        rollouts::Rollout,
+        routing::RoutingConfig,
+        upstreams::{DirectoryChanges, DirectoryNews, ToldDirectory},
+    },
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// How long an answer may take, beside the time that it is held.
+const FEED_TIMEOUT: Duration = Duration::from_millis(500);
+/// How often a daemon without others to ask looks for some.
+const PAUSE: Duration = Duration::from_millis(300);
+/// How often one that has just started does.
+const START_PAUSE: Duration = Duration::from_millis(10);
+const FAILURE_PAUSE: Duration = Duration::from_millis(50);
+/// After how many failures in a row the pause no longer grows.
+const MAX_PAUSES: usize = 6;
+
+/// Follows other daemons: those of the domain that read the source, unless this
+/// one does; and any that knows more.
+pub async fn follow_daemons(gateway: Arc<Gateway>) {
+    let mut follower = Follower {
+        client: HttpClient::default(),
+        known: None,
+        tries: SourceTries::default(),
+        gateway,
+    };
+    loop {
+        follower.turn().await;
+    }
+}
+
+/// What was told last, and by whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Known {
+    daemon: SocketAddr,
+    life: u64,
+    told: ToldDirectory,
+    /// Whether it tells changes without words that only say that an upstream lives.
+    tells_updates: bool,
+}
+
+/// News of either kind.
+#[derive(Debug)]
+struct Heard {
+    life: u64,
+    source_age_ms: Option<u64>,
+    config_version: u64,
+    config: Option<RoutingConfig>,
+    config_position: Option<u64>,
+    rollouts: Vec<Rollout>,
+    directory: HeardDirectory,
+}
+
+#[derive(Debug)]
+enum HeardDirectory {
+    Changes(DirectoryChanges),
+    News(DirectoryNews),
+}
+
+impl HeardDirectory {
+    fn told(&self) -> ToldDirectory {
+        match self {
+            Self::Changes(changes) => changes.told,
+            Self::News(news) => news.told,
+        }
+    }
+}
+
+impl From<FeedNews> for Heard {
+    fn from(news: FeedNews) -> Self {
+        Self {
+            life: news.life,
+            source_age_ms: news.source_age_ms,
+            config_version: news.config_version,
+            config: news.config,
+            config_position: news.config_position,
+            rollouts: news.rollouts,
+            directory: HeardDirectory::Changes(news.changes),
+        }
+    }
+}
+
+impl TryFrom<FeedUpdate> for Heard {
+    type Error = FeedError;
+
+    fn try_from(update: FeedUpdate) -> Result<Self, FeedError> {
+        Ok(Self {
+            directory: HeardDirectory::News(update.directory()?),
+            life: update.life,
+            source_age_ms: update.source_age_ms,
+            config_version: update.config_version,
+            config: update.config,
+            config_position: update.config_position,
+            rollouts: update.rollouts,
+        })
+    }
+}
+
+struct Follower {
+    gateway: Arc<Gateway>,
+    client: HttpClient,
+    known: Option<Known>,
+    tries: SourceTries,
+}
+
+impl Follower {
+    async fn turn(&mut self) {
+        let current = self.known.map(|known| known.daemon);
+        let source = StateSource::choose(&self.gateway, current, self.tries);
+        self.gateway.set_reads_source(source.reads_shared_source());
+        let Some(daemon) = source.daemon() else {
+            self.tries = SourceTries::default();
+            let pause = match source {
+                StateSource::Unknown => START_PAUSE,
+                _ => PAUSE,
+            };
+            return tokio::time::sleep(pause).await;
+        };
+        match self.ask(daemon).await {
+            Ok(heard) => {
+                let stale_ms = self.gateway.pace.stale_ms();
+                let is_stale = heard.source_age_ms.is_none_or(|age| age > stale_ms);
+                self.take_in(daemon, heard);
+                match is_stale {
+                    false => self.tries = SourceTries::default(),
+                    true => {
+                        self.tries.stale += 1;
+                        self.pause_after_failure().await;
+                    }
+                }
+            }
+            Err(e) => {
+                log::info!(target: "peers", "no news. peer={daemon} error=\"{e}\"");
+                self.tries.unreachable += 1;
+                self.pause_after_failure().await;
+            }
+        }
+    }
+
+    async fn pause_after_failure(&mut self) {
+        let failed = self.tries.unreachable + self.tries.stale;
+        tokio::time::sleep(FAILURE_PAUSE * failed.min(MAX_PAUSES) as u32).await;
+    }
+
+    async fn ask(&self, daemon: SocketAddr) -> Result<Heard, FeedError> {
+        let tells_updates = self.gateway.peers.lock().level_at(daemon) >= UPDATES_LEVEL;
+        let is_same = |k: &Known| k.daemon == daemon && k.tells_updates == tells_updates;
+        let known = self.known.filter(is_same);
+        let (life, told) = known.map_or_else(Default::default, |k| (k.life, k.told));
+        let newest_config = *self.gateway.newest_config.borrow();
+        let ask = FeedAsk {
+            life,
+            told,
+            config_version: newest_config.max(self.gateway.config_version()),
+            // One that can't be reached is asked again soon, one that is stale, too.
+            wait_ms: if self.tries == SourceTries::default() {
+                MAX_WAIT_MS
+            } else {
+                0
+            },
+        };
+        let timeout = FEED_TIMEOUT + Duration::from_millis(ask.wait_ms);
+        let body = encode(&ask)?;
+        let path = match tells_updates {
+            true => UPDATE_PATH,
+            false => NEWS_PATH,
+        };
+        let answer = self.client.post(daemon, path, body, timeout).await?;
+        match tells_updates {
+            true => decode::<FeedUpdate>(&answer)?.try_into(),
+            false => Ok(decode::<FeedNews>(&answer)?.into()),
+        }
+    }
+
+    fn take_in(&mut self, daemon: SocketAddr, heard: Heard) {
+        // The next changes count from these: all of them are taken in.
+        self.known = Some(Known {
+            daemon,
+            life: heard.life,
+            told: heard.directory.told(),
+            tells_updates: matches!(heard.directory, HeardDirectory::News(_)),
+        });
+        if let Some(config) = heard.config {
+            log::info!(target: "config", "told by a daemon. version={} peer={daemon}", config.version);
+            self.gateway.apply_config(config);
+            self.gateway.note_config_position(heard.config_position);
+        }
+        // What was told just now isn't asked for.
+        let version = heard.config_version;
+        self.gateway.peers.lock().hear_config(daemon, version);
+        self.gateway.note_newest_config(version);
+        self.gateway.hear_rollouts(&heard.rollouts);
+        self.gateway
+            .change_directory(|directory, _| match heard.directory {
+                HeardDirectory::Changes(changes) => directory.apply(changes),
+                HeardDirectory::News(news) => directory.apply_news(news),
+            });
+        if let Some(age_ms) = heard.source_age_ms {
+            self.gateway.note_relayed(age_ms);
+        }
+        self.gateway.check_ready();
+    }
+}
--- /dev/null
+++ b/src/cluster/feed/teller.rs
@@ -0,0 +1,163 @@
+use {
+    super::messages::*,
+    crate::{
+        cluster::{CONFIG_PATH, ConfigTeller},
+        gateway::{AnswerBody, Gateway, own_answer, serve_plain, whole_body},
+        routing::RoutingConfig,
+        upstreams::ToldDirectory,
+    },
+    bytes::Bytes,
+    http::{Request, Response, StatusCode},
+    http_body_util::{BodyExt, Limited},
+    hyper::body::Incoming,
+    parking_lot::Mutex,
+    serde::Serialize,
+    std::{sync::Arc, time::Duration},
+    tokio::net::TcpListener,
+};
+
+/// Larger configurations are read from the source by each daemon, or asked for
+/// apart from the news. Routes and client accounts together.
+const MAX_TOLD_CONFIG: usize = 100;
+
+/// Tells other daemons what this one knows.
+pub async fn serve_feed(listener: TcpListener, gateway: Arc<Gateway>) {
+    let configs = Arc::new(ConfigTeller::new(gateway.clone()));
+    let news = Arc::new(NewsTeller {
+        gateway,
+        whole: Mutex::default(),
+    });
+    serve_plain(listener, move |request| {
+        let (configs, news) = (configs.clone(), news.clone());
+        async move {
+            match request.uri().path() {
+                UPDATE_PATH => news.answer(request, NewsTeller::update_for).await,
+                NEWS_PATH => news.answer(request, NewsTeller::news_for).await,
+                CONFIG_PATH => configs.answer(request).await,
+                _ => own_answer(StatusCode::NOT_FOUND, "no such path"),
+            }
+        }
+    })
+    .await;
+}
+
+/// Tells other daemons news, and keeps the whole directory packed as it was told last.
+#[derive(Debug)]
+struct NewsTeller {
+    gateway: Arc<Gateway>,
+    /// The directory's revision, and its upstreams.
+    whole: Mutex<Option<(u64, Bytes)>>,
+}
+
+impl NewsTeller {
+    async fn answer<T: Serialize>(
+        &self,
+        request: Request<Incoming>,
+        told: impl Fn(&Self, FeedAsk) -> Result<T, FeedError>,
+    ) -> Response<AnswerBody> {
+        let Ok(body) = Limited::new(request.into_body(), MAX_ASK_BYTES)
+            .collect()
+            .await
+        else {
+            return own_answer(StatusCode::BAD_REQUEST, "expected a short question");
+        };
+        let ask = match decode::<FeedAsk>(&body.to_bytes()) {
+            Ok(ask) => ask,
+            Err(e) => return own_answer(StatusCode::BAD_REQUEST, &e.to_string()),
+        };
+        self.wait_for_news(ask).await;
+        match told(self, ask).and_then(|told| encode(&told)) {
+            Ok(bytes) => Response::new(whole_body(bytes)),
+            Err(e) => {
+                log::warn!(target: "peers", "news not told. error=\"{e}\"");
+                own_answer(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string())
+            }
+        }
+    }
+
+    async fn wait_for_news(&self, ask: FeedAsk) {
+        let gateway = &self.gateway;
+        let mut news = gateway.news.subscribe();
+        let is_new = |_: &u64| {
+            let same_life = ask.life == gateway.incarnation;
+            let same = same_life && ask.told.revision == gateway.directory.read().revision();
+            let version = gateway.config_version();
+            !same || version > ask.config_version
+        };
+        let wait = Duration::from_millis(ask.wait_ms.min(MAX_WAIT_MS));
+        // No news in time is an answer, too.
+        let _ = tokio::time::timeout(wait, news.wait_for(is_new)).await;
+    }
+
+    /// Returns what the asker knows of this life's directory.
+    fn known(&self, ask: FeedAsk) -> Option<ToldDirectory> {
+        (ask.life == self.gateway.incarnation).then_some(ask.told)
+    }
+
+    /// Returns the version of the configuration in force, and the configuration if it is
+    /// news and small.
+    fn config_for(&self, ask: FeedAsk) -> (u64, Option<RoutingConfig>) {
+        let table = self.gateway.table();
+        let version = table.as_ref().map_or(0, |t| t.version());
+        let newer = table.filter(|t| t.version() > ask.config_version);
+        let newer = newer.filter(|t| t.config().size() <= MAX_TOLD_CONFIG);
+        (version, newer.map(|t| t.config().as_ref().clone()))
+    }
+
+    fn update_for(&self, ask: FeedAsk) -> Result<FeedUpdate, FeedError> {
+        let gateway = &self.gateway;
+        // Read before the configuration: it may be too early, but not too late.
+        let config_position = *gateway.config_position.lock();
+        let (config_version, config) = self.config_for(ask);
+        let (told, is_whole, packed) = self.packed_since(self.known(ask))?;
+        Ok(FeedUpdate {
+            life: gateway.incarnation,
+            source_age_ms: gateway.source_age_ms(),
+            config_version,
+            config,
+            config_position,
+            rollouts: gateway.told_rollouts(),
+            told,
+            is_whole,
+            packed,
+        })
+    }
+
+    /// Returns what is told of the directory, whether that is the whole, and its upstreams.
+    fn packed_since(
+        &self,
+        known: Option<ToldDirectory>,
+    ) -> Result<(ToldDirectory, bool, Bytes), FeedError> {
+        let directory = self.gateway.directory.read();
+        let told = directory.told();
+        let mut whole = self.whole.lock();
+        if directory.is_told_whole(known)
+            && let Some((revision, packed)) = &*whole
+            && *revision == told.revision
+        {
+            return Ok((told, true, packed.clone()));
+        }
+        let news = directory.news_since(known);
+        drop(directory);
+        let packed = pack_upstreams(&news.upstreams, &news.gone)?;
+        if news.is_whole {
+            *whole = Some((told.revision, packed.clone()));
+        }
+        Ok((told, news.is_whole, packed))
+    }
+
+    fn news_for(&self, ask: FeedAsk) -> Result<FeedNews, FeedError> {
+        let gateway = &self.gateway;
+        let config_position = *gateway.config_position.lock();
+        let (config_version, config) = self.config_for(ask);
+        Ok(FeedNews {
+            life: gateway.incarnation,
+            source_age_ms: gateway.source_age_ms(),
+            config_version,
+            config,
+            config_position,
+            changes: gateway.directory.read().changes_since(self.known(ask)),
+            rollouts: gateway.told_rollouts(),
+        })
+    }
+}
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -16,6 +16,7 @@
 mod event_log;
 mod exchange;
 mod extension;
+mod feed;
 mod fleet_scaler;
 mod hub_desk;
 mod limit_teller;
@@ -36,8 +37,6 @@
 mod report_teller;
 mod rollout_duty;
 mod spoken_versions;
-mod state_feed;
-mod state_source;
 mod usage_part;
 mod usage_teller;
 mod versions_part;
@@ -46,10 +45,10 @@
 pub use {
     ask::*, config_follower::*, config_message::*, config_teller::*, crashes_part::*,
     daemon_entry::*, datagram::*, digest::*, duty_borders::*, duty_runner::*, event_log::*,
-    exchange::*, extension::*, fleet_scaler::*, hub_desk::*, limits_part::*, loads_part::*,
+    exchange::*, extension::*, feed::*, fleet_scaler::*, hub_desk::*, limits_part::*, loads_part::*,
     lone_quotas::*, member_table::*, packet::*, peer_table::*, permit_ask::*, permit_desk::*,
     quarantine_keeper::*, quotas_part::*, report::*, rollout_duty::*, spoken_versions::*,
-    state_feed::*, state_source::*, usage_part::*, usage_teller::*, versions_part::*,
+    usage_part::*, usage_teller::*, versions_part::*,
 };
 use {
     ask_answers::*, crash_teller::*, digest_teller::*, limit_teller::*, permit_answers::*,
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -271,6 +271,13 @@
         }
     }
 
+    /// Returns up to which kind of extension the daemon at an address knows all, as far as
+    /// it was heard.
+    pub fn level_at(&self, address: SocketAddr) -> u8 {
+        let peer = self.named(self.index.at(address).into_iter()).next();
+        peer.map_or(0, |p| p.level)
+    }
+
     /// Returns who issues the permits of an upstream that names a limit, by the hash of
     /// its name and its failure domain: a hub of that domain, if there is one. Whoever is
     /// cut off from it is cut off from the upstream, too, as a rule. All daemons that know
--- a/src/upstreams/followed_view.rs
+++ b/src/upstreams/followed_view.rs
@@ -10,20 +10,20 @@
 #[derive(Debug, Default)]
 pub(super) struct FollowedView {
     told: HashSet<UpstreamId>,
-    from_elsewhere: HashSet<UpstreamId>,
+    known_elsewhere: HashSet<UpstreamId>,
 }
 
 impl FollowedView {
     /// Notes that an upstream is known.
     pub(super) fn note_known(&mut self, id: &UpstreamId) {
         if !self.told.contains(id) {
-            self.from_elsewhere.insert(id.clone());
+            self.known_elsewhere.insert(id.clone());
         }
     }
 
     /// Notes that an upstream is known no more.
     pub(super) fn note_forgotten(&mut self, id: &UpstreamId) {
-        self.from_elsewhere.remove(id);
+        self.known_elsewhere.remove(id);
     }
 
     /// Takes in whom news tell of, beside those that are known.
@@ -35,22 +35,22 @@
     ) {
         if news.is_whole {
             self.told.clear();
-            self.from_elsewhere.extend(all_known.cloned());
+            self.known_elsewhere.extend(all_known.cloned());
         }
         for id in &news.gone {
             self.told.remove(id);
             if known(id) {
-                self.from_elsewhere.insert(id.clone());
+                self.known_elsewhere.insert(id.clone());
             }
         }
         for upstream in &news.upstreams {
-            self.from_elsewhere.remove(&upstream.id);
+            self.known_elsewhere.remove(&upstream.id);
             self.told.insert(upstream.id.clone());
         }
     }
 
     /// Returns those that are known, and not by the daemon that is followed.
-    pub(super) fn from_elsewhere(&self) -> impl Iterator<Item = &UpstreamId> {
-        self.from_elsewhere.iter()
+    pub(super) fn known_elsewhere(&self) -> impl Iterator<Item = &UpstreamId> {
+        self.known_elsewhere.iter()
     }
 }
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -219,12 +219,7 @@
     /// Returns what has changed since it was told last; everything, if that can't be
     /// told one by one.
     pub fn news_since(&self, last: Option<ToldDirectory>) -> DirectoryNews {
-        let last = last.filter(|t| t.position > 0 && self.has_all_since(t.revision));
-        let told = ToldDirectory {
-            revision: self.revision,
-            position: self.position,
-        };
-        let (upstreams, gone) = match last {
+        let (upstreams, gone) = match last.filter(|_| !self.is_told_whole(last)) {
             None => (self.all().map(|u| u.as_ref().clone()).collect(), Vec::new()),
             Some(last) => {
                 let changed = self.changed.since(last.revision);
@@ -237,13 +232,26 @@
             }
         };
         DirectoryNews {
-            told,
-            is_whole: last.is_none(),
+            told: self.told(),
+            is_whole: self.is_told_whole(last),
             upstreams,
             gone,
         }
     }
 
+    /// Returns whether what has changed since it was told last can't be told one by one.
+    pub fn is_told_whole(&self, last: Option<ToldDirectory>) -> bool {
+        !last.is_some_and(|t| t.position > 0 && self.has_all_since(t.revision))
+    }
+
+    /// Returns what is told with the news of this moment.
+    pub fn told(&self) -> ToldDirectory {
+        ToldDirectory {
+            revision: self.revision,
+            position: self.position,
+        }
+    }
+
     /// Takes in news of the daemon that is followed, as of its position. What is known from
     /// elsewhere and should have been told by then is gone, too.
     pub fn apply_news(&mut self, news: DirectoryNews) {
@@ -255,7 +263,7 @@
         let is_known = |id: &UpstreamId| service_of.contains_key(id);
         self.followed.take_in(&news, is_known, service_of.keys());
         self.take_in(news.upstreams);
-        let elsewhere = self.followed.from_elsewhere();
+        let elsewhere = self.followed.known_elsewhere();
         let lacked = elsewhere.filter(|id| self.get(id).is_some_and(|u| u.offset < position));
         for id in lacked.cloned().collect::<Vec<_>>() {
             self.forget(&id);
