A daemon that starts asks one seed at a time, more and more seldom

What was seen: from their start until the first traffic, 24 s later, the seeds did nothing but answer. Cause: each daemon that starts asked each of its seeds ten times a second for a second and longer, and its hubs as often; an answer is 1.3 KB, so that 985 daemons asked for 12 MB a second of each seed (by sizes).

SeedPace: one seed after the other, after 100, 200, 400 ms and so on up to 1.6 s, drawn apart. How long a report holds is told with it. Hubs are asked for all they know at the same pace.

decisions/fleet_start: fleets of 100 to 2,000 that start within 0.2 s; after 2 s no daemon would ask another than the first hub of its failure domain, and no seed was asked more than twice by each daemon on average.

--- a/src/cluster/report_teller.rs
+++ b/src/cluster/report_teller.rs
@@ -1,6 +1,6 @@
 use {
     super::{digest_teller::*, *},
-    crate::gateway::Gateway,
+    crate::{gateway::Gateway, policy::SeedPace},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -12,10 +12,8 @@
 const REPORT_EVERY_MS: u64 = 500;
 /// How often other hubs are told that this daemon lives, in milliseconds.
 const ALIVE_EVERY_MS: u64 = 1_000;
-/// How often a daemon that hears no hub says that it is there, in milliseconds.
-const HELLO_EVERY_MS: u64 = 100;
-/// For how long after its start a daemon does so all the same, in milliseconds:
-/// until then the others have started, too.
+/// For how long after its start a daemon asks its seeds also if it hears hubs, in
+/// milliseconds: until then the others have started, too.
 const STARTING_MS: u64 = 1_000;
 /// How old what is known of quotas and other daemons may be, in milliseconds.
 const ALL_EVERY_MS: u64 = 1_800;
@@ -24,51 +22,99 @@
 const MAX_EVENTS: usize = 24;
 
 /// Reports to the hubs of the failure domain for as long as this daemon isn't
-/// one itself, and to the seeds until it hears any.
+/// one itself, and to its seeds until it hears any.
 pub(super) async fn tell_reports(gateway: Arc<Gateway>) {
-    let mut alive_ms = 0;
-    let mut all_ms = 0;
+    let mut reporter = Reporter {
+        seed_pace: SeedPace::new(gateway.draw()),
+        hears_hubs: false,
+        reported: (None, 0),
+        alive_ms: 0,
+        all_ms: 0,
+        gateway: gateway.clone(),
+    };
+    let mut is_woken = false;
     loop {
-        let now_ms = gateway.steady_ms();
-        let is_starting = now_ms < STARTING_MS || !gateway.peers.lock().hears_hubs();
-        let mut every_ms = REPORT_EVERY_MS;
-        if is_starting {
-            every_ms = HELLO_EVERY_MS;
-            tell_seeds(&gateway).await;
-        }
-        if !gateway.is_hub() {
-            let leans_on = gateway.hub_desk.leans_on(&gateway);
-            let wants_all = is_starting || now_ms >= all_ms + ALL_EVERY_MS;
-            if wants_all {
-                all_ms = now_ms;
-            }
-            if let Some(hub) = leans_on {
-                report_to_hub(&gateway, hub, wants_all).await;
-            }
-            if is_starting || now_ms >= alive_ms + ALIVE_EVERY_MS {
-                alive_ms = now_ms;
-                let hubs: BTreeSet<_> = gateway.peers.lock().own_hubs().into_iter().collect();
-                for hub in hubs.into_iter().filter(|h| Some(*h) != leans_on) {
-                    let report = own_report(&gateway, hub, ALIVE_EVERY_MS);
-                    gateway.send_packet(&report_packet(report), hub).await;
-                }
-            }
-        }
+        let pause_ms = match reporter.turn(is_woken).await {
+            true => 0,
+            false => REPORT_EVERY_MS,
+        };
+        let pause = Duration::from_millis(pause_ms).saturating_sub(REPORT_PAUSE);
         let early = gateway.report_early.notified();
-        let every = Duration::from_millis(every_ms).saturating_sub(REPORT_PAUSE);
-        let _ = tokio::time::timeout(every, early).await;
+        is_woken = tokio::time::timeout(pause, early).await.is_ok();
         tokio::time::sleep(REPORT_PAUSE).await;
     }
 }
 
-async fn tell_seeds(gateway: &Gateway) {
-    for seed in &gateway.settings.peers.seeds {
-        if *seed == gateway.settings.listen.peers {
-            continue;
+struct Reporter {
+    gateway: Arc<Gateway>,
+    seed_pace: SeedPace,
+    hears_hubs: bool,
+    /// The hub through which requests are let in, as it was reported to last, and when.
+    reported: (Option<SocketAddr>, u64),
+    /// When the other hubs were told last that this daemon lives.
+    alive_ms: u64,
+    /// When all was asked for last.
+    all_ms: u64,
+}
+
+impl Reporter {
+    /// Reports what is due; returns whether this daemon still looks for others.
+    async fn turn(&mut self, is_woken: bool) -> bool {
+        let now_ms = self.gateway.steady_ms();
+        let is_starting = self.is_starting(now_ms);
+        let asks_all = is_starting && self.ask_seed(now_ms).await;
+        if !self.gateway.is_hub() {
+            self.report(asks_all, is_woken, now_ms).await;
+        }
+        is_starting
+    }
+
+    fn is_starting(&mut self, now_ms: u64) -> bool {
+        let hears_hubs = self.gateway.peers.lock().hears_hubs();
+        if self.hears_hubs && !hears_hubs {
+            self.seed_pace.restart(now_ms);
+        }
+        self.hears_hubs = hears_hubs;
+        now_ms < STARTING_MS || !hears_hubs
+    }
+
+    /// Asks a seed who the others are, if that is due; returns whether it was.
+    async fn ask_seed(&mut self, now_ms: u64) -> bool {
+        let gateway = &self.gateway;
+        let seeds = &gateway.settings.peers.seeds;
+        let Some(ask) = self.seed_pace.ask(seeds.len(), gateway.draw(), now_ms) else {
+            return false;
+        };
+        let seed = seeds[ask.seed];
+        if seed != gateway.settings.listen.peers {
+            let mut report = own_report(gateway, seed, ask.every_ms);
+            (report.wants_digest, report.wants_all) = (true, true);
+            gateway.send_packet(&report_packet(report), seed).await;
+        }
+        true
+    }
+
+    async fn report(&mut self, asks_all: bool, is_woken: bool, now_ms: u64) {
+        let gateway = &self.gateway;
+        let leans_on = gateway.hub_desk.leans_on(gateway);
+        let wants_all = asks_all || now_ms >= self.all_ms + ALL_EVERY_MS;
+        if wants_all {
+            self.all_ms = now_ms;
+        }
+        let (reported_to, reported_ms) = self.reported;
+        let is_due = reported_to != leans_on || now_ms >= reported_ms + REPORT_EVERY_MS;
+        if let Some(hub) = leans_on.filter(|_| wants_all || is_woken || is_due) {
+            self.reported = (leans_on, now_ms);
+            report_to_hub(gateway, hub, wants_all).await;
+        }
+        if asks_all || now_ms >= self.alive_ms + ALIVE_EVERY_MS {
+            self.alive_ms = now_ms;
+            let hubs: BTreeSet<_> = gateway.peers.lock().own_hubs().into_iter().collect();
+            for hub in hubs.into_iter().filter(|h| Some(*h) != leans_on) {
+                let report = own_report(gateway, hub, ALIVE_EVERY_MS);
+                gateway.send_packet(&report_packet(report), hub).await;
+            }
         }
-        let mut report = own_report(gateway, *seed, HELLO_EVERY_MS);
-        (report.wants_digest, report.wants_all) = (true, true);
-        gateway.send_packet(&report_packet(report), *seed).await;
     }
 }
 
--- a/src/policy/hubs/mod.rs
+++ b/src/policy/hubs/mod.rs
@@ -3,5 +3,6 @@
 
 mod contact;
 mod rank;
+mod seed_pace;
 
-pub use {contact::*, rank::*};
+pub use {contact::*, rank::*, seed_pace::*};
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -12,6 +12,7 @@
 mod engine_model;
 mod files;
 mod fleet_size;
+mod fleet_start;
 mod fleet;
 mod foreign_bytes;
 mod gateway_files;
