A hub tells a daemon of the client accounts that it uses, and of the others by turns

Cause: each daemon that asks a hub was told all accounts each 1.8 s: at 333 accounts and 196 daemons 0.87 MB a second out of one hub, and 4.4 KB a second to each daemon (by sizes), over the 3 KB/s for all control. A daemon needs them only to let requests in alone while no hub answers.

Now one datagram: the accounts whose requests came to the daemon in the last 30 s first, the others by turns as there is room; more only where it uses more. Each account is as old as it was told.

decisions/members: one datagram at 40, 333 and 2,000 accounts, the used ones in each, all of them some time; all of 100 used ones at once.

--- a/src/cluster/digest_teller.rs
+++ b/src/cluster/digest_teller.rs
@@ -55,7 +55,8 @@
     let digest = own_digest(gateway, gateway.domain().as_str(), every_ms);
     let age_ms = gateway.hub_age_ms();
     let mut packets = vec![digest_packet(digest.clone())];
-    let quotas = quotas_parts(gateway, gateway.tick_quotas(), sequence, age_ms);
+    let quotas = in_parts(gateway.tick_quotas());
+    let quotas = quotas_parts(gateway, quotas, sequence, age_ms);
     let loads = loads_parts(gateway, &gateway.led_loads(), sequence, 0);
     packets.extend(quotas.into_iter().chain(loads).map(Packet::from));
     send_all(gateway, &packets, &hubs).await;
@@ -107,9 +108,9 @@
         tell_in_force(gateway, &BTreeSet::from([to])).await;
     }
     if report.wants_all && report.leans_on_you {
-        let sequence = gateway.next_sequence();
-        let told = gateway.told_quotas();
-        for part in quotas_parts(gateway, told, sequence, 0) {
+        let all = gateway.told_quotas();
+        let told = gateway.members.lock().quotas_for(&report.daemon.name, all);
+        for part in quotas_parts(gateway, told, gateway.next_sequence(), 0) {
             gateway.send_datagram(&part, to).await;
         }
     }
@@ -145,11 +146,11 @@
 
 fn quotas_parts(
     gateway: &Gateway,
-    told: Vec<ToldAccount>,
+    parts: Vec<Vec<ToldAccount>>,
     sequence: u64,
     age_ms: u64,
 ) -> Vec<Datagram> {
-    let parts = in_parts(told).into_iter().filter(|part| !part.is_empty());
+    let parts = parts.into_iter().filter(|part| !part.is_empty());
     parts
         .map(|quotas| {
             Datagram::Quotas(QuotasPart {
--- a/src/cluster/member_table.rs
+++ b/src/cluster/member_table.rs
@@ -13,6 +13,9 @@
 /// How many answers to a daemon's questions are remembered: asked again, it gets
 /// the same one.
 const REMEMBERED_ANSWERS: usize = 64;
+/// For how long an account counts as one whose requests come to a daemon, in milliseconds:
+/// longer than it may have to do without a hub.
+const USED_MS: u64 = 30_000;
 /// Within how many milliseconds two daemons must miss an upstream for it to
 /// count as gone for all: one may only be cut off itself.
 const MISSED_WITHIN_MS: u64 = 2_000;
@@ -30,6 +33,10 @@
     booked: Vec<Booking>,
     last_event: u64,
     last_alone: u64,
+    /// The client accounts whose requests it asked to let in, and when last.
+    accounts: HashMap<ClientAccount, u64>,
+    /// Where its next turn among the other accounts begins.
+    next_account: usize,
     answers: VecDeque<(u64, Verdict)>,
 }
 
@@ -108,6 +115,10 @@
     pub fn known_answer(&mut self, ask: &Ask, now_ms: u64) -> Option<Verdict> {
         let member = self.member(&ask.name, ask.life, now_ms);
         member.leans = true;
+        if let Some(quota) = &ask.quota {
+            let account = ClientAccount::from(quota.account.as_str());
+            member.accounts.insert(account, now_ms);
+        }
         let known = member.answers.iter().find(|(id, _)| *id == ask.id);
         known.map(|(_, verdict)| verdict.clone())
     }
@@ -135,6 +146,29 @@
         }
     }
 
+    /// Returns what to tell a daemon of the client accounts: of those whose requests come to
+    /// it each time, of the others by turns, as far as there is room.
+    pub fn quotas_for(&mut self, name: &str, all: Vec<ToldAccount>) -> Vec<Vec<ToldAccount>> {
+        let Some(member) = self.members.get_mut(name) else {
+            return Vec::new();
+        };
+        let is_used = |told: &ToldAccount| member.accounts.contains_key(told.name.as_str());
+        let (mut told, mut others): (Vec<_>, Vec<_>) = all.into_iter().partition(is_used);
+        let used = told.len();
+        let begin = member.next_account.checked_rem(others.len()).unwrap_or(0);
+        others.rotate_left(begin);
+        told.extend(others);
+        let mut count = 0;
+        let mut parts = in_parts(told);
+        parts.retain(|part| {
+            let is_told = count == 0 || count < used;
+            count += part.len() * usize::from(is_told);
+            is_told && !part.is_empty()
+        });
+        member.next_account = begin + count.saturating_sub(used);
+        parts
+    }
+
     /// Notes that a daemon could not reach an upstream; returns whether another
     /// one missed it just before.
     pub fn is_missed_by_others(&mut self, name: &str, id: &UpstreamId, now_ms: u64) -> bool {
@@ -148,6 +182,7 @@
             .retain(|_, m| now_ms < m.heard_ms + MEMBER_SILENT_MS);
         for member in self.members.values_mut() {
             member.booked.retain(|b| now_ms < b.at_ms + BOOKED_MS);
+            member.accounts.retain(|_, at_ms| now_ms < *at_ms + USED_MS);
         }
         self.missed
             .retain(|_, (_, at_ms)| now_ms < *at_ms + MISSED_WITHIN_MS);
--- a/src/cluster/peer.rs
+++ b/src/cluster/peer.rs
@@ -46,10 +46,8 @@
 pub(super) struct HubView {
     /// The newest digest.
     pub(super) digest: Digest,
-    /// The accounts, as told last.
-    pub(super) quotas: HashMap<ClientAccount, ToldAccount>,
-    /// When quotas were told last.
-    pub(super) quotas_ms: u64,
+    /// The accounts, as told last, and when that was: some are told more seldom.
+    pub(super) quotas: HashMap<ClientAccount, (ToldAccount, u64)>,
     quotas_sequence: u64,
     /// What it has at upstreams.
     pub(super) loads: ToldLoads,
@@ -99,7 +97,6 @@
                 self.hub = Some(HubView {
                     digest,
                     quotas: HashMap::new(),
-                    quotas_ms: now_ms,
                     quotas_sequence: 0,
                     loads: ToldLoads::default(),
                     loads_ms: now_ms,
@@ -148,10 +145,9 @@
             return false;
         }
         hub.quotas_sequence = part.sequence;
-        hub.quotas_ms = now_ms;
         for told in &part.quotas {
             let account = ClientAccount::from(told.name.as_str());
-            hub.quotas.insert(account, told.clone());
+            hub.quotas.insert(account, (told.clone(), now_ms));
         }
         true
     }
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/peer_table.rs
@@ -341,7 +341,7 @@
         for peer in self.reserved() {
             let Some(hub) = peer.as_hub() else { continue };
             let replaced = self.is_replaced_here(peer);
-            for (account, told) in &hub.quotas {
+            for (account, (told, _)) in &hub.quotas {
                 let other = OtherDaemon {
                     node: peer.entry.name.clone(),
                     weight: f64::from(told.weight),
@@ -365,12 +365,12 @@
     /// told it last.
     pub fn told_quota(&self, account: &ClientAccount) -> Option<ToldQuota> {
         let hubs = self.told_hubs().filter_map(|p| p.as_hub());
-        let told = hubs.filter_map(|hub| Some((hub.quotas_ms, hub.quotas.get(account)?)));
-        let (at_ms, told) = told.max_by_key(|(at_ms, _)| *at_ms)?;
+        let told = hubs.filter_map(|hub| hub.quotas.get(account));
+        let (told, at_ms) = told.max_by_key(|(_, at_ms)| *at_ms)?;
         Some(ToldQuota {
             level: f64::from(told.level),
             demand: f64::from(told.demand),
-            at_ms,
+            at_ms: *at_ms,
         })
     }
 
--- a/tests/decisions/members.rs
+++ b/tests/decisions/members.rs
@@ -122,3 +122,82 @@
     }
     assert_eq!(units, 600, "each account is told twice");
 }
+
+/// A hub before many client accounts told each daemon that asks it all of them each time: at
+/// 333 accounts and 196 daemons that was most of what went out over its link.
+#[test]
+fn a_daemon_is_told_of_the_accounts_that_it_uses_and_by_turns_of_the_others() {
+    for accounts in [40, 333, 2_000] {
+        let mut members = MemberTable::default();
+        members.hear_report(&report(1, &[], 0), 0);
+        for used in [5, 17, 30] {
+            let mut asked = ask(used);
+            asked.name = "m".into();
+            asked.quota = Some(AskedQuota {
+                account: format!("tenant-{used}"),
+                cost: 1.0,
+                patience_ms: 0,
+            });
+            members.known_answer(&asked, 0);
+        }
+        let mut told_to_all = std::collections::HashSet::new();
+        let mut turns = 0;
+        while told_to_all.len() < accounts {
+            turns += 1;
+            assert!(turns <= accounts, "all are told some time");
+            let all = (0..accounts).map(told_account).collect();
+            let parts = members.quotas_for("m", all);
+            assert_eq!(parts.len(), 1, "one datagram, at {accounts} accounts");
+            let names: Vec<&str> = parts[0].iter().map(|told| told.name.as_str()).collect();
+            for used in ["tenant-5", "tenant-17", "tenant-30"] {
+                assert!(names.contains(&used), "{used} each time");
+            }
+            told_to_all.extend(names.into_iter().map(String::from));
+        }
+    }
+}
+
+#[test]
+fn a_daemon_that_uses_many_accounts_is_told_of_all_of_them() {
+    let mut members = MemberTable::default();
+    members.hear_report(&report(1, &[], 0), 0);
+    for used in 0..100 {
+        let mut asked = ask(used);
+        asked.name = "m".into();
+        asked.quota = Some(AskedQuota {
+            account: format!("tenant-{used}"),
+            cost: 1.0,
+            patience_ms: 0,
+        });
+        members.known_answer(&asked, 0);
+    }
+    let all = (0..333).map(told_account).collect();
+    let told: Vec<_> = members.quotas_for("m", all).into_iter().flatten().collect();
+    let used = (0..100).map(|n| format!("tenant-{n}"));
+    for name in used {
+        assert!(told.iter().any(|t| t.name == name), "{name}");
+    }
+    assert!(told.len() < 200, "{}", told.len());
+    members.tick(40_000);
+    assert!(members.quotas_for("m", vec![told_account(1)]).is_empty(), "it fell silent");
+}
+
+/// What was told of an account long ago is as old as it is, though others were told since.
+#[test]
+fn each_account_is_as_old_as_it_was_told() {
+    let mut peers = PeerTable::new(entry("own", "a", 1));
+    peers.hear_digest(digest_of("n", 1), 1_000);
+    let mut part = QuotasPart {
+        name: "n".into(),
+        life: 1,
+        sequence: 1,
+        age_ms: 0,
+        quotas: vec![told_account(1)],
+    };
+    assert!(peers.hear_quotas(&part, 1_000));
+    part.sequence = 2;
+    part.quotas = vec![told_account(2)];
+    assert!(peers.hear_quotas(&part, 9_000));
+    let told_at = |account: &str| peers.told_quota(&account.into()).unwrap().at_ms;
+    assert_eq!((told_at("tenant-1"), told_at("tenant-2")), (1_000, 9_000));
+}
