Sight: what a daemon sends to others, by kind; what it knows

A log line each 10 s and gauges: messages and bytes by kind, peers looked at, known upstreams. What of control grows with the fleet could not be told before.

--- a/src/cluster/feed/teller.rs
+++ b/src/cluster/feed/teller.rs
@@ -1,7 +1,7 @@
 use {
     super::messages::*,
     crate::{
-        cluster::{CONFIG_PATH, ConfigTeller},
+        cluster::{CONFIG_PATH, ConfigTeller, ControlKind},
         gateway::{AnswerBody, Gateway, own_answer, serve_plain, whole_body},
         routing::RoutingConfig,
         upstreams::ToldDirectory,
@@ -67,7 +67,10 @@
         };
         self.wait_for_news(ask).await;
         match told(self, ask).and_then(|told| encode(&told)) {
-            Ok(bytes) => Response::new(whole_body(bytes)),
+            Ok(bytes) => {
+                self.gateway.control.note(ControlKind::News, bytes.len());
+                Response::new(whole_body(bytes))
+            }
             Err(e) => {
                 log::warn!(target: "peers", "news not told. error=\"{e}\"");
                 own_answer(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string())
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 mod config_follower;
 mod config_message;
 mod config_teller;
+mod control_traffic;
 mod crash_teller;
 mod crashes_part;
 mod daemon_entry;
@@ -43,7 +44,7 @@
 mod versions_teller;
 
 pub use {
-    ask::*, config_follower::*, config_message::*, config_teller::*, crashes_part::*,
+    ask::*, config_follower::*, config_message::*, config_teller::*, control_traffic::*, crashes_part::*,
     daemon_entry::*, datagram::*, digest::*, duty_borders::*, duty_runner::*, event_log::*,
     exchange::*, extension::*, feed::*, fleet_scaler::*, hub_desk::*, limits_part::*, loads_part::*,
     lone_quotas::*, member_table::*, packet::*, peer_table::*, permit_ask::*, permit_desk::*,
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -3,7 +3,7 @@
     crate::{
         clock::BootInstant,
         cluster::{
-            DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, PermitDesk,
+            ControlTraffic, DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, PermitDesk,
             SpokenVersions, UsageTeller, VersionBook,
         },
         conf::GatewaySettings,
@@ -57,6 +57,8 @@
     pub limits: Mutex<LimitBook>,
     /// Questions for permits to send to them.
     pub permit_desk: PermitDesk,
+    /// What was sent to other daemons beside requests.
+    pub control: ControlTraffic,
     /// Which version of the messages other daemons speak.
     pub spoken: Mutex<SpokenVersions>,
     /// Requests that were cut off at upstreams which may have ended.
@@ -155,6 +157,7 @@
             loads: Mutex::default(),
             limits: Mutex::default(),
             permit_desk: PermitDesk::default(),
+            control: ControlTraffic::default(),
             spoken: Mutex::default(),
             cut_offs: Mutex::default(),
             pool: Arc::default(),
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -29,19 +29,21 @@
 
     /// Sends a datagram. It may be lost: what matters is told again.
     pub async fn send_datagram(&self, datagram: &Datagram, to: SocketAddr) {
-        self.send_encoded(|version| datagram.encode_for(version), to)
-            .await;
+        let encode = |version| datagram.encode_for(version);
+        self.send_encoded(datagram.into(), encode, to).await;
     }
 
     /// Sends a datagram with what stands behind its message, in the version that the other
     /// daemon speaks.
     pub async fn send_packet(&self, packet: &Packet, to: SocketAddr) {
-        self.send_encoded(|version| packet.encode_for(version), to)
+        let encode = |version| packet.encode_for(version);
+        self.send_encoded((&packet.datagram).into(), encode, to)
             .await;
     }
 
     async fn send_encoded(
         &self,
+        kind: ControlKind,
         encode_for: impl Fn(u8) -> Result<Option<Vec<u8>>, DatagramError>,
         to: SocketAddr,
     ) {
@@ -52,6 +54,7 @@
         for version in versions {
             match encode_for(*version) {
                 Ok(Some(bytes)) => {
+                    self.control.note(kind, bytes.len());
                     // A failed send is a lost datagram.
                     let _ = socket.send_to(&bytes, to).await;
                 }
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -41,6 +41,14 @@
 pub const LIVE_PEERS: &str = "saddlepulley_live_peers";
 /// Daemons that were heard lately, by the version of the messages that they speak.
 pub const PEERS_BY_MESSAGES: &str = "saddlepulley_peers_by_messages";
+/// Messages to other daemons beside requests, since the start, by kind.
+pub const CONTROL_MESSAGES: &str = "saddlepulley_control_messages";
+/// Their bytes.
+pub const CONTROL_BYTES: &str = "saddlepulley_control_bytes";
+/// Peers that were looked at to answer who is hub and whom to tell, since the start.
+pub const PEERS_LOOKED_AT: &str = "saddlepulley_peers_looked_at";
+/// Upstreams that this daemon knows.
+pub const KNOWN_UPSTREAMS: &str = "saddlepulley_known_upstreams";
 /// Counts calls to the platform, which has a price for each, by what is called.
 pub const PLATFORM_CALLS: &str = "saddlepulley_platform_calls_total";
 /// Counts entries in the platform's store that name no upstream to use.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -22,6 +22,8 @@
 /// that was lost is replaced within about half of it.
 const LAST_USAGE_PATIENCE: Duration = Duration::from_millis(1_500);
 const SWEEP_EVERY: Duration = Duration::from_secs(2);
+/// After how many sweeps a line tells what was sent to other daemons.
+const TRAFFIC_TURNS: u64 = 5;
 
 /// A daemon on the routed path that runs.
 #[derive(Debug)]
@@ -127,14 +129,31 @@
 }
 
 async fn sweep(gateway: Arc<Gateway>) {
-    loop {
+    for turn in 1_u64.. {
         tokio::time::sleep(SWEEP_EVERY).await;
+        if turn.is_multiple_of(TRAFFIC_TURNS) {
+            log::info!(target: "control", "sent.{}", gateway.control);
+        }
         gateway.sweep();
         record_state(&gateway);
+        record_control(&gateway);
         fold_records();
     }
 }
 
+fn record_control(gateway: &Gateway) {
+    for kind in cluster::ControlKind::ALL {
+        let (messages, bytes) = gateway.control.sent(kind);
+        let label = [("kind", kind.name())];
+        metrics::gauge!(CONTROL_MESSAGES, &label).set(messages as f64);
+        metrics::gauge!(CONTROL_BYTES, &label).set(bytes as f64);
+    }
+    let looked_at = gateway.peers.lock().looked_at();
+    metrics::gauge!(PEERS_LOOKED_AT).set(looked_at as f64);
+    let known = gateway.directory.read().known();
+    metrics::gauge!(KNOWN_UPSTREAMS).set(known as f64);
+}
+
 fn record_state(gateway: &Gateway) {
     let open = gateway.open_requests.load(Ordering::Relaxed);
     metrics::gauge!(OPEN_REQUESTS).set(open as f64);
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -390,6 +390,11 @@
         self.by_service.values().flat_map(|b| b.values())
     }
 
+    /// Returns how many upstreams are known.
+    pub fn known(&self) -> usize {
+        self.service_of.len()
+    }
+
     /// Returns a number that rises with each change.
     pub fn revision(&self) -> u64 {
         self.revision
