Tests of news without heartbeats; what is packed is read with the locks taken in turn

decisions/sources: 10,000 words that only say that upstreams live tell a follower nothing, at 300, 3,000 and 10,000 upstreams; a change and a removal are told. Foreign bytes in the new message are read or refused.

--- a/src/cluster/feed/teller.rs
+++ b/src/cluster/feed/teller.rs
@@ -131,22 +131,25 @@
         &self,
         known: Option<ToldDirectory>,
     ) -> Result<(ToldDirectory, bool, Bytes), FeedError> {
-        let directory = self.gateway.directory.read();
-        let told = directory.told();
-        let mut whole = self.whole.lock();
-        if directory.is_told_whole(known)
-            && let Some((revision, packed)) = &*whole
-            && *revision == told.revision
-        {
-            return Ok((told, true, packed.clone()));
+        let (told, is_whole) = {
+            let directory = self.gateway.directory.read();
+            (directory.told(), directory.is_told_whole(known))
+        };
+        if is_whole && let Some(packed) = self.packed_whole(told.revision) {
+            return Ok((told, true, packed));
         }
-        let news = directory.news_since(known);
-        drop(directory);
+        let news = self.gateway.directory.read().news_since(known);
         let packed = pack_upstreams(&news.upstreams, &news.gone)?;
         if news.is_whole {
-            *whole = Some((told.revision, packed.clone()));
+            *self.whole.lock() = Some((news.told.revision, packed.clone()));
         }
-        Ok((told, news.is_whole, packed))
+        Ok((news.told, news.is_whole, packed))
+    }
+
+    fn packed_whole(&self, revision: u64) -> Option<Bytes> {
+        let whole = self.whole.lock();
+        let same = whole.as_ref().filter(|(packed, _)| *packed == revision);
+        same.map(|(_, packed)| packed.clone())
     }
 
     fn news_for(&self, ask: FeedAsk) -> Result<FeedNews, FeedError> {
--- a/tests/decisions/foreign_bytes.rs
+++ b/tests/decisions/foreign_bytes.rs
@@ -8,12 +8,14 @@
     bytes::Bytes,
     proptest::{prelude::*, test_runner::RngSeed},
     saddlepulley::{
-        cluster::{CrashesPart, Datagram, FeedAsk, FeedNews, Packet, decode},
+        cluster::{CrashesPart, Datagram, FeedAsk, FeedNews, FeedUpdate, Packet, decode},
         platform::{
             KeyedRecord, config_from_record, read_answer, split_keyed, suspect_record,
             upstream_from_entry,
         },
-        routing::unpack_config,
+        names::UpstreamId,
+        routing::{unpack, unpack_config},
+        upstreams::Upstream,
     },
 };
 
@@ -103,6 +105,10 @@
         let _ = decode::<FeedAsk>(&bytes);
         let _ = decode::<FeedNews>(&bytes);
         let _ = unpack_config(&bytes);
+        if let Ok(update) = decode::<FeedUpdate>(&bytes) {
+            let _ = update.directory();
+        }
+        let _ = unpack::<(Vec<Upstream>, Vec<UpstreamId>)>(&bytes);
     }
 
     #[test]
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -2,6 +2,7 @@
 //! daemon's directory tells another.
 
 use saddlepulley::{
+    cluster::{FeedUpdate, decode, encode, pack_upstreams},
     names::{FailureDomain, ServiceName, UpstreamId},
     policy::*,
     upstreams::{Upstream, UpstreamDirectory},
@@ -394,3 +395,83 @@
     assert_ne!(changes.all_since, 0);
     assert_eq!(changes.gone.len(), 999);
 }
+
+/// Followers were told each word of each upstream, also those that only say that it lives:
+/// with 10,000 upstreams before 196 followers 31 MB a second out of one reader.
+#[test]
+fn that_upstreams_live_is_not_told_to_those_that_follow() {
+    for fleet in [300, 3_000, 10_000_u32] {
+        let mut theirs = UpstreamDirectory::default();
+        let listing = (0..fleet).map(|n| upstream(n, u64::from(n) + 1)).collect();
+        let mut position = u64::from(fleet) + 1;
+        theirs.replace(listing, position, None);
+        let mut own = UpstreamDirectory::default();
+        let whole = theirs.news_since(None);
+        assert!(whole.is_whole);
+        let mut known = whole.told;
+        own.apply_news(whole);
+        for n in 0..fleet {
+            theirs.upsert(upstream(n, position));
+            position += 1;
+            theirs.read_to(position);
+        }
+        let news = theirs.news_since(Some(known));
+        assert_eq!((news.upstreams.len(), news.gone.len()), (0, 0), "of {fleet}");
+        known = news.told;
+        own.apply_news(news);
+        let mut leaving = upstream(3, position);
+        leaving.draining = true;
+        theirs.upsert(leaving);
+        theirs.remove(upstream(4, 0).id.as_str(), position + 1);
+        theirs.read_to(position + 2);
+        let news = theirs.news_since(Some(known));
+        assert_eq!((news.upstreams.len(), news.gone.len()), (1, 1), "of {fleet}");
+        own.apply_news(news);
+        assert!(!own.is_ready(&upstream(3, 0).id));
+        assert!(own.get(&upstream(4, 0).id).is_none());
+        assert_eq!(own.known(), fleet as usize - 1);
+        assert_eq!(own.position(), position + 2);
+    }
+}
+
+/// One that was cut off and comes back under the same name between two listings may have
+/// been taken for gone by those that read on.
+#[test]
+fn what_a_listing_passed_over_is_told_as_a_change() {
+    let mut theirs = UpstreamDirectory::default();
+    theirs.replace(vec![upstream(0, 1)], 2, None);
+    let mut own = UpstreamDirectory::default();
+    let whole = theirs.news_since(None);
+    let known = whole.told;
+    own.apply_news(whole);
+    own.remove(upstream(0, 0).id.as_str(), 5);
+    own.read_to(6);
+    theirs.replace(vec![upstream(0, 6)], 8, None);
+    own.apply_news(theirs.news_since(Some(known)));
+    assert!(own.is_ready(&upstream(0, 0).id), "it is back");
+}
+
+/// A whole directory is told packed.
+#[test]
+fn news_are_the_same_after_their_way() {
+    let mut theirs = UpstreamDirectory::default();
+    let listing = (0..2_000).map(|n| upstream(n, u64::from(n) + 1)).collect();
+    theirs.replace(listing, 2_001, None);
+    let news = theirs.news_since(None);
+    let packed = pack_upstreams(&news.upstreams, &news.gone).unwrap();
+    assert!(packed.len() < 40 * news.upstreams.len(), "{}", packed.len());
+    let update = FeedUpdate {
+        life: 5,
+        source_age_ms: Some(300),
+        config_version: 41,
+        config: None,
+        config_position: Some(12),
+        rollouts: Vec::new(),
+        told: news.told,
+        is_whole: news.is_whole,
+        packed,
+    };
+    let heard: FeedUpdate = decode(&encode(&update).unwrap()).unwrap();
+    assert_eq!(heard, update);
+    assert_eq!(heard.directory().unwrap(), news);
+}
