--- a/src/cluster/config_follower.rs
+++ b/src/cluster/configs/config_follower.rs
@@ -1,6 +1,11 @@
 use {
-    super::{CONFIG_PATH, ConfigAnswer, ConfigAsk, FeedError, decode, encode},
-    crate::{gateway::Gateway, http::HttpClient, policy::ConfigLack, routing::unpack_config},
+    crate::{
+        cluster::{CONFIG_PATH, ConfigAnswer, ConfigAsk, FeedError, decode, encode},
+        gateway::Gateway,
+        http::HttpClient,
+        policy::ConfigLack,
+        routing::unpack_config,
+    },
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
--- a/src/cluster/config_teller.rs
+++ b/src/cluster/configs/config_teller.rs
@@ -1,6 +1,6 @@
 use {
-    super::{ConfigAnswer, ConfigAsk, FeedError, MAX_ASK_BYTES, decode, encode},
     crate::{
+        cluster::{ConfigAnswer, ConfigAsk, FeedError, MAX_ASK_BYTES, decode, encode},
         gateway::{AnswerBody, Gateway, own_answer, pieces_body},
         routing::{RoutingConfig, pack_config},
     },
--- /dev/null
+++ b/src/cluster/configs/mod.rs
@@ -0,0 +1,7 @@
+//! How large configurations reach all daemons.
+
+mod config_follower;
+mod config_message;
+mod config_teller;
+
+pub use {config_follower::*, config_message::*, config_teller::*};
--- a/src/cluster/crash_teller.rs
+++ b/src/cluster/crashes/crash_teller.rs
@@ -1,6 +1,5 @@
 use {
-    super::*,
-    crate::{gateway::Gateway, policy::KnownEnd},
+    crate::{cluster::*, gateway::Gateway, policy::KnownEnd},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -18,7 +17,7 @@
 const HUBS_TOLD: usize = 3;
 
 /// Tells other daemons of upstreams that end under requests.
-pub(super) async fn tell_crashes(gateway: Arc<Gateway>) {
+pub(in crate::cluster) async fn tell_crashes(gateway: Arc<Gateway>) {
     for turn in 1_u64.. {
         tokio::time::sleep(TELL_EVERY).await;
         gateway.tick_crashes();
@@ -53,7 +52,7 @@
 }
 
 /// Tells a daemon that reports to this one of the requests that are held back.
-pub(super) async fn tell_held_to(gateway: &Gateway, member: SocketAddr) {
+pub(in crate::cluster) async fn tell_held_to(gateway: &Gateway, member: SocketAddr) {
     let now_ms = gateway.steady_ms();
     let held = gateway.crashes.lock().held_ends(MOST_TOLD, now_ms);
     send_ends(gateway, &held, true, &BTreeSet::from([member])).await;
--- a/src/cluster/quarantine_keeper.rs
+++ b/src/cluster/crashes/quarantine_keeper.rs
@@ -1,6 +1,9 @@
 use {
-    super::{BorderError, QuarantineRecords},
-    crate::{gateway::Gateway, names::now_ms},
+    crate::{
+        cluster::{BorderError, QuarantineRecords},
+        gateway::Gateway,
+        names::now_ms,
+    },
     std::{sync::Arc, time::Duration},
 };
 
--- a/src/cluster/duty_runner.rs
+++ b/src/cluster/duties/duty_runner.rs
@@ -1,9 +1,9 @@
 use {
-    super::{
-        AppendEnd, BorderError, DutyApi, DutyClaim, FleetOrder, FleetScaler, RolloutDuty,
-        SharedLog, StatusBoard,
-    },
     crate::{
+        cluster::{
+            AppendEnd, BorderError, DutyApi, DutyClaim, FleetOrder, FleetScaler, RolloutDuty,
+            SharedLog, StatusBoard,
+        },
         gateway::{Gateway, GatewayPhase},
         names::{BoxId, now_ms},
         policy::{
--- a/src/cluster/fleet_scaler.rs
+++ b/src/cluster/duties/fleet_scaler.rs
@@ -1,6 +1,6 @@
 use {
-    super::{FleetOrder, OrderEnd},
     crate::{
+        cluster::{FleetOrder, OrderEnd},
         gateway::Gateway,
         names::{FailureDomain, ServiceName},
         policy::{
--- a/src/cluster/ask_answers.rs
+++ b/src/cluster/hubs/ask_answers.rs
@@ -1,12 +1,11 @@
 use {
-    super::*,
-    crate::gateway::Gateway,
+    crate::{cluster::*, gateway::Gateway},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Answers a question of a daemon that reports to this one: at once, or later where the
 /// request is held or a permit has to be asked for.
-pub(super) async fn answer_ask(gateway: &Arc<Gateway>, ask: Ask, from: SocketAddr) {
+pub(in crate::cluster) async fn answer_ask(gateway: &Arc<Gateway>, ask: Ask, from: SocketAddr) {
     let now_ms = gateway.steady_ms();
     let known = gateway.members.lock().known_answer(&ask, now_ms);
     let verdict = match known {
--- a/src/cluster/digest.rs
+++ b/src/cluster/hubs/digest.rs
@@ -1,6 +1,9 @@
 use {
-    super::{DaemonEntry, DaemonStatus},
-    crate::{policy::ReadingSpeed, rollouts::Rollout},
+    crate::{
+        cluster::{DaemonEntry, DaemonStatus},
+        policy::ReadingSpeed,
+        rollouts::Rollout,
+    },
     bincode::{Decode, Encode},
     std::net::SocketAddr,
 };
--- a/src/cluster/digest_teller.rs
+++ b/src/cluster/hubs/digest_teller.rs
@@ -1,6 +1,5 @@
 use {
-    super::*,
-    crate::gateway::Gateway,
+    crate::{cluster::*, gateway::Gateway},
     std::{
         collections::BTreeSet,
         net::SocketAddr,
@@ -17,10 +16,10 @@
 /// that started again hears of the others even if no seed lives.
 const SILENT_EVERY: u64 = 8;
 /// How often a hub tells those that report to it, in milliseconds.
-pub(super) const MEMBERS_EVERY_MS: u64 = 600;
+pub(in crate::cluster) const MEMBERS_EVERY_MS: u64 = 600;
 
 /// Tells the other hubs about this daemon for as long as it is a hub.
-pub(super) async fn tell_digests(gateway: Arc<Gateway>) {
+pub(in crate::cluster) async fn tell_digests(gateway: Arc<Gateway>) {
     let mut sequence = 0;
     let mut told = BTreeSet::new();
     loop {
@@ -89,7 +88,7 @@
 }
 
 /// Tells a daemon that reports to this one.
-pub(super) async fn tell_member(gateway: &Gateway, report: &Report) {
+pub(in crate::cluster) async fn tell_member(gateway: &Gateway, report: &Report) {
     let to = report.daemon.address;
     let mut digest = own_digest(gateway, &report.daemon.domain, MEMBERS_EVERY_MS);
     let others = gateway.peers.lock().duty_daemons().into_iter();
@@ -165,7 +164,7 @@
 }
 
 /// Makes the parts of what a daemon has at upstreams.
-pub(super) fn loads_parts(
+pub(in crate::cluster) fn loads_parts(
     gateway: &Gateway,
     loads: &LoadSums,
     sequence: u64,
--- a/src/cluster/event_log.rs
+++ b/src/cluster/hubs/event_log.rs
@@ -1,4 +1,4 @@
-use {super::MemberEvent, std::collections::VecDeque};
+use {crate::cluster::MemberEvent, std::collections::VecDeque};
 
 /// How often an event is told: a datagram may be lost.
 const TOLD_TIMES: u8 = 2;
--- a/src/cluster/member_table.rs
+++ b/src/cluster/hubs/member_table.rs
@@ -1,5 +1,5 @@
 use {
-    super::*,
+    crate::cluster::*,
     crate::names::{ClientAccount, UpstreamId},
     std::collections::{HashMap, VecDeque},
 };
--- /dev/null
+++ b/src/cluster/hubs/mod.rs
@@ -0,0 +1,15 @@
+//! What hubs and the daemons that ask them tell each other.
+
+mod ask;
+mod ask_answers;
+mod digest;
+mod digest_teller;
+mod event_log;
+mod hub_desk;
+mod loads_part;
+mod member_table;
+mod report;
+mod report_teller;
+
+pub use {ask::*, digest::*, event_log::*, hub_desk::*, loads_part::*, member_table::*, report::*};
+pub(super) use {ask_answers::*, digest_teller::*, report_teller::*};
--- a/src/cluster/report.rs
+++ b/src/cluster/hubs/report.rs
@@ -1,5 +1,5 @@
 use {
-    super::{DaemonEntry, DaemonStatus},
+    crate::cluster::{DaemonEntry, DaemonStatus},
     bincode::{Decode, Encode},
 };
 
--- a/src/cluster/report_teller.rs
+++ b/src/cluster/hubs/report_teller.rs
@@ -1,6 +1,5 @@
 use {
-    super::{digest_teller::*, *},
-    crate::{gateway::Gateway, policy::SeedPace},
+    crate::{cluster::*, gateway::Gateway, policy::SeedPace},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -23,7 +22,7 @@
 
 /// Reports to the hubs of the failure domain for as long as this daemon isn't
 /// one itself, and to its seeds until it hears any.
-pub(super) async fn tell_reports(gateway: Arc<Gateway>) {
+pub(in crate::cluster) async fn tell_reports(gateway: Arc<Gateway>) {
     let mut reporter = Reporter {
         seed_pace: SeedPace::new(gateway.draw()),
         hears_hubs: false,
--- a/src/cluster/limit_teller.rs
+++ b/src/cluster/limits/limit_teller.rs
@@ -1,6 +1,5 @@
 use {
-    super::*,
-    crate::{gateway::Gateway, policy::KnownLimit},
+    crate::{cluster::*, gateway::Gateway, policy::KnownLimit},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -17,7 +16,7 @@
 const HUBS_TOLD: usize = 3;
 
 /// Tells other daemons of limits that upstreams name.
-pub(super) async fn tell_limits(gateway: Arc<Gateway>) {
+pub(in crate::cluster) async fn tell_limits(gateway: Arc<Gateway>) {
     for turn in 1_u64.. {
         tokio::time::sleep(TELL_EVERY).await;
         if gateway.tick_limits() == 0 {
@@ -45,7 +44,7 @@
 }
 
 /// Tells daemons of limits in force, some of them where there are many.
-pub(super) async fn tell_in_force(gateway: &Gateway, to: &BTreeSet<SocketAddr>) {
+pub(in crate::cluster) async fn tell_in_force(gateway: &Gateway, to: &BTreeSet<SocketAddr>) {
     let in_force = gateway.limits.lock().in_force(gateway.steady_ms());
     if !in_force.is_empty() {
         let drawn = gateway.draw_some(in_force, MOST_TOLD);
--- /dev/null
+++ b/src/cluster/limits/mod.rs
@@ -0,0 +1,10 @@
+//! How much upstreams take that say so: told to all, and kept by permits.
+
+mod limit_teller;
+mod limits_part;
+mod permit_answers;
+mod permit_ask;
+mod permit_desk;
+
+pub(super) use {limit_teller::*, permit_answers::*};
+pub use {limits_part::*, permit_ask::*, permit_desk::*};
--- a/src/cluster/permit_answers.rs
+++ b/src/cluster/limits/permit_answers.rs
@@ -1,11 +1,10 @@
 use {
-    super::*,
-    crate::gateway::Gateway,
+    crate::{cluster::*, gateway::Gateway},
     std::{net::SocketAddr, sync::Arc},
 };
 
 /// Takes in limits that another daemon told.
-pub(super) fn hear_limits(gateway: &Gateway, part: &LimitsPart) {
+pub(in crate::cluster) fn hear_limits(gateway: &Gateway, part: &LimitsPart) {
     // A hub passes on what it hears: of hubs to those that report to it, of others to all.
     let passes_on = gateway.is_hub().then_some(!part.among_hubs);
     for told in part.limits.iter().filter_map(ToldLimit::known) {
@@ -14,7 +13,11 @@
 }
 
 /// Answers a daemon's question for a permit.
-pub(super) fn answer_permit_ask(gateway: &Arc<Gateway>, ask: PermitAsk, from: SocketAddr) {
+pub(in crate::cluster) fn answer_permit_ask(
+    gateway: &Arc<Gateway>,
+    ask: PermitAsk,
+    from: SocketAddr,
+) {
     let Some(limit) = ask.limit.known() else {
         return;
     };
--- a/src/cluster/permit_ask.rs
+++ b/src/cluster/limits/permit_ask.rs
@@ -1,5 +1,5 @@
 use {
-    super::ToldLimit,
+    crate::cluster::ToldLimit,
     bincode::{Decode, Encode},
 };
 
--- a/src/cluster/permit_desk.rs
+++ b/src/cluster/limits/permit_desk.rs
@@ -1,6 +1,10 @@
 use {
-    super::{Extension, PermitAnswer, PermitAsk, ToldLimit},
-    crate::{clock::BootInstant, gateway::Gateway, policy::HubContact},
+    crate::{
+        clock::BootInstant,
+        cluster::{Extension, PermitAnswer, PermitAsk, ToldLimit},
+        gateway::Gateway,
+        policy::HubContact,
+    },
     parking_lot::Mutex,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
     tokio::sync::oneshot,
--- /dev/null
+++ b/src/cluster/membership/mod.rs
@@ -0,0 +1,9 @@
+//! Who the other daemons are, and which of them are hubs.
+
+mod daemon_entry;
+mod peer;
+mod peer_index;
+mod peer_table;
+mod spoken_versions;
+
+pub use {daemon_entry::*, peer_table::*, spoken_versions::*};
--- a/src/cluster/peer.rs
+++ b/src/cluster/membership/peer.rs
@@ -1,6 +1,5 @@
 use {
-    super::*,
-    crate::{names::ClientAccount, policy::DaemonRank},
+    crate::{cluster::*, names::ClientAccount, policy::DaemonRank},
     std::collections::HashMap,
 };
 
--- a/src/cluster/peer_table.rs
+++ b/src/cluster/membership/peer_table.rs
@@ -1,6 +1,7 @@
 use {
-    super::{peer::Peer, peer_index::PeerIndex, *},
+    super::{peer::Peer, peer_index::PeerIndex},
     crate::{
+        cluster::*,
         names::{ClientAccount, UpstreamId},
         policy::{
             DaemonRank, DomainDaemon, HUBS_PER_DOMAIN, OtherDaemon, ReadingSpeed, ToldQuota,
--- a/src/cluster/spoken_versions.rs
+++ b/src/cluster/membership/spoken_versions.rs
@@ -1,5 +1,5 @@
 use {
-    super::{DATAGRAM_VERSION, OLDEST_DATAGRAM_VERSION},
+    crate::cluster::{DATAGRAM_VERSION, OLDEST_DATAGRAM_VERSION},
     std::{collections::HashMap, net::SocketAddr},
 };
 
--- a/src/cluster/control_traffic.rs
+++ b/src/cluster/messages/control_traffic.rs
@@ -1,5 +1,5 @@
 use {
-    super::Datagram,
+    crate::cluster::Datagram,
     std::{
         fmt,
         sync::atomic::{AtomicU64, Ordering},
--- a/src/cluster/datagram.rs
+++ b/src/cluster/messages/datagram.rs
@@ -1,5 +1,5 @@
 use {
-    super::*,
+    crate::cluster::*,
     bincode::{Decode, Encode},
     displaydoc::Display,
 };
@@ -20,7 +20,7 @@
 const MAX_PART_BYTES: usize = 1_150;
 /// How much memory a datagram may claim when it is decoded, in bytes: lists take
 /// more there than on their way.
-pub(super) const MAX_DECODED_BYTES: usize = 16 * MAX_DATAGRAM_BYTES;
+pub(in crate::cluster) const MAX_DECODED_BYTES: usize = 16 * MAX_DATAGRAM_BYTES;
 
 /// Why bytes are no datagram.
 #[derive(Debug, Display, thiserror::Error)]
@@ -105,7 +105,7 @@
     /// # Errors
     ///
     /// Returns why the bytes are none.
-    pub(super) fn decode_first(bytes: &[u8]) -> Result<(Self, &[u8]), DatagramError> {
+    pub(in crate::cluster) fn decode_first(bytes: &[u8]) -> Result<(Self, &[u8]), DatagramError> {
         match bytes {
             [DATAGRAM_VERSION, body @ ..] => {
                 let (datagram, length) = Self::decode_body(body)?;
--- a/src/cluster/exchange.rs
+++ b/src/cluster/messages/exchange.rs
@@ -1,6 +1,5 @@
 use {
-    super::*,
-    crate::{gateway::Gateway, names::UpstreamId, policy::FirstEvent},
+    crate::{cluster::*, gateway::Gateway, names::UpstreamId, policy::FirstEvent},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::net::UdpSocket,
 };
--- a/src/cluster/extension.rs
+++ b/src/cluster/messages/extension.rs
@@ -1,5 +1,5 @@
 use {
-    super::{LimitsPart, PermitAnswer, PermitAsk},
+    crate::cluster::{LimitsPart, PermitAnswer, PermitAsk},
     bincode::{
         Decode, Encode, config, decode_from_slice, encode_into_std_write, error::EncodeError,
     },
@@ -45,7 +45,7 @@
     /// # Errors
     ///
     /// Returns why it can't be encoded.
-    pub(super) fn encode(&self, bytes: &mut Vec<u8>) -> Result<(), EncodeError> {
+    pub(in crate::cluster) fn encode(&self, bytes: &mut Vec<u8>) -> Result<(), EncodeError> {
         match self {
             Self::Level(level) => append(bytes, LEVEL, level),
             Self::Limits(part) => append(bytes, LIMITS, part),
@@ -57,7 +57,7 @@
 
     /// Reads all extensions that this build knows; what is none, and what can't be read, is
     /// passed over.
-    pub(super) fn decode_all(mut bytes: &[u8]) -> Vec<Self> {
+    pub(in crate::cluster) fn decode_all(mut bytes: &[u8]) -> Vec<Self> {
         let mut extensions = Vec::new();
         while let [kind, low, high, rest @ ..] = bytes {
             let length = usize::from(u16::from_le_bytes([*low, *high]));
@@ -94,6 +94,6 @@
 
 /// Reads a body; what stands behind it is of later builds.
 fn read<T: Decode<()>>(body: &[u8]) -> Option<T> {
-    let limited = config::standard().with_limit::<{ super::MAX_DECODED_BYTES }>();
+    let limited = config::standard().with_limit::<{ crate::cluster::MAX_DECODED_BYTES }>();
     decode_from_slice(body, limited).ok().map(|(read, _)| read)
 }
--- a/src/cluster/packet.rs
+++ b/src/cluster/messages/packet.rs
@@ -1,4 +1,4 @@
-use super::*;
+use crate::cluster::*;
 
 /// A datagram with what stands behind its message.
 #[derive(Clone, Debug, PartialEq)]
--- a/src/cluster/usage_teller.rs
+++ b/src/cluster/usage/usage_teller.rs
@@ -1,6 +1,6 @@
 use {
-    super::*,
     crate::{
+        cluster::*,
         gateway::Gateway,
         names::now_ms,
         policy::{AccountCounts, HeardUsage},
@@ -117,7 +117,7 @@
 
 /// Tells those that are told usage what they have not heard, as long as the daemon
 /// runs.
-pub(super) async fn tell_usage(gateway: Arc<Gateway>) {
+pub(in crate::cluster) async fn tell_usage(gateway: Arc<Gateway>) {
     if !gateway.settings.duties.usage {
         return;
     }
@@ -171,7 +171,7 @@
 }
 
 /// Returns where other daemons that hold the duties, or watch who does, listen.
-pub(super) fn duty_addresses(gateway: &Gateway) -> Vec<SocketAddr> {
+pub(in crate::cluster) fn duty_addresses(gateway: &Gateway) -> Vec<SocketAddr> {
     let listeners = duty_listeners(gateway).into_iter();
     listeners.map(|listener| listener.address).collect()
 }
--- a/src/cluster/rollout_duty.rs
+++ b/src/cluster/versions/rollout_duty.rs
@@ -1,6 +1,6 @@
 use {
-    super::{BorderError, StatusBoard, WriteEnd},
     crate::{
+        cluster::{BorderError, StatusBoard, WriteEnd},
         gateway::Gateway,
         names::now_ms,
         rollouts::{Judge, Rollout, RolloutState, RolloutSteps, RolloutView},
--- a/src/cluster/versions_teller.rs
+++ b/src/cluster/versions/versions_teller.rs
@@ -1,6 +1,5 @@
 use {
-    super::*,
-    crate::{gateway::Gateway, rollouts::RolloutState},
+    crate::{cluster::*, gateway::Gateway, rollouts::RolloutState},
     std::{sync::Arc, time::Duration},
 };
 
@@ -10,7 +9,7 @@
 
 /// Tells the leader of roll-outs, and those ready to take its place, what answers this
 /// daemon saw.
-pub(super) async fn tell_versions(gateway: Arc<Gateway>) {
+pub(in crate::cluster) async fn tell_versions(gateway: Arc<Gateway>) {
     loop {
         tokio::time::sleep(VERSIONS_EVERY).await;
         let listeners = duty_addresses(&gateway);
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -3,8 +3,8 @@
     crate::{
         clock::BootInstant,
         cluster::{
-            ControlTraffic, DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable, PermitDesk,
-            SpokenVersions, UsageTeller, VersionBook,
+            ControlTraffic, DaemonEntry, EventLog, HubDesk, LoneQuotas, MemberTable, PeerTable,
+            PermitDesk, SpokenVersions, UsageTeller, VersionBook,
         },
         conf::GatewaySettings,
         names::{FailureDomain, ServiceName, UpstreamId},
--- a/src/upstreams/followed_view.rs
+++ b/src/upstreams/followed_view.rs
@@ -1,8 +1,4 @@
-use {
-    super::DirectoryNews,
-    crate::names::UpstreamId,
-    std::collections::HashSet,
-};
+use {super::DirectoryNews, crate::names::UpstreamId, std::collections::HashSet};
 
 /// Which of the known upstreams the daemon that is followed has told of, and which are
 /// known from elsewhere: of these, it should have told those that stand before its
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -16,6 +16,7 @@
 mod upstream_pool;
 
 pub use {
-    directory_changes::*, directory_news::*, directory_notes::*, exchange::*, newest_lives::*, ready_upstreams::*,
-    send_failure::*, upstream::*, upstream_directory::*, upstream_load::*, upstream_pool::*,
+    directory_changes::*, directory_news::*, directory_notes::*, exchange::*, newest_lives::*,
+    ready_upstreams::*, send_failure::*, upstream::*, upstream_directory::*, upstream_load::*,
+    upstream_pool::*,
 };
--- a/tests/decisions/directory_exploration.rs
+++ b/tests/decisions/directory_exploration.rs
@@ -8,9 +8,7 @@
     rand_chacha::ChaCha8Rng,
     saddlepulley::{
         names::{FailureDomain, ServiceName, UpstreamId},
-        upstreams::{
-            DirectoryChanges, DirectoryNews, ToldDirectory, Upstream, UpstreamDirectory,
-        },
+        upstreams::{DirectoryChanges, DirectoryNews, ToldDirectory, Upstream, UpstreamDirectory},
     },
     std::collections::BTreeMap,
 };
--- a/tests/decisions/fleet_size.rs
+++ b/tests/decisions/fleet_size.rs
@@ -1,10 +1,7 @@
 //! What a message or a question costs does not depend on how many daemons there are.
 
 use {
-    crate::cluster_support::*,
-    rand::SeedableRng,
-    rand_chacha::ChaCha8Rng,
-    saddlepulley::cluster::*,
+    crate::cluster_support::*, rand::SeedableRng, rand_chacha::ChaCha8Rng, saddlepulley::cluster::*,
 };
 
 const SIZES: [usize; 4] = [100, 300, 1_000, 2_000];
@@ -114,5 +111,8 @@
     assert!(table.hear_report(&leaving, 1_200));
     let there = table.named_for("elsewhere", &mut rng);
     assert!(there.iter().all(|entry| entry.domain != "elsewhere"));
-    assert!(table.wants_digest(address(8), 0), "it is not there any more");
+    assert!(
+        table.wants_digest(address(8), 0),
+        "it is not there any more"
+    );
 }
--- a/tests/decisions/fleet_start.rs
+++ b/tests/decisions/fleet_start.rs
@@ -58,7 +58,11 @@
     fn new(daemons: usize, seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let made = (0..daemons).map(|n| Daemon {
-            table: PeerTable::new(entry(&format!("n{n}"), &format!("domain-{}", n % DOMAINS), n)),
+            table: PeerTable::new(entry(
+                &format!("n{n}"),
+                &format!("domain-{}", n % DOMAINS),
+                n,
+            )),
             pace: SeedPace::new(rng.random()),
             lag_ms: rng.random_range(0..4) * STEP_MS,
         });
@@ -216,7 +220,10 @@
         assert_eq!(fleet.astray(), 0, "of {daemons}, after 2 s");
         let busiest = fleet.asked.values().max().unwrap();
         let asks = f64::from(*busiest) / daemons as f64;
-        assert!(asks <= MOST_ASKS, "{daemons} daemons: {asks} questions of each");
+        assert!(
+            asks <= MOST_ASKS,
+            "{daemons} daemons: {asks} questions of each"
+        );
     }
 }
 
--- a/tests/decisions/foreign_bytes.rs
+++ b/tests/decisions/foreign_bytes.rs
@@ -9,11 +9,11 @@
     proptest::{prelude::*, test_runner::RngSeed},
     saddlepulley::{
         cluster::{CrashesPart, Datagram, FeedAsk, FeedNews, FeedUpdate, Packet, decode},
+        names::UpstreamId,
         platform::{
             KeyedRecord, config_from_record, read_answer, split_keyed, suspect_record,
             upstream_from_entry,
         },
-        names::UpstreamId,
         routing::{unpack, unpack_config},
         upstreams::Upstream,
     },
--- a/tests/decisions/members.rs
+++ b/tests/decisions/members.rs
@@ -179,7 +179,10 @@
     }
     assert!(told.len() < 200, "{}", told.len());
     members.tick(40_000);
-    assert!(members.quotas_for("m", vec![told_account(1)]).is_empty(), "it fell silent");
+    assert!(
+        members.quotas_for("m", vec![told_account(1)]).is_empty(),
+        "it fell silent"
+    );
 }
 
 /// What was told of an account long ago is as old as it is, though others were told since.
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -362,7 +362,10 @@
             theirs.read_to(position);
             if n % 500 == 499 {
                 let changes = theirs.changes_since(Some(known));
-                assert_ne!(changes.all_since, 0, "told one by one, after {n} of {fleet}");
+                assert_ne!(
+                    changes.all_since, 0,
+                    "told one by one, after {n} of {fleet}"
+                );
                 known = changes.told;
                 own.apply(changes);
             }
@@ -416,7 +419,11 @@
             theirs.read_to(position);
         }
         let news = theirs.news_since(Some(known));
-        assert_eq!((news.upstreams.len(), news.gone.len()), (0, 0), "of {fleet}");
+        assert_eq!(
+            (news.upstreams.len(), news.gone.len()),
+            (0, 0),
+            "of {fleet}"
+        );
         known = news.told;
         own.apply_news(news);
         let mut leaving = upstream(3, position);
@@ -425,7 +432,11 @@
         theirs.remove(upstream(4, 0).id.as_str(), position + 1);
         theirs.read_to(position + 2);
         let news = theirs.news_since(Some(known));
-        assert_eq!((news.upstreams.len(), news.gone.len()), (1, 1), "of {fleet}");
+        assert_eq!(
+            (news.upstreams.len(), news.gone.len()),
+            (1, 1),
+            "of {fleet}"
+        );
         own.apply_news(news);
         assert!(!own.is_ready(&upstream(3, 0).id));
         assert!(own.get(&upstream(4, 0).id).is_none());
