--- a/src/cluster/duties/duty_runner.rs
+++ b/src/cluster/duties/duty_runner.rs
@@ -175,8 +175,7 @@
     }
 
     /// Gives the lease back, so that a planned stop leaves the duties to a successor at
-    /// once: with a term of 3 s to wait for, it acted 2.3 to 3.1 s after the stop, and a
-    /// report came 0.2 s late (two rolling stops of 77 daemons).
+    /// once: it would wait for the rest of the term, and reports would come late.
     async fn release_lease(&mut self) {
         let now_ms = self.gateway.steady_ms();
         let Some(lease) = self.log.release(now_ms) else {
--- a/src/cluster/membership/peer_table.rs
+++ b/src/cluster/membership/peer_table.rs
@@ -449,9 +449,8 @@
     }
 
     /// Returns the daemons that hold the duties without being hubs, by what they report:
-    /// only hubs tell of themselves. Without this nobody told such a holder what to
-    /// report: 8 windows of usage of a day held 1 in 100 requests (a simulation of 70
-    /// daemons, the hubs of which the source turned away).
+    /// only hubs tell of themselves. Without this nobody would tell such a holder what to
+    /// report.
     pub fn reporting_duty_holders(&self) -> Vec<DutyDaemon> {
         let holders = self.named(self.index.duty_holders());
         let live = holders.filter(|p| p.is_live(self.now_ms));
--- a/src/cluster/messages/datagram.rs
+++ b/src/cluster/messages/datagram.rs
@@ -8,8 +8,7 @@
 pub const DATAGRAM_VERSION: u8 = 7;
 /// The oldest version that is understood and spoken, too: that of the landing before the
 /// last one. Daemons that don't hear each other stand before the same upstreams as two
-/// systems: six daemons of two builds let a client account in 1.71 times what its quota
-/// allows.
+/// systems, each of which lets in what a quota allows.
 pub const OLDEST_DATAGRAM_VERSION: u8 = 6;
 /// What stands at the end of messages of [`DATAGRAM_VERSION`] and is missing in older ones:
 /// that a request is placed by its prompt.
--- a/src/cluster/usage/usage_teller.rs
+++ b/src/cluster/usage/usage_teller.rs
@@ -207,8 +207,7 @@
 
 /// Passes on what was heard of others and may still be reported, to one that is told
 /// usage since after that; returns whether it has heard all. Counts live in daemons
-/// only: of those that stopped before, it can't hear them itself. Without it a
-/// successor reported 1,764 of 3,167 requests (two rolling stops of 77 daemons).
+/// only: of those that stopped before, it can't hear them itself.
 async fn pass_on(gateway: &Gateway, listener: &DutyListener) -> bool {
     let duties = &gateway.settings.duties;
     let due_windows = (duties.usage_delay_s / duties.usage_window_s.max(1)) + 1;
--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -106,10 +106,8 @@
     /// Daemons to ask first; some may be gone.
     pub seeds: Vec<SocketAddr>,
     /// How long a daemon that starts waits for its seeds before it reads the
-    /// shared source itself, in milliseconds. The default is a little more than
-    /// the 300 ms within which the daemons of the users' machines start. Without
-    /// the wait, 329 reads of the configuration and as many listings fell into the
-    /// first second of 295 daemons.
+    /// shared source itself, in milliseconds: daemons that start together would all
+    /// read it at once. It should be longer than the time within which they start.
     pub seeds_patience_ms: u64,
 }
 
--- a/src/gateway/client_connection.rs
+++ b/src/gateway/client_connection.rs
@@ -55,8 +55,8 @@
     gateway: Arc<Gateway>,
     closing: watch::Receiver<bool>,
 ) {
-    // As long as it may rest, a client may also read nothing, or be cut off: with
-    // 1.5 s, one that paused for 5 s lost its answer after 128,000 of 3,500,000 bytes.
+    // As long as it may rest, a client may also read nothing, or be cut off: one that
+    // pauses must not lose its answer.
     let dead_after = idle_limit(&gateway);
     if let Err(e) = set_socket_options(&stream, dead_after) {
         log::info!(target: "client", "not served: the connection is broken. error=\"{e}\"");
--- a/src/gateway/limit_state.rs
+++ b/src/gateway/limit_state.rs
@@ -74,8 +74,8 @@
     }
 
     /// Chooses an upstream by what this daemon knows, and takes a permit where it names a
-    /// limit. Without permits, an upstream in need looked idle and got its whole part of the
-    /// load: 46 requests in 4 s where it takes 1 a second, of 160 before four upstreams.
+    /// limit. Without permits, an upstream in need looks idle and gets its whole part of the
+    /// load.
     pub async fn choose_permitted(&self, request: &PlaceRequest, id: &str) -> Option<Placement> {
         let mut denials = 0;
         loop {
--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -160,8 +160,7 @@
 ///
 /// Silence is bounded, not the whole: a fixed time for all of it is too short
 /// for some size on some link, and a call that is cut off and repeated then
-/// never ends (a body of 1.17 MB on links of 10 Mbit/s, cut off after 1.2 s: 79
-/// reads failed on 33 of 77 daemons, and some were still without it after 8 s).
+/// never ends.
 ///
 /// # Errors
 ///
--- a/src/policy/duties/duty_fitness.rs
+++ b/src/policy/duties/duty_fitness.rs
@@ -12,9 +12,7 @@
 impl DutyFitness {
     /// Returns whether a holder goes on. One that is no hub steps in while the source
     /// turns the hubs away, but knows the demand of its own failure domain only, and
-    /// orders too few upstreams: once others read the source again, it is theirs. Without
-    /// this one held the duties for 48 s of a day (70 daemons, simulated), of whose
-    /// requests 0.18 to 0.55 were served in time for 18 s while upstreams were taken away.
+    /// orders too few upstreams: once others read the source again, it is theirs.
     pub fn keeps(self) -> bool {
         !self.is_stopping && (self.is_hub || self.reads_source)
     }
--- a/src/policy/duties/usage_due.rs
+++ b/src/policy/duties/usage_due.rs
@@ -7,8 +7,7 @@
 /// Until how many times the time a late report is still sent.
 const REPORT_UNTIL: f64 = 1.2;
 /// For how long a new holder of the duties waits for counts in any case, in
-/// milliseconds: two tellings. One that reported at once, 7 s after its window
-/// and 0.3 s after its lease began, told 72 of 3,301 requests.
+/// milliseconds: two tellings. One that reports at once has heard of few requests.
 const SETTLE_MS: f64 = 1_200.0;
 /// Of the time until a report is due, when it is sent even so.
 const REPORT_LAST: f64 = 0.92;
--- a/src/policy/limits/permit_bucket.rs
+++ b/src/policy/limits/permit_bucket.rs
@@ -1,8 +1,6 @@
 /// How many seconds' worth of permits are kept while nobody asks for them, one at least:
 /// requests come unevenly, and what is not asked for at once shall not be lost. Each daemon
-/// that comes to issue permits in a span may have kept as much: with half a second's
-/// worth, a soak of kills and freezes came to 0.93 of the one and a half times that may be
-/// sent in 4 s (one of 50 seeds, 12.5 requests a second).
+/// that comes to issue permits in a span may have kept as much.
 const KEPT_S: f64 = 0.25;
 
 /// Permits to send a request to an upstream: they come at an even pace, and some are kept.
--- a/src/policy/quarantine/crash_book.rs
+++ b/src/policy/quarantine/crash_book.rs
@@ -12,8 +12,8 @@
 /// How often an end is told that this daemon saw, or that it passes on: a datagram may be
 /// lost. Three of four times in a row are lost once in 10,000 where one in ten is.
 const TELLINGS: u8 = 4;
-/// How many requests are kept. What is known takes 0.5 MB then at most. A domain that is
-/// lost cuts off some hundred requests; of those, it is enough to keep the last ones.
+/// How many requests are kept, which bounds memory. A domain that is lost cuts off some
+/// hundred requests; of those, it is enough to keep the last ones.
 const MAX_SUSPECTS: usize = 512;
 /// By how many ends more a request is held back beside which another one always ran that
 /// may as well be the cause. That happens to requests that come together; each is then
--- a/src/policy/quota/account.rs
+++ b/src/policy/quota/account.rs
@@ -182,9 +182,8 @@
             false if first && !is_younger => 0.0,
             false => total,
         };
-        // Kept, such charges emptied the buckets of 295 daemons that got to know
-        // each other: 2,587 of 2,627 refusals in the first seconds of load stood
-        // below their limits. The next refill cuts what is over the burst.
+        // Kept, such charges would empty the buckets of daemons that get to know each other.
+        // The next refill cuts what is over the burst.
         self.level += other.charged - news;
         *other = Other {
             incarnation,
--- a/src/policy/sources/config_lack.rs
+++ b/src/policy/sources/config_lack.rs
@@ -39,8 +39,7 @@
     ///
     /// Not while those that have it tell others: if all daemons read a large
     /// configuration from the source at once, the source answers none of them
-    /// in time, and their repeated reads keep it so (295 daemons, 1.2 MB each:
-    /// 1,593 failed reads in 13 s, 1,305 of them after all had it).
+    /// in time, and their repeated reads keep it so.
     pub fn needs_source(&self, now_ms: u64) -> bool {
         now_ms >= self.deferred_ms + FOLLOWER_PATIENCE_MS
     }
--- a/src/policy/sources/pace.rs
+++ b/src/policy/sources/pace.rs
@@ -9,15 +9,13 @@
 /// other daemons.
 const STALE_SLACK_MS: u64 = 300;
 /// With at least this time, in milliseconds, one reader in a failure domain is
-/// enough: another one notices that it fell silent (2.1 s), lists the source
-/// (0.3 s), and the rest is for the way.
+/// enough: another one has the time to notice that it fell silent, to list the source
+/// and to tell the others.
 const LONE_READER_MS: u64 = 3_500;
 
 /// How often, and by how many daemons of a failure domain, the shared source is
 /// read: as seldom as the bound allows within which all must know of an upstream
-/// that leaves. At 295 daemons in five failure domains and a bound of 4 s this
-/// and the wait for seeds took the calls of a quiet day of 66 s from 6,669 to
-/// 1,176 (a simulation of the users' platform, one day each).
+/// that leaves. Each read is a call that costs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SourcePace {
     /// How many daemons of a failure domain read.
--- a/src/policy/sources/role.rs
+++ b/src/policy/sources/role.rs
@@ -16,8 +16,8 @@
 
 /// How many daemons that come after the readers read the source as soon as what
 /// the readers tell is old: one of the readers may be cut off without knowing it
-/// yet. All others go on asking: when the source itself was away, 295 daemons that
-/// each read it made up most of 16,379 calls in a day of 70 s.
+/// yet. All others go on asking: if the source itself is away, it would be called by each
+/// of them.
 const STANDBYS: usize = 2;
 
 /// Where a daemon learns from.
--- a/src/upstreams/directory_notes.rs
+++ b/src/upstreams/directory_notes.rs
@@ -4,8 +4,7 @@
 const NAMED: usize = 40;
 
 /// What a daemon has just learned of upstreams: many often leave together, and
-/// one line each would make up most of the log (70,946 lines "gone" in 16 s at
-/// 295 daemons).
+/// one line each would make up most of the log.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct DirectoryNotes {
     /// Those that began to leave, with the offsets at which they said so.
--- a/src/upstreams/ready_upstreams.rs
+++ b/src/upstreams/ready_upstreams.rs
@@ -6,9 +6,8 @@
 };
 
 /// The upstreams of a service that may get new work, as of a revision of the
-/// directory. Worked out once a revision, not once a request: at 3,000 upstreams
-/// hashing and looking up each of them anew for each request was most of the
-/// 1,182 us that a choice took, against 96 now (`cargo bench --bench placing`).
+/// directory. Worked out once a revision, not once a request: hashing and looking up each
+/// of them anew would be most of what a choice costs.
 #[derive(Debug, Default)]
 pub struct ReadyUpstreams {
     /// The upstreams.
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -25,10 +25,8 @@
 /// All that a shared source says stands in one order, that of its offsets. The directory
 /// remembers up to which offset it knows everything: an entry from before that it lacks
 /// is gone, whoever tells of it and however late, also if nothing was ever heard of that
-/// upstream here. Remembering only those that were known let a removal that was heard
-/// before its entry be undone by an older listing: requests then reached upstreams 3.5
-/// to 4.4 s after they had left (a simulation of 86 daemons, part of which the source
-/// turned away).
+/// upstream here. If only those that were known were remembered, a removal that is heard
+/// before its entry would be undone by an older listing.
 ///
 /// Beside that, draining is final for one life of an upstream, and a later life ends the
 /// one before.
