--- a/src/cluster/membership/mod.rs
+++ b/src/cluster/membership/mod.rs
@@ -2,8 +2,12 @@
 
 mod daemon_entry;
 mod peer;
+mod peer_duties;
 mod peer_index;
+mod peer_loads;
+mod peer_quotas;
+mod peer_sources;
 mod peer_table;
 mod spoken_versions;
 
-pub use {daemon_entry::*, peer_table::*, spoken_versions::*};
+pub use {daemon_entry::*, peer_loads::*, peer_table::*, spoken_versions::*};
