--- a/src/cluster/hubs/member_table.rs
+++ b/src/cluster/hubs/member_table.rs
@@ -158,13 +158,15 @@
         let begin = member.next_account.checked_rem(others.len()).unwrap_or(0);
         others.rotate_left(begin);
         told.extend(others);
+        let mut parts = Vec::new();
         let mut count = 0;
-        let mut parts = in_parts(told);
-        parts.retain(|part| {
-            let is_told = count == 0 || count < used;
-            count += part.len() * usize::from(is_told);
-            is_told && !part.is_empty()
-        });
+        for part in in_parts(told) {
+            if count > 0 && count >= used {
+                break;
+            }
+            count += part.len();
+            parts.push(part);
+        }
         member.next_account = begin + count.saturating_sub(used);
         parts
     }
--- a/src/upstreams/followed_view.rs
+++ b/src/upstreams/followed_view.rs
@@ -1,4 +1,8 @@
-use {super::DirectoryNews, crate::names::UpstreamId, std::collections::HashSet};
+use {
+    super::DirectoryNews,
+    crate::names::{ServiceName, UpstreamId},
+    std::collections::{HashMap, HashSet},
+};
 
 /// Which of the known upstreams the daemon that is followed has told of, and which are
 /// known from elsewhere: of these, it should have told those that stand before its
@@ -23,19 +27,18 @@
     }
 
     /// Takes in whom news tell of, beside those that are known.
-    pub(super) fn take_in<'a>(
+    pub(super) fn take_in(
         &mut self,
         news: &DirectoryNews,
-        known: impl Fn(&UpstreamId) -> bool,
-        all_known: impl Iterator<Item = &'a UpstreamId>,
+        known: &HashMap<UpstreamId, ServiceName>,
     ) {
         if news.is_whole {
             self.told.clear();
-            self.known_elsewhere.extend(all_known.cloned());
+            self.known_elsewhere.extend(known.keys().cloned());
         }
         for id in &news.gone {
             self.told.remove(id);
-            if known(id) {
+            if known.contains_key(id) {
                 self.known_elsewhere.insert(id.clone());
             }
         }
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -257,9 +257,7 @@
         if position == 0 {
             return self.take_unshared(news.upstreams);
         }
-        let service_of = &self.service_of;
-        let is_known = |id: &UpstreamId| service_of.contains_key(id);
-        self.followed.take_in(&news, is_known, service_of.keys());
+        self.followed.take_in(&news, &self.service_of);
         self.take_in(news.upstreams);
         let elsewhere = self.followed.known_elsewhere();
         let lacked = elsewhere.filter(|id| self.get(id).is_some_and(|u| u.offset < position));
