News of upstreams go round among readers once

Cause: readers follow each other, one more daemon each. An upstream told with a later word than was known here counted as a change, as it may have gone and come back between. Each reader has read a little further than the next for some upstreams, so each told the others, and all followers, the same upstreams for as long as these lived.

Ruled out: the words themselves; followers are told none (decisions/sources).

Now each upstream is told with the offset from which on it is known to have been there. Only a later one than was known is a change. It is passed on as it was told, so it goes round once.

decisions/sources, news_go_round_among_readers_once: five readers in a ring; after the first three rounds nothing is told.

--- a/src/cluster/feed/messages.rs
+++ b/src/cluster/feed/messages.rs
@@ -4,7 +4,7 @@
         names::UpstreamId,
         rollouts::Rollout,
         routing::{PackError, RoutingConfig, pack, unpack},
-        upstreams::{DirectoryChanges, DirectoryNews, ToldDirectory, Upstream},
+        upstreams::{DirectoryChanges, DirectoryNews, PresentUpstream, ToldDirectory},
     },
     bytes::Bytes,
     displaydoc::Display,
@@ -103,7 +103,10 @@
 /// # Errors
 ///
 /// Returns what can't be encoded.
-pub fn pack_upstreams(upstreams: &[Upstream], gone: &[UpstreamId]) -> Result<Bytes, PackError> {
+pub fn pack_upstreams(
+    upstreams: &[PresentUpstream],
+    gone: &[UpstreamId],
+) -> Result<Bytes, PackError> {
     pack(&(upstreams, gone))
 }
 
--- a/src/upstreams/followed_view.rs
+++ b/src/upstreams/followed_view.rs
@@ -42,9 +42,10 @@
                 self.known_elsewhere.insert(id.clone());
             }
         }
-        for upstream in &news.upstreams {
-            self.known_elsewhere.remove(&upstream.id);
-            self.told.insert(upstream.id.clone());
+        for present in &news.upstreams {
+            let id = &present.upstream.id;
+            self.known_elsewhere.remove(id);
+            self.told.insert(id.clone());
         }
     }
 
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -1,8 +1,8 @@
 use {
     super::{
-        DirectoryChanges, DirectoryNews, DirectoryNotes, NewestLives, ReadyUpstreams,
-        ToldDirectory, Upstream, followed_view::FollowedView, gone_upstreams::GoneUpstreams,
-        revision_index::RevisionIndex,
+        DirectoryChanges, DirectoryNews, DirectoryNotes, NewestLives, PresentUpstream,
+        ReadyUpstreams, ToldDirectory, Upstream, followed_view::FollowedView,
+        gone_upstreams::GoneUpstreams, revision_index::RevisionIndex,
     },
     crate::names::{ServiceName, UpstreamId},
     parking_lot::Mutex,
@@ -40,6 +40,8 @@
     /// Before this offset it is known of each upstream where its last word stands, also of
     /// those that only say that they live.
     exact_to: u64,
+    /// From which offset on each is known to have been there, unless it was from the first.
+    since: HashMap<UpstreamId, u64>,
     /// What the daemon that is followed has told of.
     followed: FollowedView,
     /// Whether it is fed by a source that no other daemon has.
@@ -61,12 +63,17 @@
     /// Takes in what an upstream says, read in order; returns whether it changed anything
     /// that matters for routing.
     pub fn upsert(&mut self, upstream: Upstream) -> bool {
-        self.take_in_one(upstream, false)
+        let since = match self.get(&upstream.id) {
+            Some(_) => self.since(&upstream.id),
+            None => upstream.offset,
+        };
+        self.take_in_one(upstream, since)
     }
 
-    /// Takes in what an upstream said last. Where `passes_over` says that earlier words may
-    /// not have been heard, it may have gone and come back between: that is a change.
-    fn take_in_one(&mut self, mut upstream: Upstream, passes_over: bool) -> bool {
+    /// Takes in an upstream that is known to have been there since an offset. If that is
+    /// later than was known here, it may have gone and come back between, unheard: that is
+    /// a change, which those have to be told that heard it go.
+    fn take_in_one(&mut self, mut upstream: Upstream, since: u64) -> bool {
         let id = upstream.id.clone();
         if self.gone.had_left(&id) || self.lives.is_over(&id) {
             return false;
@@ -93,12 +100,16 @@
                 offset: known.offset,
                 ..upstream.clone()
             } == *known;
-            let may_have_gone = passes_over && upstream.offset > known.offset;
+            let may_have_gone = since > self.since(&id);
             if same_but_offset && !had_lapsed && !may_have_gone {
                 self.store(upstream);
                 return false;
             }
         }
+        let since = since.max(self.since(&id));
+        if since > 0 {
+            self.since.insert(id.clone(), since);
+        }
         self.store(upstream);
         self.revision += 1;
         self.changed.note(&id, self.revision);
@@ -146,6 +157,7 @@
         };
         self.revision += 1;
         self.changed.forget(id);
+        self.since.remove(id);
         self.lapsed.remove(id);
         self.followed.note_forgotten(id);
         let removed = self.by_service.get_mut(&service).and_then(|b| b.remove(id));
@@ -208,9 +220,27 @@
         lacked.cloned().collect()
     }
 
+    /// Takes in upstreams of whose earlier words some may not have been heard.
     fn take_in(&mut self, upstreams: Vec<Upstream>) {
+        let is_first = self.position == 0;
         for upstream in upstreams {
-            self.take_in_one(upstream, true);
+            let since = match self.get(&upstream.id) {
+                Some(known) if upstream.offset <= known.offset => self.since(&upstream.id),
+                _ if is_first => 0,
+                _ => upstream.offset,
+            };
+            self.take_in_one(upstream, since);
+        }
+    }
+
+    fn since(&self, id: &UpstreamId) -> u64 {
+        self.since.get(id).copied().unwrap_or(0)
+    }
+
+    fn present(&self, upstream: &Upstream) -> PresentUpstream {
+        PresentUpstream {
+            upstream: upstream.clone(),
+            since: self.since(&upstream.id),
         }
     }
 
@@ -218,13 +248,13 @@
     /// told one by one.
     pub fn news_since(&self, last: Option<ToldDirectory>) -> DirectoryNews {
         let (upstreams, gone) = match last.filter(|_| !self.is_told_whole(last)) {
-            None => (self.all().map(|u| u.as_ref().clone()).collect(), Vec::new()),
+            None => (self.all().map(|u| self.present(u)).collect(), Vec::new()),
             Some(last) => {
                 let changed = self.changed.since(last.revision);
                 let changed = changed.filter_map(|id| self.get(id));
                 let gone = self.gone.since(last.revision);
                 (
-                    changed.map(|u| u.as_ref().clone()).collect(),
+                    changed.map(|u| self.present(u)).collect(),
                     gone.cloned().collect(),
                 )
             }
@@ -255,10 +285,13 @@
     pub fn apply_news(&mut self, news: DirectoryNews) {
         let position = news.told.position;
         if position == 0 {
-            return self.take_unshared(news.upstreams);
+            let told = news.upstreams.into_iter();
+            return self.take_unshared(told.map(|present| present.upstream).collect());
         }
         self.followed.take_in(&news, &self.service_of);
-        self.take_in(news.upstreams);
+        for present in news.upstreams {
+            self.take_in_one(present.upstream, present.since);
+        }
         let elsewhere = self.followed.known_elsewhere();
         let lacked = elsewhere.filter(|id| self.get(id).is_some_and(|u| u.offset < position));
         for id in lacked.cloned().collect::<Vec<_>>() {
--- a/tests/decisions/foreign_bytes.rs
+++ b/tests/decisions/foreign_bytes.rs
@@ -15,7 +15,7 @@
             upstream_from_entry,
         },
         routing::{unpack, unpack_config},
-        upstreams::Upstream,
+        upstreams::PresentUpstream,
     },
 };
 
@@ -108,7 +108,7 @@
         if let Ok(update) = decode::<FeedUpdate>(&bytes) {
             let _ = update.directory();
         }
-        let _ = unpack::<(Vec<Upstream>, Vec<UpstreamId>)>(&bytes);
+        let _ = unpack::<(Vec<PresentUpstream>, Vec<UpstreamId>)>(&bytes);
     }
 
     #[test]
--- a/tests/decisions/sources.rs
+++ b/tests/decisions/sources.rs
@@ -486,3 +486,53 @@
     assert_eq!(heard, update);
     assert_eq!(heard.directory().unwrap(), news);
 }
+
+/// Readers that follow each other in a ring told each other, and all that follow them, the
+/// same upstreams for as long as these lived: each had read a later word than the next.
+#[test]
+fn news_go_round_among_readers_once() {
+    const READERS_OF_ALL: usize = 5;
+    let fleet = 500_u32;
+    let mut readers: Vec<_> = (0..READERS_OF_ALL)
+        .map(|_| UpstreamDirectory::default())
+        .collect();
+    let mut position = 1;
+    for reader in &mut readers {
+        // They begin one after the other, and each finds later words.
+        let listing = (0..fleet).map(|n| upstream(n, position + u64::from(n)));
+        reader.replace(listing.collect(), position + u64::from(fleet), None);
+        position += u64::from(fleet);
+    }
+    let mut known = [None; READERS_OF_ALL];
+    let mut told = Vec::new();
+    for _ in 0..20 {
+        // Each upstream says that it lives, which half of them hear before the others.
+        let mut late = Vec::new();
+        for n in 0..fleet {
+            late.push(upstream(n, position));
+            position += 1;
+        }
+        let mut count = 0;
+        for own in 0..READERS_OF_ALL {
+            if own % 2 == 0 {
+                late.iter().for_each(|u| {
+                    readers[own].upsert(u.clone());
+                });
+                readers[own].read_to(position);
+            }
+            let other = (own + 1) % READERS_OF_ALL;
+            let news = readers[other].news_since(known[own]);
+            known[own] = Some(news.told);
+            count += news.upstreams.len();
+            readers[own].apply_news(news);
+        }
+        for reader in &mut readers {
+            late.iter().for_each(|u| {
+                reader.upsert(u.clone());
+            });
+            reader.read_to(position);
+        }
+        told.push(count);
+    }
+    assert!(told[3..].iter().all(|count| *count == 0), "{told:?}");
+}
