--- a/tests/decisions/fleet_start.rs
+++ b/tests/decisions/fleet_start.rs
@@ -240,8 +240,9 @@
     let seeds: Vec<usize> = asked.iter().map(|(_, seed)| *seed).collect();
     assert_eq!(seeds[..6], [1, 2, 0, 1, 2, 0]);
     let pauses = asked.windows(2).map(|pair| pair[1].0 - pair[0].0);
-    assert!(pauses.clone().all(|ms| ms <= 1_600));
-    assert!(pauses.last().unwrap() >= 800);
+    let pauses: Vec<u64> = pauses.collect();
+    assert!(pauses.iter().all(|ms| *ms <= 1_600));
+    assert!(*pauses.last().unwrap() >= 800);
     pace.restart(10_000);
     assert!(pace.ask(3, 1, 10_000).is_some(), "at once");
     assert!(pace.ask(3, 1, 10_100).is_some());
