Tests: a result during a suspension counts, whoever else announces one

Cause: the test let its process run while the machine was "suspended" (200 ms on another thread), and what announces a resume is one for the process. Another test of the file announces one after its 400 ms. Where that fell between the end of this one's 100 ms and its result at 200 ms, the waiter looked at the time, found it up, and was right to.

Ruled out: the product. That a time is up while there is no result is what is wanted.

Mend: nothing of the process runs meanwhile, as on a suspended machine: the waiter is polled once, and then again after the result. As strict: the deadline passes in between, and the result must count.

--- a/tests/decisions/suspension.rs
+++ b/tests/decisions/suspension.rs
@@ -5,7 +5,12 @@
 
 use {
     saddlepulley::clock::{BootInstant, SuspensionWatch, TimeIsUp, announce_resume, timeout},
-    std::{future::pending, time::Duration},
+    std::{
+        future::{pending, poll_fn},
+        pin::pin,
+        task::Poll,
+        time::Duration,
+    },
 };
 
 /// Lets real time pass while the runtime's clock stands still: it doesn't go forward by
@@ -50,12 +55,15 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_result_that_came_meanwhile_counts() {
     let (tx, rx) = tokio::sync::oneshot::channel();
-    let waits = tokio::spawn(timeout(Duration::from_millis(100), rx));
-    tokio::task::yield_now().await;
-    suspended_for(Duration::from_millis(200)).await;
+    let mut waits = pin!(timeout(Duration::from_millis(100), rx));
+    let first = poll_fn(|cx| Poll::Ready(waits.as_mut().poll(cx))).await;
+    assert!(first.is_pending());
+    tokio::time::pause();
+    // The waiter isn't polled meanwhile, whoever else announces a resume.
+    std::thread::sleep(Duration::from_millis(200));
     tx.send(7).unwrap();
     announce_resume();
-    assert_eq!(waits.await.unwrap(), Ok(Ok(7)));
+    assert_eq!(waits.await, Ok(Ok(7)));
 }
 
 #[test]
