One that has not told its build is asked for updates first

What operators saw: at a start of 985 boxes the busiest sent 6.3 MB a second, most of it the whole directory to its followers, twice to each.

Cause: whether a daemon tells updates was known from its own messages only. A member hears few daemons of its domain itself; the reader that it follows was mostly one of which others had told. It was taken for one of a build that goes by offsets, told the whole that way (unpacked, over twice the bytes), and as soon as it was heard the other way is another directory to count from: the whole once more, packed.

Now a daemon whose build isn't known is asked for updates, and only one that says that there is no such path is asked by offsets, at once and from then on. A landed build answers so. One that told its build is believed, as before.

Test first: decisions/mixed_builds, which the old rule (a level of zero is below that of updates) contradicts in its first line.

--- a/src/cluster/feed/follower.rs
+++ b/src/cluster/feed/follower.rs
@@ -1,14 +1,15 @@
 use {
-    super::{messages::*, state_source::StateSource},
+    super::{FeedForms, messages::*, state_source::StateSource},
     crate::{
-        cluster::UPDATES_LEVEL,
         gateway::Gateway,
-        http::HttpClient,
+        http::{HttpClient, HttpError},
         policy::SourceTries,
         rollouts::Rollout,
         routing::RoutingConfig,
         upstreams::{DirectoryChanges, DirectoryNews, ToldDirectory},
     },
+    bytes::Bytes,
+    http::StatusCode,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -28,6 +29,7 @@
     let mut follower = Follower {
         client: HttpClient::default(),
         known: None,
+        forms: FeedForms::default(),
         tries: SourceTries::default(),
         gateway,
     };
@@ -107,6 +109,7 @@
     gateway: Arc<Gateway>,
     client: HttpClient,
     known: Option<Known>,
+    forms: FeedForms,
     tries: SourceTries,
 }
 
@@ -149,8 +152,36 @@
         tokio::time::sleep(FAILURE_PAUSE * failed.min(MAX_PAUSES) as u32).await;
     }
 
-    async fn ask(&self, daemon: SocketAddr) -> Result<Heard, FeedError> {
-        let tells_updates = self.gateway.peers.lock().level_at(daemon) >= UPDATES_LEVEL;
+    async fn ask(&mut self, daemon: SocketAddr) -> Result<Heard, FeedError> {
+        let level = self.gateway.peers.lock().level_at(daemon);
+        if !self.forms.asks_updates(daemon, level) {
+            return self.ask_by_offsets(daemon).await;
+        }
+        match self.ask_for_updates(daemon).await {
+            Err(e) if lacks_path(&e) => {
+                self.forms.note_refused(daemon);
+                self.ask_by_offsets(daemon).await
+            }
+            heard => heard,
+        }
+    }
+
+    async fn ask_for_updates(&self, daemon: SocketAddr) -> Result<Heard, FeedError> {
+        let answer = self.post(daemon, UPDATE_PATH, true).await?;
+        decode::<FeedUpdate>(&answer)?.try_into()
+    }
+
+    async fn ask_by_offsets(&self, daemon: SocketAddr) -> Result<Heard, FeedError> {
+        let answer = self.post(daemon, NEWS_PATH, false).await?;
+        Ok(decode::<FeedNews>(&answer)?.into())
+    }
+
+    async fn post(
+        &self,
+        daemon: SocketAddr,
+        path: &str,
+        tells_updates: bool,
+    ) -> Result<Bytes, FeedError> {
         let is_same = |k: &Known| k.daemon == daemon && k.tells_updates == tells_updates;
         let known = self.known.filter(is_same);
         let (life, told) = known.map_or_else(Default::default, |k| (k.life, k.told));
@@ -168,15 +199,7 @@
         };
         let timeout = FEED_TIMEOUT + Duration::from_millis(ask.wait_ms);
         let body = encode(&ask)?;
-        let path = match tells_updates {
-            true => UPDATE_PATH,
-            false => NEWS_PATH,
-        };
-        let answer = self.client.post(daemon, path, body, timeout).await?;
-        match tells_updates {
-            true => decode::<FeedUpdate>(&answer)?.try_into(),
-            false => Ok(decode::<FeedNews>(&answer)?.into()),
-        }
+        Ok(self.client.post(daemon, path, body, timeout).await?)
     }
 
     fn take_in(&mut self, daemon: SocketAddr, heard: Heard) {
@@ -208,3 +231,8 @@
         self.gateway.check_ready();
     }
 }
+
+/// Returns whether a daemon said that there is no such path.
+fn lacks_path(e: &FeedError) -> bool {
+    matches!(e, FeedError::Http(HttpError::Status(status)) if *status == StatusCode::NOT_FOUND)
+}
--- a/src/cluster/feed/mod.rs
+++ b/src/cluster/feed/mod.rs
@@ -1,8 +1,9 @@
 //! What daemons tell those that follow them: configuration, upstreams, roll-outs.
 
+mod feed_forms;
 mod follower;
 mod messages;
 mod state_source;
 mod teller;
 
-pub use {follower::*, messages::*, state_source::*, teller::*};
+pub use {feed_forms::*, follower::*, messages::*, state_source::*, teller::*};
--- a/src/cluster/membership/peer_table.rs
+++ b/src/cluster/membership/peer_table.rs
@@ -240,8 +240,8 @@
         }
     }
 
-    /// Returns up to which kind of extension the daemon at an address knows all, as far as
-    /// it was heard.
+    /// Returns up to which kind of extension the daemon at an address knows all; zero if it
+    /// has not told that.
     pub fn level_at(&self, address: SocketAddr) -> u8 {
         let peer = self.named(self.index.at(address).into_iter()).next();
         peer.map_or(0, |p| p.level)
--- a/tests/decisions/mixed_builds.rs
+++ b/tests/decisions/mixed_builds.rs
@@ -12,6 +12,7 @@
 mod messages;
 
 use {
+    crate::cluster_support::*,
     messages::*,
     proptest::{prelude::*, test_runner::RngSeed},
     rand::{Rng, SeedableRng},
@@ -63,6 +64,26 @@
     }
 }
 
+/// A daemon that was only told of was taken for one of an earlier build: it told its whole
+/// directory by offsets, and once more, packed, when it was heard.
+#[test]
+fn one_that_has_not_told_its_build_is_asked_for_updates_first() {
+    let (new, landed) = (address(1), address(2));
+    let mut table = PeerTable::new(entry("own", "a", 0));
+    let mut digest = digest_of("hub", 1);
+    digest.known = vec![entry("new", "a", 1)];
+    table.hear_digest(digest, 0);
+    assert!(table.live_addresses().contains(&new));
+    let mut forms = FeedForms::default();
+    assert!(forms.asks_updates(new, table.level_at(new)), "told of");
+    assert!(forms.asks_updates(landed, table.level_at(landed)));
+    forms.note_refused(landed);
+    assert!(!forms.asks_updates(landed, table.level_at(landed)));
+    assert!(forms.asks_updates(new, table.level_at(new)));
+    assert!(!forms.asks_updates(new, UPDATES_LEVEL - 1), "it told");
+    assert!(forms.asks_updates(landed, UPDATES_LEVEL), "replaced");
+}
+
 #[test]
 fn what_only_extensions_say_is_not_sent_to_builds_that_know_none() {
     let packet = Packet::from(Extension::HasPermit);
