A share of the budget for repeats may be less than one repeat

What callers would see: in an outage of a service, more repeats than the budget allows (BUDGET) wherever there are more daemons than 0.75 of the slack has repeats: each daemon had one repeat at least. At a slack of 1,040: from 1,300 daemons on; at a slack of 4, with six daemons (6 of 5.2 allowed).

Cause: a share below one was rounded up, since a part of a repeat can't be spent.

Now a part is a chance: it is spent whole or lost by one draw, so that those that fail again and again get no more than it. What all draws give together is three deviations below the slack; where a daemon has a whole repeat or more nothing changes.

Weighed: hubs that give repeats out of one pool for all their members. Better for callers, since a lone failure is then always repeated; but a message on the way of each failed try, and a hub that is away has to be reckoned with.

--- a/src/gateway/budgets.rs
+++ b/src/gateway/budgets.rs
@@ -1,11 +1,12 @@
 use {
     super::*,
     crate::{clock::BootInstant, names::ServiceName, policy::*, routing::AccountTerms},
+    rand::Rng,
     std::time::Duration,
 };
 
-/// Of the budget for repeated sends, how much is used.
-const BUDGET_USE: f64 = 0.75;
+/// Of the repeats that first sends earn, how many are used.
+const EARNED_USE: f64 = 0.75;
 /// How long a request waits that is out of turn before it is tried again: the
 /// least time between two notices, and some for the way.
 const TURN_PAUSE: Duration = Duration::from_millis(30);
@@ -19,7 +20,8 @@
 
     /// Spends a repeated send, if one is left.
     pub fn spend_retry(&self, context: &RequestContext) -> bool {
-        self.with_allowance(&context.service, RetryAllowance::spend)
+        let draw = self.rng.lock().random();
+        self.with_allowance(&context.service, |allowance| allowance.spend(draw))
     }
 
     fn with_allowance<T>(
@@ -28,8 +30,8 @@
         act: impl FnOnce(&mut RetryAllowance) -> T,
     ) -> T {
         let bounds = &self.settings.bounds;
-        let slack_share = bounds.retry_slack * BUDGET_USE / self.daemons() as f64;
-        let ratio = bounds.retry_ratio * BUDGET_USE;
+        let slack_share = slack_share(bounds.retry_slack, self.daemons());
+        let ratio = bounds.retry_ratio * EARNED_USE;
         let mut retries = self.retries.lock();
         let fresh = || RetryAllowance::new(ratio, slack_share);
         let allowance = retries.entry(service.clone()).or_insert_with(fresh);
--- a/src/policy/retries/mod.rs
+++ b/src/policy/retries/mod.rs
@@ -3,6 +3,7 @@
 mod retry;
 mod retry_allowance;
 mod retry_situation;
+mod slack_share;
 mod stall;
 
-pub use {retry::*, retry_allowance::*, retry_situation::*, stall::*};
+pub use {retry::*, retry_allowance::*, retry_situation::*, slack_share::*, stall::*};
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -28,6 +28,7 @@
 mod quarantine;
 mod quota;
 mod reclaim;
+mod repeats;
 mod report;
 mod rollout_duty;
 mod rollouts;
--- a/tests/decisions/routed.rs
+++ b/tests/decisions/routed.rs
@@ -188,7 +188,7 @@
         let mut allowance = RetryAllowance::new(ratio, slack / f64::from(daemons));
         for _ in 0..requests / daemons {
             allowance.earn();
-            repeats += u32::from(allowance.spend());
+            repeats += u32::from(allowance.spend(0.0));
         }
     }
     assert!(
@@ -361,7 +361,7 @@
 fn the_share_of_the_budget_shrinks_as_daemons_become_known() {
     let mut allowance = RetryAllowance::new(0.2, 6.0);
     allowance.set_share(2.0);
-    let spent = (0..10).filter(|_| allowance.spend()).count();
+    let spent = (0..10).filter(|_| allowance.spend(0.0)).count();
     assert_eq!(spent, 2);
 }
 
