One that was never told of an account lets in its even part

What callers saw: while no hub answers, each request of an account of which the daemon had not been told is refused, for as long as that lasts. Since members are told of the accounts that they use, that is the first request of an account at a box.

Cause: what is earned since the daemon first decides by itself was counted from the request at hand, so that it was always nothing.

Now the moment is kept until a hub decides again, or is told what was let in; and the part is an even one among the daemons that are known, as the comment there had said: by the rate instead, daemons that are asked for more than the rate would together let in as many times of it.

--- a/src/cluster/quotas/lone_quotas.rs
+++ b/src/cluster/quotas/lone_quotas.rs
@@ -12,11 +12,32 @@
 /// stays below the size of one datagram (20 bytes an account).
 const MAX_TOLD_ACCOUNTS: usize = 24;
 
+/// What a daemon that asks hubs knows of a client account that it lets in by itself.
+#[derive(Clone, Copy, Debug, Default)]
+struct LoneAccount {
+    quota: LoneQuota,
+    demand: DemandMeter,
+    /// Since when it has decided by itself without having been told of the account.
+    untold_since_ms: Option<u64>,
+}
+
+impl LoneAccount {
+    /// Returns what is reckoned with where nothing was told: the daemon's even part of
+    /// what is earned since it first decided by itself.
+    fn untold(&mut self, daemons: usize, now_ms: u64) -> ToldQuota {
+        ToldQuota {
+            level: 0.0,
+            demand: self.demand.per_s(now_ms) * daemons as f64,
+            at_ms: *self.untold_since_ms.get_or_insert(now_ms),
+        }
+    }
+}
+
 /// What a daemon that asks hubs lets in by itself while none answers, by client
 /// account, and what they have not heard of it yet.
 #[derive(Debug, Default)]
 pub struct LoneQuotas {
-    accounts: HashMap<ClientAccount, (LoneQuota, DemandMeter)>,
+    accounts: HashMap<ClientAccount, LoneAccount>,
     /// What was let in and not told yet.
     untold: HashMap<ClientAccount, f64>,
     /// What is told until the hub has heard it.
@@ -30,22 +51,32 @@
 impl LoneQuotas {
     /// Notes what a request asks for.
     pub fn note_demand(&mut self, account: &ClientAccount, cost: f64, now_ms: u64) {
-        let (_, demand) = self.accounts.entry(account.clone()).or_default();
-        demand.note(cost, now_ms);
+        let lone = self.accounts.entry(account.clone()).or_default();
+        lone.demand.note(cost, now_ms);
+    }
+
+    /// Notes that a hub decided on a request of an account.
+    pub fn note_decided(&mut self, account: &ClientAccount) {
+        if let Some(lone) = self.accounts.get_mut(account) {
+            lone.untold_since_ms = None;
+        }
     }
 
-    /// Lets a request in by itself, if the daemon's part allows it.
+    /// Lets a request in by itself, if the daemon's part allows it: by what it was told of
+    /// the account, or else its even part among so many daemons.
     pub fn admit(
         &mut self,
         account: &ClientAccount,
         cost: f64,
-        told: ToldQuota,
+        told: Option<ToldQuota>,
+        daemons: usize,
         limit: &QuotaLimit,
         now_ms: u64,
     ) -> bool {
-        let (quota, demand) = self.accounts.entry(account.clone()).or_default();
-        let own_demand = demand.per_s(now_ms);
-        if !quota.admit(cost, own_demand, told, limit, now_ms) {
+        let lone = self.accounts.entry(account.clone()).or_default();
+        let told = told.unwrap_or_else(|| lone.untold(daemons, now_ms));
+        let own_demand = lone.demand.per_s(now_ms);
+        if !lone.quota.admit(cost, own_demand, told, limit, now_ms) {
             return false;
         }
         *self.untold.entry(account.clone()).or_default() += cost;
@@ -66,8 +97,9 @@
             self.told = 0;
             self.told_to = Some(hub);
             // From here on it is the hub's to count.
-            for (quota, _) in self.accounts.values_mut() {
-                quota.spent = 0.0;
+            for lone in self.accounts.values_mut() {
+                lone.quota.spent = 0.0;
+                lone.untold_since_ms = None;
             }
         }
         // Another hub would count it once more.
--- a/src/gateway/placing.rs
+++ b/src/gateway/placing.rs
@@ -77,6 +77,9 @@
                 None => Ok(()),
             },
             Some(Verdict::Placed { .. } | Verdict::NoUpstream) => {
+                if let Some(account) = limited {
+                    self.lone_quotas.lock().note_decided(&account.name);
+                }
                 *context.placed.lock() = heard.and_then(|h| self.asked_placement(&h, false));
                 Ok(())
             }
@@ -87,15 +90,9 @@
         let now_ms = self.steady_ms();
         let limit = self.quotas.lock().limit_of(account);
         let told = self.peers.lock().told_quota(&account.name);
-        // Nothing told: the daemon reckons with its even part of what is earned
-        // from now on.
-        let told = told.unwrap_or(ToldQuota {
-            level: 0.0,
-            demand: account.rate_per_s,
-            at_ms: now_ms,
-        });
+        let daemons = self.daemons();
         let mut lone = self.lone_quotas.lock();
-        match lone.admit(&account.name, cost, told, &limit, now_ms) {
+        match lone.admit(&account.name, cost, told, daemons, &limit, now_ms) {
             true => Ok(()),
             false => Err(ALONE_RETRY_AFTER),
         }
--- a/tests/decisions/hubs.rs
+++ b/tests/decisions/hubs.rs
@@ -290,6 +290,32 @@
     assert!(!other.admit(400.0, 50.0, told, &limit, 0), "a tenth of it");
 }
 
+/// What such a daemon earns was counted anew with each request, so that it refused all of
+/// them: members are told of the accounts that they use, and a hub may be lost before.
+#[test]
+fn one_that_was_never_told_lets_in_its_even_part() {
+    const DAEMONS: usize = 8;
+    let limit = QuotaLimit {
+        rate: 800.0,
+        burst: 8_000.0,
+        slack: 0.0,
+    };
+    let account = ClientAccount::from("a");
+    let mut lone = LoneQuotas::default();
+    let mut let_in = 0.0;
+    for now_ms in (0..=10_000).step_by(500) {
+        lone.note_demand(&account, 100.0, now_ms);
+        if lone.admit(&account, 100.0, None, DAEMONS, &limit, now_ms) {
+            let_in += 100.0;
+        }
+    }
+    let part = limit.rate * 10.0 / DAEMONS as f64;
+    assert!(let_in <= part && let_in >= 0.9 * part, "{let_in} of {part}");
+    // What was earned before a hub decided again was the hub's to give.
+    lone.note_decided(&account);
+    assert!(!lone.admit(&account, 100.0, None, DAEMONS, &limit, 60_000));
+}
+
 fn report_of(name: &str, daemon: usize, sequence: u64, holds_duties: bool) -> Report {
     Report {
         daemon: entry(name, "a", daemon),
--- a/tests/decisions/members.rs
+++ b/tests/decisions/members.rs
@@ -102,7 +102,7 @@
     for account in 0..300 {
         let account = ClientAccount::from(format!("tenant-{account}").as_str());
         lone.note_demand(&account, 1e3, 0);
-        assert!(lone.admit(&account, 123.4, told, &limit, 0));
+        assert!(lone.admit(&account, 123.4, Some(told), 1, &limit, 0));
     }
     let mut log = EventLog::default();
     for n in 0..48 {
