Upstreams are ordered only once those that are there are known

What callers and operators saw: 985 boxes before 10,000 upstreams started together. While the duties' holder still learned what is there, it ordered 119 upstreams in a domain that had 1,939, then 313, 403 and so on: the platform drained 393 of them within 0.3 s of the first order, and others after each. In all 74 orders in the first 10 s.

Cause: an order names how many there shall be. Before demand is known what was found is held, and replaced; "what was found" was what the holder had heard so far.

Now the daemons that may hold the duties watch how many upstreams they know, and until demand is known none is ordered before that number has not grown for 2 s. A daemon that takes the duties over has watched before.

Test: decisions/fleet, a fleet that becomes known in 0.25 to 30 s is ordered by only when 97 in 100 of it are known; without the wait its first line fails at the first look.

--- a/src/cluster/duties/duty_runner.rs
+++ b/src/cluster/duties/duty_runner.rs
@@ -76,6 +76,7 @@
                 // Those that read the source are enough to hold the duties.
                 self.gateway.until_reading_source().await;
             }
+            self.scaler.look(&self.gateway);
             let stopping = *self.gateway.phase.borrow() != GatewayPhase::Ready;
             let is_fit = self.fitness(stopping).keeps();
             let other_holds = self.gateway.peers.lock().has_duty_holder();
--- a/src/cluster/duties/fleet_scaler.rs
+++ b/src/cluster/duties/fleet_scaler.rs
@@ -4,7 +4,8 @@
         gateway::Gateway,
         names::{FailureDomain, ServiceName},
         policy::{
-            DemandPeak, DomainFleet, FleetBounds, FleetNeed, FleetPolicy, ReadingSpeed, plan_fleet,
+            DemandPeak, DomainFleet, FleetBounds, FleetNeed, FleetPolicy, KnownFleet, ReadingSpeed,
+            plan_fleet,
         },
         routing::{Autoscaling, Service},
     },
@@ -55,11 +56,29 @@
     /// Since when fewer are wanted than are there.
     lower_since: HashMap<(ServiceName, FailureDomain, bool), u64>,
     demand_since_ms: Option<u64>,
+    known: HashMap<ServiceName, KnownFleet>,
     /// How many on-demand upstreams a service had before demand was known.
     found: HashMap<ServiceName, u32>,
 }
 
 impl FleetScaler {
+    /// Notes how many upstreams are known. Also those look that don't hold the duties:
+    /// they know what is there when they take them over.
+    pub fn look(&mut self, gateway: &Gateway) {
+        let Some(table) = gateway.table() else {
+            return;
+        };
+        let now_ms = gateway.steady_ms();
+        let directory = gateway.directory.read();
+        let services = table.config().services.iter();
+        for service in services.filter(|s| s.autoscaling.is_some()) {
+            let there = directory.ready(&service.name).count() as u32;
+            let known = self.known.entry(service.name.clone());
+            let known = known.or_insert_with(|| KnownFleet::new(now_ms));
+            known.note(there, now_ms);
+        }
+    }
+
     /// Returns the orders that are due.
     pub fn due_orders(&mut self, gateway: &Gateway) -> Vec<FleetOrder> {
         let Some(table) = gateway.table() else {
@@ -120,6 +139,10 @@
             now: policy.needed(peaks.now.note(load, now_ms)),
         };
         if !watched || speed.is_none() {
+            let known = self.known.get(&service.name);
+            if !known.is_some_and(|k| k.is_settled(now_ms)) {
+                return Vec::new();
+            }
             // Demand is not known yet: what was found was enough so far.
             let on_demand: u32 = domains.iter().map(|z| z.on_demand).sum();
             let found = self.found.entry(service.name.clone()).or_default();
@@ -132,11 +155,9 @@
             max_per_domain: scaling.max_per_domain,
             reclaimable_price: scaling.reclaimable_price,
         };
+        let plans = plan_fleet(&domains, bounds, need, &policy);
         let mut orders = Vec::new();
-        for (plan, domain) in plan_fleet(&domains, bounds, need, &policy)
-            .into_iter()
-            .zip(&domains)
-        {
+        for (plan, domain) in plans.into_iter().zip(&domains) {
             let order = |reclaimable, count| FleetOrder {
                 service: service.name.clone(),
                 domain: plan.domain.clone(),
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -217,3 +217,42 @@
     assert!(peak.note(10.0, 5_000) > 70.0);
     assert!(peak.note(10.0, 200_000) < 11.0);
 }
+
+/// Orders that are placed while a daemon learns, step by step, what is there: the platform
+/// takes away what is beyond them. 985 boxes that started together had ordered 119
+/// upstreams in a domain that had 1,939.
+#[test]
+fn a_fleet_is_ordered_by_only_once_it_is_known_whole() {
+    const THERE: u32 = 9_695;
+    const LOOK_MS: u64 = 250;
+    for known_after_ms in [250, 1_000, 3_000, 10_000, 30_000] {
+        let mut fleet = KnownFleet::new(0);
+        let mut settled_ms = None;
+        for now_ms in (0..60_000).step_by(LOOK_MS as usize) {
+            let part = (now_ms as f64 / f64::from(known_after_ms)).min(1.0);
+            let known = (f64::from(THERE) * part) as u32;
+            fleet.note(known, now_ms);
+            if fleet.is_settled(now_ms) {
+                settled_ms.get_or_insert(now_ms);
+                // An order by so many more than are known leaves what is there.
+                assert!(known >= THERE / 100 * 97, "{known} of {THERE}");
+            }
+        }
+        let settled_ms = settled_ms.expect("it is known at last");
+        assert!(settled_ms <= u64::from(known_after_ms as u32) + 2_250);
+    }
+}
+
+#[test]
+fn a_few_upstreams_that_come_and_go_are_no_growth() {
+    let mut fleet = KnownFleet::new(0);
+    fleet.note(100, 0);
+    for now_ms in (0..2_000).step_by(250) {
+        assert!(!fleet.is_settled(now_ms));
+        fleet.note(100 + u32::from(now_ms % 500 == 0), now_ms);
+    }
+    assert!(fleet.is_settled(2_000));
+    fleet.note(130, 2_250);
+    assert!(!fleet.is_settled(2_250));
+    assert!(fleet.is_settled(4_250));
+}
