An idle fleet is ordered by what is known so far

While nobody asks, what an order by a part takes away has no work, and a smaller fleet is what was wanted: there the wait only costs. It guards requests, so it holds while there are some: after a loss of all daemons, where the upstreams are loaded.

What stays as it was, and is not good: at a start of all, orders by what was heard so far drain idle upstreams, and half of what was found is ordered in reclaimable ones on a guess. docs/design/fleet.md has what was tried.

--- a/src/cluster/duties/fleet_scaler.rs
+++ b/src/cluster/duties/fleet_scaler.rs
@@ -140,7 +140,9 @@
         };
         if !watched || speed.is_none() {
             let known = self.known.get(&service.name);
-            if !known.is_some_and(|k| k.is_settled(now_ms)) {
+            let is_settled = known.is_some_and(|k| k.is_settled(now_ms));
+            // While nobody asks, what is taken away had no work.
+            if demand > 0.0 && !is_settled {
                 return Vec::new();
             }
             // Demand is not known yet: what was found was enough so far.
