Hubs tell each other of the accounts in use

What operators saw: at 985 boxes and 333 accounts each of 15 hubs sent 0.7 MB a second of quotas (630 datagrams), before any request came just as under load: two thirds of all that a hub sends, and each other hub reads it.

Cause: each told all accounts to all others, four times a second, and again whenever one account was near its limit.

Now an account is told when something of it has changed, twice since datagrams are lost, and else each eighth time. A hub that listens anew, or again after it was silent, is told of all, three times: in its first second it learns what is left, and counts from it.

Tests: decisions/quota. All simulations of quotas now go this way, cuts, restarts and kills of all among them, and one with a tenth of what is told lost; telling grows with accounts in use at 40, 333 and 2,000 accounts.

--- a/src/cluster/hubs/digest_teller.rs
+++ b/src/cluster/hubs/digest_teller.rs
@@ -22,10 +22,11 @@
 pub(in crate::cluster) async fn tell_digests(gateway: Arc<Gateway>) {
     let mut sequence = 0;
     let mut told = BTreeSet::new();
+    let mut quota_news = QuotaNews::default();
     loop {
         sequence += 1;
         if gateway.tick_peers() {
-            told = tell_hubs(&gateway, sequence).await;
+            told = tell_hubs(&gateway, &mut quota_news, sequence).await;
         } else if !told.is_empty() {
             // It no longer is one: whoever took it for a hub hears so.
             let digest = own_digest(&gateway, gateway.domain().as_str(), MEMBERS_EVERY_MS);
@@ -40,12 +41,17 @@
     }
 }
 
-async fn tell_hubs(gateway: &Gateway, sequence: u64) -> BTreeSet<SocketAddr> {
+async fn tell_hubs(
+    gateway: &Gateway,
+    quota_news: &mut QuotaNews,
+    sequence: u64,
+) -> BTreeSet<SocketAddr> {
     let own = gateway.settings.listen.peers;
-    let (mut hubs, silent, every_ms) = {
+    let (mut hubs, listeners, silent, every_ms) = {
         let peers = gateway.peers.lock();
         (
             peers.hub_addresses(),
+            peers.listening_hubs(),
             peers.silent_neighbours(),
             peers.digest_every_ms(),
         )
@@ -54,7 +60,7 @@
     let digest = own_digest(gateway, gateway.domain().as_str(), every_ms);
     let age_ms = gateway.hub_age_ms();
     let mut packets = vec![digest_packet(digest.clone())];
-    let quotas = in_parts(gateway.tick_quotas());
+    let quotas = in_parts(quota_news.due(gateway.tick_quotas(), listeners));
     let quotas = quotas_parts(gateway, quotas, sequence, age_ms);
     let loads = loads_parts(gateway, &gateway.led_loads(), sequence, 0);
     packets.extend(quotas.into_iter().chain(loads).map(Packet::from));
--- a/src/cluster/membership/peer_table.rs
+++ b/src/cluster/membership/peer_table.rs
@@ -208,6 +208,13 @@
         self.hubs_anywhere().map(|p| p.entry.address).collect()
     }
 
+    /// Returns which lives of other hubs hear what this one tells, as far as is known: those
+    /// that are heard themselves.
+    pub fn listening_hubs(&self) -> BTreeSet<Listener> {
+        let heard = self.hubs_anywhere().filter(|p| !p.is_late(self.now_ms));
+        heard.map(|p| (p.entry.address, p.life)).collect()
+    }
+
     /// Returns the daemons of the own failure domain that fell silent: one that
     /// starts again hears of the others by being told.
     pub fn silent_neighbours(&self) -> Vec<SocketAddr> {
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -1,10 +1,16 @@
 //! Quotas over several daemons, under seeds: lag, cuts and restarts.
 
 use {
+    crate::cluster_support::{address, told_account},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
-    saddlepulley::{names::ClientAccount, policy::*, routing::AccountTerms},
-    std::collections::HashMap,
+    saddlepulley::{
+        cluster::{Listener, QuotaNews, ToldAccount},
+        names::ClientAccount,
+        policy::*,
+        routing::AccountTerms,
+    },
+    std::collections::{BTreeSet, HashMap},
 };
 
 const RATE: f64 = 100_000.0;
@@ -37,11 +43,14 @@
 struct Fleet {
     terms: AccountTerms,
     books: Vec<QuotaBook>,
+    news: Vec<QuotaNews>,
     lives: Vec<u64>,
     started_ms: Vec<u64>,
     heard: Vec<HashMap<usize, (u64, Vec<QuotaNotice>)>>,
     admitted: Vec<(u64, f64)>,
     refused: f64,
+    /// How many of what is told of quotas is lost.
+    loss: f64,
     rng: ChaCha8Rng,
 }
 
@@ -50,17 +59,20 @@
         Self {
             terms: terms(),
             books: vec![QuotaBook::new(BOUNDS); daemons],
+            news: (0..daemons).map(|_| QuotaNews::default()).collect(),
             lives: (0..daemons as u64).collect(),
             started_ms: vec![0; daemons],
             heard: vec![HashMap::new(); daemons],
             admitted: Vec::new(),
             refused: 0.0,
+            loss: 0.0,
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
     fn restart(&mut self, daemon: usize) {
         self.books[daemon] = QuotaBook::new(BOUNDS);
+        self.news[daemon] = QuotaNews::default();
         self.lives[daemon] += 1_000;
         self.started_ms[daemon] = self.admitted.last().map_or(0, |(at, _)| *at);
         self.heard[daemon].clear();
@@ -85,6 +97,10 @@
             let others = self.others_of(from, now_ms);
             let notices =
                 self.books[from].tick(std::slice::from_ref(&self.terms), &others, daemons, now_ms);
+            let listeners = self.listeners_of(from, now_ms);
+            let told = notices.iter().map(ToldAccount::of).collect();
+            let told = self.news[from].due(told, listeners);
+            let notices: Vec<_> = told.iter().map(ToldAccount::notice).collect();
             for to in (0..daemons).filter(|to| *to != from) {
                 if cut(from, now_ms) || cut(to, now_ms) {
                     continue;
@@ -92,12 +108,26 @@
                 let node = from.to_string();
                 let is_younger = self.started_ms[from] >= self.started_ms[to];
                 let life = self.lives[from];
+                let heard = self.heard[to].entry(from).or_default();
+                heard.0 = now_ms;
+                if notices.is_empty() || self.rng.random_bool(self.loss) {
+                    continue;
+                }
+                heard.1 = notices.clone();
                 self.books[to].hear(&node, life, &notices, is_younger, now_ms);
-                self.heard[to].insert(from, (now_ms, notices.clone()));
             }
         }
     }
 
+    /// Those that one hears itself.
+    fn listeners_of(&self, at: usize, now_ms: u64) -> BTreeSet<Listener> {
+        let heard = self.heard[at].iter();
+        let heard = heard.filter(|(_, (heard_ms, _))| now_ms <= heard_ms + LATE_MS);
+        heard
+            .map(|(from, _)| (address(*from), self.lives[*from]))
+            .collect()
+    }
+
     fn others_of(&self, at: usize, now_ms: u64) -> HashMap<ClientAccount, Vec<OtherDaemon>> {
         let mut others: HashMap<ClientAccount, Vec<OtherDaemon>> = HashMap::new();
         for (from, (heard_ms, notices)) in &self.heard[at] {
@@ -264,6 +294,52 @@
     }
 }
 
+#[test]
+fn the_quota_holds_where_some_of_what_is_told_is_lost() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(15, seed);
+        fleet.loss = 0.1;
+        fleet.run(5_000, 0.9, |_, _| false);
+        (0..3).for_each(|daemon| fleet.restart(daemon));
+        fleet.run(20_000, 4.0, |_, _| false);
+        let worst = fleet.worst_window();
+        assert!(worst <= allowed(), "seed {seed}: {worst} of {}", allowed());
+    }
+}
+
+/// Hubs told each other all accounts four times a second: of 333 accounts 0.7 MB a second
+/// out of each of 15 hubs, whether any request came or not.
+#[test]
+fn what_hubs_tell_each_other_grows_with_the_accounts_in_use() {
+    const HUBS: usize = 15;
+    const IN_USE: usize = 20;
+    const TELLINGS: usize = 400;
+    for accounts in [40, 333, 2_000] {
+        let all: Vec<ToldAccount> = (0..accounts).map(told_account).collect();
+        let mut news = QuotaNews::default();
+        let listeners: BTreeSet<Listener> = (0..HUBS).map(|n| (address(n), 1)).collect();
+        let mut told = HashMap::<String, usize>::new();
+        let mut count = 0;
+        for n in 0..TELLINGS {
+            let mut now = all.clone();
+            now[n % IN_USE].admitted += n as f64;
+            for account in news.due(now, listeners.clone()) {
+                *told.entry(account.name).or_default() += 1;
+                count += 1;
+            }
+        }
+        assert_eq!(told.len(), accounts);
+        let by_turns = TELLINGS * accounts / 8;
+        assert!(count <= by_turns + 5 * accounts + 5 * TELLINGS, "{count}");
+        assert!(told.values().all(|times| *times >= TELLINGS / 8));
+        // One that started anew needs to know what is left of each.
+        let mut anew = listeners.clone();
+        anew.remove(&(address(3), 1));
+        anew.insert((address(3), 2));
+        assert_eq!(news.due(all.clone(), anew).len(), accounts);
+    }
+}
+
 #[test]
 fn a_refused_request_is_told_when_to_come_back() {
     let limit = exact(100.0, 1_000.0);
