--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -50,15 +50,16 @@
 pub struct NodeSettings {
     /// Its name.
     pub name: BoxId,
-    /// Its zone.
-    pub zone: FailureDomain,
+    /// Its failure domain; `zone` in files for earlier builds.
+    #[serde(alias = "zone")]
+    pub domain: FailureDomain,
     /// Its share of processor cores: where boxes differ, the larger ones of a
     /// failure domain place requests for the others.
     #[serde(default = "one_core", deserialize_with = "positive")]
     pub capacity: f64,
-    /// All zones, with their regions.
-    #[serde(default)]
-    pub zones: BTreeMap<FailureDomain, String>,
+    /// All failure domains, with their regions; `zones` in files for earlier builds.
+    #[serde(default, alias = "zones")]
+    pub domains: BTreeMap<FailureDomain, String>,
 }
 
 fn one_core() -> f64 {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -143,7 +143,7 @@
         };
         let own = DaemonEntry {
             name: settings.node.name.to_string(),
-            domain: settings.node.zone.to_string(),
+            domain: settings.node.domain.to_string(),
             capacity: settings.node.capacity as f32,
             address: settings.listen.peers,
         };
@@ -213,7 +213,7 @@
     /// Returns how many daemons there are, as far as is known.
     pub fn daemons(&self) -> usize {
         let known = self.peers.lock().daemons();
-        let assumed = self.settings.node.zones.len() * ASSUMED_PER_DOMAIN;
+        let assumed = self.settings.node.domains.len() * ASSUMED_PER_DOMAIN;
         if known > 1 { known } else { assumed.max(1) }
     }
 
@@ -264,7 +264,7 @@
 
     /// Returns the domain of this daemon.
     pub fn domain(&self) -> &FailureDomain {
-        &self.settings.node.zone
+        &self.settings.node.domain
     }
 
     /// Forgets what concerns upstreams that are gone.
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -55,7 +55,7 @@
             target: "gateway",
             "started. node={} domain={} incarnation={} build={} messages={} since={}",
             gateway.settings.node.name,
-            gateway.settings.node.zone,
+            gateway.settings.node.domain,
             gateway.incarnation,
             env!("CARGO_PKG_VERSION"),
             cluster::DATAGRAM_VERSION,
--- a/src/policy/fleet/known_fleet.rs
+++ b/src/policy/fleet/known_fleet.rs
@@ -2,7 +2,7 @@
 /// not been all: a few come and go while versions change.
 const GROWTH: f64 = 1.02;
 /// After how long without growth all upstreams are taken to be known, in milliseconds:
-/// longer than daemons and upstreams that start together need to learn of each other.
+/// some of the times in which news reach a daemon.
 const SETTLED_MS: u64 = 2_000;
 
 /// How many upstreams of a service are known, and whether these are all that there are.
