Small moves of weights and late digests are no news of quotas

Cause, by the code: the weight of an account without requests is a part of its rate by the number of daemons that are heard, which moves by some all the time; and a digest that is late for once had all accounts told three times.

Now a weight is news from a twentieth of it on, and only a hub that was silent is told of all again: only for silent ones is anything charged that a telling gives back.

--- a/src/cluster/membership/peer_table.rs
+++ b/src/cluster/membership/peer_table.rs
@@ -209,9 +209,9 @@
     }
 
     /// Returns which lives of other hubs hear what this one tells, as far as is known: those
-    /// that are heard themselves.
+    /// that aren't silent themselves.
     pub fn listening_hubs(&self) -> BTreeSet<Listener> {
-        let heard = self.hubs_anywhere().filter(|p| !p.is_late(self.now_ms));
+        let heard = self.hubs_anywhere().filter(|p| !p.is_silent(self.now_ms));
         heard.map(|p| (p.entry.address, p.life)).collect()
     }
 
--- a/src/cluster/quotas/quota_news.rs
+++ b/src/cluster/quotas/quota_news.rs
@@ -11,6 +11,9 @@
 /// How often all accounts are told to those that listen anew: within the time in which
 /// they learn what is left.
 const WHOLE_TIMES: u8 = 3;
+/// By what part of it a weight must change to be news. An account without requests asks
+/// for a part that moves with the number of daemons that are heard.
+const WEIGHT_CHANGE: f32 = 0.05;
 /// Each how many tellings an account is told of which nothing changes, for what was lost
 /// all the same.
 const TURNS: usize = 8;
@@ -33,6 +36,7 @@
 /// What was told of an account, and how often it is still to be told.
 #[derive(Clone, Copy, Debug)]
 struct Told {
+    /// The weight when it was last news.
     weight: f32,
     admitted: f64,
     times_left: u8,
@@ -78,7 +82,8 @@
             Some(told) => told,
             None => self.told.entry(account.name.clone()).or_insert(fresh),
         };
-        if told.weight != weight || told.admitted != admitted {
+        let is_moved = (told.weight - weight).abs() > told.weight * WEIGHT_CHANGE;
+        if is_moved || told.admitted != admitted {
             *told = fresh;
         }
         let is_news = told.times_left > 0;
