What a daemon lets in by itself counts until it is told what is left

What callers would see: while a hub is silent, more of an account let in than its quota (QUOTA). A member forgot what it had let in with each report, each 0.5 s, also to a hub that doesn't hear: of 4,000 units left and 100 a second it let in 10,000 units in 10 s, all that it was asked for.

Cause: a report was taken for heard ("from here on it is the hub's to count"). The same line began a never told account's part anew with each report, so that its requests were still refused.

Now what it let in counts from when it was last told what is left; what no report had said by then is kept.

Tests: decisions/hubs, both with reports to a hub that doesn't answer; the first fails before with 10,000 of 5,000 units.

--- a/src/cluster/quotas/lone_quotas.rs
+++ b/src/cluster/quotas/lone_quotas.rs
@@ -17,6 +17,8 @@
 struct LoneAccount {
     quota: LoneQuota,
     demand: DemandMeter,
+    /// When what it was told last was told: what it spent counts from there.
+    told_ms: u64,
     /// Since when it has decided by itself without having been told of the account.
     untold_since_ms: Option<u64>,
 }
@@ -75,6 +77,11 @@
     ) -> bool {
         let lone = self.accounts.entry(account.clone()).or_default();
         let told = told.unwrap_or_else(|| lone.untold(daemons, now_ms));
+        if lone.told_ms != told.at_ms {
+            // What a hub had heard of by then it has counted.
+            lone.told_ms = told.at_ms;
+            lone.quota.spent = self.untold.get(account).copied().unwrap_or(0.0);
+        }
         let own_demand = lone.demand.per_s(now_ms);
         if !lone.quota.admit(cost, own_demand, told, limit, now_ms) {
             return false;
@@ -96,11 +103,6 @@
             self.batch_number += u64::from(!self.batch.is_empty());
             self.told = 0;
             self.told_to = Some(hub);
-            // From here on it is the hub's to count.
-            for lone in self.accounts.values_mut() {
-                lone.quota.spent = 0.0;
-                lone.untold_since_ms = None;
-            }
         }
         // Another hub would count it once more.
         if self.batch.is_empty() || self.told_to != Some(hub) {
--- a/src/policy/quota/lone.rs
+++ b/src/policy/quota/lone.rs
@@ -16,7 +16,7 @@
 /// it was asked for beside what all were.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LoneQuota {
-    /// What was let in since the others heard of it.
+    /// What was let in since the others told what is left.
     pub spent: f64,
 }
 
--- a/tests/decisions/hubs.rs
+++ b/tests/decisions/hubs.rs
@@ -290,6 +290,43 @@
     assert!(!other.admit(400.0, 50.0, told, &limit, 0), "a tenth of it");
 }
 
+/// What it had let in was forgotten with each report to a hub, also to one that doesn't
+/// hear: it let its part of what is left in again and again.
+#[test]
+fn one_whose_hub_is_silent_spends_what_it_was_told_once() {
+    let limit = QuotaLimit {
+        rate: 100.0,
+        burst: 8_000.0,
+        slack: 0.0,
+    };
+    let told = |at_ms: u64| ToldQuota {
+        level: 4_000.0,
+        demand: 100.0,
+        at_ms,
+    };
+    let account = ClientAccount::from("a");
+    let mut lone = LoneQuotas::default();
+    let mut let_in = |lone: &mut LoneQuotas, told_ms: u64, until_ms: u64| {
+        let mut units = 0.0;
+        for now_ms in (told_ms..until_ms).step_by(100) {
+            lone.note_demand(&account, 100.0, now_ms);
+            if lone.admit(&account, 100.0, Some(told(told_ms)), 8, &limit, now_ms) {
+                units += 100.0;
+            }
+            if now_ms % 500 == 0 {
+                lone.to_tell(address(1));
+            }
+        }
+        units
+    };
+    let units = let_in(&mut lone, 0, 10_000);
+    assert!(units <= 4_000.0 + 1_000.0, "{units}");
+    assert!(units >= 4_000.0, "{units}");
+    // Told anew, it counts from there.
+    let units = let_in(&mut lone, 10_000, 12_000);
+    assert!((1_900.0..=2_000.0).contains(&units), "{units}");
+}
+
 /// What such a daemon earns was counted anew with each request, so that it refused all of
 /// them: members are told of the accounts that they use, and a hub may be lost before.
 #[test]
@@ -308,6 +345,8 @@
         if lone.admit(&account, 100.0, None, DAEMONS, &limit, now_ms) {
             let_in += 100.0;
         }
+        // A hub that doesn't answer is told all the same.
+        lone.to_tell(address(1));
     }
     let part = limit.rate * 10.0 / DAEMONS as f64;
     assert!(let_in <= part && let_in >= 0.9 * part, "{let_in} of {part}");
