--- a/tests/decisions/hubs.rs
+++ b/tests/decisions/hubs.rs
@@ -306,7 +306,7 @@
     };
     let account = ClientAccount::from("a");
     let mut lone = LoneQuotas::default();
-    let mut let_in = |lone: &mut LoneQuotas, told_ms: u64, until_ms: u64| {
+    let let_in = |lone: &mut LoneQuotas, told_ms: u64, until_ms: u64| {
         let mut units = 0.0;
         for now_ms in (told_ms..until_ms).step_by(100) {
             lone.note_demand(&account, 100.0, now_ms);
