A hub that is silent for a while stays the same listener

Now only a life that was not heard before is told of all. What is charged for a silent hub is given back with the next change or turn, two seconds later at most.

Tests: decisions/quota, all simulations.

--- a/src/cluster/membership/peer_table.rs
+++ b/src/cluster/membership/peer_table.rs
@@ -208,10 +208,10 @@
         self.hubs_anywhere().map(|p| p.entry.address).collect()
     }
 
-    /// Returns which lives of other hubs hear what this one tells, as far as is known: those
-    /// that aren't silent themselves.
+    /// Returns which lives of other hubs this one tells. One that is silent for a while is
+    /// the same listener when it is heard again.
     pub fn listening_hubs(&self) -> BTreeSet<Listener> {
-        let heard = self.hubs_anywhere().filter(|p| !p.is_silent(self.now_ms));
+        let heard = self.hubs_anywhere().filter(|p| p.heard_ms.is_some());
         heard.map(|p| (p.entry.address, p.life)).collect()
     }
 
--- a/src/cluster/quotas/quota_news.rs
+++ b/src/cluster/quotas/quota_news.rs
@@ -43,8 +43,8 @@
 }
 
 impl QuotaNews {
-    /// Returns what to tell of all accounts to some listeners. One that listens anew, or
-    /// again after it was silent, is told of all of them.
+    /// Returns what to tell of all accounts to some listeners. One that listens anew is told
+    /// of all of them.
     pub fn due(
         &mut self,
         all: Vec<ToldAccount>,
--- a/tests/decisions/fleet.rs
+++ b/tests/decisions/fleet.rs
@@ -234,7 +234,6 @@
             fleet.note(known, now_ms);
             if fleet.is_settled(now_ms) {
                 settled_ms.get_or_insert(now_ms);
-                // An order by so many more than are known leaves what is there.
                 assert!(known >= THERE / 100 * 97, "{known} of {THERE}");
             }
         }
--- a/tests/decisions/quota.rs
+++ b/tests/decisions/quota.rs
@@ -97,7 +97,7 @@
             let others = self.others_of(from, now_ms);
             let notices =
                 self.books[from].tick(std::slice::from_ref(&self.terms), &others, daemons, now_ms);
-            let listeners = self.listeners_of(from, now_ms);
+            let listeners = self.listeners_of(from);
             let told = notices.iter().map(ToldAccount::of).collect();
             let told = self.news[from].due(told, listeners);
             let notices: Vec<_> = told.iter().map(ToldAccount::notice).collect();
@@ -119,12 +119,11 @@
         }
     }
 
-    /// Those that one hears itself.
-    fn listeners_of(&self, at: usize, now_ms: u64) -> BTreeSet<Listener> {
-        let heard = self.heard[at].iter();
-        let heard = heard.filter(|(_, (heard_ms, _))| now_ms < heard_ms + SILENT_MS);
+    /// Those that one has heard itself, silent ones too.
+    fn listeners_of(&self, at: usize) -> BTreeSet<Listener> {
+        let heard = self.heard[at].keys();
         heard
-            .map(|(from, _)| (address(*from), self.lives[*from]))
+            .map(|from| (address(*from), self.lives[*from]))
             .collect()
     }
 
