--- a/src/cluster/duties/duty_runner.rs
+++ b/src/cluster/duties/duty_runner.rs
@@ -214,6 +214,7 @@
                 Ok(true)
             }
             AppendOutcome::Conflict => {
+                log::info!(target: "duties", "append conflicts with another record. offset={end}");
                 self.read_new_records().await?;
                 Ok(false)
             }
