Tests that fail: a store that returns from an older copy stops the duties, doubles reports, keeps upstreams that went

The stand-in of the store gets the drill that the platform announced: away (connections are closed), then a copy that is some seconds old; what daemons appended since is gone, offsets are given out again, a read past the end gets 410, all answers name Store-Era, which rises by one, and what the operator and the upstreams wrote is written again.

Six tests with real daemons.

--- a/standin/src/store/mod.rs
+++ b/standin/src/store/mod.rs
@@ -4,7 +4,8 @@
 
 mod duty_call;
 mod paced_body;
+mod producers;
 mod service;
 mod topics;
 
-pub use {duty_call::*, paced_body::*, service::*, topics::*};
+pub use {duty_call::*, paced_body::*, producers::*, service::*, topics::*};
--- a/standin/src/store/service.rs
+++ b/standin/src/store/service.rs
@@ -1,5 +1,7 @@
 use {
-    super::{Delivery, DutyCall, PacedBody, Topics},
+    super::{
+        Delivery, DutyCall, NumberCheck, PacedBody, Producers, Topics, Writer, topics::keyed_record,
+    },
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::Bytes,
     http_body_util::BodyExt,
@@ -10,13 +12,25 @@
     parking_lot::Mutex,
     serde_json::{Value, json},
     std::{
-        collections::HashMap, convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration,
+        collections::HashMap,
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
     },
     tokio::{net::TcpListener, sync::watch, task::AbortHandle},
 };
 
 type StoreResponse = Response<Bytes>;
 
+/// Header of all answers: a number that rises each time the store returns from an older copy.
+const ERA: &str = "store-era";
+/// The era of a store that has never been restored.
+const FIRST_ERA: u64 = 4;
+
 #[derive(Debug)]
 struct Shared {
     topics: Mutex<Topics>,
@@ -25,9 +39,16 @@
     down: Mutex<bool>,
     /// While true, calls get no answer, including those in progress.
     silent: watch::Sender<bool>,
+    /// While true, connections are closed instead of answered, including those of calls in
+    /// progress.
+    away: watch::Sender<bool>,
+    /// The era that answers name; none if they name no era.
+    era: Mutex<Option<u64>>,
+    /// Number of calls answered with status 410.
+    gone: AtomicU64,
     delivery: Mutex<Delivery>,
     /// Newest epoch and sequence number, by `topic/producer`.
-    producers: Mutex<HashMap<String, (u64, u64)>>,
+    producers: Mutex<Producers>,
     /// Number of listings of each keyed topic.
     listings: Mutex<HashMap<String, u64>>,
     /// Number of reads received for each topic.
@@ -63,6 +84,9 @@
             calls: Mutex::default(),
             down: Mutex::new(false),
             silent: watch::Sender::new(false),
+            away: watch::Sender::new(false),
+            era: Mutex::new(Some(FIRST_ERA)),
+            gone: AtomicU64::new(0),
             reads: watch::Sender::default(),
             delivery: Mutex::default(),
             producers: Mutex::default(),
@@ -83,29 +107,26 @@
 
     /// Writes the value of a key to a keyed topic.
     pub fn put(&self, topic: &str, key: &str, value: &Value) {
-        let value = value.to_string();
-        self.shared.topics.lock().put(topic, key, value.as_bytes());
-        self.shared.changed.send_modify(|n| *n += 1);
+        self.put_bytes(topic, key.as_bytes(), value.to_string().as_bytes());
     }
 
     /// Writes a record of a keyed topic with arbitrary bytes as key and value.
     pub fn put_bytes(&self, topic: &str, key: &[u8], value: &[u8]) {
-        let mut record = vec![key.len() as u8];
-        record.extend_from_slice(key);
-        record.extend_from_slice(value);
-        self.append(topic, &record);
+        self.append(topic, &keyed_record(key, value));
     }
 
-    /// Appends arbitrary bytes to a topic.
+    /// Appends arbitrary bytes to a topic, as the operator or an upstream.
     pub fn append(&self, topic: &str, record: &[u8]) {
-        self.shared.topics.lock().append(topic, record);
+        let mut topics = self.shared.topics.lock();
+        topics.append(topic, record, Writer::Outside);
+        drop(topics);
         self.shared.changed.send_modify(|n| *n += 1);
     }
 
     /// Returns all values written for a key of a keyed topic, in order.
     pub fn values(&self, topic: &str, key: &str) -> Vec<Value> {
         let topics = self.shared.topics.lock();
-        let mine = topics.read(topic, 0).iter().filter_map(|record| {
+        let mine = topics.read(topic, 0).filter_map(|record| {
             let value = record.get(1..)?.strip_prefix(key.as_bytes())?;
             serde_json::from_slice(value).ok()
         });
@@ -123,8 +144,7 @@
 
     /// Deletes a key of a keyed topic by an empty value.
     pub fn drop_key(&self, topic: &str, key: &str) {
-        self.shared.topics.lock().put(topic, key, &[]);
-        self.shared.changed.send_modify(|n| *n += 1);
+        self.put_bytes(topic, key.as_bytes(), &[]);
     }
 
     /// Answers every call with status 503 while `down` is true.
@@ -138,6 +158,55 @@
         self.shared.silent.send_replace(silent);
     }
 
+    /// Closes all connections instead of answering while `away` is true, including those of
+    /// calls in progress.
+    pub fn set_away(&self, away: bool) {
+        self.shared.away.send_replace(away);
+    }
+
+    /// Sets whether answers name the era of the store.
+    pub fn set_names_era(&self, names: bool) {
+        *self.shared.era.lock() = names.then_some(FIRST_ERA);
+    }
+
+    /// Returns from a copy that is `age` old: topics and producers go back to the state of
+    /// that time, offsets are given out again, and the era rises by one. Returns what the
+    /// operator and the upstreams have written since; [`Store::write_again`] writes it again.
+    pub fn restore(&self, age: Duration) -> Vec<(String, Vec<u8>)> {
+        let state_of = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
+        let lost = self.shared.topics.lock().restore(state_of);
+        self.shared.producers.lock().restore(state_of);
+        if let Some(era) = &mut *self.shared.era.lock() {
+            *era += 1;
+        }
+        self.shared.changed.send_modify(|n| *n += 1);
+        lost
+    }
+
+    /// Writes records again that a restore has lost.
+    pub fn write_again(&self, lost: Vec<(String, Vec<u8>)>) {
+        for (topic, record) in lost {
+            self.append(&topic, &record);
+        }
+    }
+
+    /// Is away for a moment and returns from a copy that is `age` old when the store leaves.
+    /// What the operator and the upstreams had written since is written again `rewrite_after`
+    /// later.
+    pub async fn drill(&self, age: Duration, away: Duration, rewrite_after: Duration) {
+        self.set_away(true);
+        tokio::time::sleep(away).await;
+        let lost = self.restore(age + away);
+        self.set_away(false);
+        tokio::time::sleep(rewrite_after).await;
+        self.write_again(lost);
+    }
+
+    /// Returns the number of calls answered with status 410.
+    pub fn gone_answers(&self) -> u64 {
+        self.shared.gone.load(Ordering::Relaxed)
+    }
+
     /// Waits until another read of a topic is received.
     pub async fn next_read(&self, topic: &str) {
         let count = |reads: &HashMap<String, u64>| reads.get(topic).copied().unwrap_or(0);
@@ -168,7 +237,7 @@
         let shared = shared.clone();
         tokio::spawn(async move {
             let service = service_fn(move |request| paced_response(request, shared.clone()));
-            // Errors of clients that disconnect are ignored.
+            // Errors of clients that disconnect, and of an away store, are ignored.
             let _ = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
@@ -179,13 +248,17 @@
 async fn paced_response(
     request: Request<Incoming>,
     shared: Arc<Shared>,
-) -> Result<Response<PacedBody>, Infallible> {
+) -> Result<Response<PacedBody>, io::Error> {
     record_read(&request, &shared);
-    let answer = tokio::select! {
+    let mut answer = tokio::select! {
         biased;
-        () = wait_until_silent(&shared) => std::future::pending().await,
+        () = wait_until(&shared.silent) => std::future::pending().await,
+        () = wait_until(&shared.away) => return Err(io::ErrorKind::ConnectionReset.into()),
         answer = respond(request, &shared) => answer,
     };
+    if let Some(era) = *shared.era.lock() {
+        answer.headers_mut().insert(ERA, era.into());
+    }
     let delivery = *shared.delivery.lock();
     Ok(answer.map(|bytes| PacedBody::new(bytes, delivery)))
 }
@@ -199,10 +272,10 @@
     }
 }
 
-async fn wait_until_silent(shared: &Shared) {
-    let mut silent = shared.silent.subscribe();
+async fn wait_until(state: &watch::Sender<bool>) {
+    let mut state = state.subscribe();
     // The sender lives as long as the store.
-    let _ = silent.wait_for(|silent| *silent).await;
+    let _ = state.wait_for(|is_set| *is_set).await;
 }
 
 fn parse_query(uri: &hyper::Uri) -> HashMap<String, String> {
@@ -272,7 +345,7 @@
         let Some(record) = body.get(at + 4..at + 4 + length) else {
             return status(StatusCode::BAD_REQUEST);
         };
-        topics.append(topic(query), record);
+        topics.append(topic(query), record, Writer::Daemon);
         at += 4 + length;
     }
     let new_end = topics.end(topic(query));
@@ -286,32 +359,33 @@
 fn check_producer(shared: &Shared, query: &HashMap<String, String>) -> Option<StoreResponse> {
     let producer = query.get("producer")?;
     let (epoch, sequence) = (number(query, "epoch")?, number(query, "sequence")?);
-    let mut producers = shared.producers.lock();
     let key = format!("{}/{producer}", topic(query));
-    let (last_epoch, last) = producers.get(&key).copied().unwrap_or((0, 0));
-    if epoch < last_epoch {
-        let fenced = json!({ "reason": "fenced" });
-        return Some(json_response(StatusCode::CONFLICT, &fenced));
-    }
-    if epoch == last_epoch && sequence <= last {
-        return Some(json_response(StatusCode::OK, &json!({})));
+    match shared.producers.lock().check(key, epoch, sequence) {
+        NumberCheck::Next => None,
+        NumberCheck::Repeated => Some(json_response(StatusCode::OK, &json!({}))),
+        NumberCheck::Fenced => {
+            let fenced = json!({ "reason": "fenced" });
+            Some(json_response(StatusCode::CONFLICT, &fenced))
+        }
+        NumberCheck::OutOfOrder(expected) => {
+            let wanted = json!({ "reason": "seq", "sequence": expected });
+            Some(json_response(StatusCode::CONFLICT, &wanted))
+        }
     }
-    if epoch == last_epoch && sequence != last + 1 {
-        let wanted = json!({ "reason": "seq", "sequence": last + 1 });
-        return Some(json_response(StatusCode::CONFLICT, &wanted));
-    }
-    producers.insert(key, (epoch, sequence));
-    None
 }
 
 async fn read(shared: &Shared, query: &HashMap<String, String>) -> StoreResponse {
     let from = number(query, "source").unwrap_or(0);
     let wait = Duration::from_millis(number(query, "wait_ms").unwrap_or(0));
     let mut changed = shared.changed.subscribe();
-    let has_records = |_: &u64| shared.topics.lock().end(topic(query)) > from;
+    let has_records = |_: &u64| shared.topics.lock().end(topic(query)) != from;
     // If no record is appended in time, the answer holds none.
     let _ = tokio::time::timeout(wait, changed.wait_for(has_records)).await;
     let topics = shared.topics.lock();
+    if from > topics.end(topic(query)) {
+        shared.gone.fetch_add(1, Ordering::Relaxed);
+        return json_response(StatusCode::GONE, &json!({ "first": 0 }));
+    }
     let mut bytes = topics.end(topic(query)).to_be_bytes().to_vec();
     bytes.extend_from_slice(&0_u64.to_be_bytes());
     for record in topics.read(topic(query), from) {
--- a/standin/src/store/topics.rs
+++ b/standin/src/store/topics.rs
@@ -1,9 +1,25 @@
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Instant};
+
+/// Who wrote a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Writer {
+    /// The operator or an upstream, which writes again what a restore of the store lost.
+    Outside,
+    /// A daemon, through a call to the store.
+    Daemon,
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    bytes: Vec<u8>,
+    writer: Writer,
+    written: Instant,
+}
 
 /// Topics of one partition each.
 #[derive(Clone, Debug, Default)]
 pub struct Topics {
-    topics: BTreeMap<String, Vec<Vec<u8>>>,
+    topics: BTreeMap<String, Vec<Record>>,
 }
 
 impl Topics {
@@ -15,25 +31,34 @@
     }
 
     /// Appends a record and returns its offset.
-    pub fn append(&mut self, topic: &str, record: &[u8]) -> u64 {
+    pub fn append(&mut self, topic: &str, record: &[u8], writer: Writer) -> u64 {
         let records = self.topics.entry(topic.to_string()).or_default();
-        records.push(record.to_vec());
+        records.push(Record {
+            bytes: record.to_vec(),
+            writer,
+            written: Instant::now(),
+        });
         records.len() as u64 - 1
     }
 
-    /// Appends a record of a keyed topic and returns its offset. An empty value deletes the
-    /// key.
-    pub fn put(&mut self, topic: &str, key: &str, value: &[u8]) -> u64 {
-        let mut record = vec![key.len() as u8];
-        record.extend_from_slice(key.as_bytes());
-        record.extend_from_slice(value);
-        self.append(topic, &record)
-    }
-
     /// Returns a topic's records from an offset on.
-    pub fn read(&self, topic: &str, from: u64) -> &[Vec<u8>] {
+    pub fn read(&self, topic: &str, from: u64) -> impl Iterator<Item = &[u8]> {
         let records = self.topics.get(topic).map_or(&[][..], Vec::as_slice);
-        &records[(from as usize).min(records.len())..]
+        let records = &records[(from as usize).min(records.len())..];
+        records.iter().map(|record| record.bytes.as_slice())
+    }
+
+    /// Goes back to the state of an earlier time. Returns the records that outside writers
+    /// have written since, with their topics.
+    pub fn restore(&mut self, state_of: Instant) -> Vec<(String, Vec<u8>)> {
+        let mut lost = Vec::new();
+        for (topic, records) in &mut self.topics {
+            let kept = records.partition_point(|record| record.written <= state_of);
+            let dropped = records.drain(kept..);
+            let outside = dropped.filter(|record| record.writer == Writer::Outside);
+            lost.extend(outside.map(|record| (topic.clone(), record.bytes)));
+        }
+        lost
     }
 
     /// Returns the newest value of each key of a keyed topic, with its offset.
@@ -54,6 +79,14 @@
     }
 }
 
+/// Encodes a record of a keyed topic. An empty value deletes the key.
+pub(super) fn keyed_record(key: &[u8], value: &[u8]) -> Vec<u8> {
+    let mut record = vec![key.len() as u8];
+    record.extend_from_slice(key);
+    record.extend_from_slice(value);
+    record
+}
+
 /// Splits a keyed record, which begins with the key's length in one byte, into key and
 /// value.
 fn split_key(record: &[u8]) -> Option<(&[u8], &[u8])> {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -17,6 +17,7 @@
 mod planned_soak;
 mod raw_client;
 mod restart_soak;
+mod restored_store;
 mod retries;
 mod rollouts;
 mod silent_store;
--- a/tests/gateway/store_support.rs
+++ b/tests/gateway/store_support.rs
@@ -5,7 +5,14 @@
     http::StatusCode,
     saddlepulley_standin::store::Store,
     serde_json::json,
-    std::{net::SocketAddr, process::Stdio},
+    std::{
+        net::SocketAddr,
+        process::Stdio,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+    },
     tempfile::TempDir,
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
@@ -15,13 +22,19 @@
 
 /// Starts an upstream that gives the same successful response to each request.
 pub async fn fixed_runner() -> SocketAddr {
+    start_runner(Arc::default()).await
+}
+
+async fn start_runner(requests: Arc<AtomicU64>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
+            let requests = requests.clone();
             tokio::spawn(async move {
                 let mut buffer = [0; 4_096];
                 while stream.read(&mut buffer).await.is_ok_and(|n| n > 0) {
+                    requests.fetch_add(1, Ordering::Relaxed);
                     let answer = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Response-Seal: s\r\nContent-Length: 2\r\n\r\nok";
                     if stream.write_all(answer).await.is_err() {
                         return;
@@ -33,6 +46,24 @@
     address
 }
 
+/// An upstream that gives the same successful response to each request, and counts them.
+pub struct CountingUpstream {
+    pub address: SocketAddr,
+    requests: Arc<AtomicU64>,
+}
+
+impl CountingUpstream {
+    pub async fn start() -> Self {
+        let requests = Arc::new(AtomicU64::new(0));
+        let address = start_runner(requests.clone()).await;
+        Self { address, requests }
+    }
+
+    pub fn requests(&self) -> u64 {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
 /// Builds a configuration with one route, in the platform's format.
 pub fn config(version: u64, prefix: &str) -> serde_json::Value {
     json!({
