Duties over several returns of the log: no fence twice, no lost chain, no old tenure

A random exploration of four daemons (kills, freezes, cuts, lost answers, up to a dozen returns of the log a minute, all daemons restarted) found four faults in the mend before: - two daemons without memory in two returns left out the same number of offsets, and gave out the same fence: the number now grows with the eras since what the daemon knows; - records without contents pushed those with contents out of what a daemon remembers, so that its continuation broke the chain of leases; - a daemon that took the lease again after it had continued the topic went on under its old fence, below one that was lost with the copy: a continuation by another than the holder now ends the lease; - a second return made a daemon forget the end that it had read in between. A lease record of a build that knows no era counts after a return whatever it follows: its writer takes it for the one in force, and must not act beside another.

--- a/src/names/source_era.rs
+++ b/src/names/source_era.rs
@@ -30,6 +30,11 @@
         !self.is_named()
     }
 
+    /// Returns how many eras have begun after an earlier one.
+    pub fn since(self, earlier: Self) -> u64 {
+        self.0.saturating_sub(earlier.0)
+    }
+
     /// Returns true if the source has returned from a copy between an earlier era and this
     /// one. An unnamed era tells nothing: the source may only have begun to name its eras.
     pub fn follows_restore(self, earlier: Self) -> bool {
--- a/src/policy/duties/duty_log.rs
+++ b/src/policy/duties/duty_log.rs
@@ -69,8 +69,8 @@
             self.era = self.era.max(era);
             return true;
         }
-        self.era = era;
-        self.begin_restoration(now_ms, unix_ms);
+        let former = std::mem::replace(&mut self.era, era);
+        self.begin_restoration(former, now_ms, unix_ms);
         false
     }
 
@@ -78,10 +78,10 @@
     /// read up to it. The log has returned from a copy without naming an era, and the topic has
     /// to be read from its first record.
     pub fn restart(&mut self, now_ms: u64, unix_ms: u64) {
-        self.begin_restoration(now_ms, unix_ms);
+        self.begin_restoration(self.era, now_ms, unix_ms);
     }
 
-    fn begin_restoration(&mut self, now_ms: u64, unix_ms: u64) {
+    fn begin_restoration(&mut self, former_era: SourceEra, now_ms: u64, unix_ms: u64) {
         let former = std::mem::take(&mut self.topic);
         match &mut self.restoration {
             Some(restoration) => {
@@ -89,10 +89,10 @@
                 restoration.restart(now_ms, unix_ms);
             }
             None => {
-                self.restoration = Some(match self.read_ms {
-                    Some(read_ms) => TopicRestoration::new(former, read_ms, now_ms, unix_ms),
-                    None => TopicRestoration::without_memory(now_ms, unix_ms),
-                });
+                let read_ms = self.read_ms;
+                let restoration =
+                    TopicRestoration::new(former, former_era, read_ms, now_ms, unix_ms);
+                self.restoration = Some(restoration);
             }
         }
     }
@@ -115,11 +115,13 @@
     /// Records that the topic was read up to its end.
     pub fn record_read(&mut self, now_ms: u64, unix_ms: u64) {
         self.read_ms = Some(now_ms);
-        let is_continued = self.topic.newest_era() >= self.era;
-        let lacks_era = self.topic.newest_era().is_named() && !is_continued;
+        let newest_era = self.topic.newest_era();
+        let is_continued = newest_era >= self.era;
+        let lacks_era = newest_era.is_named() && !is_continued;
         if self.restoration.is_none() && lacks_era {
             // The topic names an earlier era only: the log returned before this daemon read it.
-            let restoration = TopicRestoration::without_memory(now_ms, unix_ms);
+            let read = self.topic.clone();
+            let restoration = TopicRestoration::new(read, newest_era, None, now_ms, unix_ms);
             self.restoration = Some(restoration);
         }
         let Some(restoration) = &mut self.restoration else {
@@ -153,6 +155,7 @@
         let restored = RestoredRecord {
             by: self.me.clone(),
             era: self.era,
+            holds_lease: false,
             first_window,
         };
         let restoration = self.restoration.as_ref()?;
--- a/src/policy/duties/duty_record.rs
+++ b/src/policy/duties/duty_record.rs
@@ -36,6 +36,9 @@
     pub by: BoxIncarnation,
     /// The era that the log is in since it returned.
     pub era: SourceEra,
+    /// True if the box holds the lease, which goes on. Else the lease has ended, and whoever
+    /// takes it gets a new fencing token.
+    pub holds_lease: bool,
     /// Reports of windows before this one may have been announced by records that are lost.
     /// Those that no record of the topic announces are not sent, as their counts could differ.
     pub first_window: u64,
--- a/src/policy/duties/duty_topic.rs
+++ b/src/policy/duties/duty_topic.rs
@@ -1,13 +1,13 @@
 use {
     super::{BoxIncarnation, DutyRecord, LeaseRecord, LeaseView, UsageRecord},
     crate::{names::SourceEra, policy::AccountCounts},
-    std::collections::{BTreeMap, VecDeque},
+    std::collections::BTreeMap,
 };
 
 /// Number of windows whose reports are remembered.
 pub(super) const MAX_REPORTS: usize = 64;
-/// Number of the newest records that are remembered. A holder appends one or two per second,
-/// and a copy from which the log returns is some seconds old.
+/// Number of the newest records with contents that are remembered. A holder appends one or two
+/// per second, and a copy from which the log returns is some seconds old.
 const MAX_TAIL: usize = 256;
 
 /// The duties topic as one box has folded it from the log, within one era of the log. Times
@@ -22,10 +22,14 @@
     sent: Option<(u64, u64)>,
     /// The offset of the next record.
     next: u64,
-    /// The newest records with their offsets; `None` for a record without contents.
-    tail: VecDeque<(u64, Option<DutyRecord>)>,
+    /// The newest records with contents, by offset.
+    tail: BTreeMap<u64, DutyRecord>,
+    /// The offset from which on all records with contents are in the tail.
+    tail_from: u64,
     /// The newest era that a record names.
     newest_era: SourceEra,
+    /// True if a box has continued the topic after its log returned from a copy.
+    is_restored: bool,
     /// The first window that may be reported without a record that announces its counts.
     first_reportable: u64,
 }
@@ -59,7 +63,10 @@
 
     /// Continues at an offset: the records before it have been removed from the log.
     pub(super) fn skip_to(&mut self, offset: u64) {
-        self.next = self.next.max(offset);
+        if offset > self.next {
+            self.next = offset;
+            self.tail_from = offset;
+        }
     }
 
     /// Records when a lease record is first sent.
@@ -85,21 +92,33 @@
             return;
         }
         self.next = offset + 1;
-        self.tail.push_back((offset, record.clone()));
-        if self.tail.len() > MAX_TAIL {
-            self.tail.pop_front();
-        }
+        let Some(record) = record else {
+            return;
+        };
+        self.remember(offset, record.clone());
         match record {
-            None => {}
-            Some(DutyRecord::Lease(lease)) => self.fold_lease(offset, lease, me, now_ms),
-            Some(DutyRecord::Usage(usage)) => self.fold_usage(usage),
-            Some(DutyRecord::Restored(restored)) => {
+            DutyRecord::Lease(lease) => self.fold_lease(offset, lease, me, now_ms),
+            DutyRecord::Usage(usage) => self.fold_usage(usage),
+            DutyRecord::Restored(restored) => {
                 self.newest_era = self.newest_era.max(restored.era);
+                self.is_restored = true;
+                if !restored.holds_lease {
+                    self.view.end();
+                }
                 self.first_reportable = self.first_reportable.max(restored.first_window);
             }
         }
     }
 
+    fn remember(&mut self, offset: u64, record: DutyRecord) {
+        self.tail.insert(offset, record);
+        if self.tail.len() > MAX_TAIL
+            && let Some((oldest, _)) = self.tail.pop_first()
+        {
+            self.tail_from = oldest + 1;
+        }
+    }
+
     fn fold_lease(&mut self, offset: u64, lease: LeaseRecord, me: &BoxIncarnation, now_ms: u64) {
         // Appended by what its box knew of an earlier era: the fencing token that it follows
         // may have been given out again since.
@@ -107,6 +126,11 @@
             return;
         }
         self.newest_era = self.newest_era.max(lease.era);
+        if lease.era.is_unnamed() && self.is_restored {
+            // A build that knows of no eras may not have folded the records by which the topic was
+            // continued. It takes its record for the one in force, so that all must.
+            return self.view.fold_unchained(offset, lease, now_ms);
+        }
         let sent = self.sent.filter(|(follows, _)| *follows == lease.follows);
         let sent_ms = sent.map(|(_, at_ms)| at_ms);
         self.view.fold(offset, lease, me, sent_ms, now_ms, 0);
@@ -125,23 +149,18 @@
         }
     }
 
-    /// Returns false if the two topics have different records at an offset that both
-    /// remember, so that neither continues the other.
+    /// Returns false if the two topics have different records at an offset that both have
+    /// folded and remember, so that neither continues the other.
     pub(super) fn agrees_with(&self, other: &Self) -> bool {
-        let others: BTreeMap<u64, _> = other.tail.iter().map(|(at, r)| (*at, r)).collect();
-        let mut shared = self.tail.iter().filter_map(|(at, record)| {
-            let theirs = others.get(at)?;
-            Some(record == *theirs)
-        });
-        shared.all(|is_same| is_same)
+        let from = self.tail_from.max(other.tail_from);
+        let end = self.next.min(other.next).max(from);
+        self.tail.range(from..end).eq(other.tail.range(from..end))
     }
 
     /// Returns a remembered record. `None` stands for one without contents, and for one that
     /// is not remembered.
     pub(super) fn record_at(&self, offset: u64) -> Option<&DutyRecord> {
-        let mut tail = self.tail.iter();
-        let (_, record) = tail.find(|(at, _)| *at == offset)?;
-        record.as_ref()
+        self.tail.get(&offset)
     }
 
     /// Takes over what a box knew of the lease before the log returned from a copy, if the
--- a/src/policy/duties/lease.rs
+++ b/src/policy/duties/lease.rs
@@ -25,6 +25,8 @@
     pub current: Option<(u64, LeaseRecord)>,
     /// The fencing token with which the current holder took the lease; renewals keep it.
     pub tenure: u64,
+    /// True if the lease has ended, so that a record of the same holder takes it anew.
+    has_ended: bool,
     /// Offset of the next record to fold.
     next: u64,
 }
@@ -42,10 +44,12 @@
         if record.follows != self.fence() && !is_oldest_left {
             return false;
         }
-        let renewed = self
-            .current
-            .as_ref()
-            .is_some_and(|(_, old)| old.by == record.by);
+        let renewed = !self.has_ended
+            && self
+                .current
+                .as_ref()
+                .is_some_and(|(_, old)| old.by == record.by);
+        self.has_ended = false;
         if !renewed {
             self.tenure = offset + 1;
         }
@@ -55,7 +59,28 @@
 
     /// Returns true if the same record of the log is in force in both states.
     pub fn is_same_lease(&self, other: &Self) -> bool {
-        self.current == other.current && self.tenure == other.tenure
+        self.current == other.current
+            && self.tenure == other.tenure
+            && self.has_ended == other.has_ended
+    }
+
+    /// Ends the lease in force before its term is over.
+    fn end(&mut self) {
+        self.has_ended = true;
+        if let Some((_, lease)) = &mut self.current {
+            lease.term_ms = 0;
+        }
+    }
+
+    /// Folds a record of another box whether or not it follows the lease in force.
+    fn fold_unchained(&mut self, offset: u64, record: LeaseRecord) {
+        let chained = LeaseRecord {
+            follows: self.fence(),
+            ..record.clone()
+        };
+        if self.fold(offset, chained) {
+            self.current = Some((offset + 1, record));
+        }
     }
 
     /// Returns the fencing token of the lease in force; 0 for none.
@@ -135,6 +160,20 @@
         }
     }
 
+    /// Ends the lease in force before its term is over: its holder is known not to act any more.
+    pub fn end(&mut self) {
+        self.fold.end();
+        self.held_until_ms = 0;
+    }
+
+    /// Folds a record of another box, read at `now_ms`, that takes or renews the lease whether or
+    /// not it follows the one in force.
+    pub fn fold_unchained(&mut self, offset: u64, record: LeaseRecord, now_ms: u64) {
+        self.fold.fold_unchained(offset, record);
+        self.seen_at_ms = now_ms;
+        self.held_until_ms = 0;
+    }
+
     /// Decides what this box may do at `now_ms`. The holder renews the lease once half of
     /// its term has passed.
     pub fn step(&self, me: &BoxIncarnation, term_ms: u64, now_ms: u64) -> LeaseStep {
--- a/src/policy/duties/topic_restoration.rs
+++ b/src/policy/duties/topic_restoration.rs
@@ -1,16 +1,21 @@
 use {
     super::duty_topic::DutyTopic,
-    crate::policy::{DutyRecord, RestoredRecord},
+    crate::{
+        names::SourceEra,
+        policy::{DutyRecord, RestoredRecord},
+    },
 };
 
-/// Minimum number of offsets that are skipped, as records that this box has not seen may
-/// have had them.
-const UNSEEN_RECORDS: u64 = 32;
+/// Number of offsets that are skipped for each return of the log: more than a holder uses in the
+/// seconds that a copy lacks, so that no fencing token is given out twice, not even if another
+/// daemon continued the topic in between and the next copy lacks that, too.
+const SKIPPED_PER_ERA: u64 = 256;
+/// Maximum number of returns of the log for which offsets are skipped, so that the skipped ones
+/// fit into one call.
+const MAX_ERAS: u64 = 128;
 /// Number of records per second that the holder may have appended since this box last read
 /// the topic. A holder takes four turns per second.
 const UNSEEN_PER_S: u64 = 8;
-/// Number of offsets that a box skips if it has read nothing before the log returned.
-const UNSEEN_WITHOUT_MEMORY: u64 = 256;
 
 /// Records to append in one call.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,7 +36,12 @@
 #[derive(Clone, Debug)]
 pub(super) struct TopicRestoration {
     memory: DutyTopic,
-    unseen: u64,
+    /// The era of the log in which the memory was read.
+    memory_era: SourceEra,
+    /// When the memory was read; none if nothing was.
+    memory_read_ms: Option<u64>,
+    /// The greatest end of the topic that this box has seen, in any era since then.
+    known_end: u64,
     noticed_unix_ms: u64,
     /// The end of the log as read last in the present era; none if it has not been read.
     log_end: Option<u64>,
@@ -40,23 +50,20 @@
 }
 
 impl TopicRestoration {
-    /// Begins with what was read until `read_ms`.
-    pub(super) fn new(memory: DutyTopic, read_ms: u64, now_ms: u64, unix_ms: u64) -> Self {
-        let unread_s = now_ms.saturating_sub(read_ms).div_ceil(1_000);
+    /// Begins with what was read of the topic until `read_ms` in an earlier era of the log.
+    /// `read_ms` is none if nothing was read then.
+    pub(super) fn new(
+        memory: DutyTopic,
+        memory_era: SourceEra,
+        read_ms: Option<u64>,
+        now_ms: u64,
+        unix_ms: u64,
+    ) -> Self {
         Self {
-            unseen: UNSEEN_RECORDS + UNSEEN_PER_S * unread_s,
+            known_end: memory.next(),
             memory,
-            noticed_unix_ms: unix_ms,
-            log_end: None,
-            quiet_since_ms: now_ms,
-        }
-    }
-
-    /// Begins without memory: the box has read the topic only after the log returned.
-    pub(super) fn without_memory(now_ms: u64, unix_ms: u64) -> Self {
-        Self {
-            memory: DutyTopic::default(),
-            unseen: UNSEEN_WITHOUT_MEMORY,
+            memory_era,
+            memory_read_ms: read_ms,
             noticed_unix_ms: unix_ms,
             log_end: None,
             quiet_since_ms: now_ms,
@@ -80,6 +87,7 @@
         if self.log_end.replace(end) != Some(end) {
             self.quiet_since_ms = now_ms;
         }
+        self.known_end = self.known_end.max(end);
     }
 
     /// Returns the fencing token if this box holds the lease until `until_ms`, and nobody else
@@ -101,14 +109,14 @@
         mut restored: RestoredRecord,
     ) -> Option<TopicAppend> {
         let at = self.log_end?;
-        let known_end = self.memory.next().max(at);
         let end = match self.fence_until(log, now_ms) {
             Some(_) => {
+                restored.holds_lease = true;
                 restored.first_window = self.memory.first_reportable();
-                known_end
+                self.memory.next().max(at)
             }
             None if now_ms < self.quiet_since_ms + self.longest_term_ms(term_ms) => return None,
-            None => known_end + self.unseen,
+            None => self.known_end + self.skipped(restored.era, now_ms),
         };
         let is_own_log = log.agrees_with(&self.memory);
         let known = |offset| self.memory.record_at(offset).filter(|_| is_own_log);
@@ -117,6 +125,14 @@
         Some(TopicAppend { at, records })
     }
 
+    /// Returns how many offsets this box may not have seen in use.
+    fn skipped(&self, era: SourceEra, now_ms: u64) -> u64 {
+        let eras = era.since(self.memory_era).clamp(1, MAX_ERAS);
+        let read_ms = self.memory_read_ms.unwrap_or(now_ms);
+        let unread_s = now_ms.saturating_sub(read_ms).div_ceil(1_000);
+        SKIPPED_PER_ERA * eras + UNSEEN_PER_S * unread_s
+    }
+
     fn longest_term_ms(&self, term_ms: u64) -> u64 {
         let known = self.memory.view().lease().current.as_ref();
         known.map_or(term_ms, |(_, lease)| lease.term_ms.max(term_ms))
