--- a/src/policy/duties/duty_log.rs
+++ b/src/policy/duties/duty_log.rs
@@ -25,8 +25,6 @@
     /// The era in which `topic` was read.
     era: SourceEra,
     topic: DutyTopic,
-    /// When the topic was last read.
-    read_ms: Option<u64>,
     /// Set while the log has returned from a copy and nobody has continued the topic.
     restoration: Option<TopicRestoration>,
     /// Counts that were announced in earlier eras, by window.
@@ -41,7 +39,6 @@
             term_ms,
             era: SourceEra::default(),
             topic: DutyTopic::default(),
-            read_ms: None,
             restoration: None,
             vouched: BTreeMap::new(),
         }
@@ -89,9 +86,7 @@
                 restoration.restart(now_ms, unix_ms);
             }
             None => {
-                let read_ms = self.read_ms;
-                let restoration =
-                    TopicRestoration::new(former, former_era, read_ms, now_ms, unix_ms);
+                let restoration = TopicRestoration::new(former, former_era, now_ms, unix_ms);
                 self.restoration = Some(restoration);
             }
         }
@@ -114,14 +109,13 @@
 
     /// Records that the topic was read up to its end.
     pub fn record_read(&mut self, now_ms: u64, unix_ms: u64) {
-        self.read_ms = Some(now_ms);
         let newest_era = self.topic.newest_era();
         let is_continued = newest_era >= self.era;
         let lacks_era = newest_era.is_named() && !is_continued;
         if self.restoration.is_none() && lacks_era {
             // The topic names an earlier era only: the log returned before this daemon read it.
             let read = self.topic.clone();
-            let restoration = TopicRestoration::new(read, newest_era, None, now_ms, unix_ms);
+            let restoration = TopicRestoration::new(read, newest_era, now_ms, unix_ms);
             self.restoration = Some(restoration);
         }
         let Some(restoration) = &mut self.restoration else {
--- a/src/policy/duties/topic_restoration.rs
+++ b/src/policy/duties/topic_restoration.rs
@@ -6,16 +6,14 @@
     },
 };
 
-/// Number of offsets that are skipped for each return of the log: more than a holder uses in the
-/// seconds that a copy lacks, so that no fencing token is given out twice, not even if another
-/// daemon continued the topic in between and the next copy lacks that, too.
+/// Number of offsets that are skipped for each return of the log since the newest era that the
+/// copy names: more than a holder uses in the seconds that a copy lacks. All boxes that continue
+/// from a copy in an era skip the same ones, and in a later era more of them. So no fencing token
+/// is given out twice, not even if what another box appended since is lost with the next copy.
 const SKIPPED_PER_ERA: u64 = 256;
 /// Maximum number of returns of the log for which offsets are skipped, so that the skipped ones
 /// fit into one call.
 const MAX_ERAS: u64 = 128;
-/// Number of records per second that the holder may have appended since this box last read
-/// the topic. A holder takes four turns per second.
-const UNSEEN_PER_S: u64 = 8;
 
 /// Records to append in one call.
 #[derive(Clone, Debug, PartialEq)]
@@ -31,15 +29,12 @@
 ///
 /// The holder of the lease continues it at once: it knows all records, and all that follows
 /// from them stays as it was. Any other box waits for a term in which nothing is appended,
-/// as the holder may live, and leaves out the offsets of records that it may not have seen,
-/// so that no fencing token is given out twice.
+/// as the holder may live, and leaves out the offsets of records that it may not have seen.
 #[derive(Clone, Debug)]
 pub(super) struct TopicRestoration {
     memory: DutyTopic,
     /// The era of the log in which the memory was read.
     memory_era: SourceEra,
-    /// When the memory was read; none if nothing was.
-    memory_read_ms: Option<u64>,
     /// The greatest end of the topic that this box has seen, in any era since then.
     known_end: u64,
     noticed_unix_ms: u64,
@@ -50,20 +45,12 @@
 }
 
 impl TopicRestoration {
-    /// Begins with what was read of the topic until `read_ms` in an earlier era of the log.
-    /// `read_ms` is none if nothing was read then.
-    pub(super) fn new(
-        memory: DutyTopic,
-        memory_era: SourceEra,
-        read_ms: Option<u64>,
-        now_ms: u64,
-        unix_ms: u64,
-    ) -> Self {
+    /// Begins with what was read of the topic in an earlier era of the log.
+    pub(super) fn new(memory: DutyTopic, memory_era: SourceEra, now_ms: u64, unix_ms: u64) -> Self {
         Self {
             known_end: memory.next(),
             memory,
             memory_era,
-            memory_read_ms: read_ms,
             noticed_unix_ms: unix_ms,
             log_end: None,
             quiet_since_ms: now_ms,
@@ -116,7 +103,7 @@
                 self.memory.next().max(at)
             }
             None if now_ms < self.quiet_since_ms + self.longest_term_ms(term_ms) => return None,
-            None => self.known_end + self.skipped(restored.era, now_ms),
+            None => (at + self.skipped(log, restored.era)).max(self.known_end),
         };
         let is_own_log = log.agrees_with(&self.memory);
         let known = |offset| self.memory.record_at(offset).filter(|_| is_own_log);
@@ -125,12 +112,14 @@
         Some(TopicAppend { at, records })
     }
 
-    /// Returns how many offsets this box may not have seen in use.
-    fn skipped(&self, era: SourceEra, now_ms: u64) -> u64 {
-        let eras = era.since(self.memory_era).clamp(1, MAX_ERAS);
-        let read_ms = self.memory_read_ms.unwrap_or(now_ms);
-        let unread_s = now_ms.saturating_sub(read_ms).div_ceil(1_000);
-        SKIPPED_PER_ERA * eras + UNSEEN_PER_S * unread_s
+    /// Returns how many offsets may have been in use that the log lacks.
+    fn skipped(&self, log: &DutyTopic, era: SourceEra) -> u64 {
+        // Only builds that know of no eras have written to a topic that names none.
+        let copy_era = match log.newest_era().is_named() {
+            true => log.newest_era(),
+            false => self.memory_era,
+        };
+        SKIPPED_PER_ERA * era.since(copy_era).clamp(1, MAX_ERAS)
     }
 
     fn longest_term_ms(&self, term_ms: u64) -> u64 {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -31,6 +31,7 @@
 mod quota;
 mod reclaim;
 mod report;
+mod restored_directory;
 mod restored_duties;
 mod retries;
 mod rollout_duty;
