Rollout orders and their status over a return of the source from a copy

What would have been seen: an order that the operator's side writes again at a higher offset starts an ended rollout anew; one at a lower offset than a former order is ignored for good; the copy shows an order that a later one had replaced; the status of an ended rollout that was lost with the copy is never written again.

Cause: the offset of an order was its rank in any era. Orders now get a number: the same demand in a later era is the same order, an earlier one that the copy shows is none, and a new one is numbered past the newest known. The numbers are the offsets, as before, until the source returns from a copy, so that builds that know no era rank them alike. A new leader writes the status of ended rollouts of which the store has an earlier one.

Shown by decisions/rollout_orders, which has nothing to fail against before: the type is new. Not shown by real processes. A daemon that starts after the return and reads a new order before any other numbers it by its offset; if that is lower than a former number that others know, it takes theirs.

--- a/src/cluster/versions/rollout_duty.rs
+++ b/src/cluster/versions/rollout_duty.rs
@@ -94,14 +94,33 @@
     /// leader would not see, and the operator would read two different outcomes.
     async fn begin(&mut self, gateway: &Gateway, fence: u64) -> Result<(), BackendError> {
         self.store.take_over(fence).await?;
-        gateway.apply_rollouts(&self.store.read().await?);
+        let written = self.store.read().await?;
+        gateway.apply_rollouts(&written);
         self.led.clear();
         self.unwritten.clear();
         self.last_number = 0;
         self.loaded_fence = Some(fence);
+        self.write_missing(gateway, &written);
         Ok(())
     }
 
+    /// Queues the status of ended rollouts of which the status store has an earlier one: it has
+    /// lost what a former leader wrote.
+    fn write_missing(&mut self, gateway: &Gateway, written: &[Rollout]) {
+        let rollouts = gateway.rollouts.lock();
+        let is_missing = |known: &&Rollout| {
+            let has_ended = known.fence > 0 && known.state != RolloutState::InProgress;
+            let in_store = written.iter().find(|r| r.service == known.service);
+            has_ended && in_store.is_none_or(|r| r.rank() < known.rank())
+        };
+        let missing: Vec<Rollout> = rollouts.iter().filter(is_missing).cloned().collect();
+        drop(rollouts);
+        for rollout in missing {
+            self.last_number += 1;
+            self.unwritten.push_back((self.last_number, rollout));
+        }
+    }
+
     fn lead(&mut self, gateway: &Gateway, rollout: Rollout, fence: u64) {
         let current = self.led.get(&rollout.service);
         if current.is_none_or(|led| led.order != rollout.order) {
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -9,7 +9,7 @@
         conf::GatewaySettings,
         names::{FailureDomain, ServiceName, SourcePosition, UpstreamId},
         policy::*,
-        rollouts::{OutcomeMeter, RolloutTable},
+        rollouts::{OrderNumbers, OutcomeMeter, RolloutTable},
         routing::RouteTable,
         upstreams::*,
     },
@@ -99,6 +99,8 @@
     pub quotas: Mutex<QuotaTable>,
     /// The rollouts of new versions.
     pub rollouts: Mutex<RolloutTable>,
+    /// The numbers of the rollout orders that were read from the source.
+    pub order_numbers: Mutex<OrderNumbers>,
     /// Outcomes of requests by service, by which rollouts are assessed.
     pub outcomes: Mutex<HashMap<ServiceName, OutcomeMeter>>,
     /// Answer counts received from other daemons during rollouts.
@@ -195,6 +197,7 @@
             usage: Mutex::default(),
             quotas: Mutex::new(quotas),
             rollouts: Mutex::default(),
+            order_numbers: Mutex::default(),
             outcomes: Mutex::default(),
             version_count_table: Mutex::default(),
             announce_early: Notify::new(),
--- a/src/gateway/rollout_state.rs
+++ b/src/gateway/rollout_state.rs
@@ -1,6 +1,7 @@
 use {
     super::{Gateway, PlacementRequest, ROLLOUT_ANSWERS, RequestContext},
     crate::{
+        names::SourceEra,
         policy::name_hash,
         rollouts::{AllowedVersions, Rollout, RolloutOrder},
         upstreams::{ReadyUpstreams, Upstream},
@@ -14,6 +15,14 @@
 /// Rollouts as a daemon knows them: which versions may get a request, and the outcomes of
 /// their requests.
 impl Gateway {
+    /// Applies an operator's order that was read from the source in one of its eras.
+    pub fn apply_order_of_era(&self, order: RolloutOrder, era: SourceEra) {
+        let number = self.order_numbers.lock().number(&order, era);
+        if let Some(offset) = number {
+            self.apply_rollout_order(&RolloutOrder { offset, ..order });
+        }
+    }
+
     /// Applies an operator's order.
     pub fn apply_rollout_order(&self, order: &RolloutOrder) {
         self.apply_rollouts(&[Rollout::ordered(order)]);
--- a/src/rollouts/mod.rs
+++ b/src/rollouts/mod.rs
@@ -8,6 +8,7 @@
 
 mod evaluator;
 mod evidence;
+mod order_numbers;
 mod outcome_meter;
 mod rollout;
 mod rollout_steps;
@@ -15,6 +16,6 @@
 mod version_counts;
 
 pub use {
-    evaluator::*, evidence::*, outcome_meter::*, rollout::*, rollout_steps::*, rollout_table::*,
-    version_counts::*,
+    evaluator::*, evidence::*, order_numbers::*, outcome_meter::*, rollout::*, rollout_steps::*,
+    rollout_table::*, version_counts::*,
 };
--- a/src/rollouts/rollout.rs
+++ b/src/rollouts/rollout.rs
@@ -35,7 +35,8 @@
     pub target: String,
     /// The time within which the rollout has to be decided, in seconds.
     pub deadline_s: f64,
-    /// The order's position in its source, from 1: a later order replaces an earlier one.
+    /// The order's number, from 1: a later order replaces an earlier one. It is the order's
+    /// offset in its source plus one, unless the source has returned from an older copy.
     pub offset: u64,
 }
 
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -35,6 +35,7 @@
 mod restored_duties;
 mod retries;
 mod rollout_duty;
+mod rollout_orders;
 mod rollouts;
 mod routed;
 mod source_silence;
