A daemon that others tell of a return of the source does not take the duties by an old topic

The topic in the copy had been written by builds that name no era, and n4, just started, followed such a build: nothing showed it that the source had returned, and it took the lease at once.

Digests and reports now say in which era the source has returned at the latest (Extension::Restored; builds that don't know it skip it). A daemon that hears so waits and leaves out offsets if its topic names no era, and does not follow daemons that name none. The number of offsets left out counts from era 0 for such a topic, so that all daemons still compute the same.

--- a/src/cluster/duties/duty_runner.rs
+++ b/src/cluster/duties/duty_runner.rs
@@ -88,6 +88,9 @@
             // Noticed also by a daemon that does not read the topic: once it does, it knows that
             // records may be missing.
             self.enter_era(self.newest_era());
+            if let Some(era) = self.gateway.announced_restore() {
+                self.log.record_announced_restore(era);
+            }
             let stopping = *self.gateway.phase.borrow() != GatewayPhase::Ready;
             let is_fit = self.fitness(stopping).may_hold();
             let other_holds = self.gateway.peers.lock().has_duty_holder();
--- a/src/cluster/hubs/digest_announcer.rs
+++ b/src/cluster/hubs/digest_announcer.rs
@@ -35,7 +35,7 @@
                 gateway.domain().as_str(),
                 MEMBER_DIGEST_INTERVAL_MS,
             );
-            send_all(&gateway, &[digest_packet(digest)], receivers).await;
+            send_all(&gateway, &[digest_packet(&gateway, digest)], receivers).await;
         }
         // The next digest is sent early if this hub admitted more for an account at its limit than
         // the other hubs know of.
@@ -64,7 +64,7 @@
     hubs.remove(&own);
     let digest = own_digest(gateway, gateway.domain().as_str(), interval_ms);
     let age_ms = gateway.hub_age_ms();
-    let mut packets = vec![digest_packet(digest.clone())];
+    let mut packets = vec![digest_packet(gateway, digest.clone())];
     let quotas = split_into_parts(quota_announcer.due(gateway.tick_quotas(), listeners));
     let quotas = quotas_parts(gateway, quotas, sequence, age_ms);
     let loads = loads_parts(gateway, &gateway.loads_with_dependents(), sequence, 0);
@@ -84,7 +84,7 @@
         let to: BTreeSet<SocketAddr> = to.into_iter().filter(is_other).collect();
         let mut digest = digest.clone();
         digest.interval_ms = (interval_ms * each) as u32;
-        send_all(gateway, &[digest_packet(digest)], &to).await;
+        send_all(gateway, &[digest_packet(gateway, digest)], &to).await;
     }
     hubs
 }
@@ -97,8 +97,19 @@
     }
 }
 
-fn digest_packet(digest: Digest) -> Packet {
-    Packet::from(Datagram::Digest(digest)).with(Extension::Level(EXTENSION_LEVEL))
+fn digest_packet(gateway: &Gateway, digest: Digest) -> Packet {
+    with_source_state(gateway, Datagram::Digest(digest))
+}
+
+/// Adds to a message what the sender's build knows, and whether the source is known to have returned
+/// from an older copy.
+pub(in crate::cluster) fn with_source_state(gateway: &Gateway, message: Datagram) -> Packet {
+    let packet = Packet::from(message).with(Extension::Level(EXTENSION_LEVEL));
+    let restored = gateway.directory.read().restored_era();
+    match restored {
+        Some(era) => packet.with(Extension::Restored(era.number())),
+        None => packet,
+    }
 }
 
 /// Sends the digest to a daemon that reports to this one, and all else that its report requests.
@@ -115,7 +126,9 @@
     if !report.wants_all {
         digest.known.clear();
     }
-    gateway.send_packet(&digest_packet(digest), to).await;
+    gateway
+        .send_packet(&digest_packet(gateway, digest), to)
+        .await;
     if report.wants_all {
         announce_held_to(gateway, to).await;
         announce_in_force(gateway, &BTreeSet::from([to])).await;
--- a/src/cluster/hubs/report_announcer.rs
+++ b/src/cluster/hubs/report_announcer.rs
@@ -92,7 +92,9 @@
         if seed != gateway.settings.listen.peers {
             let mut report = own_report(gateway, seed, query.interval_ms);
             (report.wants_digest, report.wants_all) = (true, true);
-            gateway.send_packet(&report_packet(report), seed).await;
+            gateway
+                .send_packet(&report_packet(gateway, report), seed)
+                .await;
         }
         true
     }
@@ -115,7 +117,9 @@
             let hubs: BTreeSet<_> = gateway.peers.lock().own_hubs().into_iter().collect();
             for hub in hubs.into_iter().filter(|h| Some(*h) != next_hub) {
                 let report = own_report(gateway, hub, ALIVE_INTERVAL_MS);
-                gateway.send_packet(&report_packet(report), hub).await;
+                gateway
+                    .send_packet(&report_packet(gateway, report), hub)
+                    .await;
             }
         }
     }
@@ -133,7 +137,7 @@
         false => MAX_EVENTS / 2,
     };
     report.events = gateway.events.lock().to_announce(events);
-    let mut packet = report_packet(report);
+    let mut packet = report_packet(gateway, report);
     if let Some(cooldowns) = gateway.cooldowns_to_announce() {
         packet = packet.with(Extension::Cooldowns(cooldowns));
     }
@@ -146,8 +150,8 @@
     }
 }
 
-fn report_packet(report: Report) -> Packet {
-    Packet::from(Datagram::Report(report)).with(Extension::Level(EXTENSION_LEVEL))
+fn report_packet(gateway: &Gateway, report: Report) -> Packet {
+    with_source_state(gateway, Datagram::Report(report))
 }
 
 fn own_report(gateway: &Gateway, hub: SocketAddr, interval_ms: u64) -> Report {
--- a/src/cluster/messages/exchange.rs
+++ b/src/cluster/messages/exchange.rs
@@ -1,5 +1,10 @@
 use {
-    crate::{cluster::*, gateway::Gateway, names::UpstreamId, policy::FirstEvent},
+    crate::{
+        cluster::*,
+        gateway::Gateway,
+        names::{SourceEra, UpstreamId},
+        policy::FirstEvent,
+    },
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::net::UdpSocket,
 };
@@ -67,6 +72,7 @@
                     gateway.permit_client.apply(answer);
                 }
             }
+            Extension::Restored(era) => gateway.record_announced_restore(SourceEra::new(era)),
             Extension::Level(_) | Extension::HasPermit => {}
         }
     }
--- a/src/cluster/messages/extension.rs
+++ b/src/cluster/messages/extension.rs
@@ -25,6 +25,7 @@
 const HAS_PERMIT: u8 = 5;
 const LEAVING: u8 = 6;
 const COOLDOWNS: u8 = 7;
+const RESTORED: u8 = 8;
 
 /// An addition behind the message of a datagram, with its kind and length. Builds that don't know a
 /// kind skip it, and builds without extensions ignore the bytes behind the message. New kinds may
@@ -45,6 +46,8 @@
     Leaving(LeavingPart),
     /// Upstreams that are in cooldown for the sender; sent with a report.
     Cooldowns(CooldownsPart),
+    /// The sender knows that the source has returned from an older copy, in this era at the latest.
+    Restored(u64),
 }
 
 impl Extension {
@@ -62,6 +65,7 @@
             Self::HasPermit => append(bytes, HAS_PERMIT, &()),
             Self::Leaving(part) => append(bytes, LEAVING, part),
             Self::Cooldowns(part) => append(bytes, COOLDOWNS, part),
+            Self::Restored(era) => append(bytes, RESTORED, era),
         }
     }
 
@@ -89,6 +93,7 @@
             HAS_PERMIT => Some(Self::HasPermit),
             LEAVING => decode_body(body).map(Self::Leaving),
             COOLDOWNS => decode_body(body).map(Self::Cooldowns),
+            RESTORED => decode_body(body).map(Self::Restored),
             _ => None,
         }
     }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -7,7 +7,7 @@
             PeerVersions, PermitClient, StandaloneQuotas, UsageAnnouncer, VersionCountTable,
         },
         conf::GatewaySettings,
-        names::{FailureDomain, ServiceName, SourcePosition, UpstreamId},
+        names::{FailureDomain, ServiceName, SourceEra, SourcePosition, UpstreamId},
         policy::*,
         rollouts::{OrderNumbers, OutcomeMeter, RolloutTable},
         routing::RouteTable,
@@ -137,6 +137,9 @@
     /// The highest known position in the source from which later configurations can be
     /// read.
     pub config_position: Mutex<Option<SourcePosition>>,
+    /// The era in which the source has returned from an older copy at the latest, as other daemons
+    /// know.
+    pub(super) announced_restore: Mutex<Option<SourceEra>>,
     /// Which other failure domains are unreachable for this daemon.
     pub(super) domain_reach: Mutex<DomainReach>,
     /// The routes in force; `None` before the first configuration.
@@ -213,6 +216,7 @@
             newest_config: watch::Sender::new(0),
             reads_config: watch::Sender::new(false),
             config_position: Mutex::default(),
+            announced_restore: Mutex::default(),
             domain_reach: Mutex::default(),
             table: RwLock::default(),
             retries: Mutex::default(),
--- a/src/gateway/source_state.rs
+++ b/src/gateway/source_state.rs
@@ -55,6 +55,24 @@
         log::info!(target: "upstreams", "source returned from an older copy, awaiting that upstreams are confirmed. era={era} before={before}");
     }
 
+    /// Records that another daemon knows that the source has returned from an older copy, in an
+    /// era at the latest.
+    pub fn record_announced_restore(&self, era: SourceEra) {
+        let is_known = |known: Option<SourceEra>| known >= Some(era);
+        if is_known(self.announced_restore()) {
+            return;
+        }
+        *self.announced_restore.lock() = Some(era);
+        self.directory.write().record_announced_restore(era);
+        log::info!(target: "source", "another daemon knows that the source returned from an older copy. era={era}");
+    }
+
+    /// Returns the era in which the source has returned from an older copy at the latest, as
+    /// other daemons know.
+    pub fn announced_restore(&self) -> Option<SourceEra> {
+        *self.announced_restore.lock()
+    }
+
     /// Records that the source answered.
     pub fn record_source(&self) {
         self.source.lock().record_answer(self.steady_ms());
--- a/src/names/source_era.rs
+++ b/src/names/source_era.rs
@@ -20,6 +20,11 @@
         Self(number)
     }
 
+    /// Returns the number of the era; 0 if it has no name.
+    pub fn number(self) -> u64 {
+        self.0
+    }
+
     /// Returns true if the era has a name.
     pub fn is_named(self) -> bool {
         self != Self::UNNAMED
--- a/src/policy/duties/duty_log.rs
+++ b/src/policy/duties/duty_log.rs
@@ -27,6 +27,9 @@
     topic: DutyTopic,
     /// Set while the log has returned from a copy and nobody has continued the topic.
     restoration: Option<TopicRestoration>,
+    /// The era in which the log has returned from a copy at the latest, as other daemons know;
+    /// unnamed if they know of none.
+    announced_restore: SourceEra,
     /// Counts that were announced in earlier eras, by window.
     vouched: BTreeMap<u64, AccountCounts>,
 }
@@ -40,6 +43,7 @@
             era: SourceEra::default(),
             topic: DutyTopic::default(),
             restoration: None,
+            announced_restore: SourceEra::UNNAMED,
             vouched: BTreeMap::new(),
         }
     }
@@ -66,19 +70,25 @@
             self.era = self.era.max(era);
             return true;
         }
-        let former = std::mem::replace(&mut self.era, era);
-        self.begin_restoration(former, now_ms, unix_ms);
+        self.era = era;
+        self.begin_restoration(now_ms, unix_ms);
         false
     }
 
+    /// Records that other daemons know that the log has returned from a copy, in an era at the
+    /// latest.
+    pub fn record_announced_restore(&mut self, era: SourceEra) {
+        self.announced_restore = self.announced_restore.max(era);
+    }
+
     /// Applies that the log has no record at the offset of the next one, although the topic was
     /// read up to it. The log has returned from a copy without naming an era, and the topic has
     /// to be read from its first record.
     pub fn restart(&mut self, now_ms: u64, unix_ms: u64) {
-        self.begin_restoration(self.era, now_ms, unix_ms);
+        self.begin_restoration(now_ms, unix_ms);
     }
 
-    fn begin_restoration(&mut self, former_era: SourceEra, now_ms: u64, unix_ms: u64) {
+    fn begin_restoration(&mut self, now_ms: u64, unix_ms: u64) {
         let former = std::mem::take(&mut self.topic);
         match &mut self.restoration {
             Some(restoration) => {
@@ -86,7 +96,7 @@
                 restoration.restart(now_ms, unix_ms);
             }
             None => {
-                let restoration = TopicRestoration::new(former, former_era, now_ms, unix_ms);
+                let restoration = TopicRestoration::new(former, now_ms, unix_ms);
                 self.restoration = Some(restoration);
             }
         }
@@ -111,11 +121,16 @@
     pub fn record_read(&mut self, now_ms: u64, unix_ms: u64) {
         let newest_era = self.topic.newest_era();
         let is_continued = newest_era >= self.era;
-        let lacks_era = newest_era.is_named() && !is_continued;
+        let known_era = match newest_era.is_named() {
+            true => self.era,
+            // A topic to which only builds have written that know of no eras does not show it.
+            false => self.announced_restore,
+        };
+        let lacks_era = newest_era < known_era;
         if self.restoration.is_none() && lacks_era {
             // The topic names an earlier era only: the log returned before this daemon read it.
             let read = self.topic.clone();
-            let restoration = TopicRestoration::new(read, newest_era, now_ms, unix_ms);
+            let restoration = TopicRestoration::new(read, now_ms, unix_ms);
             self.restoration = Some(restoration);
         }
         let Some(restoration) = &mut self.restoration else {
--- a/src/policy/duties/topic_restoration.rs
+++ b/src/policy/duties/topic_restoration.rs
@@ -33,8 +33,6 @@
 #[derive(Clone, Debug)]
 pub(super) struct TopicRestoration {
     memory: DutyTopic,
-    /// The era of the log in which the memory was read.
-    memory_era: SourceEra,
     /// The greatest end of the topic that this box has seen, in any era since then.
     known_end: u64,
     noticed_unix_ms: u64,
@@ -46,11 +44,10 @@
 
 impl TopicRestoration {
     /// Begins with what was read of the topic in an earlier era of the log.
-    pub(super) fn new(memory: DutyTopic, memory_era: SourceEra, now_ms: u64, unix_ms: u64) -> Self {
+    pub(super) fn new(memory: DutyTopic, now_ms: u64, unix_ms: u64) -> Self {
         Self {
             known_end: memory.next(),
             memory,
-            memory_era,
             noticed_unix_ms: unix_ms,
             log_end: None,
             quiet_since_ms: now_ms,
@@ -103,7 +100,7 @@
                 self.memory.next().max(at)
             }
             None if now_ms < self.quiet_since_ms + self.longest_term_ms(term_ms) => return None,
-            None => (at + self.skipped(log, restored.era)).max(self.known_end),
+            None => (at + skipped(log, restored.era)).max(self.known_end),
         };
         let is_own_log = log.agrees_with(&self.memory);
         let known = |offset| self.memory.record_at(offset).filter(|_| is_own_log);
@@ -112,16 +109,6 @@
         Some(TopicAppend { at, records })
     }
 
-    /// Returns how many offsets may have been in use that the log lacks.
-    fn skipped(&self, log: &DutyTopic, era: SourceEra) -> u64 {
-        // Only builds that know of no eras have written to a topic that names none.
-        let copy_era = match log.newest_era().is_named() {
-            true => log.newest_era(),
-            false => self.memory_era,
-        };
-        SKIPPED_PER_ERA * era.since(copy_era).clamp(1, MAX_ERAS)
-    }
-
     fn longest_term_ms(&self, term_ms: u64) -> u64 {
         let known = self.memory.view().lease().current.as_ref();
         known.map_or(term_ms, |(_, lease)| lease.term_ms.max(term_ms))
@@ -132,3 +119,9 @@
         self.memory
     }
 }
+
+/// Returns how many offsets may have been in use that the log lacks. A topic to which only builds
+/// have written that know of no eras names none, and counts as older than all.
+fn skipped(log: &DutyTopic, era: SourceEra) -> u64 {
+    SKIPPED_PER_ERA * era.since(log.newest_era()).clamp(1, MAX_ERAS)
+}
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -44,9 +44,11 @@
     incarnations: NewestIncarnations,
     /// The era of the source in which offsets and positions count.
     era: SourceEra,
-    /// True if the source is known to have returned from a copy. What daemons say that name no
-    /// era is then not comparable.
-    has_been_restored: bool,
+    /// The era in which the source is known to have returned from a copy at the latest. What
+    /// daemons say that name no era is then not comparable.
+    restored_era: Option<SourceEra>,
+    /// True if the offsets known here are of an unnamed era from before or after that return.
+    has_uncertain_offsets: bool,
     /// The revision at which the era began.
     era_revision: u64,
     /// Offset of the source before which every record is applied.
@@ -85,7 +87,22 @@
 
     /// Returns true if the source is known to have returned from an older copy.
     pub fn has_been_restored(&self) -> bool {
-        self.has_been_restored
+        self.restored_era.is_some()
+    }
+
+    /// Returns the era in which the source is known to have returned from an older copy at the
+    /// latest.
+    pub fn restored_era(&self) -> Option<SourceEra> {
+        self.restored_era
+    }
+
+    /// Records that another daemon knows that the source has returned from an older copy, in an
+    /// era at the latest. A directory that was read in a named era learns it from its own reads.
+    pub fn record_announced_restore(&mut self, era: SourceEra) {
+        if self.era.is_unnamed() && self.restored_era < Some(era) {
+            self.restored_era = Some(era);
+            self.has_uncertain_offsets = true;
+        }
     }
 
     /// Prepares for records of an era of the source. Returns false if they are of a former
@@ -96,17 +113,21 @@
     /// they are written again.
     pub fn enter_era(&mut self, era: SourceEra, lapsed_until_ms: u64) -> bool {
         if era < self.era {
-            return era.is_unnamed() && !self.has_been_restored;
+            return era.is_unnamed() && !self.has_been_restored();
+        }
+        if era.is_unnamed() {
+            return !self.has_been_restored();
         }
-        if era.follows_restore(self.era) {
-            self.begin_era(lapsed_until_ms);
+        if era.follows_restore(self.era) || self.has_uncertain_offsets {
+            self.begin_era(era, lapsed_until_ms);
         }
         self.era = era;
         true
     }
 
-    fn begin_era(&mut self, lapsed_until_ms: u64) {
-        self.has_been_restored = true;
+    fn begin_era(&mut self, era: SourceEra, lapsed_until_ms: u64) {
+        self.restored_era = self.restored_era.max(Some(era));
+        self.has_uncertain_offsets = false;
         self.revision += 1;
         self.era_revision = self.revision;
         self.position = 0;
@@ -434,7 +455,8 @@
     /// lists only changes of an era that is new here. Of a former era, it only says which
     /// upstreams leave. `lapsed_until_ms` is as for [`UpstreamDirectory::enter_era`].
     pub fn apply_update(&mut self, update: DirectoryUpdate, lapsed_until_ms: u64) -> bool {
-        if update.era.follows_restore(self.era) && !update.is_complete {
+        let begins_era = update.era.follows_restore(self.era) || self.has_uncertain_offsets;
+        if begins_era && !update.is_complete {
             return false;
         }
         if !self.enter_era(update.era, lapsed_until_ms) {
@@ -538,7 +560,7 @@
     /// Such a build names no era. Once the source has returned from a copy, its offsets are not
     /// comparable, and only what it says of leaving upstreams is applied. Returns false then.
     pub fn apply(&mut self, changes: DirectoryChanges) -> bool {
-        if self.has_been_restored {
+        if self.has_been_restored() {
             self.mark_all_leaving(changes.upstreams.iter());
             return false;
         }
--- a/tests/decisions/datagrams.rs
+++ b/tests/decisions/datagrams.rs
@@ -107,6 +107,7 @@
             limit: None,
         }),
         Extension::HasPermit,
+        Extension::Restored(u64::MAX),
         Extension::Cooldowns(CooldownsPart {
             cooldowns: vec![AnnouncedCooldown {
                 upstream: "i-3".into(),
