--- a/tests/decisions/restored_duties.rs
+++ b/tests/decisions/restored_duties.rs
@@ -281,3 +281,15 @@
         }
     }
 }
+
+/// Builds that know of no eras read and write lease records without one.
+#[test]
+fn a_lease_record_without_an_era_has_the_same_bytes_as_in_earlier_builds() {
+    let text = r#"{"lease":{"by":{"id":"n1","incarnation":7},"follows":3,"term_ms":1500}}"#;
+    let record: DutyRecord = serde_json::from_str(text).unwrap();
+    let DutyRecord::Lease(lease) = &record else {
+        panic!("a lease record");
+    };
+    assert!(lease.era.is_unnamed());
+    assert_eq!(serde_json::to_string(&record).unwrap(), text);
+}
