The era tracker leaves the adapter; a long topic is read to its end before it counts as read

By reading: a topic of more than one page counted as read after the first; a late reader of a log with removed records read it twice; an incomplete update of a new era lost what it said of leaving upstreams. platform/ holds translation only: the header is decoded there, the newest era is kept by the provider.

--- a/src/cluster/duties/duty_backends.rs
+++ b/src/cluster/duties/duty_backends.rs
@@ -27,6 +27,8 @@
     pub first: u64,
     /// The offset of the first record in `records`.
     pub from: u64,
+    /// The offset at which the topic ends. A long topic is read in several pages.
+    pub end: u64,
     /// The records, in offset order.
     pub records: Vec<Bytes>,
 }
--- a/src/cluster/duties/duty_runner.rs
+++ b/src/cluster/duties/duty_runner.rs
@@ -203,7 +203,7 @@
             log::warn!(target: "duties", "the log lacks records that were read, reading the topic again. offset={offset}");
             self.log.restart(self.gateway.steady_ms(), now_ms());
         }
-        if page.from > self.log.next() {
+        if !is_same_era && page.from > page.first {
             page = self.shared_log.read(DUTY_TOPIC, self.log.next()).await?;
             if !self.enter_era(page.era) {
                 return Err(BackendError::NotDone(
@@ -223,7 +223,9 @@
                 }
             }
         }
-        self.record_read();
+        if self.log.next() >= page.end {
+            self.record_read();
+        }
         Ok(())
     }
 
--- a/src/gateway/source_state.rs
+++ b/src/gateway/source_state.rs
@@ -58,8 +58,7 @@
     /// Records that another daemon knows that the source has returned from an older copy, in an
     /// era at the latest.
     pub fn record_announced_restore(&self, era: SourceEra) {
-        let is_known = |known: Option<SourceEra>| known >= Some(era);
-        if is_known(self.announced_restore()) {
+        if self.announced_restore() >= Some(era) {
             return;
         }
         *self.announced_restore.lock() = Some(era);
--- a/platform/era_tracker.rs
+++ b/src/provider/era_tracker.rs
@@ -1,13 +1,6 @@
-use {
-    crate::names::SourceEra,
-    http::{HeaderMap, HeaderName},
-    parking_lot::Mutex,
-};
+use {crate::names::SourceEra, parking_lot::Mutex};
 
-/// Header of the store's answers that names its era.
-const ERA: HeaderName = HeaderName::from_static("store-era");
-
-/// Tracks the era of the store by the answers to all calls of a daemon.
+/// Tracks the era of a shared source by the answers to all calls of a daemon.
 #[derive(Debug, Default)]
 pub struct EraTracker {
     newest: Mutex<SourceEra>,
@@ -16,11 +9,9 @@
 impl EraTracker {
     /// Records the era that an answer names, and returns it. An answer without one is of the
     /// newest known era.
-    pub fn record(&self, headers: &HeaderMap) -> SourceEra {
-        let named = headers.get(ERA).and_then(|era| era.to_str().ok());
-        let named = named.and_then(|era| era.trim().parse().ok());
+    pub fn record(&self, named: Option<SourceEra>) -> SourceEra {
         let mut newest = self.newest.lock();
-        let era = named.map_or(*newest, SourceEra::new);
+        let era = named.unwrap_or(*newest);
         if era > *newest {
             let before = std::mem::replace(&mut *newest, era);
             match era.follows_restore(before) {
--- a/src/provider/mod.rs
+++ b/src/provider/mod.rs
@@ -3,6 +3,7 @@
 
 mod box_list;
 mod cloud_api;
+mod era_tracker;
 mod platform_error;
 mod platform_http;
 mod platform_log;
@@ -10,6 +11,6 @@
 mod weight_store;
 
 pub use {
-    box_list::*, cloud_api::*, platform_error::*, platform_http::*, platform_log::*,
-    source_monitor::*, weight_store::*,
+    box_list::*, cloud_api::*, era_tracker::*, platform_error::*, platform_http::*,
+    platform_log::*, source_monitor::*, weight_store::*,
 };
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -112,12 +112,12 @@
     /// confirms by `lapsed_until_ms` are removed then; their entries may only be missing until
     /// they are written again.
     pub fn enter_era(&mut self, era: SourceEra, lapsed_until_ms: u64) -> bool {
-        if era < self.era {
-            return era.is_unnamed() && !self.has_been_restored();
-        }
         if era.is_unnamed() {
             return !self.has_been_restored();
         }
+        if era < self.era {
+            return false;
+        }
         if era.follows_restore(self.era) || self.has_uncertain_offsets {
             self.begin_era(era, lapsed_until_ms);
         }
@@ -456,10 +456,8 @@
     /// upstreams leave. `lapsed_until_ms` is as for [`UpstreamDirectory::enter_era`].
     pub fn apply_update(&mut self, update: DirectoryUpdate, lapsed_until_ms: u64) -> bool {
         let begins_era = update.era.follows_restore(self.era) || self.has_uncertain_offsets;
-        if begins_era && !update.is_complete {
-            return false;
-        }
-        if !self.enter_era(update.era, lapsed_until_ms) {
+        let lacks_upstreams = begins_era && !update.is_complete;
+        if lacks_upstreams || !self.enter_era(update.era, lapsed_until_ms) {
             let upstreams = update.upstreams.iter().map(|present| &present.upstream);
             self.mark_all_leaving(upstreams);
             return false;
