A store that names no era is in its first one; one that begins to name eras has returned

A store that begins to name eras at its first return must not pass for one that has always been there: its answers without an era now count as the first era, and an answer that names one later is a return. Answers that are no success and name none are left out, as not each comes from the store itself. What is not known (offsets of daemons whose builds know of no eras) stays apart: SourceEra::UNKNOWN.

A test with a stand-in that names its first era at its return; the stand-in's other tests name eras from the start.

--- a/src/cluster/configs/config_follower.rs
+++ b/src/cluster/configs/config_follower.rs
@@ -65,7 +65,7 @@
             }
         }
         Ok((era, ConfigAnswer::Config { packed, position })) => {
-            let position = position.filter(|_| era.is_named());
+            let position = position.filter(|_| era.is_known());
             let position = position.map(|offset| SourcePosition { era, offset });
             apply_packed(gateway, peer, &packed, position);
         }
@@ -88,7 +88,7 @@
 }
 
 /// Queries a daemon for its configuration. Returns its answer, and the era of the source in which
-/// the position in the answer counts; unnamed for a daemon whose build knows of no eras.
+/// the position in the answer counts; unknown for a daemon whose build knows of no eras.
 async fn query(
     gateway: &Gateway,
     client: &HttpClient,
@@ -111,7 +111,7 @@
         }
     }
     let answer = client.post(peer, CONFIG_PATH, body, ANSWER_TIMEOUT).await?;
-    Ok((SourceEra::UNNAMED, decode(&answer)?))
+    Ok((SourceEra::UNKNOWN, decode(&answer)?))
 }
 
 fn apply_packed(
--- a/src/cluster/configs/config_message.rs
+++ b/src/cluster/configs/config_message.rs
@@ -47,7 +47,7 @@
 /// An answer, with the era of the source in which its position counts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EraConfigAnswer {
-    /// The era of the source; unnamed if no position is known.
+    /// The era of the source; unknown if no position is known.
     pub era: SourceEra,
     /// The answer.
     pub answer: ConfigAnswer,
--- a/src/cluster/configs/config_server.rs
+++ b/src/cluster/configs/config_server.rs
@@ -84,7 +84,7 @@
         // Read before the configuration: a position that is too early only causes a
         // version to be read again, but one that is too late would hide a version.
         let position = *self.gateway.config_position.lock();
-        let era = position.map_or(SourceEra::UNNAMED, |position| position.era);
+        let era = position.map_or(SourceEra::UNKNOWN, |position| position.era);
         let era = names_era.then_some(era);
         let Some(table) = self.gateway.table().filter(|t| t.version() > query.version) else {
             return self.reply(era, ConfigAnswer::NoLater, None);
--- a/src/cluster/crashes/quarantine_sync.rs
+++ b/src/cluster/crashes/quarantine_sync.rs
@@ -64,7 +64,7 @@
 }
 
 async fn write_changes(gateway: &Gateway, records: &dyn QuarantineRecords) {
-    let mut written_era = SourceEra::UNNAMED;
+    let mut written_era = SourceEra::UNKNOWN;
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         let era = gateway.directory.read().era();
--- a/src/cluster/duties/duty_runner.rs
+++ b/src/cluster/duties/duty_runner.rs
@@ -176,8 +176,8 @@
     /// Returns the newest era of the source that this daemon knows of, by answers of the source or
     /// by other daemons.
     fn newest_era(&self) -> SourceEra {
-        let told = self.gateway.directory.read().era();
-        self.shared_log.era().max(told)
+        let announced = self.gateway.directory.read().era();
+        self.shared_log.era().max(announced)
     }
 
     /// Applies the era of an answer of the log. Returns false if the log has returned from a
--- a/src/cluster/feed/feed_server.rs
+++ b/src/cluster/feed/feed_server.rs
@@ -147,7 +147,7 @@
                 .unconfirmed_ids()
                 .into_iter()
                 .collect(),
-            config_era: config_position.map_or(SourceEra::UNNAMED, |position| position.era),
+            config_era: config_position.map_or(SourceEra::UNKNOWN, |position| position.era),
             update,
         })
     }
--- a/src/cluster/feed/messages.rs
+++ b/src/cluster/feed/messages.rs
@@ -154,7 +154,7 @@
     pub fn directory(&self) -> Result<DirectoryUpdate, PackError> {
         let (upstreams, removed_ids) = unpack(&self.packed)?;
         Ok(DirectoryUpdate {
-            era: SourceEra::UNNAMED,
+            era: SourceEra::UNKNOWN,
             unconfirmed_ids: HashSet::new(),
             cursor: self.cursor,
             is_complete: self.is_complete,
--- a/src/cluster/hubs/digest_announcer.rs
+++ b/src/cluster/hubs/digest_announcer.rs
@@ -107,7 +107,7 @@
     let packet = Packet::from(message).with(Extension::Level(EXTENSION_LEVEL));
     let restored = gateway.directory.read().restored_era();
     match restored {
-        Some(era) => packet.with(Extension::Restored(era.number())),
+        Some(era) => packet.with(Extension::Restored(era.code())),
         None => packet,
     }
 }
--- a/src/cluster/messages/exchange.rs
+++ b/src/cluster/messages/exchange.rs
@@ -72,7 +72,7 @@
                     gateway.permit_client.apply(answer);
                 }
             }
-            Extension::Restored(era) => gateway.record_announced_restore(SourceEra::new(era)),
+            Extension::Restored(era) => gateway.record_announced_restore(SourceEra::from_code(era)),
             Extension::Level(_) | Extension::HasPermit => {}
         }
     }
--- a/src/names/source_era.rs
+++ b/src/names/source_era.rs
@@ -12,27 +12,34 @@
 pub struct SourceEra(u64);
 
 impl SourceEra {
-    /// The era of a source that names none, and of daemons whose builds know of none.
-    pub const UNNAMED: Self = Self(0);
+    /// No known era: of offsets from daemons whose builds know of none.
+    pub const UNKNOWN: Self = Self(0);
+    /// The era of a source that has not named one so far.
+    pub const FIRST: Self = Self(1);
 
-    /// Creates the era with a number.
-    pub fn new(number: u64) -> Self {
-        Self(number)
+    /// Returns the era that a source names by a number.
+    pub fn named(number: u64) -> Self {
+        Self(number.saturating_add(Self::FIRST.0))
     }
 
-    /// Returns the number of the era; 0 if it has no name.
-    pub fn number(self) -> u64 {
+    /// Returns the era with this code.
+    pub fn from_code(code: u64) -> Self {
+        Self(code)
+    }
+
+    /// Returns the number by which daemons tell each other of the era.
+    pub fn code(self) -> u64 {
         self.0
     }
 
-    /// Returns true if the era has a name.
-    pub fn is_named(self) -> bool {
-        self != Self::UNNAMED
+    /// Returns true if the era is known.
+    pub fn is_known(self) -> bool {
+        !self.is_unknown()
     }
 
-    /// Returns true if the era has no name.
-    pub fn is_unnamed(&self) -> bool {
-        !self.is_named()
+    /// Returns true if the era is not known.
+    pub fn is_unknown(&self) -> bool {
+        *self == Self::UNKNOWN
     }
 
     /// Returns how many eras have begun after an earlier one.
@@ -41,15 +48,19 @@
     }
 
     /// Returns true if the source has returned from a copy between an earlier era and this
-    /// one. An unnamed era tells nothing: the source may only have begun to name its eras.
+    /// one. An unknown era shows nothing.
     pub fn follows_restore(self, earlier: Self) -> bool {
-        earlier.is_named() && self > earlier
+        earlier.is_known() && self > earlier
     }
 }
 
 impl fmt::Display for SourceEra {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
+        match *self {
+            Self::UNKNOWN => "unknown".fmt(f),
+            Self::FIRST => "first".fmt(f),
+            Self(code) => (code - Self::FIRST.0).fmt(f),
+        }
     }
 }
 
--- a/src/policy/duties/duty_log.rs
+++ b/src/policy/duties/duty_log.rs
@@ -28,7 +28,7 @@
     /// Set while the log has returned from a copy and nobody has continued the topic.
     restoration: Option<TopicRestoration>,
     /// The era in which the log has returned from a copy at the latest, as other daemons know;
-    /// unnamed if they know of none.
+    /// unknown if they know of none.
     announced_restore: SourceEra,
     /// Counts that were announced in earlier eras, by window.
     vouched: BTreeMap<u64, AccountCounts>,
@@ -43,7 +43,7 @@
             era: SourceEra::default(),
             topic: DutyTopic::default(),
             restoration: None,
-            announced_restore: SourceEra::UNNAMED,
+            announced_restore: SourceEra::UNKNOWN,
             vouched: BTreeMap::new(),
         }
     }
@@ -121,7 +121,7 @@
     pub fn record_read(&mut self, now_ms: u64, unix_ms: u64) {
         let newest_era = self.topic.newest_era();
         let is_continued = newest_era >= self.era;
-        let known_era = match newest_era.is_named() {
+        let known_era = match newest_era.is_known() {
             true => self.era,
             // A topic to which only builds have written that know of no eras does not show it.
             false => self.announced_restore,
--- a/src/policy/duties/duty_topic.rs
+++ b/src/policy/duties/duty_topic.rs
@@ -122,11 +122,11 @@
     fn fold_lease(&mut self, offset: u64, lease: LeaseRecord, me: &BoxIncarnation, now_ms: u64) {
         // Appended by what its box knew of an earlier era: the fencing token that it follows
         // may have been given out again since.
-        if lease.era.is_named() && lease.era < self.newest_era {
+        if lease.era.is_known() && lease.era < self.newest_era {
             return;
         }
         self.newest_era = self.newest_era.max(lease.era);
-        if lease.era.is_unnamed() && self.is_restored {
+        if lease.era.is_unknown() && self.is_restored {
             // A build that knows of no eras may not have folded the records by which the topic was
             // continued. It takes its record for the one in force, so that all must.
             return self.view.fold_unchained(offset, lease, now_ms);
--- a/src/policy/duties/lease.rs
+++ b/src/policy/duties/lease.rs
@@ -12,9 +12,9 @@
     pub follows: u64,
     /// Duration of the lease, in milliseconds.
     pub term_ms: u64,
-    /// The era of the log by which the box appends the record; unnamed if the log names none
-    /// or if the box's build knows of none.
-    #[serde(default, skip_serializing_if = "SourceEra::is_unnamed")]
+    /// The era of the log by which the box appends the record; unknown if the box's build
+    /// knows of none.
+    #[serde(default, skip_serializing_if = "SourceEra::is_unknown")]
     pub era: SourceEra,
 }
 
@@ -181,7 +181,7 @@
             by: me.clone(),
             follows: self.fold.fence(),
             term_ms,
-            era: SourceEra::UNNAMED,
+            era: SourceEra::UNKNOWN,
         };
         if now_ms < self.held_until_ms {
             let renew_at_ms = self.held_until_ms.saturating_sub(term_ms / 2);
--- a/src/provider/era_tracker.rs
+++ b/src/provider/era_tracker.rs
@@ -7,24 +7,24 @@
 }
 
 impl EraTracker {
-    /// Records the era that an answer names, and returns it. An answer without one is of the
-    /// newest known era.
+    /// Records the era that a successful answer names, and returns it. An answer without one is
+    /// of the newest known era.
     pub fn record(&self, named: Option<SourceEra>) -> SourceEra {
         let mut newest = self.newest.lock();
-        let era = named.unwrap_or(*newest);
+        let era = named.unwrap_or(newest.max(SourceEra::FIRST));
         if era > *newest {
             let before = std::mem::replace(&mut *newest, era);
             match era.follows_restore(before) {
                 true => {
                     log::warn!(target: "store", "source returned from an older copy. era={era} before={before}");
                 }
-                false => log::info!(target: "store", "source names its era. era={era}"),
+                false => log::info!(target: "store", "source answers. era={era}"),
             }
         }
         era
     }
 
-    /// Returns the newest era that an answer has named.
+    /// Returns the newest known era.
     pub fn newest(&self) -> SourceEra {
         *self.newest.lock()
     }
--- a/src/upstreams/directory_update.rs
+++ b/src/upstreams/directory_update.rs
@@ -20,7 +20,7 @@
 /// or removes it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct DirectoryUpdate {
-    /// The era of the source in which the sender's offsets count; unnamed for daemons whose
+    /// The era of the source in which the sender's offsets count; unknown for daemons whose
     /// builds know of none.
     pub era: SourceEra,
     /// The state of the sender's directory that the follower knows after this update.
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -47,7 +47,7 @@
     /// The era in which the source is known to have returned from a copy at the latest. What
     /// daemons say that name no era is then not comparable.
     restored_era: Option<SourceEra>,
-    /// True if the offsets known here are of an unnamed era from before or after that return.
+    /// True if the offsets known here are of an unknown era, from before or after that return.
     has_uncertain_offsets: bool,
     /// The revision at which the era began.
     era_revision: u64,
@@ -99,7 +99,7 @@
     /// Records that another daemon knows that the source has returned from an older copy, in an
     /// era at the latest. A directory that was read in a named era learns it from its own reads.
     pub fn record_announced_restore(&mut self, era: SourceEra) {
-        if self.era.is_unnamed() && self.restored_era < Some(era) {
+        if self.era.is_unknown() && self.restored_era < Some(era) {
             self.restored_era = Some(era);
             self.has_uncertain_offsets = true;
         }
@@ -112,7 +112,7 @@
     /// confirms by `lapsed_until_ms` are removed then; their entries may only be missing until
     /// they are written again.
     pub fn enter_era(&mut self, era: SourceEra, lapsed_until_ms: u64) -> bool {
-        if era.is_unnamed() {
+        if era.is_unknown() {
             return !self.has_been_restored();
         }
         if era < self.era {
--- a/standin/src/store/service.rs
+++ b/standin/src/store/service.rs
@@ -164,9 +164,9 @@
         self.shared.away.send_replace(away);
     }
 
-    /// Sets whether answers name the era of the store.
-    pub fn set_names_era(&self, names: bool) {
-        *self.shared.era.lock() = names.then_some(FIRST_ERA);
+    /// Names no era until the first restore.
+    pub fn hide_first_era(&self) {
+        *self.shared.era.lock() = None;
     }
 
     /// Returns from a copy that is `age` old: topics and producers go back to the state of
@@ -176,9 +176,9 @@
         let state_of = Instant::now().checked_sub(age).unwrap_or_else(Instant::now);
         let lost = self.shared.topics.lock().restore(state_of);
         self.shared.producers.lock().restore(state_of);
-        if let Some(era) = &mut *self.shared.era.lock() {
-            *era += 1;
-        }
+        let mut era = self.shared.era.lock();
+        *era = Some(era.map_or(FIRST_ERA, |era| era + 1));
+        drop(era);
         self.shared.changed.send_modify(|n| *n += 1);
         lost
     }
--- a/tests/decisions/duties.rs
+++ b/tests/decisions/duties.rs
@@ -81,7 +81,7 @@
         by: box_incarnation("a"),
         follows: 1,
         term_ms: 0,
-        era: SourceEra::UNNAMED,
+        era: SourceEra::UNKNOWN,
     };
     records.push(DutyRecord::Lease(late));
     read(&mut b, &records, 1_040);
--- a/tests/decisions/restored_directory.rs
+++ b/tests/decisions/restored_directory.rs
@@ -26,7 +26,7 @@
 }
 
 fn era(number: u64) -> SourceEra {
-    SourceEra::new(number)
+    SourceEra::from_code(number)
 }
 
 /// Returns a directory that has read three upstreams up to offset 60 of an era.
@@ -105,7 +105,7 @@
     // A build that knows of no eras.
     assert!(!directory.apply(behind.changes_since(None)));
     assert_eq!(directory.position(), 40);
-    assert!(!directory.enter_era(SourceEra::UNNAMED, 0));
+    assert!(!directory.enter_era(SourceEra::UNKNOWN, 0));
 }
 
 #[test]
@@ -153,7 +153,7 @@
 }
 
 #[test]
-fn a_source_that_begins_to_name_its_eras_has_not_returned_from_a_copy() {
+fn a_directory_of_an_unknown_era_takes_the_first_one_that_it_hears_of() {
     let mut directory = UpstreamDirectory::default();
     directory.replace(vec![upstream(0, 5)], 10, None);
     assert!(directory.enter_era(era(3), 0));
--- a/tests/decisions/restored_duties.rs
+++ b/tests/decisions/restored_duties.rs
@@ -92,7 +92,8 @@
 
     fn read(&mut self, log: &Log, now_ms: u64) {
         let unix_ms = START_UNIX_MS + now_ms;
-        self.log.enter_era(SourceEra::new(log.era), now_ms, unix_ms);
+        self.log
+            .enter_era(SourceEra::from_code(log.era), now_ms, unix_ms);
         let records = log.records.iter().enumerate();
         for (offset, (_, record)) in records.skip(self.log.next() as usize) {
             match record {
@@ -112,7 +113,9 @@
             return false;
         }
         let unix_ms = START_UNIX_MS + now_ms;
-        let is_same = self.log.enter_era(SourceEra::new(log.era), now_ms, unix_ms);
+        let is_same = self
+            .log
+            .enter_era(SourceEra::from_code(log.era), now_ms, unix_ms);
         if is_taken && is_same {
             self.log.fold(at, record, now_ms);
             return true;
@@ -290,6 +293,6 @@
     let DutyRecord::Lease(lease) = &record else {
         panic!("a lease record");
     };
-    assert!(lease.era.is_unnamed());
+    assert!(lease.era.is_unknown());
     assert_eq!(serde_json::to_string(&record).unwrap(), text);
 }
--- a/tests/decisions/rollout_orders.rs
+++ b/tests/decisions/rollout_orders.rs
@@ -18,7 +18,7 @@
 }
 
 fn number(numbers: &mut OrderNumbers, target: &str, offset: u64, era: u64) -> Option<u64> {
-    numbers.number(&order(target, offset), SourceEra::new(era))
+    numbers.number(&order(target, offset), SourceEra::from_code(era))
 }
 
 /// Returns numbers that know two orders of a former era.
--- a/tests/gateway/restored_store.rs
+++ b/tests/gateway/restored_store.rs
@@ -85,6 +85,17 @@
     check_calls(&store.duty_calls());
 }
 
+#[tokio::test]
+async fn duties_go_on_after_the_return_of_a_store_that_had_named_no_era() {
+    let store = filled_store().await;
+    store.hide_first_era();
+    let daemons = three_daemons(&store).await;
+    load(&daemons, 60).await;
+    drill(&store).await;
+    until_reports(&store, 5).await;
+    check_calls(&store.duty_calls());
+}
+
 #[tokio::test]
 async fn duties_go_on_after_two_drills_in_a_row() {
     let store = filled_store().await;
