A follower takes an upstream that it had removed before the source returned from a copy

What callers would have seen: a daemon that sends nothing to a sound upstream, for good. It had removed it in the former era, the daemon that it follows had not, and heartbeats are not sent to followers, so that no later update named it. The check against entries that only the copy lists belongs to whoever reads the listing: there the next heartbeat settles it. Found by reading; the test failed before.

--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -480,16 +480,12 @@
         }
         self.followed.apply(&update, &self.service_of);
         for present in update.upstreams {
-            // An upstream that was removed in a former era may be listed by the copy only.
             let id = present.upstream.id.clone();
-            let is_refuted = self.removed_ids.is_of_former_era(&id);
             let is_unconfirmed = update.unconfirmed_ids.contains(&id);
             if is_unconfirmed && self.get(&id).is_some() {
                 continue;
             }
-            if present.since > 0 || !is_refuted {
-                self.merge(present.upstream, present.since);
-            }
+            self.merge(present.upstream, present.since);
             if is_unconfirmed && self.get(&id).is_some() {
                 self.lapsed.insert(id, lapsed_until_ms);
             }
--- a/tests/decisions/restored_directory.rs
+++ b/tests/decisions/restored_directory.rs
@@ -131,6 +131,26 @@
     assert!(!own.is_ready(&id(1)) && !own.is_ready(&id(2)));
 }
 
+/// Guards against a follower that lacks an upstream for good: it had removed it in the former era,
+/// the daemon that it follows had not, and heartbeats are not sent to followers.
+#[test]
+fn a_follower_takes_an_upstream_that_it_had_removed_before_the_return() {
+    let mut theirs = directory_in(4);
+    let mut own = directory_in(4);
+    own.remove(id(1).upstream(), 70);
+    own.read_to(71);
+    theirs.enter_era(era(5), UNTIL_MS);
+    theirs.replace(
+        (0..3).map(|n| upstream(n, 10)).collect(),
+        20,
+        Some(UNTIL_MS),
+    );
+    theirs.upsert(upstream(1, 21));
+    theirs.read_to(22);
+    assert!(own.apply_update(theirs.update_since(None), UNTIL_MS));
+    assert!(own.is_ready(&id(1)));
+}
+
 /// Guards against two daemons that each take the other's copy of a missing entry for its return.
 #[test]
 fn daemons_do_not_confirm_missing_entries_to_each_other() {
