--- a/src/names/source_era.rs
+++ b/src/names/source_era.rs
@@ -27,7 +27,7 @@
         Self(code)
     }
 
-    /// Returns the number by which daemons tell each other of the era.
+    /// Returns the number of the era in messages between daemons.
     pub fn code(self) -> u64 {
         self.0
     }
--- a/src/policy/duties/duty_log.rs
+++ b/src/policy/duties/duty_log.rs
@@ -226,8 +226,8 @@
         self.vouched.get(&window)
     }
 
-    /// Returns true if a report of a window can't differ from one that was sent before: its
-    /// counts are known, or nobody can have announced others by a record that the log has lost.
+    /// Returns true if no earlier report of a window can have had other counts: its counts are
+    /// known, or no daemon can have announced any in a record that the log has lost.
     pub fn may_report(&self, window: u64) -> bool {
         let is_known = self.report(window).is_some() || self.vouched_report(window).is_some();
         is_known || window >= self.topic.first_reportable()
--- a/src/policy/duties/duty_topic.rs
+++ b/src/policy/duties/duty_topic.rs
@@ -157,8 +157,7 @@
         self.tail.range(from..end).eq(other.tail.range(from..end))
     }
 
-    /// Returns a remembered record. `None` stands for one without contents, and for one that
-    /// is not remembered.
+    /// Returns a record, or `None` if it has no contents or is not remembered.
     pub(super) fn record_at(&self, offset: u64) -> Option<&DutyRecord> {
         self.tail.get(&offset)
     }
--- a/src/policy/duties/lease.rs
+++ b/src/policy/duties/lease.rs
@@ -25,7 +25,7 @@
     pub current: Option<(u64, LeaseRecord)>,
     /// The fencing token with which the current holder took the lease; renewals keep it.
     pub tenure: u64,
-    /// True if the lease has ended, so that a record of the same holder takes it anew.
+    /// True if the lease has ended, so that the next record of the same holder is no renewal.
     has_ended: bool,
     /// Offset of the next record to fold.
     next: u64,
--- a/src/policy/duties/topic_restoration.rs
+++ b/src/policy/duties/topic_restoration.rs
@@ -54,7 +54,7 @@
         }
     }
 
-    /// Begins anew, as the log has returned from a copy once more.
+    /// Starts over after the log has returned from another copy.
     pub(super) fn restart(&mut self, now_ms: u64, unix_ms: u64) {
         self.noticed_unix_ms = unix_ms;
         self.log_end = None;
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -2,6 +2,7 @@
 //! sees them, and pooled connections to them.
 
 mod directory_changes;
+mod directory_eras;
 mod directory_update;
 mod exchange;
 mod followed_view;
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -43,36 +43,36 @@
     service_of: HashMap<UpstreamId, ServiceName>,
     incarnations: NewestIncarnations,
     /// The era of the source in which offsets and positions count.
-    era: SourceEra,
+    pub(super) era: SourceEra,
     /// The era in which the source is known to have returned from a copy at the latest. What
     /// daemons say that name no era is then not comparable.
-    restored_era: Option<SourceEra>,
+    pub(super) restored_era: Option<SourceEra>,
     /// True if the offsets known here are of an unknown era, from before or after that return.
-    has_uncertain_offsets: bool,
+    pub(super) has_uncertain_offsets: bool,
     /// The revision at which the era began.
-    era_revision: u64,
+    pub(super) era_revision: u64,
     /// Offset of the source before which every record is applied.
-    position: u64,
+    pub(super) position: u64,
     /// Offset before which the offset of each upstream's last record is known, including
     /// records that are mere heartbeats.
-    exact_before: u64,
+    pub(super) exact_before: u64,
     /// The offset since which each upstream is known to have been present without a break;
     /// absent for upstreams that were present when the directory was first read.
-    since: HashMap<UpstreamId, u64>,
+    pub(super) since: HashMap<UpstreamId, u64>,
     /// The upstreams that the followed daemon has announced.
-    followed: FollowedView,
+    pub(super) followed: FollowedView,
     /// True if this daemon reads a source that no other daemon has, such as a file.
     has_own_source: bool,
     /// The upstreams of such a source whose responses said that they leave. Only their exit
     /// shows that a later entry is another incarnation.
     leaving_until_exit: HashSet<UpstreamId>,
-    removed_ids: RemovedUpstreams,
+    pub(super) removed_ids: RemovedUpstreams,
     /// The revision that last changed each upstream.
     changed: RevisionIndex,
     /// Entries that went missing while their source was unavailable, with the time until
     /// which they may come back, in milliseconds of the daemon's steady clock.
-    lapsed: HashMap<UpstreamId, u64>,
-    revision: u64,
+    pub(super) lapsed: HashMap<UpstreamId, u64>,
+    pub(super) revision: u64,
     /// Changes that are not logged yet.
     unlogged: UnloggedChanges,
     /// The cached list of ready upstreams of each service, and the revision it is of.
@@ -80,75 +80,6 @@
 }
 
 impl UpstreamDirectory {
-    /// Returns the era of the source in which offsets and positions count.
-    pub fn era(&self) -> SourceEra {
-        self.era
-    }
-
-    /// Returns true if the source is known to have returned from an older copy.
-    pub fn has_been_restored(&self) -> bool {
-        self.restored_era.is_some()
-    }
-
-    /// Returns the era in which the source is known to have returned from an older copy at the
-    /// latest.
-    pub fn restored_era(&self) -> Option<SourceEra> {
-        self.restored_era
-    }
-
-    /// Records that another daemon knows that the source has returned from an older copy, in an
-    /// era at the latest. A directory that was read in a named era learns it from its own reads.
-    pub fn record_announced_restore(&mut self, era: SourceEra) {
-        if self.era.is_unknown() && self.restored_era < Some(era) {
-            self.restored_era = Some(era);
-            self.has_uncertain_offsets = true;
-        }
-    }
-
-    /// Prepares for records of an era of the source. Returns false if they are of a former
-    /// era, so that their offsets can't be compared with those known here.
-    ///
-    /// If the source has returned from a copy, known upstreams that no record of the new era
-    /// confirms by `lapsed_until_ms` are removed then; their entries may only be missing until
-    /// they are written again.
-    pub fn enter_era(&mut self, era: SourceEra, lapsed_until_ms: u64) -> bool {
-        if era.is_unknown() {
-            return !self.has_been_restored();
-        }
-        if era < self.era {
-            return false;
-        }
-        if era.follows_restore(self.era) || self.has_uncertain_offsets {
-            self.begin_era(era, lapsed_until_ms);
-        }
-        self.era = era;
-        true
-    }
-
-    fn begin_era(&mut self, era: SourceEra, lapsed_until_ms: u64) {
-        self.restored_era = self.restored_era.max(Some(era));
-        self.has_uncertain_offsets = false;
-        self.revision += 1;
-        self.era_revision = self.revision;
-        self.position = 0;
-        self.exact_before = 0;
-        self.since.clear();
-        self.removed_ids.begin_era();
-        self.followed = FollowedView::default();
-        let known: Vec<Arc<Upstream>> = self.all().cloned().collect();
-        for upstream in known {
-            let id = upstream.id.clone();
-            if !upstream.draining {
-                self.lapsed.entry(id.clone()).or_insert(lapsed_until_ms);
-            }
-            self.followed.record_known(&id);
-            self.store(Upstream {
-                offset: 0,
-                ..(*upstream).clone()
-            });
-        }
-    }
-
     /// Applies a record of an upstream, read from the source in order; returns true if it
     /// changed anything that matters for routing.
     pub fn upsert(&mut self, upstream: Upstream) -> bool {
@@ -645,7 +576,7 @@
         self.position
     }
 
-    fn store(&mut self, upstream: Upstream) {
+    pub(super) fn store(&mut self, upstream: Upstream) {
         let moved = self.service_of.get(&upstream.id);
         if let Some(old) = moved.filter(|s| **s != upstream.service).cloned() {
             self.by_service
