--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -149,6 +149,8 @@
     /// The era in which the source has returned from an older copy at the latest, as other daemons
     /// know.
     pub(super) announced_restore: Mutex<Option<SourceEra>>,
+    /// Whether this daemon can open connections to upstreams.
+    pub(super) links: Mutex<UpstreamLinks>,
     /// Which other failure domains are unreachable for this daemon.
     pub(super) domain_reach: Mutex<DomainReach>,
     /// What decides which requests go to other failure domains.
@@ -238,6 +240,7 @@
             reads_config: watch::Sender::new(false),
             config_position: Mutex::default(),
             announced_restore: Mutex::default(),
+            links: Mutex::default(),
             domain_reach: Mutex::default(),
             domain_spread: Mutex::default(),
             table: RwLock::default(),
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -12,6 +12,11 @@
 pub const ANSWER_SECONDS: &str = "saddlepulley_answer_seconds";
 /// Number of failed sends to upstreams, by whether the request may have run.
 pub const FAILED_SENDS: &str = "saddlepulley_failed_sends_total";
+/// Number of upstreams to which this daemon failed to connect since it last opened a connection to
+/// any.
+pub const UNCONNECTED_UPSTREAMS: &str = "saddlepulley_unconnected_upstreams";
+/// 1 if this daemon can open a connection to no upstream, otherwise 0.
+pub const IS_ISOLATED: &str = "saddlepulley_is_isolated";
 /// Number of upstream crashes that this daemon observed while requests ran there.
 pub const CRASHED_UPSTREAMS: &str = "saddlepulley_ended_upstreams_total";
 /// Number of requests that were refused because upstreams crash while they run them.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod intake;
 mod leaving_upstream;
 mod limit_state;
+mod link_state;
 mod listen;
 mod memory_state;
 mod metrics_page;
--- a/src/gateway/send_outcomes.rs
+++ b/src/gateway/send_outcomes.rs
@@ -13,24 +13,6 @@
         self.caches.lock().record(&upstream.id, parts, now_ms);
     }
 
-    /// Records whether a connection to an upstream could be opened.
-    pub fn record_reach(&self, upstream: &Upstream, reached: bool) {
-        let now_ms = self.steady_ms();
-        if reached {
-            return self.domain_reach.lock().record_reached(&upstream.domain);
-        }
-        self.loads
-            .lock()
-            .entry(&upstream.id)
-            .record_unreachable(now_ms);
-        self.record_event(|| MemberEvent::Unreachable {
-            upstream: upstream.id.to_string(),
-        });
-        self.domain_reach
-            .lock()
-            .record_unreachable(&upstream.domain, &upstream.id, now_ms);
-    }
-
     /// Records whether a request failed at an upstream. Failures of an upstream in cooldown
     /// don't count: it has named itself the time until which it takes no requests, and the
     /// failure rate would exclude it for far longer.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,11 +13,12 @@
 mod placement;
 mod quarantine;
 mod quota;
+mod reach;
 mod reclaim;
 mod retries;
 mod sources;
 
 pub use {
     admission::*, clients::*, cooldowns::*, copies::*, duties::*, engines::*, fleet::*, hubs::*,
-    limits::*, placement::*, quarantine::*, quota::*, reclaim::*, retries::*, sources::*,
+    limits::*, placement::*, quarantine::*, quota::*, reach::*, reclaim::*, retries::*, sources::*,
 };
