--- /dev/null
+++ b/tests/gateway/lost_links.rs
@@ -0,0 +1,296 @@
+//! Daemons that reach no upstream while clients and the other daemons still reach them.
+//!
+//! The failure: callers of such daemons were served 0 of 120 requests at the first attempt, callers
+//! of the others 181 of 186. The daemons answered 503 after some milliseconds, although they knew
+//! all the time that the others served.
+
+use {
+    crate::{
+        cut_proxy::{CutProxy, LinkState},
+        support::*,
+    },
+    http::StatusCode,
+    saddlepulley_standin::runner::Runner,
+    std::{
+        fs,
+        net::SocketAddr,
+        process::Stdio,
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    tokio::task::JoinSet,
+};
+
+const NAMES: [&str; 6] = ["n0", "n1", "n2", "n3", "n4", "n5"];
+const RUNNERS: usize = 12;
+const ROUTES: [&TestRoute; 4] = [&IDEMPOTENT, &ONCE, &STREAM, &STREAM_ONCE];
+/// Requests that clients send per second, over all daemons.
+const REQUESTS_PER_S: f64 = 100.0;
+/// From this time after its begin on, callers must not notice a cut.
+const NOTICED_FOR: Duration = Duration::from_secs(3);
+/// How long a cut lasts after that.
+const WATCHED: Duration = Duration::from_secs(3);
+/// How long callers are watched after the paths are restored and `NOTICED_FOR` has passed.
+const WATCHED_AFTER: Duration = Duration::from_secs(2);
+/// The fewest requests from whose outcomes anything is concluded.
+const MIN_SENT: usize = 25;
+/// A daemon that reaches no upstream may fail this many of its callers' requests, and one in
+/// `ALLOWED_SHARE` more.
+const ALLOWED_FAILED: usize = 10;
+const ALLOWED_SHARE: usize = 50;
+
+/// A daemon with its paths to all upstreams.
+pub struct CutDaemon {
+    pub daemon: GatewayDaemon,
+    links: Vec<CutProxy>,
+}
+
+impl CutDaemon {
+    /// Cuts or heals the paths to all upstreams.
+    pub fn set_links(&self, state: LinkState) {
+        for link in &self.links {
+            link.set(state);
+        }
+    }
+}
+
+/// Daemons that reach each upstream over a path of their own.
+pub struct CutWorld {
+    pub runners: Vec<Runner>,
+    pub daemons: Vec<CutDaemon>,
+}
+
+impl CutWorld {
+    /// Starts one daemon in each of the given failure domains.
+    pub async fn start(domains: &[&str]) -> Self {
+        let mut world = Self {
+            runners: Vec::new(),
+            daemons: Vec::new(),
+        };
+        for n in 0..RUNNERS {
+            let runner = Runner::start(&format!("u{n}"), 3).await.unwrap();
+            world.runners.push(runner);
+        }
+        for (name, domain) in NAMES.into_iter().zip(domains) {
+            world.add(name, domain).await;
+        }
+        let all_known = format!("saddlepulley_daemons {}", domains.len());
+        for cut in &world.daemons {
+            eventually("the daemons know each other", async || {
+                cut.daemon.metrics_page().await.contains(&all_known)
+            })
+            .await;
+        }
+        world
+    }
+
+    async fn add(&mut self, name: &'static str, domain: &str) {
+        let mut links = Vec::new();
+        let all: Vec<&Runner> = self.runners.iter().collect();
+        let mut routes = routes_file(1, &ROUTES, &all);
+        for runner in &self.runners {
+            let link = CutProxy::start(runner.address()).await;
+            let (direct, through_link) = (runner.address(), link.address());
+            routes = routes.replace(&format!("\"{direct}\""), &format!("\"{through_link}\""));
+            links.push(link);
+        }
+        let dir = TempDir::new().unwrap();
+        let path = dir.path().join("routes.toml");
+        fs::write(&path, routes).unwrap();
+        let settings = DaemonSettings {
+            name,
+            source: format!("kind = \"file\"\npath = \"{}\"", path.display()),
+            extra_settings: String::new(),
+            seeds: self.daemons.iter().map(|d| d.daemon.peers).collect(),
+            stdout: Stdio::null(),
+        };
+        let daemon = GatewayDaemon::spawn_in_domain(domain, &this_build(), dir, settings);
+        daemon.wait_ready().await;
+        self.daemons.push(CutDaemon { daemon, links });
+    }
+
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|d| d.daemon.clients).collect()
+    }
+
+    fn cut(&self, daemons: &[usize], state: LinkState) {
+        for n in daemons {
+            self.daemons[*n].set_links(state);
+        }
+    }
+
+    /// Returns how often an attempt was run by any upstream.
+    fn runs(&self, attempt: &str) -> usize {
+        let runs = self.runners.iter().flat_map(Runner::runs);
+        runs.filter(|run| run.attempt == attempt).count()
+    }
+}
+
+/// A request as its client saw it.
+struct Outcome {
+    daemon: usize,
+    attempt: String,
+    route: usize,
+    sent: Instant,
+    after: Duration,
+    /// `None` if the daemon closed the connection without an answer.
+    answer: Option<Response>,
+}
+
+impl Outcome {
+    fn is_served(&self) -> bool {
+        let answer = self.answer.as_ref();
+        answer.is_some_and(|a| a.status == StatusCode::OK && a.complete)
+    }
+}
+
+/// Sends requests of all kinds to the daemons in turn, at a steady rate, each over a new
+/// connection.
+async fn load(addresses: Vec<SocketAddr>, duration: Duration) -> Vec<Outcome> {
+    let (mut requests, began) = (JoinSet::new(), Instant::now());
+    for n in 0.. {
+        let due = Duration::from_secs_f64(f64::from(n) / REQUESTS_PER_S);
+        if due >= duration {
+            break;
+        }
+        tokio::time::sleep_until((began + due).into()).await;
+        let (daemon, n) = (n as usize % addresses.len(), n as usize);
+        let route = n / addresses.len() % ROUTES.len();
+        requests.spawn(fetch(daemon, addresses[daemon], route, format!("c{n}")));
+    }
+    requests.join_all().await
+}
+
+async fn fetch(daemon: usize, to: SocketAddr, route: usize, attempt: String) -> Outcome {
+    let sent = Instant::now();
+    let target = format!("{}{attempt}", ROUTES[route].prefix);
+    let answer = async {
+        let mut client = Client::connect(to).await?;
+        client.send(request(&attempt, &target), "a body").await.ok()
+    };
+    Outcome {
+        answer: answer.await,
+        daemon,
+        route,
+        sent,
+        after: sent.elapsed(),
+        attempt,
+    }
+}
+
+/// Counts the outcomes of requests that were sent in a period, and how many were served.
+fn tally(outcomes: &[Outcome], daemons: &[usize], from: Instant, to: Instant) -> (usize, usize) {
+    let counted = outcomes.iter().filter(|o| {
+        let in_period = o.sent >= from && o.sent < to;
+        in_period && daemons.contains(&o.daemon)
+    });
+    let all: Vec<&Outcome> = counted.collect();
+    (all.len(), all.iter().filter(|o| o.is_served()).count())
+}
+
+/// Checks that callers of cut daemons are served like those of others, in a period in which a cut
+/// had lasted for [`NOTICED_FOR`].
+fn check_served(outcomes: &[Outcome], cut: &[usize], others: &[usize], from: Instant, to: Instant) {
+    let (cut_sent, cut_served) = tally(outcomes, cut, from, to);
+    let (other_sent, other_served) = tally(outcomes, others, from, to);
+    let statuses = outcomes.iter().filter(|o| cut.contains(&o.daemon));
+    let failed: Vec<_> = statuses
+        .filter(|o| o.sent >= from && o.sent < to && !o.is_served())
+        .map(|o| (o.answer.as_ref().map(|a| a.status), o.route, o.after))
+        .take(12)
+        .collect();
+    let what = format!(
+        "cut daemons served {cut_served} of {cut_sent}, the others {other_served} of {other_sent}: {failed:?}"
+    );
+    println!("{what}");
+    let share = |served: usize, sent: usize| served as f64 / sent.max(1) as f64;
+    assert!(
+        cut_sent >= MIN_SENT && (others.is_empty() || other_sent >= MIN_SENT),
+        "{what}"
+    );
+    assert!(
+        share(cut_served, cut_sent) >= share(other_served, other_sent) * 2.0 / 3.0,
+        "{what}"
+    );
+    let allowed = ALLOWED_FAILED + cut_sent / ALLOWED_SHARE;
+    assert!(cut_sent - cut_served <= allowed, "{what}");
+}
+
+/// Checks that no answer belongs to another request, that nothing that may not be repeated ran
+/// twice, and that nothing ran that was refused as not run.
+fn check_promises(world: &CutWorld, outcomes: &[Outcome]) {
+    for outcome in outcomes {
+        let route = ROUTES[outcome.route];
+        let runs_once = !route.resumable && route.kind != "idempotent";
+        let runs = world.runs(&outcome.attempt);
+        let what = format!("{}{}: {runs} runs", route.prefix, outcome.attempt);
+        assert!(!runs_once || runs <= 1, "{what}");
+        let Some(answer) = &outcome.answer else {
+            continue;
+        };
+        let is_refusal = matches!(answer.status.as_u16(), 408 | 421 | 429 | 503);
+        assert!(!(is_refusal && runs_once && runs > 0), "{what}, {answer:?}");
+        if outcome.is_served() && route.kind == "streaming" {
+            let events: String = (1..=3)
+                .map(|n| format!("id: {n}\ndata: event {n}\n\n"))
+                .collect();
+            assert_eq!(answer.body, events, "{what}");
+        }
+        if outcome.is_served() && route.kind != "streaming" {
+            assert!(answer.body.contains(&outcome.attempt), "{what}, {answer:?}");
+        }
+    }
+}
+
+/// Cuts the paths of some daemons, and checks what their callers get from `NOTICED_FOR` on, and
+/// after the paths are restored.
+async fn cut_and_check(domains: &[&str], cut: &[usize], state: LinkState) {
+    let world = CutWorld::start(domains).await;
+    let others: Vec<usize> = (0..domains.len()).filter(|n| !cut.contains(n)).collect();
+    let warm_up = Duration::from_secs(1);
+    let duration = warm_up + NOTICED_FOR + WATCHED + NOTICED_FOR + WATCHED_AFTER;
+    let load = tokio::spawn(load(world.addresses(), duration));
+    tokio::time::sleep(warm_up).await;
+    let began = Instant::now();
+    world.cut(cut, state);
+    tokio::time::sleep(NOTICED_FOR + WATCHED).await;
+    let ended = Instant::now();
+    world.cut(cut, LinkState::Up);
+    let outcomes = load.await.unwrap();
+    check_promises(&world, &outcomes);
+    check_served(&outcomes, cut, &others, began + NOTICED_FOR, ended);
+    let healed = ended + NOTICED_FOR;
+    check_served(
+        &outcomes,
+        cut,
+        &others,
+        healed,
+        healed + Duration::from_secs(1),
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_served_by_daemons_whose_connections_to_upstreams_are_reset_and_refused() {
+    cut_and_check(&["a"; 6], &[0, 3], LinkState::Reset).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_served_by_daemons_that_can_open_no_new_connections_to_upstreams() {
+    cut_and_check(&["a"; 6], &[0, 3], LinkState::NewRefused).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_served_by_daemons_whose_connections_to_upstreams_hang() {
+    cut_and_check(&["a"; 6], &[0, 3], LinkState::Silent).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_served_if_most_daemons_reach_no_upstream() {
+    cut_and_check(&["a"; 6], &[0, 1, 2, 3, 4], LinkState::Silent).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_served_if_all_daemons_of_a_failure_domain_reach_no_upstream() {
+    let domains = ["a", "b", "a", "b", "a", "b"];
+    cut_and_check(&domains, &[0, 2, 4], LinkState::Silent).await;
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod configuration;
 mod crashing_requests;
+mod cut_proxy;
 mod domain_balance;
 mod drill_soak;
 mod duties;
@@ -13,6 +14,7 @@
 mod leaving_upstreams;
 mod limits_soak;
 mod logs;
+mod lost_links;
 mod lost_requests;
 mod misdirected;
 mod mixed_builds;
