Requests go through another daemon to upstreams that only their own one can't reach

Cause: a request's only way to an upstream was the daemon that took it. Daemons exchanged state, never a request, so a daemon without links had nowhere to send, although it knew from the others' loads that the upstreams served. Ruled out: time lost on the way (4 to 9 ms in the record); readiness alone (open connections stay, and with fewer than half of a failure domain ready the balancer uses all).

Now a daemon that fails to connect to an upstream asks others whether they reach it. If one does, the link is its own, and requests for that upstream go through the other daemon, one hop at most: the receiver uses its own connection or says not sent. Admission, placement, quotas, loads, retries and usage stay with the daemon that took the request, so nothing counts twice and not run stays true: a failure of the hop before a byte was written is not sent, any other one may have run. Closing the connection cancels at the other end. The own links are tried by a task, not with clients' requests. An upstream that nobody reaches is treated as before. A daemon to which no connection can be opened and that has no relay refuses at once where attempts hang.

Decisions: policy/reach, decisions/upstream_links (300 random schedules; found that untried upstreams starved the probes of broken ones, and that daemons were left alone for one dead upstream).

--- a/src/cluster/feed/feed_server.rs
+++ b/src/cluster/feed/feed_server.rs
@@ -1,7 +1,10 @@
 use {
     super::{PackedUpdates, messages::*},
     crate::{
-        cluster::{CONFIG_PATH, ConfigServer, ControlKind, ERA_CONFIG_PATH},
+        cluster::{
+            CONFIG_PATH, ConfigServer, ControlKind, ERA_CONFIG_PATH, REACH_PATH,
+            answer_reach_query, is_relayed, relay,
+        },
         gateway::{AnswerBody, Gateway, full_body, local_response, serve_local},
         names::SourceEra,
         routing::RoutingConfig,
@@ -33,6 +36,8 @@
         let (configs, feed) = (configs.clone(), feed.clone());
         async move {
             match request.uri().path() {
+                _ if is_relayed(&request) => relay(feed.gateway.clone(), request).await,
+                REACH_PATH => answer_reach_query(feed.gateway.clone(), request).await,
                 ERA_PATH => feed.answer(request, FeedServer::era_update_for).await,
                 UPDATE_PATH => feed.answer(request, FeedServer::update_for).await,
                 OFFSETS_PATH => feed.answer(request, FeedServer::reply_to).await,
--- a/src/cluster/membership/mod.rs
+++ b/src/cluster/membership/mod.rs
@@ -6,6 +6,7 @@
 mod peer_index;
 mod peer_loads;
 mod peer_quotas;
+mod peer_relays;
 mod peer_sources;
 mod peer_table;
 mod peer_versions;
--- a/src/cluster/messages/extension.rs
+++ b/src/cluster/messages/extension.rs
@@ -9,7 +9,7 @@
 };
 
 /// The extension level of this build. It increases with each addition to the extensions.
-pub const EXTENSION_LEVEL: u8 = 4;
+pub const EXTENSION_LEVEL: u8 = 5;
 /// The level from which on a daemon supports limits that upstreams name.
 pub const LIMITS_LEVEL: u8 = 1;
 /// The level from which on a daemon sends the updates of its directory without entries that only
@@ -18,6 +18,8 @@
 /// The level from which on a daemon knows that offsets of the source count within an era only, and
 /// names the era of those that it sends.
 pub const ERAS_LEVEL: u8 = 3;
+/// The level from which on a daemon passes requests of other daemons on to upstreams.
+pub const RELAYS_LEVEL: u8 = 5;
 /// The size of the header of an extension: one byte for its kind, two for the length of its body.
 const HEADER_BYTES: usize = 3;
 
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod messages;
 mod quotas;
+mod relays;
 mod rooms;
 mod speeds;
 mod usage;
@@ -17,5 +18,5 @@
 
 pub use {
     configs::*, crashes::*, duties::*, feed::*, hubs::*, leaving::*, limits::*, membership::*,
-    messages::*, quotas::*, rooms::*, speeds::*, usage::*, versions::*,
+    messages::*, quotas::*, relays::*, rooms::*, speeds::*, usage::*, versions::*,
 };
--- /dev/null
+++ b/src/cluster/relays/mod.rs
@@ -0,0 +1,12 @@
+//! Requests that are sent to upstreams through another daemon, since their own daemon has lost its
+//! network path there.
+
+mod link_watcher;
+mod reach_query;
+mod relay_client;
+mod relay_headers;
+mod relay_server;
+
+pub use reach_query::*;
+pub(super) use relay_server::*;
+pub(crate) use {link_watcher::*, relay_client::*};
--- a/src/conf/mechanisms.rs
+++ b/src/conf/mechanisms.rs
@@ -33,6 +33,9 @@
     /// send the others to domains that announce room; if off, the least cost over all domains
     /// decides.
     pub domain_balance: bool,
+    /// Send requests through another daemon to upstreams that only this daemon can't reach; if off, they
+    /// go to other upstreams, or are refused.
+    pub relays: bool,
     /// Continue to read answers from upstreams while their clients don't read, as far as there is
     /// memory; if off, an upstream waits for the client.
     pub read_ahead: bool,
@@ -50,6 +53,7 @@
             room_queue: false,
             quota_order: true,
             domain_balance: false,
+            relays: true,
             read_ahead: true,
         }
     }
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -50,6 +50,7 @@
         let needs_retry_budget = self.arrivals > 0 && failure != SendFailure::Stalled;
         self.last_failure = Some(failure);
         situation.allows_another()
+            && !gateway.is_cut_off()
             && gateway.held_for(context).is_none()
             && (!needs_retry_budget || gateway.spend_retry(context))
     }
--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -101,7 +101,8 @@
             Ok(connection) => {
                 tokio::time::sleep(MIN_OPEN_TIME).await;
                 if connection.is_open() {
-                    gateway.pool.put(&upstream.id, connection, None);
+                    let endpoint = Endpoint::Upstream(upstream.id.clone());
+                    gateway.pool.put(&endpoint, connection, None);
                     return None;
                 }
             }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -127,6 +127,8 @@
     pub(super) datagrams: OnceLock<Arc<UdpSocket>>,
     /// Number of requests in flight.
     pub open_requests: AtomicUsize,
+    /// Number of requests that are relayed for other daemons; `open_requests` includes them.
+    pub(super) relayed_requests: AtomicUsize,
     /// True while this daemon holds the duties, which one daemon at a time holds.
     pub holds_duties: AtomicBool,
     /// When calls to the source of configuration and upstreams succeeded and failed.
@@ -149,8 +151,10 @@
     /// The era in which the source has returned from an older copy at the latest, as other daemons
     /// know.
     pub(super) announced_restore: Mutex<Option<SourceEra>>,
-    /// Whether this daemon can open connections to upstreams.
+    /// Which upstreams this daemon reaches, itself and through other daemons.
     pub(super) links: Mutex<UpstreamLinks>,
+    /// Wakes the task that looks for daemons which reach an upstream that this one does not.
+    pub(crate) link_failed: Notify,
     /// Which other failure domains are unreachable for this daemon.
     pub(super) domain_reach: Mutex<DomainReach>,
     /// What decides which requests go to other failure domains.
@@ -232,6 +236,7 @@
             hub_since_ms: Mutex::default(),
             datagrams: OnceLock::new(),
             open_requests: AtomicUsize::new(0),
+            relayed_requests: AtomicUsize::new(0),
             holds_duties: AtomicBool::new(false),
             source: Mutex::default(),
             reads_source: watch::Sender::new(false),
@@ -241,6 +246,7 @@
             config_position: Mutex::default(),
             announced_restore: Mutex::default(),
             links: Mutex::default(),
+            link_failed: Notify::new(),
             domain_reach: Mutex::default(),
             domain_spread: Mutex::default(),
             table: RwLock::default(),
@@ -342,6 +348,7 @@
         self.peer_versions.lock().tick(self.steady_ms());
         self.loads.lock().retain(is_known);
         self.limits.lock().retain(is_known);
+        self.links.lock().retain(is_known);
         self.speeds.lock().retain(is_known);
         self.tick_cooldowns(is_known);
         let live: HashSet<_> = self.peers.lock().live_addresses().into_iter().collect();
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -15,6 +15,12 @@
 /// Number of upstreams to which this daemon failed to connect since it last opened a connection to
 /// any.
 pub const UNCONNECTED_UPSTREAMS: &str = "saddlepulley_unconnected_upstreams";
+/// Number of upstreams that this daemon reaches only through other daemons.
+pub const RELAYED_UPSTREAMS: &str = "saddlepulley_relayed_upstreams";
+/// Number of requests that were sent to upstreams through other daemons, by outcome of the send.
+pub const RELAYED_REQUESTS: &str = "saddlepulley_relayed_requests_total";
+/// Number of requests that this daemon passed on to upstreams for other daemons, by outcome.
+pub const RELAYED_FOR_OTHERS: &str = "saddlepulley_relayed_for_others_total";
 /// 1 if this daemon can open a connection to no upstream, otherwise 0.
 pub const IS_ISOLATED: &str = "saddlepulley_is_isolated";
 /// Number of upstream crashes that this daemon observed while requests ran there.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 mod read_ahead;
 mod receive_body;
 mod refusal;
+mod relay_guard;
 mod request_context;
 mod request_placement;
 mod rollout_state;
@@ -54,6 +55,6 @@
     answer::*, buffered_bytes::*, buffers::*, client_connection::*, client_socket::*,
     connection_closer::*, event_splitter::*, follow_file::*, gateway_phase::*, gateway_state::*,
     header_names::*, hub_state::*, intake::*, listen::*, metrics_page::*, open_connections::*,
-    placement::*, process::*, prompt::*, read_ahead::*, refusal::*, request_context::*,
-    request_placement::*,
+    placement::*, process::*, prompt::*, read_ahead::*, refusal::*, relay_guard::*,
+    request_context::*, request_placement::*,
 };
--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -70,6 +70,9 @@
         tasks.spawn(cluster::exchange_datagrams(digests, gateway.clone()));
         tasks.spawn(cluster::follow_daemons(gateway.clone()));
         tasks.spawn(cluster::follow_config_of_daemons(gateway.clone()));
+        if gateway.settings.mechanisms.relays {
+            tasks.spawn(cluster::watch_links(gateway.clone()));
+        }
         tasks.spawn(sweep(gateway.clone()));
         tasks.spawn(room_state::release_when_room(gateway.clone()));
         tasks.spawn(watch_for_suspensions());
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -1,17 +1,16 @@
 use {
-    super::{Gateway, Placement, RequestContext},
+    super::{Gateway, Placement, RequestContext, link_state::CONNECT_TIMEOUT},
     crate::{
         clock::BootInstant,
-        policy::{FirstEvent, SpeedSample},
+        cluster::{RelayedRequest, send_through},
+        policy::{FirstEvent, LinkPath, SpeedSample},
         upstreams::*,
     },
     http::{HeaderValue, Request, StatusCode, Version},
     http_body_util::Full,
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
-/// Timeout for opening a connection to an upstream.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum idle time of a pooled connection for a request that may run only once. The
 /// upstream may be closing a connection that has been idle for longer.
 const MAX_IDLE_RUN_ONCE: Duration = Duration::from_secs(2);
@@ -151,7 +150,7 @@
         return Err(SendFailure::NotSent(cause.into()));
     }
     let mut active = ActiveSend::start(gateway, placement, context.prompt.tokens_out);
-    let connection = connect(gateway, context, placement).await?;
+    let path = open_path(gateway, context, placement).await?;
     // The state of the upstream may have changed since it was chosen.
     if !gateway.directory.read().is_ready(&upstream.id) {
         return Err(SendFailure::NotSent("the upstream is leaving".into()));
@@ -163,7 +162,21 @@
     gateway.record_cached(&context.prompt, upstream);
     let request = build_request(gateway, context, upstream, last_event_id);
     let sent_ms = gateway.steady_ms();
-    let answer = OpenAnswer::open(&gateway.pool, &upstream.id, connection, request).await?;
+    let answer = match path {
+        OpenPath::Direct(connection) => {
+            let endpoint = Endpoint::Upstream(upstream.id.clone());
+            OpenAnswer::open(&gateway.pool, endpoint, connection, request).await?
+        }
+        OpenPath::Relayed(relays) => {
+            let relayed = RelayedRequest {
+                upstream: upstream.id.clone(),
+                request,
+                max_idle: max_idle(context, placement),
+                connect_timeout: CONNECT_TIMEOUT.min(context.time_left()),
+            };
+            send_through(gateway, &relays, relayed).await?
+        }
+    };
     active.progress();
     check_owner(gateway, context, &answer)?;
     gateway.record_signals(context, upstream, &answer.head);
@@ -176,24 +189,51 @@
     })
 }
 
+/// A way to an upstream that is ready to be used.
+enum OpenPath {
+    /// A connection to the upstream.
+    Direct(UpstreamConnection),
+    /// Daemons that pass the request on.
+    Relayed(Vec<SocketAddr>),
+}
+
+async fn open_path(
+    gateway: &Gateway,
+    context: &RequestContext,
+    placement: &Placement,
+) -> Result<OpenPath, SendFailure> {
+    match gateway.path_to(&placement.upstream.id) {
+        LinkPath::Direct => connect(gateway, context, placement)
+            .await
+            .map(OpenPath::Direct),
+        LinkPath::Relayed(relays) => Ok(OpenPath::Relayed(relays)),
+        LinkPath::None => Err(SendFailure::NotSent(
+            "neither this daemon nor another one reaches the upstream".into(),
+        )),
+    }
+}
+
 async fn connect(
     gateway: &Gateway,
     context: &RequestContext,
     placement: &Placement,
 ) -> Result<UpstreamConnection, SendFailure> {
     let upstream = &placement.upstream;
-    let max_idle = match context.route.is_retryable() {
+    let endpoint = Endpoint::Upstream(upstream.id.clone());
+    if let Some(connection) = gateway.pool.take(&endpoint, max_idle(context, placement)) {
+        return Ok(connection);
+    }
+    let timeout = CONNECT_TIMEOUT.min(context.time_left());
+    gateway.connect_for_request(upstream, timeout).await
+}
+
+/// Returns how long a connection may have been idle that is used for a request.
+fn max_idle(context: &RequestContext, placement: &Placement) -> Duration {
+    match context.route.is_retryable() {
         _ if placement.is_retry => Duration::ZERO,
         true => MAX_IDLE_REPEATABLE,
         false => MAX_IDLE_RUN_ONCE,
-    };
-    if let Some(connection) = gateway.pool.take(&upstream.id, max_idle) {
-        return Ok(connection);
     }
-    let timeout = CONNECT_TIMEOUT.min(context.time_left());
-    let connected = UpstreamPool::connect(upstream.address, timeout).await;
-    gateway.record_reach(upstream, connected.is_ok());
-    connected
 }
 
 fn build_request(
--- a/src/policy/reach/mod.rs
+++ b/src/policy/reach/mod.rs
@@ -1,5 +1,9 @@
-//! Which upstreams this daemon can open connections to.
+//! Which upstreams a daemon reaches itself, and through which other daemons it reaches the rest.
 
+mod broken_link;
+mod link_failure;
+mod link_path;
 mod upstream_links;
 
-pub use upstream_links::*;
+use broken_link::*;
+pub use {link_failure::*, link_path::*, upstream_links::*};
--- a/src/upstreams/exchange.rs
+++ b/src/upstreams/exchange.rs
@@ -1,6 +1,5 @@
 use {
-    super::{SendFailure, UpstreamConnection, UpstreamPool},
-    crate::names::UpstreamId,
+    super::{Endpoint, SendFailure, UpstreamConnection, UpstreamPool},
     bytes::Bytes,
     http::{HeaderMap, Request, header, response::Parts},
     http_body_util::{BodyExt, Full},
@@ -16,7 +15,7 @@
     pub head: Parts,
     body: Incoming,
     connection: Option<UpstreamConnection>,
-    upstream: UpstreamId,
+    endpoint: Endpoint,
     pool: Arc<UpstreamPool>,
 }
 
@@ -29,7 +28,7 @@
     /// otherwise [`SendFailure::MayHaveRun`] or [`SendFailure::CutOff`].
     pub async fn open(
         pool: &Arc<UpstreamPool>,
-        upstream: &UpstreamId,
+        endpoint: Endpoint,
         mut connection: UpstreamConnection,
         request: Request<Full<Bytes>>,
     ) -> Result<Self, SendFailure> {
@@ -47,7 +46,7 @@
             head,
             body,
             connection: Some(connection),
-            upstream: upstream.clone(),
+            endpoint,
             pool: pool.clone(),
         })
     }
@@ -88,7 +87,7 @@
             return;
         }
         let idle_timeout = keep_alive_timeout(&self.head.headers);
-        self.pool.put(&self.upstream, connection, idle_timeout);
+        self.pool.put(&self.endpoint, connection, idle_timeout);
     }
 }
 
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -4,6 +4,7 @@
 mod directory_changes;
 mod directory_eras;
 mod directory_update;
+mod endpoint;
 mod exchange;
 mod followed_view;
 mod newest_incarnations;
@@ -18,7 +19,7 @@
 mod upstream_pool;
 
 pub use {
-    directory_changes::*, directory_update::*, exchange::*, newest_incarnations::*,
+    directory_changes::*, directory_update::*, endpoint::*, exchange::*, newest_incarnations::*,
     ready_upstreams::*, send_failure::*, unlogged_changes::*, upstream::*, upstream_directory::*,
     upstream_load::*, upstream_pool::*,
 };
--- a/src/upstreams/upstream_load.rs
+++ b/src/upstreams/upstream_load.rs
@@ -54,6 +54,11 @@
     /// Records that the upstream sent something, which ends the backoff.
     pub fn record_progress(&mut self, now_ms: u64) {
         self.last_progress_ms = now_ms;
+        self.end_backoff();
+    }
+
+    /// Ends the backoff: the upstream is reached in another way.
+    pub fn end_backoff(&mut self) {
         self.backoff_ms = 0;
         self.avoid_until_ms = 0;
     }
--- a/src/upstreams/upstream_pool.rs
+++ b/src/upstreams/upstream_pool.rs
@@ -1,5 +1,5 @@
 use {
-    super::SendFailure,
+    super::{Endpoint, SendFailure},
     crate::{clock::BootInstant, http::reset_on_close, names::UpstreamId},
     bytes::Bytes,
     http_body_util::Full,
@@ -17,11 +17,11 @@
 const KEEPALIVE_PROBE: Duration = Duration::from_secs(1);
 /// Maximum time for which the pool keeps an idle connection.
 const MAX_IDLE: Duration = Duration::from_secs(20);
-const MAX_IDLE_PER_UPSTREAM: usize = 32;
+const MAX_IDLE_PER_ENDPOINT: usize = 32;
 /// Maximum size of a response head from an upstream, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
-/// A connection to an upstream. Dropping it closes it.
+/// A connection to an upstream, or to a daemon that passes requests on. Dropping it closes it.
 #[derive(Debug)]
 pub struct UpstreamConnection {
     pub(super) sender: SendRequest<Full<Bytes>>,
@@ -48,17 +48,17 @@
     until: BootInstant,
 }
 
-/// Idle connections to upstreams, kept for reuse.
+/// Idle connections to upstreams, and to daemons that pass requests on to them, kept for reuse.
 #[derive(Debug, Default)]
 pub struct UpstreamPool {
-    idle: Mutex<HashMap<UpstreamId, Vec<IdleConnection>>>,
+    idle: Mutex<HashMap<Endpoint, Vec<IdleConnection>>>,
 }
 
 impl UpstreamPool {
     /// Takes a usable connection that has been idle for less than `max_idle`.
-    pub fn take(&self, id: &UpstreamId, max_idle: Duration) -> Option<UpstreamConnection> {
+    pub fn take(&self, endpoint: &Endpoint, max_idle: Duration) -> Option<UpstreamConnection> {
         let mut idle = self.idle.lock();
-        let idle_connections = idle.get_mut(id)?;
+        let idle_connections = idle.get_mut(endpoint)?;
         let now = BootInstant::now();
         while let Some(entry) = idle_connections.pop() {
             let connection = entry.connection;
@@ -71,10 +71,10 @@
     }
 
     /// Keeps an idle connection for at most `MAX_IDLE`, and for at most 80% of the keep-alive
-    /// time that its upstream named.
+    /// time that its other end named.
     pub fn put(
         &self,
-        id: &UpstreamId,
+        endpoint: &Endpoint,
         connection: UpstreamConnection,
         keep_alive: Option<Duration>,
     ) {
@@ -82,8 +82,8 @@
         let idle_time =
             keep_alive.map_or(MAX_IDLE, |keep_alive| keep_alive.mul_f64(0.8).min(MAX_IDLE));
         let mut idle = self.idle.lock();
-        let idle_connections = idle.entry(id.clone()).or_default();
-        if idle_connections.len() >= MAX_IDLE_PER_UPSTREAM {
+        let idle_connections = idle.entry(endpoint.clone()).or_default();
+        if idle_connections.len() >= MAX_IDLE_PER_ENDPOINT {
             idle_connections.remove(0);
         }
         idle_connections.push(IdleConnection {
@@ -97,14 +97,18 @@
     /// have been idle for too long.
     pub fn sweep(&self, is_known: impl Fn(&UpstreamId) -> bool) {
         let now = BootInstant::now();
-        self.idle.lock().retain(|id, idle_connections| {
+        self.idle.lock().retain(|endpoint, idle_connections| {
             idle_connections
                 .retain(|entry| now < entry.until && !entry.connection.sender.is_closed());
-            is_known(id) && !idle_connections.is_empty()
+            let is_kept = match endpoint {
+                Endpoint::Upstream(id) => is_known(id),
+                Endpoint::Daemon(_) => true,
+            };
+            is_kept && !idle_connections.is_empty()
         });
     }
 
-    /// Opens a connection to an upstream.
+    /// Opens a connection to an upstream, or to a daemon that passes requests on.
     ///
     /// # Errors
     ///
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -52,6 +52,7 @@
 mod support;
 mod suspension;
 mod table_fold;
+mod upstream_links;
 mod upstream_memory;
 mod upstream_speeds;
 mod upstream_speeds_state;
