A daemon that lost its paths bears no witness of crashes

Three such ends under one request hold it back for ten minutes.

Cause: reset under a request, then a new connection refused, was taken for the upstream's end; both are what a daemon sees that lost its own path. Now other daemons are asked first, as for relays: if one of them reaches the upstream, it has not crashed. If none does, also because all are isolated, the end counts as before: then nothing tells the two apart.

Before: the new test counts 6 crashes of upstreams that run; after, none.

--- a/src/cluster/relays/link_watcher.rs
+++ b/src/cluster/relays/link_watcher.rs
@@ -64,6 +64,7 @@
         join_all(queries).await;
         candidates = rest;
     }
+    gateway.record_all_queried(ids);
 }
 
 async fn query_one(
--- a/src/cluster/relays/reach_query.rs
+++ b/src/cluster/relays/reach_query.rs
@@ -24,8 +24,6 @@
 const MAX_QUERY_BYTES: usize = 8 * 1024;
 /// Timeout for the answer: the queried daemon may try to connect to the upstreams first.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-/// An upstream that sent something to a daemon within this time is reached by it, in milliseconds.
-const RECENT_MS: u64 = 1_000;
 
 /// A daemon's query for the upstreams that another one reaches.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -93,16 +91,15 @@
     }
 }
 
-/// Returns whether this daemon reaches an upstream; it tries to connect if it has not heard of the
-/// upstream for a while.
+/// Returns whether this daemon reaches an upstream. It always tries to connect: what the upstream sent
+/// a moment ago may precede its crash, and the query may be about that crash.
 async fn reaches(gateway: &Gateway, id: UpstreamId) -> bool {
     if gateway.is_stopping() || gateway.path_to(&id) != LinkPath::Direct {
         return false;
     }
     match ready_upstream(gateway, &id) {
-        None => false,
-        Some(_) if heard_recently(gateway, &id) => true,
         Some(upstream) => gateway.probe_link(&upstream).await,
+        None => false,
     }
 }
 
@@ -110,9 +107,3 @@
     let directory = gateway.directory.read();
     directory.get(id).filter(|u| !u.draining).cloned()
 }
-
-fn heard_recently(gateway: &Gateway, id: &UpstreamId) -> bool {
-    let loads = gateway.loads.lock();
-    let last_ms = loads.get(id).map_or(0, |load| load.last_progress_ms);
-    last_ms > 0 && gateway.steady_ms() < last_ms + RECENT_MS
-}
--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -11,9 +11,6 @@
     },
 };
 
-/// Timeout for the connection that checks whether an upstream is alive: the same as for
-/// sending a request.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 /// How long an accepted connection has to stay open to show that the upstream is alive: a
 /// process that ends may close its connections shortly before its listening socket.
 const MIN_OPEN_TIME: Duration = Duration::from_millis(50);
@@ -70,7 +67,10 @@
 }
 
 async fn check_for_crash(gateway: Arc<Gateway>, upstream: Arc<Upstream>) {
-    let failure = find_failure(&gateway, &upstream).await;
+    let mut failure = find_failure(&gateway, &upstream).await;
+    if failure.is_some() && gateway.has_lost_link(&upstream.id).await {
+        failure = None;
+    }
     let requests = gateway.cut_offs.lock().remove(&upstream.id);
     let (Some(cause), Some(requests)) = (failure, requests) else {
         return;
@@ -96,7 +96,7 @@
 /// does not.
 async fn find_failure(gateway: &Gateway, upstream: &Upstream) -> Option<SendFailure> {
     for _ in 0..MAX_CHECKS {
-        match UpstreamPool::connect(upstream.address, CHECK_TIMEOUT).await {
+        match gateway.connect_directly(upstream).await {
             Err(failure) => return Some(failure),
             Ok(connection) => {
                 tokio::time::sleep(MIN_OPEN_TIME).await;
--- a/src/gateway/link_state.rs
+++ b/src/gateway/link_state.rs
@@ -1,9 +1,10 @@
 use {
     super::{Gateway, IS_ISOLATED, RELAYED_UPSTREAMS, UNCONNECTED_UPSTREAMS},
     crate::{
+        clock::BootInstant,
         cluster::MemberEvent,
         names::UpstreamId,
-        policy::{Isolation, LinkFailure, LinkPath},
+        policy::{Isolation, LinkFailure, LinkPath, LinkVerdict},
         upstreams::{Endpoint, SendFailure, Upstream, UpstreamConnection, UpstreamPool},
     },
     rand::seq::SliceRandom,
@@ -14,6 +15,10 @@
     },
 };
 
+/// How long the answers of other daemons are awaited: they may try to connect first.
+const MAX_VERDICT_WAIT: Duration = Duration::from_secs(2);
+/// Interval at which it is checked whether they have answered.
+const VERDICT_POLL: Duration = Duration::from_millis(10);
 /// Timeout for opening a connection to an upstream.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -112,7 +117,7 @@
         let now_ms = self.steady_ms();
         let mut links = self.links.lock();
         let opened_ms = links.opened_ms();
-        let was_relayed = links.is_only_own(&upstream.id);
+        let was_relayed = links.verdict(&upstream.id) == LinkVerdict::OwnPath;
         let change = match failure {
             None => links.record_opened(&upstream.id, now_ms),
             Some(failure) => links.record_failed(&upstream.id, failure, known, now_ms),
@@ -142,6 +147,24 @@
         }
     }
 
+    /// Waits until other daemons have answered whether they reach an upstream to which this one failed to
+    /// connect. Returns true if the failure shows nothing about the upstream.
+    pub(super) async fn has_lost_link(&self, id: &UpstreamId) -> bool {
+        let began_at = BootInstant::now();
+        while began_at.elapsed() < MAX_VERDICT_WAIT {
+            match self.links.lock().verdict(id) {
+                LinkVerdict::OwnPath => return true,
+                LinkVerdict::Upstream => return false,
+                LinkVerdict::Unknown => {}
+            }
+            if !self.settings.mechanisms.relays || !self.peers.lock().has_relay_candidates() {
+                return false;
+            }
+            tokio::time::sleep(VERDICT_POLL).await;
+        }
+        false
+    }
+
     /// Returns the upstreams for which other daemons are to be queried now, `max` at most.
     pub fn links_to_query(&self, max: usize) -> Vec<UpstreamId> {
         let now_ms = self.steady_ms();
@@ -210,6 +233,11 @@
         self.links.lock().is_isolated()
     }
 
+    /// Records that all other daemons were queried for upstreams.
+    pub fn record_all_queried(&self, queried: &[UpstreamId]) {
+        self.links.lock().record_all_queried(queried);
+    }
+
     /// Records that a daemon did not answer a query, or did not pass on a request.
     pub fn record_relay_failed(&self, daemon: SocketAddr) {
         let now_ms = self.steady_ms();
--- a/src/policy/reach/broken_link.rs
+++ b/src/policy/reach/broken_link.rs
@@ -18,7 +18,7 @@
     pub relays: Vec<SocketAddr>,
     /// When other daemons were last queried for the upstream.
     pub queried_ms: Option<u64>,
-    /// A daemon has answered whether it reaches the upstream.
+    /// A daemon has answered whether it reaches the upstream, or all were queried.
     pub is_answered: bool,
     /// How the last own attempt to connect failed.
     pub failure: LinkFailure,
--- a/src/policy/reach/mod.rs
+++ b/src/policy/reach/mod.rs
@@ -3,7 +3,8 @@
 mod broken_link;
 mod link_failure;
 mod link_path;
+mod link_verdict;
 mod upstream_links;
 
 use broken_link::*;
-pub use {link_failure::*, link_path::*, upstream_links::*};
+pub use {link_failure::*, link_path::*, link_verdict::*, upstream_links::*};
--- a/src/policy/reach/upstream_links.rs
+++ b/src/policy/reach/upstream_links.rs
@@ -1,5 +1,5 @@
 use {
-    super::{BrokenLink, LinkFailure, LinkPath},
+    super::{BrokenLink, LinkFailure, LinkPath, LinkVerdict},
     crate::names::UpstreamId,
     std::{
         collections::{BTreeSet, HashMap, HashSet},
@@ -111,10 +111,13 @@
         self.broken.contains_key(id)
     }
 
-    /// Returns whether the link to an upstream is broken while another daemon reaches it.
-    pub fn is_only_own(&self, id: &UpstreamId) -> bool {
-        let link = self.broken.get(id);
-        link.is_some_and(|link| !link.relays.is_empty())
+    /// Returns why this daemon can't connect to an upstream.
+    pub fn verdict(&self, id: &UpstreamId) -> LinkVerdict {
+        match self.broken.get(id) {
+            Some(link) if !link.relays.is_empty() => LinkVerdict::OwnPath,
+            Some(link) if link.is_answered => LinkVerdict::Upstream,
+            _ => LinkVerdict::Unknown,
+        }
     }
 
     /// Returns the number of upstreams that are reached through other daemons.
@@ -173,6 +176,17 @@
         first
     }
 
+    /// Records that all other daemons were queried for upstreams. If none of them reaches an upstream,
+    /// the upstream counts as lost, even if all daemons are isolated: then nothing tells whether the
+    /// network was lost or all upstreams.
+    pub fn record_all_queried(&mut self, queried: &[UpstreamId]) {
+        for id in queried {
+            if let Some(link) = self.broken.get_mut(id) {
+                link.is_answered = true;
+            }
+        }
+    }
+
     /// Records that a daemon answered that it is isolated itself. It is no witness of whether an upstream
     /// is alive.
     pub fn record_isolated(&mut self, daemon: SocketAddr, now_ms: u64) {
--- a/tests/decisions/upstream_links.rs
+++ b/tests/decisions/upstream_links.rs
@@ -56,7 +56,8 @@
     assert_eq!(queried, [upstream(1)]);
     reached(&mut links, 2, 1, false);
     assert_eq!(links.unreached(&queried), queried);
-    assert!(!links.is_only_own(&upstream(1)) && !links.is_isolated());
+    assert_eq!(links.verdict(&upstream(1)), LinkVerdict::Upstream);
+    assert!(!links.is_isolated());
     assert_eq!(links.path(&upstream(1)), LinkPath::Direct);
 }
 
--- a/tests/gateway/lost_links.rs
+++ b/tests/gateway/lost_links.rs
@@ -23,6 +23,8 @@
 
 const NAMES: [&str; 6] = ["n0", "n1", "n2", "n3", "n4", "n5"];
 const RUNNERS: usize = 12;
+/// Events in each response stream.
+const EVENTS: u64 = 3;
 const ROUTES: [&TestRoute; 4] = [&IDEMPOTENT, &ONCE, &STREAM, &STREAM_ONCE];
 /// Requests that clients send per second, over all daemons.
 const REQUESTS_PER_S: f64 = 100.0;
@@ -63,12 +65,17 @@
 impl CutWorld {
     /// Starts one daemon in each of the given failure domains.
     pub async fn start(domains: &[&str]) -> Self {
+        Self::start_with_events(domains, EVENTS).await
+    }
+
+    /// Does the same, with upstreams whose streams have the given number of events.
+    async fn start_with_events(domains: &[&str], events: u64) -> Self {
         let mut world = Self {
             runners: Vec::new(),
             daemons: Vec::new(),
         };
         for n in 0..RUNNERS {
-            let runner = Runner::start(&format!("u{n}"), 3).await.unwrap();
+            let runner = Runner::start(&format!("u{n}"), events).await.unwrap();
             world.runners.push(runner);
         }
         for (name, domain) in NAMES.into_iter().zip(domains) {
@@ -231,7 +238,7 @@
         let is_refusal = matches!(answer.status.as_u16(), 408 | 421 | 429 | 503);
         assert!(!(is_refusal && runs_once && runs > 0), "{what}, {answer:?}");
         if outcome.is_served() && route.kind == "streaming" {
-            let events: String = (1..=3)
+            let events: String = (1..=EVENTS)
                 .map(|n| format!("id: {n}\ndata: event {n}\n\n"))
                 .collect();
             assert_eq!(answer.body, events, "{what}");
@@ -294,3 +301,46 @@
     let domains = ["a", "b", "a", "b", "a", "b"];
     cut_and_check(&domains, &[0, 2, 4], LinkState::Silent).await;
 }
+
+/// Sends the same request for a stream to a daemon several times, and cuts the daemon's paths while
+/// they run.
+async fn cut_while_streams_run(world: &CutWorld, cut: usize) {
+    let to = world.daemons[cut].daemon.clients;
+    let mut streams = JoinSet::new();
+    for n in 0..6 {
+        streams.spawn(async move {
+            let mut client = Client::connect(to).await.unwrap();
+            let attempt = format!("s{n}");
+            client
+                .send(request(&attempt, "/stream/once/x"), "the same")
+                .await
+                .ok()
+        });
+    }
+    eventually("all run", async || {
+        world.runners.iter().flat_map(Runner::runs).count() == 6
+    })
+    .await;
+    world.cut(&[cut], LinkState::Reset);
+    streams.join_all().await;
+    // The daemon checks within this time whether the upstreams have crashed.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_is_not_held_back_because_its_daemon_lost_its_paths_while_it_ran() {
+    let world = CutWorld::start_with_events(&["a"; 2], 60).await;
+    cut_while_streams_run(&world, 0).await;
+    world.cut(&[0], LinkState::Up);
+    for cut in &world.daemons {
+        let held = metric(&cut.daemon, "saddlepulley_held_requests").await;
+        let crashes = metric(&cut.daemon, "saddlepulley_ended_upstreams_total").await;
+        let answer = cut
+            .daemon
+            .client()
+            .await
+            .fetch("again", "/stream/once/x", "the same")
+            .await;
+        assert_eq!((held, crashes, answer.status), (0.0, 0.0, StatusCode::OK));
+    }
+}
