Upstreams are not rated by connections that a daemon lost with its paths

Cause: an attempt whose connection ended was counted at once. Now it counts after the check whether the upstream has crashed, which asks other daemons first; attempts that ended by a time-out don't count while the daemon can't connect there. Failures that an upstream answers itself count as before.

--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -1,7 +1,9 @@
 use {
-    super::{CRASHED_UPSTREAMS, Gateway},
+    super::{CRASHED_UPSTREAMS, Gateway, RequestContext},
     crate::{
+        clock::BootInstant,
         names::{RequestFingerprint, UpstreamId},
+        routing::Route,
         upstreams::*,
     },
     std::{
@@ -23,7 +25,15 @@
 
 /// Requests whose connection was closed while they ran, by upstream, until it is known
 /// whether that upstream crashed.
-pub(super) type CutOffs = HashMap<UpstreamId, BTreeMap<RequestFingerprint, CutOff>>;
+pub(super) type CutOffs = HashMap<UpstreamId, UpstreamCutOffs>;
+
+/// What was cut off at one upstream.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UpstreamCutOffs {
+    requests: BTreeMap<RequestFingerprint, CutOff>,
+    /// The route of each attempt that was cut off.
+    routes: Vec<Arc<Route>>,
+}
 
 /// When a request was cut off. The time is recorded at once, since the check whether the
 /// upstream crashed takes up to some hundred milliseconds, and the request is sent to another
@@ -41,15 +51,28 @@
     /// Records that an upstream closed the connection of a running request, and checks in the
     /// background whether the upstream has crashed. One check serves all requests that were
     /// cut off at the upstream; its connection is pooled if it stays open.
+    ///
+    /// The attempt counts as failed at the upstream only after the check: if this daemon has lost its own
+    /// path, the upstream has no part in it.
     pub(super) fn record_cut_off(
         self: &Arc<Self>,
-        fingerprint: RequestFingerprint,
-        ran: Duration,
+        context: &RequestContext,
         upstream: &Arc<Upstream>,
     ) {
+        let fingerprint = context.fingerprint();
+        log::info!(
+            target: "crash",
+            "connection closed by the upstream while the request ran. request={} fingerprint={fingerprint} upstream={}",
+            context.id_text(),
+            upstream.id
+        );
+        let sent_at = *context.sent_at.lock();
+        let ran = sent_at.map_or(Duration::ZERO, BootInstant::elapsed);
         let mut cut_offs = self.cut_offs.lock();
         let is_first = !cut_offs.contains_key(&upstream.id);
-        let requests = cut_offs.entry(upstream.id.clone()).or_default();
+        let at_upstream = cut_offs.entry(upstream.id.clone()).or_default();
+        at_upstream.routes.push(context.route.clone());
+        let requests = &mut at_upstream.requests;
         let cut_off = CutOff {
             at_ms: self.steady_ms(),
             ran_ms: ran.as_millis() as u64,
@@ -67,14 +90,22 @@
 }
 
 async fn check_for_crash(gateway: Arc<Gateway>, upstream: Arc<Upstream>) {
-    let mut failure = find_failure(&gateway, &upstream).await;
-    if failure.is_some() && gateway.has_lost_link(&upstream.id).await {
-        failure = None;
+    let failure = find_failure(&gateway, &upstream).await;
+    let is_own = failure.is_some() && gateway.has_lost_link(&upstream.id).await;
+    let Some(cut_off) = gateway.cut_offs.lock().remove(&upstream.id) else {
+        return;
+    };
+    if is_own {
+        return;
+    }
+    for route in &cut_off.routes {
+        gateway.record_outcome(&upstream.id, true);
+        gateway.record_failed_answer(route, &upstream);
     }
-    let requests = gateway.cut_offs.lock().remove(&upstream.id);
-    let (Some(cause), Some(requests)) = (failure, requests) else {
+    let Some(cause) = failure else {
         return;
     };
+    let requests = cut_off.requests;
     // An upstream that has announced that it leaves ends regardless of its requests. If it
     // counted, a stream that moves through three waves of reclaims would be held back.
     if !gateway.directory.read().is_ready(&upstream.id) {
--- a/src/gateway/link_state.rs
+++ b/src/gateway/link_state.rs
@@ -165,6 +165,11 @@
         false
     }
 
+    /// Returns whether a connection to an upstream failed since the last one that was opened to it.
+    pub(super) fn is_link_broken(&self, upstream: &Upstream) -> bool {
+        self.links.lock().is_broken(&upstream.id)
+    }
+
     /// Returns the upstreams for which other daemons are to be queried now, `max` at most.
     pub fn links_to_query(&self, max: usize) -> Vec<UpstreamId> {
         let now_ms = self.steady_ms();
--- a/src/gateway/rollout_state.rs
+++ b/src/gateway/rollout_state.rs
@@ -4,6 +4,7 @@
         names::SourceEra,
         policy::name_hash,
         rollouts::{AllowedVersions, Rollout, RolloutOrder},
+        routing::Route,
         upstreams::{ReadyUpstreams, Upstream},
     },
 };
@@ -90,7 +91,12 @@
         time_ms: Option<f64>,
     ) {
         let route = name_hash(&context.route.name) as u32;
-        self.record_version(context, upstream, route, time_ms);
+        self.record_version(upstream, route, time_ms);
+    }
+
+    /// Records for a rollout that a request of a route failed at an upstream.
+    pub(super) fn record_failed_answer(&self, route: &Route, upstream: &Upstream) {
+        self.record_version(upstream, name_hash(&route.name) as u32, None);
     }
 
     /// Records the total time of a stream for a rollout.
@@ -101,17 +107,11 @@
         time_ms: f64,
     ) {
         let route = name_hash(&context.route.name) as u32 ^ TOTAL_TIMES_MARK;
-        self.record_version(context, upstream, route, Some(time_ms));
+        self.record_version(upstream, route, Some(time_ms));
     }
 
-    fn record_version(
-        &self,
-        context: &RequestContext,
-        upstream: &Upstream,
-        route: u32,
-        time_ms: Option<f64>,
-    ) {
-        let service = context.service.as_str();
+    fn record_version(&self, upstream: &Upstream, route: u32, time_ms: Option<f64>) {
+        let service = upstream.service.as_str();
         let (order, is_target) = {
             let rollouts = self.rollouts.lock();
             match rollouts.get(service) {
@@ -128,7 +128,7 @@
             metrics::counter!(ROLLOUT_ANSWERS, &labels).increment(1);
         }
         let mut outcomes = self.outcomes.lock();
-        let meter = outcomes.entry(context.service.clone()).or_default();
+        let meter = outcomes.entry(upstream.service.clone()).or_default();
         meter.for_order(order).record(route, is_target, time_ms);
     }
 
--- a/src/gateway/send_outcomes.rs
+++ b/src/gateway/send_outcomes.rs
@@ -1,7 +1,7 @@
 use {
     super::*,
-    crate::{clock::BootInstant, cluster::MemberEvent, names::UpstreamId, upstreams::*},
-    std::{sync::Arc, time::Duration},
+    crate::{cluster::MemberEvent, names::UpstreamId, upstreams::*},
+    std::sync::Arc,
 };
 
 /// Records the outcomes of sends, from which upstreams are rated.
@@ -47,29 +47,18 @@
         upstream: &Arc<Upstream>,
         failure: &SendFailure,
     ) {
-        if let SendFailure::CutOff(_) = failure {
-            let fingerprint = context.fingerprint();
-            log::info!(
-                target: "crash",
-                "connection closed by the upstream while the request ran. request={} fingerprint={fingerprint} upstream={}",
-                context.id_text(),
-                upstream.id
-            );
-            let sent_at = *context.sent_at.lock();
-            let ran = sent_at.map_or(Duration::ZERO, BootInstant::elapsed);
-            self.record_cut_off(fingerprint, ran, upstream);
-        }
         metrics::counter!(FAILED_SENDS, "run" => failure.kind()).increment(1);
-        if !matches!(failure, SendFailure::NotSent(_)) {
-            self.record_answer(context, upstream, None);
-        }
         match failure {
             SendFailure::NotSent(_) => {}
-            SendFailure::Misdirected => self.record_misdirected(&upstream.id),
-            SendFailure::Refused(_)
-            | SendFailure::MayHaveRun(_)
-            | SendFailure::Stalled
-            | SendFailure::CutOff(_) => {
+            SendFailure::CutOff(_) => self.record_cut_off(context, upstream),
+            SendFailure::Misdirected => {
+                self.record_answer(context, upstream, None);
+                self.record_misdirected(&upstream.id);
+            }
+            // The daemon has lost its path to the upstream, which shows nothing about the upstream.
+            SendFailure::MayHaveRun(_) | SendFailure::Stalled if self.is_link_broken(upstream) => {}
+            SendFailure::Refused(_) | SendFailure::MayHaveRun(_) | SendFailure::Stalled => {
+                self.record_answer(context, upstream, None);
                 self.record_outcome(&upstream.id, true);
             }
         }
--- a/tests/gateway/lost_links.rs
+++ b/tests/gateway/lost_links.rs
@@ -14,7 +14,6 @@
     std::{
         fs,
         net::SocketAddr,
-        process::Stdio,
         time::{Duration, Instant},
     },
     tempfile::TempDir,
@@ -25,6 +24,8 @@
 const RUNNERS: usize = 12;
 /// Events in each response stream.
 const EVENTS: u64 = 3;
+/// Events of a stream that runs for some seconds.
+const LONG: u64 = 200;
 const ROUTES: [&TestRoute; 4] = [&IDEMPOTENT, &ONCE, &STREAM, &STREAM_ONCE];
 /// Requests that clients send per second, over all daemons.
 const REQUESTS_PER_S: f64 = 100.0;
@@ -109,7 +110,7 @@
             source: format!("kind = \"file\"\npath = \"{}\"", path.display()),
             extra_settings: String::new(),
             seeds: self.daemons.iter().map(|d| d.daemon.peers).collect(),
-            stdout: Stdio::null(),
+            stdout: fs::File::create(dir.path().join("log")).unwrap().into(),
         };
         let daemon = GatewayDaemon::spawn_in_domain(domain, &this_build(), dir, settings);
         daemon.wait_ready().await;
@@ -302,23 +303,19 @@
     cut_and_check(&domains, &[0, 2, 4], LinkState::Silent).await;
 }
 
-/// Sends the same request for a stream to a daemon several times, and cuts the daemon's paths while
-/// they run.
+/// Sends the same request for a stream to a daemon until one runs at each upstream, and then cuts the
+/// daemon's paths.
 async fn cut_while_streams_run(world: &CutWorld, cut: usize) {
     let to = world.daemons[cut].daemon.clients;
     let mut streams = JoinSet::new();
-    for n in 0..6 {
+    eventually("one runs at each upstream", async || {
+        let attempt = format!("s{}", streams.len());
         streams.spawn(async move {
             let mut client = Client::connect(to).await.unwrap();
-            let attempt = format!("s{n}");
-            client
-                .send(request(&attempt, "/stream/once/x"), "the same")
-                .await
-                .ok()
+            let sent = client.send(request(&attempt, "/stream/once/x"), "the same");
+            sent.await.ok()
         });
-    }
-    eventually("all run", async || {
-        world.runners.iter().flat_map(Runner::runs).count() == 6
+        world.runners.iter().all(|runner| !runner.runs().is_empty())
     })
     .await;
     world.cut(&[cut], LinkState::Reset);
@@ -329,7 +326,7 @@
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_is_not_held_back_because_its_daemon_lost_its_paths_while_it_ran() {
-    let world = CutWorld::start_with_events(&["a"; 2], 60).await;
+    let world = CutWorld::start_with_events(&["a"; 2], LONG).await;
     cut_while_streams_run(&world, 0).await;
     world.cut(&[0], LinkState::Up);
     for cut in &world.daemons {
@@ -344,3 +341,45 @@
         assert_eq!((held, crashes, answer.status), (0.0, 0.0, StatusCode::OK));
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstreams_are_not_rated_by_connections_that_a_daemon_lost_with_its_paths() {
+    let world = CutWorld::start_with_events(&["a"; 2], LONG).await;
+    cut_while_streams_run(&world, 0).await;
+    world.cut(&[0], LinkState::Up);
+    let cut = &world.daemons[0].daemon;
+    for n in 0..20 {
+        let answer = cut
+            .client()
+            .await
+            .fetch(&format!("later{n}"), "/look/x", "")
+            .await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    let log = fs::read_to_string(cut.dir.path().join("log")).unwrap();
+    let placed = log.lines().filter(|l| l.contains("request=later"));
+    let placed: Vec<&str> = placed.filter(|l| l.contains("request placed.")).collect();
+    assert_eq!(placed.len(), 20);
+    for line in placed {
+        assert!(line.contains("failure_rate=0.00"), "{line}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_upstream_to_which_some_daemons_lost_their_paths_gets_its_share_of_requests() {
+    let world = CutWorld::start(&["a"; 6]).await;
+    let mut dependents = Vec::new();
+    for cut in &world.daemons {
+        if metric(&cut.daemon, "saddlepulley_is_hub").await == 0.0 {
+            dependents.push(cut);
+        }
+    }
+    assert_eq!(dependents.len(), 3);
+    for cut in dependents {
+        cut.links[0].set(LinkState::Reset);
+    }
+    load(world.addresses(), Duration::from_secs(5)).await;
+    let runs: Vec<usize> = world.runners.iter().map(|r| r.runs().len()).collect();
+    let mean = runs[1..].iter().sum::<usize>() / (RUNNERS - 1);
+    assert!(runs[0] * 2 > mean, "{runs:?}");
+}
