--- a/tests/gateway/lost_links.rs
+++ b/tests/gateway/lost_links.rs
@@ -10,6 +10,7 @@
         support::*,
     },
     http::StatusCode,
+    nix::sys::signal::Signal,
     saddlepulley_standin::runner::Runner,
     std::{
         fs,
@@ -383,3 +384,182 @@
     let mean = runs[1..].iter().sum::<usize>() / (RUNNERS - 1);
     assert!(runs[0] * 2 > mean, "{runs:?}");
 }
+
+/// Cuts two of six daemons, disturbs another one meanwhile, and checks that the callers of the cut ones
+/// are served as well as those of the daemons that are neither cut nor disturbed.
+async fn disturb_a_relay(disturb: impl AsyncFnOnce(&mut CutDaemon)) {
+    let mut world = CutWorld::start(&["a"; 6]).await;
+    let (cut, disturbed, others) = ([0, 3], 1, [2, 4, 5]);
+    let load = tokio::spawn(load(world.addresses(), Duration::from_secs(9)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let began = Instant::now();
+    world.cut(&cut, LinkState::Silent);
+    tokio::time::sleep(NOTICED_FOR).await;
+    disturb(&mut world.daemons[disturbed]).await;
+    let outcomes = load.await.unwrap();
+    check_promises(&world, &outcomes);
+    let watched = began + NOTICED_FOR;
+    check_served(
+        &outcomes,
+        &cut,
+        &others,
+        watched,
+        watched + Duration::from_secs(5),
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_cut_daemons_are_served_if_a_relay_is_killed() {
+    disturb_a_relay(async |relay| relay.daemon.signal(Signal::SIGKILL)).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_cut_daemons_are_served_if_a_relay_is_frozen() {
+    disturb_a_relay(async |relay| {
+        relay.daemon.signal(Signal::SIGSTOP);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        relay.daemon.signal(Signal::SIGCONT);
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_of_cut_daemons_are_served_if_a_relay_loses_its_paths_too() {
+    disturb_a_relay(async |relay| relay.set_links(LinkState::Reset)).await;
+}
+
+/// Nothing that a relay has taken is cut off by its graceful stop.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_graceful_stop_of_a_relay_cuts_off_no_request() {
+    let mut world = CutWorld::start_with_events(&["a"; 2], LONG).await;
+    world.cut(&[0], LinkState::Reset);
+    let to = world.daemons[0].daemon.clients;
+    eventually("relayed", async || {
+        let outcome = fetch(0, to, 0, "first".into()).await;
+        outcome.is_served()
+    })
+    .await;
+    let mut streams = JoinSet::new();
+    for n in 0..10 {
+        streams.spawn(fetch(0, to, 3, format!("s{n}")));
+    }
+    eventually("all run", async || {
+        let runs = world.runners.iter().flat_map(Runner::runs);
+        runs.filter(|run| run.attempt.starts_with('s')).count() == 10
+    })
+    .await;
+    world.daemons[1].daemon.signal(Signal::SIGTERM);
+    let outcomes = streams.join_all().await;
+    let served = outcomes.iter().filter(|o| o.is_served()).count();
+    assert_eq!(served, 10);
+    assert!(world.daemons[1].daemon.wait_end().await);
+}
+
+/// How long a request may be held that can't be served.
+const REFUSED_WITHIN: Duration = Duration::from_millis(250);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_refused_at_once_as_not_run_while_no_daemon_reaches_an_upstream() {
+    let world = CutWorld::start(&["a"; 6]).await;
+    let load = tokio::spawn(load(world.addresses(), Duration::from_secs(6)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let began = Instant::now();
+    world.cut(&[0, 1, 2, 3, 4, 5], LinkState::Silent);
+    let outcomes = load.await.unwrap();
+    check_promises(&world, &outcomes);
+    let late: Vec<&Outcome> = outcomes
+        .iter()
+        .filter(|o| o.sent >= began + NOTICED_FOR)
+        .collect();
+    assert!(late.len() > 100);
+    for outcome in late {
+        let answer = outcome.answer.as_ref().expect("an answer");
+        let what = format!(
+            "{} {:?} {:?}",
+            outcome.attempt, answer.status, outcome.after
+        );
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{what}");
+        assert!(outcome.after < REFUSED_WITHIN, "{what}");
+        assert!(!answer.header("retry-after").is_empty(), "{what}");
+    }
+    world.cut(&[0, 1, 2, 3, 4, 5], LinkState::Up);
+    let healed = Instant::now();
+    let after = self::load(world.addresses(), Duration::from_secs(5)).await;
+    let all: Vec<usize> = (0..6).collect();
+    check_served(
+        &after,
+        &all,
+        &[],
+        healed + NOTICED_FOR,
+        healed + Duration::from_secs(5),
+    );
+}
+
+/// Three daemons by turns, in the three ways and overlapping.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_served_while_daemons_lose_their_paths_by_turns() {
+    let world = CutWorld::start(&["a"; 6]).await;
+    let load = tokio::spawn(load(world.addresses(), Duration::from_secs(14)));
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let began = Instant::now();
+    for (n, state) in [
+        (0, LinkState::Silent),
+        (1, LinkState::Reset),
+        (2, LinkState::NewRefused),
+    ] {
+        world.cut(&[n], state);
+        tokio::time::sleep(Duration::from_secs(2)).await;
+    }
+    world.cut(&[0], LinkState::Up);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    world.cut(&[1, 2], LinkState::Up);
+    let outcomes = load.await.unwrap();
+    check_promises(&world, &outcomes);
+    let watched = began + NOTICED_FOR;
+    let until = began + Duration::from_secs(13);
+    check_served(&outcomes, &[0, 1, 2], &[3, 4, 5], watched, until);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_bodies_pass_through_a_relay_unchanged() {
+    let world = CutWorld::start(&["a"; 2]).await;
+    world.cut(&[0], LinkState::Reset);
+    let to = world.daemons[0].daemon.clients;
+    eventually("relayed", async || {
+        fetch(0, to, 0, "first".into()).await.is_served()
+    })
+    .await;
+    // The upstream sends the request's body back.
+    let body = "0123456789abcdef".repeat(64 * 1_024);
+    let mut client = Client::connect(to).await.unwrap();
+    for n in 0..4 {
+        let answer = client.fetch(&format!("large{n}"), "/look/x", &body).await;
+        assert_eq!(answer.status, StatusCode::OK);
+        assert!(answer.complete && answer.body.ends_with(&body), "{n}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_client_that_disconnects_cancels_its_relayed_request() {
+    let world = CutWorld::start_with_events(&["a"; 2], LONG).await;
+    world.cut(&[0], LinkState::Reset);
+    let to = world.daemons[0].daemon.clients;
+    eventually("relayed", async || {
+        fetch(0, to, 0, "first".into()).await.is_served()
+    })
+    .await;
+    let client = Client::connect(to).await.unwrap();
+    client
+        .fetch_head_and_disconnect("left", "/stream/once/x")
+        .await;
+    let left = Instant::now();
+    eventually("cancelled", async || {
+        world.runners.iter().map(Runner::abandoned).sum::<u64>() == 1
+    })
+    .await;
+    assert!(
+        left.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        left.elapsed()
+    );
+}
