A daemon that can serve no request is not ready

What callers would see: at a daemon that reaches no upstream beside daemons of a build that passes nothing on, each of their requests refused as long as the cut lasts, since the balancer keeps sending new clients there. Readiness went by the configuration alone. It stays ready while a relay serves it. Before: ready 3 s after both of two daemons were cut; after: not ready, and ready again after the heal.

--- a/src/gateway/phase_state.rs
+++ b/src/gateway/phase_state.rs
@@ -17,9 +17,10 @@
         });
     }
 
-    /// Returns whether new clients are accepted.
+    /// Returns whether new clients are accepted. A daemon that can serve none of their requests leaves
+    /// them to others, such as daemons of a build that passes no requests on.
     pub fn is_ready(&self) -> bool {
-        *self.phase.borrow() == GatewayPhase::Ready
+        *self.phase.borrow() == GatewayPhase::Ready && !self.is_cut_off()
     }
 
     /// Begins a planned stop and returns its schedule. A repeated call returns the schedule of
--- a/tests/gateway/lost_links.rs
+++ b/tests/gateway/lost_links.rs
@@ -563,3 +563,23 @@
         left.elapsed()
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_daemon_is_not_ready_while_neither_it_nor_another_one_reaches_an_upstream() {
+    let world = CutWorld::start(&["a"; 2]).await;
+    let load = tokio::spawn(load(world.addresses(), Duration::from_secs(12)));
+    let is_ready = async |n: usize| {
+        let status = world.daemons[n].daemon.readiness_status().await;
+        status == Some(StatusCode::OK)
+    };
+    world.cut(&[0], LinkState::Reset);
+    tokio::time::sleep(NOTICED_FOR).await;
+    assert!(is_ready(0).await && is_ready(1).await);
+    world.cut(&[1], LinkState::Reset);
+    tokio::time::sleep(NOTICED_FOR).await;
+    assert!(!is_ready(0).await && !is_ready(1).await);
+    world.cut(&[1], LinkState::Up);
+    tokio::time::sleep(NOTICED_FOR).await;
+    assert!(is_ready(0).await && is_ready(1).await);
+    load.await.unwrap();
+}
