A sound upstream may be silent for a moment without losing its requests

What callers would see: 502 for a request that may not be repeated, and a broken stream, whenever its upstream is silent for 1.5 s.

Cause: TCP_USER_TIMEOUT of 1.5 s beside probes each second, three of them: the second unanswered probe ended the connection, so the count of three never counted. Now 3 s; a lost path is noticed earlier by own attempts to connect.

Before: a body that its upstream begins to read after 2 s: 502 (one of one), and the socket's time-outs are under the silence that is to be borne; after: 200.

--- a/src/upstreams/upstream_pool.rs
+++ b/src/upstreams/upstream_pool.rs
@@ -12,8 +12,11 @@
 };
 
 /// Maximum time for which sent bytes may stay unacknowledged, or unread by the other side,
-/// before a connection to an upstream or a daemon is closed.
-pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// before a connection to an upstream or a daemon is closed. Sound upstreams are silent for a
+/// second now and then. By this time-out, keep-alive probes without an answer end a connection too,
+/// however many the socket allows.
+pub const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time without traffic after which a keep-alive probe is sent, and the interval between probes.
 const KEEPALIVE_PROBE: Duration = Duration::from_secs(1);
 /// Maximum time for which the pool keeps an idle connection.
 const MAX_IDLE: Duration = Duration::from_secs(20);
@@ -122,9 +125,7 @@
             .await
             .map_err(|_| not_sent(&"connection timed out"))?
             .map_err(|e| not_sent(&e))?;
-        set_socket_options(&stream, UNACKNOWLEDGED_TIMEOUT).map_err(|e| not_sent(&e))?;
-        // A reset on close keeps a cancelled request from arriving later.
-        reset_on_close(&stream).map_err(|e| not_sent(&e))?;
+        set_upstream_options(&stream).map_err(|e| not_sent(&e))?;
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream))
@@ -141,6 +142,17 @@
     }
 }
 
+/// Sets the options of a connection to an upstream, or to a daemon that passes requests on.
+///
+/// # Errors
+///
+/// Returns the error of the socket call that failed.
+pub fn set_upstream_options(stream: &TcpStream) -> std::io::Result<()> {
+    set_socket_options(stream, UNACKNOWLEDGED_TIMEOUT)?;
+    // A reset on close keeps a cancelled request from arriving later.
+    reset_on_close(stream)
+}
+
 /// Sets the socket options that detect a dead peer: a connection fails after `dead_after`
 /// without progress. This includes a live peer that doesn't read, even if it acknowledges
 /// window probes: the kernel counts from the time when the peer's receive window closed.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod rollouts;
 mod room_queue;
 mod silent_store;
+mod silent_upstreams;
 mod slow_readers;
 mod soak;
 mod soak_world;
