Logs say which version continues a stream, and which attempt began it

With the logs so far, a stream that a daemon moved inside one answer could not be told from one that a client took up at another daemon, and no line named a software version. The attempt that a client names is read now, and logged; nothing is decided by it yet.

--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -157,6 +157,7 @@
                         continue;
                     }
                     self.is_events = is_success && is_event_stream(&sent.answer.head);
+                    self.log_continuation(&sent);
                     self.splitter = EventSplitter::default();
                     self.current = Some(sent);
                     return Some(());
@@ -166,6 +167,23 @@
         }
     }
 
+    /// Logs that an upstream continues a stream of which the client already has events.
+    fn log_continuation(&self, sent: &Sent) {
+        if !self.is_events || self.last_id.is_none() {
+            return;
+        }
+        log::info!(
+            target: "stream",
+            "stream continues. request={} resumes={} upstream={} version={} sends={} last_event={:?}",
+            self.context.id_text(),
+            self.context.resumed_text(),
+            sent.upstream.id,
+            sent.upstream.version,
+            self.attempts.sends,
+            self.last_id
+        );
+    }
+
     /// Sends the request. If another attempt is allowed, it fails as soon as the upstream
     /// counts as stalled.
     async fn send_unless_stalled(&self, placement: &Placement) -> Result<Sent, SendFailure> {
--- a/src/gateway/header_names.rs
+++ b/src/gateway/header_names.rs
@@ -18,6 +18,8 @@
     pub token_count: HeaderName,
     /// The id of the last event that the sender of the header already has.
     pub last_event_id: HeaderName,
+    /// The attempt whose answer brought the first event of a stream that the client resumes.
+    pub resumed_attempt: HeaderName,
     /// Set by an upstream that did not run the request.
     pub not_run: HeaderName,
     /// The id of the upstream incarnation that is meant to run the request.
@@ -79,6 +81,7 @@
             prompt_parts: name("saddlepulley-prompt-parts"),
             token_count: name("saddlepulley-token-count"),
             last_event_id: name("last-event-id"),
+            resumed_attempt: name("saddlepulley-resumes"),
             not_run: name("x-not-started"),
             expected_upstream: name("saddlepulley-expected-upstream"),
             priority: name("saddlepulley-priority"),
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -156,6 +156,7 @@
         method: head.method,
         target: path_and_query(&head.uri),
         last_event_id: number(&head.headers, &gateway.names.last_event_id),
+        resumed_attempt: head.headers.get(&gateway.names.resumed_attempt).cloned(),
         headers: forwarded_headers(head.headers, &gateway.names),
         body,
         buffered_body,
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -46,6 +46,8 @@
     pub prompt: Prompt,
     /// Id of the last event that the client already has.
     pub last_event_id: Option<u64>,
+    /// The attempt whose answer brought the first event of a stream that the client resumes.
+    pub resumed_attempt: Option<HeaderValue>,
     /// The placement of the first attempt, if a hub decided on it with the admission.
     pub first_placement: Mutex<Option<Placement>>,
     /// When the request was last sent to an upstream.
@@ -86,8 +88,12 @@
 
     /// Returns the id of the attempt for the log, or `-`.
     pub fn id_text(&self) -> &str {
-        let id = self.attempt_id.as_ref();
-        id.and_then(|v| v.to_str().ok()).unwrap_or("-")
+        text_or_dash(self.attempt_id.as_ref())
+    }
+
+    /// Returns the id of the attempt that began the stream which the client resumes, for the log, or `-`.
+    pub fn resumed_text(&self) -> &str {
+        text_or_dash(self.resumed_attempt.as_ref())
     }
 
     /// Returns the target latency of the route.
@@ -96,6 +102,10 @@
     }
 }
 
+fn text_or_dash(value: Option<&HeaderValue>) -> &str {
+    value.and_then(|v| v.to_str().ok()).unwrap_or("-")
+}
+
 fn to_ms(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/src/gateway/request_placement.rs
+++ b/src/gateway/request_placement.rs
@@ -335,9 +335,10 @@
     ) {
         log::info!(
             target: "place",
-            "request placed. request={id} service={} upstream={} of={ready} home={is_home} unread={} waiting={} active={} failure_rate={:.2} factor={:.2} held={} excess={} avoided={} directory={} loads_age_ms={}",
+            "request placed. request={id} service={} upstream={} version={} of={ready} home={is_home} unread={} waiting={} active={} failure_rate={:.2} factor={:.2} held={} excess={} avoided={} directory={} loads_age_ms={}",
             upstream.service,
             upstream.id,
+            upstream.version,
             candidate.unread_tokens,
             candidate.waiting_tokens,
             candidate.active,
