--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -42,7 +42,7 @@
 
 /// Alternates between the binaries of both builds, so that with `SADDLEPULLEY_OLD` set each
 /// test runs daemons of both. The other build comes first with `SADDLEPULLEY_OLD_FIRST=1`.
-fn next_build() -> PathBuf {
+pub fn next_build() -> PathBuf {
     static STARTED: AtomicUsize = AtomicUsize::new(0);
     let other_first = usize::from(std::env::var_os("SADDLEPULLEY_OLD_FIRST").is_some());
     match (STARTED.fetch_add(1, Ordering::Relaxed) + other_first) % 2 {
