A stream goes on inside its answer only at the version that began it

Cause: the choice of the next upstream went by the service alone; the version of the one that brought the first event was known to the daemon and not used.

Now the request's context holds the version from its first event on; each further choice is restricted to it, in place of a rollout's draw, and a version that was rolled back gets nothing. A hub is told the version beside the query; what a hub of an earlier build chooses otherwise is not taken, and the daemon chooses itself.

--- a/benches/placing.rs
+++ b/benches/placing.rs
@@ -77,5 +77,6 @@
         domain: FailureDomain::from("a"),
         isolation_key: None,
         urgency: None,
+        version: None,
     }
 }
--- a/src/cluster/hubs/hub_client.rs
+++ b/src/cluster/hubs/hub_client.rs
@@ -2,10 +2,11 @@
     crate::{
         clock::BootInstant,
         cluster::{
-            AdmissionQuery, Answer, Datagram, Extension, HubDecision, OpenQueries, Packet,
-            PlacementQuery, QuotaQuery, RequestUrgency,
+            AdmissionQuery, Answer, Datagram, HubDecision, OpenQueries, Packet, PlacementQuery,
+            QueryTerms, QuotaQuery, RequestUrgency,
         },
         gateway::Gateway,
+        names::UpstreamVersion,
         policy::HubContact,
     },
     parking_lot::Mutex,
@@ -78,6 +79,7 @@
         quota: Option<QuotaQuery>,
         placement: PlacementQuery,
         urgency: RequestUrgency,
+        version: Option<UpstreamVersion>,
     ) -> Option<ReceivedDecision> {
         let hubs = self.hubs_to_query(gateway);
         let (open, mut answers) = self.open();
@@ -98,8 +100,12 @@
         let began_at = BootInstant::now();
         for hub in hubs {
             let hold = hold.saturating_sub(began_at.elapsed());
-            let urgency = urgency.after(began_at.elapsed());
-            let packet = query.clone().with(Extension::Urgency(urgency));
+            let terms = QueryTerms {
+                urgency: Some(urgency.after(began_at.elapsed())),
+                version: version.clone(),
+            };
+            let mut packet = query.clone();
+            packet.extensions = terms.to_extensions();
             self.state.lock().queries.resume(open.id);
             match self.query_hub(gateway, hub, &packet, &mut answers).await {
                 // The hub answers later.
--- a/src/cluster/hubs/mod.rs
+++ b/src/cluster/hubs/mod.rs
@@ -12,12 +12,13 @@
 mod open_queries;
 mod query;
 mod query_answers;
+mod query_terms;
 mod report;
 mod report_announcer;
 mod request_urgency;
 
 pub use {
     cooldowns_part::*, digest::*, event_log::*, former_listeners::*, hub_client::*, loads_part::*,
-    member_table::*, open_queries::*, query::*, report::*, request_urgency::*,
+    member_table::*, open_queries::*, query::*, query_terms::*, report::*, request_urgency::*,
 };
 pub(super) use {digest_announcer::*, query_answers::*, report_announcer::*};
--- a/src/cluster/hubs/query_answers.rs
+++ b/src/cluster/hubs/query_answers.rs
@@ -11,7 +11,7 @@
 pub(in crate::cluster) async fn answer_query(
     gateway: &Arc<Gateway>,
     query: AdmissionQuery,
-    urgency: Option<RequestUrgency>,
+    terms: QueryTerms,
     from: SocketAddr,
 ) {
     let now_ms = gateway.steady_ms();
@@ -21,8 +21,8 @@
         None => {
             // Daemons repeat the queries of held requests if the queue for room is on. Those of earlier
             // builds do not, and state no urgency.
-            let is_repeated = urgency.is_some() && gateway.settings.mechanisms.room_queue;
-            let mut pending = Box::pin(decide(gateway.clone(), query.clone(), urgency));
+            let is_repeated = terms.urgency.is_some() && gateway.settings.mechanisms.room_queue;
+            let mut pending = Box::pin(decide(gateway.clone(), query.clone(), terms));
             match futures_util::poll!(pending.as_mut()) {
                 std::task::Poll::Ready(decision) => decision,
                 std::task::Poll::Pending => {
@@ -81,10 +81,6 @@
 
 /// Admits and places a request for another daemon. Owns its arguments, so that it can continue in a
 /// task of its own.
-async fn decide(
-    gateway: Arc<Gateway>,
-    query: AdmissionQuery,
-    urgency: Option<RequestUrgency>,
-) -> HubDecision {
-    gateway.decide_query(&query, urgency).await
+async fn decide(gateway: Arc<Gateway>, query: AdmissionQuery, terms: QueryTerms) -> HubDecision {
+    gateway.decide_query(&query, terms).await
 }
--- a/src/cluster/messages/exchange.rs
+++ b/src/cluster/messages/exchange.rs
@@ -60,7 +60,7 @@
     apply_extensions(gateway, &packet, from).await;
     let level = packet.level();
     let has_permit = packet.extensions.contains(&Extension::HasPermit);
-    let urgency = packet.urgency();
+    let terms = packet.query_terms();
     let held = packet.held().cloned();
     let now_ms = gateway.steady_ms();
     gateway.hub_client.record_contact(from);
@@ -75,7 +75,7 @@
                 .lock()
                 .record_level(&report.daemon.name, level);
         }
-        Datagram::AdmissionQuery(query) => answer_query(gateway, query, urgency, from).await,
+        Datagram::AdmissionQuery(query) => answer_query(gateway, query, terms, from).await,
         Datagram::Answer(answer) => {
             if answer.incarnation == gateway.incarnation {
                 gateway.hub_client.apply(answer, has_permit);
@@ -127,6 +127,7 @@
             Extension::Level(_)
             | Extension::HasPermit
             | Extension::Urgency(_)
+            | Extension::OnlyVersion(_)
             | Extension::Scatters(_)
             | Extension::Held(_) => {}
         }
--- a/src/cluster/messages/extension.rs
+++ b/src/cluster/messages/extension.rs
@@ -10,7 +10,7 @@
 };
 
 /// The extension level of this build. It increases with each addition to the extensions.
-pub const EXTENSION_LEVEL: u8 = 5;
+pub const EXTENSION_LEVEL: u8 = 6;
 /// The level from which on a daemon supports limits that upstreams name.
 pub const LIMITS_LEVEL: u8 = 1;
 /// The level from which on a daemon sends the updates of its directory without entries that only
@@ -43,6 +43,7 @@
 const SLOT_QUERY: u8 = 15;
 const SLOT_ANSWER: u8 = 16;
 const SLOT_RELEASES: u8 = 17;
+const ONLY_VERSION: u8 = 18;
 
 /// An addition behind the message of a datagram, with its kind and length. Builds that don't know a
 /// kind skip it, and builds without extensions ignore the bytes behind the message. New kinds may
@@ -83,6 +84,8 @@
     SlotAnswer(SlotAnswer),
     /// Slots that the sender no longer needs.
     SlotReleases(SlotReleases),
+    /// The software version of the only upstreams that may run the request of an admission query.
+    OnlyVersion(String),
 }
 
 impl Extension {
@@ -110,6 +113,7 @@
             Self::SlotQuery(query) => append(bytes, SLOT_QUERY, query),
             Self::SlotAnswer(answer) => append(bytes, SLOT_ANSWER, answer),
             Self::SlotReleases(releases) => append(bytes, SLOT_RELEASES, releases),
+            Self::OnlyVersion(version) => append(bytes, ONLY_VERSION, version),
         }
     }
 
@@ -147,6 +151,7 @@
             SLOT_QUERY => decode_body(body).map(Self::SlotQuery),
             SLOT_ANSWER => decode_body(body).map(Self::SlotAnswer),
             SLOT_RELEASES => decode_body(body).map(Self::SlotReleases),
+            ONLY_VERSION => decode_body(body).map(Self::OnlyVersion),
             _ => None,
         }
     }
--- a/src/cluster/messages/packet.rs
+++ b/src/cluster/messages/packet.rs
@@ -103,12 +103,9 @@
         levels.max().unwrap_or(0)
     }
 
-    /// Returns the urgency of the request in an admission query; none if the sender states none.
-    pub fn urgency(&self) -> Option<RequestUrgency> {
-        self.extensions.iter().find_map(|e| match e {
-            Extension::Urgency(urgency) => Some(*urgency),
-            _ => None,
-        })
+    /// Returns what the sender states of the request in an admission query.
+    pub fn query_terms(&self) -> QueryTerms {
+        QueryTerms::of(&self.extensions)
     }
 
     /// Returns the scatters that go with the speeds in the packet; none if the sender states none.
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -104,10 +104,12 @@
             tried: situation.tried + 1,
             ..situation
         };
-        let is_untried = |id: &UpstreamId| id != upstream && !self.tried.contains(id);
+        let is_usable = |other: &Upstream| {
+            other.id != *upstream && !self.tried.contains(&other.id) && context.may_run_at(other)
+        };
         after_move.allows_another()
             && gateway.held_for(context).is_none()
-            && gateway.has_ready_upstream(&context.service, is_untried)
+            && gateway.has_ready_upstream(&context.service, is_usable)
     }
 
     /// Describes the attempts so far to the policy of retries.
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -83,6 +83,9 @@
                         && let Some(sent) = &self.current
                     {
                         sent.active.first_event();
+                        // Already set if the client resumes its stream.
+                        let version = &sent.upstream.version;
+                        self.context.stream_version.get_or_init(|| version.clone());
                         let time_ms = sent.active.age_ms();
                         self.gateway
                             .record_answer(&self.context, &sent.upstream, Some(time_ms));
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -210,11 +210,8 @@
     }
 
     /// Admits and places a request for another daemon.
-    pub async fn decide_query(
-        &self,
-        query: &AdmissionQuery,
-        urgency: Option<RequestUrgency>,
-    ) -> HubDecision {
+    pub async fn decide_query(&self, query: &AdmissionQuery, terms: QueryTerms) -> HubDecision {
+        let urgency = terms.urgency;
         let Some(table) = self.table() else {
             return HubDecision::Unknown;
         };
@@ -224,7 +221,7 @@
         }
         let domain = self.domain().clone();
         let Some(quota) = &query.quota else {
-            return self.place_queried(query, urgency, service, domain).await;
+            return self.place_queried(query, terms, service, domain).await;
         };
         let mut accounts = table.config().accounts.iter();
         let Some(account) = accounts.find(|a| a.name.as_str() == quota.account) else {
@@ -237,7 +234,7 @@
                 wait_ms: wait.as_millis() as u64,
             };
         }
-        let decision = self.place_queried(query, urgency, service, domain).await;
+        let decision = self.place_queried(query, terms, service, domain).await;
         if let HubDecision::NoRoom { .. } = decision {
             self.give_back(account, quota.cost, urgency);
         }
@@ -249,7 +246,7 @@
     pub async fn place_queried(
         &self,
         query: &AdmissionQuery,
-        urgency: Option<RequestUrgency>,
+        terms: QueryTerms,
         service: ServiceName,
         domain: FailureDomain,
     ) -> HubDecision {
@@ -265,7 +262,8 @@
             in_cooldown: Vec::new(),
             domain,
             isolation_key: query.placement.isolation_key,
-            urgency,
+            urgency: terms.urgency,
+            version: terms.version,
             is_counted: false,
         };
         let account = query.quota.as_ref().map(|q| q.account.as_str());
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -147,6 +147,7 @@
     }
     let max_wait = gateway.max_wait(&service, &route);
     let context = RequestContext {
+        stream_version: std::sync::OnceLock::new(),
         first_placement: parking_lot::Mutex::default(),
         sent_at: parking_lot::Mutex::default(),
         attempt_id: head.headers.get(&gateway.names.attempt_id).cloned(),
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -3,8 +3,9 @@
     crate::{
         clock::BootInstant,
         cluster::RequestUrgency,
-        names::{ClientAccount, RequestFingerprint, ServiceName},
+        names::{ClientAccount, RequestFingerprint, ServiceName, UpstreamVersion},
         routing::Route,
+        upstreams::Upstream,
     },
     bytes::Bytes,
     http::{HeaderMap, HeaderValue, Method, Uri},
@@ -48,6 +49,9 @@
     pub last_event_id: Option<u64>,
     /// The attempt whose answer brought the first event of a stream that the client resumes.
     pub resumed_attempt: Option<HeaderValue>,
+    /// The software version of the upstream that began the client's stream, once that is known. Only
+    /// upstreams of this version may continue it: what two versions write does not fit together.
+    pub stream_version: OnceLock<UpstreamVersion>,
     /// The placement of the first attempt, if a hub decided on it with the admission.
     pub first_placement: Mutex<Option<Placement>>,
     /// When the request was last sent to an upstream.
@@ -69,6 +73,12 @@
         })
     }
 
+    /// Returns whether an upstream's software version may run the request.
+    pub fn may_run_at(&self, upstream: &Upstream) -> bool {
+        let version = self.stream_version.get();
+        version.is_none_or(|version| *version == upstream.version)
+    }
+
     /// Returns the time left until the deadline.
     pub fn time_left(&self) -> Duration {
         self.deadline.left()
--- a/src/gateway/request_placement.rs
+++ b/src/gateway/request_placement.rs
@@ -2,7 +2,7 @@
     super::{Placement, *},
     crate::{
         cluster::{HubDecision, PlacementQuery, QuotaQuery, ReceivedDecision, RequestUrgency},
-        names::{FailureDomain, ServiceName, UpstreamId},
+        names::{FailureDomain, ServiceName, UpstreamId, UpstreamVersion},
         policy::*,
         routing::AccountTerms,
         upstreams::*,
@@ -41,6 +41,9 @@
     pub isolation_key: Option<u64>,
     /// The urgency of the request; none if the daemon of the request states none.
     pub urgency: Option<RequestUrgency>,
+    /// The software version that began the stream which the request continues. Upstreams of other
+    /// versions are excluded.
+    pub version: Option<UpstreamVersion>,
     /// The request is already recorded as demand.
     pub is_counted: bool,
 }
@@ -108,9 +111,10 @@
         let placement = self.placement_query(context, &[]);
         let request = context.id_text();
         let urgency = context.urgency();
+        let version = context.stream_version.get().cloned();
         let answer = self
             .hub_client
-            .query(self, request, quota, placement, urgency);
+            .query(self, request, quota, placement, urgency, version);
         let received = answer.await;
         match received.as_ref().map(|received| &received.decision) {
             Some(HubDecision::Refused { wait_ms }) => Err(Refusal::Quota {
@@ -128,7 +132,7 @@
                     self.standalone_quotas.lock().record_decided(&account.name);
                 }
                 *context.first_placement.lock() =
-                    received.and_then(|h| self.placement_from(&h, false));
+                    received.and_then(|h| self.placement_from(context, &h, false));
                 Ok(())
             }
         }
@@ -167,6 +171,7 @@
             domain: self.domain().clone(),
             isolation_key: self.isolation_key_for(context),
             urgency: Some(context.urgency()),
+            version: context.stream_version.get().cloned(),
             is_counted: false,
         }
     }
@@ -208,8 +213,13 @@
     }
 
     /// Returns the placement of a hub's decision, if its upstream is also known and ready
-    /// here, and not in cooldown for this daemon.
-    fn placement_from(&self, received: &ReceivedDecision, is_retry: bool) -> Option<Placement> {
+    /// here, not in cooldown for this daemon, and may continue the request's stream.
+    fn placement_from(
+        &self,
+        context: &RequestContext,
+        received: &ReceivedDecision,
+        is_retry: bool,
+    ) -> Option<Placement> {
         let HubDecision::Placed {
             upstream,
             unread_tokens,
@@ -222,7 +232,7 @@
         let directory = self.directory.read();
         let upstream = directory.get(&id).filter(|u| !u.draining)?.clone();
         drop(directory);
-        if self.is_in_cooldown(&id) {
+        if self.is_in_cooldown(&id) || !context.may_run_at(&upstream) {
             return None;
         }
         Some(Placement {
@@ -244,15 +254,16 @@
             let placement = self.placement_query(context, tried);
             let request = context.id_text();
             let urgency = context.urgency();
+            let version = context.stream_version.get().cloned();
             let answer = self
                 .hub_client
-                .query(self, request, None, placement, urgency);
+                .query(self, request, None, placement, urgency, version);
             let received = answer.await;
             let is_retry = !tried.is_empty();
             if let Some(HubDecision::NoRoom { .. }) = received.as_ref().map(|r| &r.decision) {
                 return None;
             }
-            let placement = received.and_then(|h| self.placement_from(&h, is_retry));
+            let placement = received.and_then(|h| self.placement_from(context, &h, is_retry));
             if placement.is_some() {
                 return placement;
             }
@@ -266,12 +277,12 @@
     pub(super) fn has_ready_upstream(
         &self,
         service: &ServiceName,
-        is_wanted: impl Fn(&UpstreamId) -> bool,
+        is_wanted: impl Fn(&Upstream) -> bool,
     ) -> bool {
         let in_cooldown = self.in_cooldown();
         let directory = self.directory.read();
         let mut ready = directory.ready(service);
-        ready.any(|u| is_wanted(&u.id) && !in_cooldown.contains(&u.id))
+        ready.any(|u| is_wanted(u) && !in_cooldown.contains(&u.id))
     }
 
     /// Chooses an upstream by the state that this daemon knows.
@@ -359,7 +370,11 @@
         ready: &ReadyUpstreams,
         denials: usize,
     ) -> Vec<bool> {
-        let mut excluded = self.excluded_by_rollout(request, ready).unwrap_or_default();
+        let by_version = match &request.version {
+            Some(version) => Some(self.excluded_by_version(version, ready)),
+            None => self.excluded_by_rollout(request, ready),
+        };
+        let mut excluded = by_version.unwrap_or_default();
         let limited = self.excluded_by_limits(denials);
         for id in limited.iter().chain(&request.in_cooldown) {
             if let Some(index) = ready.index_of(id) {
--- a/src/gateway/rollout_state.rs
+++ b/src/gateway/rollout_state.rs
@@ -1,7 +1,7 @@
 use {
     super::{Gateway, PlacementRequest, ROLLOUT_ANSWERS, RequestContext},
     crate::{
-        names::SourceEra,
+        names::{SourceEra, UpstreamVersion},
         policy::name_hash,
         rollouts::{AllowedVersions, Rollout, RolloutOrder},
         routing::Route,
@@ -82,6 +82,24 @@
         Some(upstreams.map(|u| is_target(u) != wants_target).collect())
     }
 
+    /// Returns for each ready upstream whether it may not continue a stream that a version began. A
+    /// version that was rolled back gets no more requests, not even those.
+    pub(super) fn excluded_by_version(
+        &self,
+        version: &UpstreamVersion,
+        ready: &ReadyUpstreams,
+    ) -> Vec<bool> {
+        let is_rolled_back = |upstream: &Upstream| {
+            let rollouts = self.rollouts.lock();
+            rollouts.is_rolled_back(upstream.service.as_str(), version.as_str())
+        };
+        let is_refused = ready.upstreams.first().is_some_and(|u| is_rolled_back(u));
+        let upstreams = ready.upstreams.iter();
+        upstreams
+            .map(|u| is_refused || u.version != *version)
+            .collect()
+    }
+
     /// Records an answer for a rollout. `time_ms` is the time to its head or first event, or
     /// `None` if the request failed.
     pub(super) fn record_answer(
--- a/src/gateway/room_state.rs
+++ b/src/gateway/room_state.rs
@@ -225,6 +225,7 @@
             domain: self.domain().clone(),
             isolation_key: None,
             urgency: None,
+            version: None,
             is_counted: true,
         };
         let mut candidates = self.candidates(&request, ready, None);
--- a/src/rollouts/rollout_table.rs
+++ b/src/rollouts/rollout_table.rs
@@ -90,6 +90,13 @@
         self.known.get(service).map(|k| &k.rollout)
     }
 
+    /// Returns whether a service's rollout to a version was rolled back.
+    pub fn is_rolled_back(&self, service: &str, version: &str) -> bool {
+        self.get(service).is_some_and(|rollout| {
+            rollout.state == RolloutState::RolledBack && rollout.target == version
+        })
+    }
+
     /// Returns all rollouts.
     pub fn iter(&self) -> impl Iterator<Item = &Rollout> {
         self.known.values().map(|k| &k.rollout)
--- a/tests/decisions/domain_balance_state.rs
+++ b/tests/decisions/domain_balance_state.rs
@@ -120,6 +120,7 @@
         domain: FailureDomain::from("a"),
         isolation_key: None,
         urgency: None,
+        version: None,
         is_counted: true,
     }
 }
--- a/tests/decisions/mixed_builds.rs
+++ b/tests/decisions/mixed_builds.rs
@@ -104,6 +104,21 @@
     );
 }
 
+#[test]
+fn a_query_for_one_version_is_understood_by_released_builds() {
+    let version = Extension::OnlyVersion("v2".to_string());
+    let packet = Packet::from(Datagram::AdmissionQuery(ask())).with(version);
+    let bytes = packet.encode().unwrap();
+    let terms = Packet::decode(&bytes).unwrap().query_terms();
+    assert_eq!(terms.version, Some("v2".into()));
+    for version in RELEASED {
+        let theirs = recorded_message(version, "ask");
+        let bytes = packet.encode_for(version).unwrap().unwrap();
+        assert_eq!(bytes[..theirs.len()], theirs, "{version}");
+        assert_eq!(Packet::decode(&theirs).unwrap().query_terms().version, None);
+    }
+}
+
 #[test]
 fn a_query_that_states_its_urgency_is_understood_by_released_builds() {
     let urgency = RequestUrgency {
@@ -116,12 +131,15 @@
     let query = Datagram::AdmissionQuery(ask());
     let packet = Packet::from(query).with(Extension::Urgency(urgency));
     let bytes = packet.encode().unwrap();
-    assert_eq!(Packet::decode(&bytes).unwrap().urgency(), Some(urgency));
+    assert_eq!(
+        Packet::decode(&bytes).unwrap().query_terms().urgency,
+        Some(urgency)
+    );
     for version in RELEASED {
         let theirs = recorded_message(version, "ask");
         let bytes = packet.encode_for(version).unwrap().unwrap();
         assert_eq!(bytes[..theirs.len()], theirs, "{version}");
-        assert_eq!(Packet::decode(&theirs).unwrap().urgency(), None);
+        assert_eq!(Packet::decode(&theirs).unwrap().query_terms().urgency, None);
     }
 }
 
--- a/tests/decisions/room_at_hubs.rs
+++ b/tests/decisions/room_at_hubs.rs
@@ -89,6 +89,13 @@
     }
 }
 
+fn terms(urgency: Option<RequestUrgency>) -> QueryTerms {
+    QueryTerms {
+        urgency,
+        version: None,
+    }
+}
+
 fn urgency(target_left_ms: u32, time_left_ms: u32) -> Option<RequestUrgency> {
     Some(RequestUrgency {
         priority: 0,
@@ -106,7 +113,7 @@
     urgency: Option<RequestUrgency>,
 ) -> Option<HubDecision> {
     let (service, domain) = (ServiceName::from("s"), FailureDomain::from("a"));
-    let decision = pin!(gateway.place_queried(query, urgency, service, domain));
+    let decision = pin!(gateway.place_queried(query, terms(urgency), service, domain));
     match poll!(decision) {
         std::task::Poll::Ready(decision) => Some(decision),
         std::task::Poll::Pending => None,
@@ -186,7 +193,7 @@
     let (service, domain) = (ServiceName::from("s"), FailureDomain::from("a"));
     let hold = |query| {
         let urgency = urgency(1_000, 4_000_000);
-        Box::pin(hub.place_queried(query, urgency, service.clone(), domain.clone()))
+        Box::pin(hub.place_queried(query, terms(urgency), service.clone(), domain.clone()))
     };
     let mut held: Vec<_> = queries.iter().map(hold).collect();
     for decision in &mut held {
@@ -208,7 +215,8 @@
     set_waiting_tokens(&hub, MANY);
     let query = query(1);
     let (service, domain) = (ServiceName::from("s"), FailureDomain::from("a"));
-    let mut held = pin!(hub.place_queried(&query, urgency(1_000, 4_000_000), service, domain));
+    let mut held =
+        pin!(hub.place_queried(&query, terms(urgency(1_000, 4_000_000)), service, domain));
     assert!(poll!(held.as_mut()).is_pending());
     hub.apply_config(RoutingConfig {
         version: 2,
@@ -259,11 +267,11 @@
         query
     };
     let (first, second) = (with_quota(1), with_quota(2));
-    let mut held = pin!(hub.decide_query(&first, urgency(1_000, 4_000_000)));
+    let mut held = pin!(hub.decide_query(&first, terms(urgency(1_000, 4_000_000))));
     assert!(poll!(held.as_mut()).is_pending());
     let level = || hub.quotas.lock().level(&account);
     let before = level();
-    let decision = hub.decide_query(&second, urgency(1_000, 100)).await;
+    let decision = hub.decide_query(&second, terms(urgency(1_000, 100))).await;
     assert!(
         matches!(decision, HubDecision::NoRoom { .. }),
         "{decision:?}"
--- a/tests/decisions/upstream_memory.rs
+++ b/tests/decisions/upstream_memory.rs
@@ -292,6 +292,7 @@
         domain: FailureDomain::from("a"),
         isolation_key: None,
         urgency: None,
+        version: None,
         is_counted: false,
     };
     let placement = gateway.choose(&request, "r").unwrap();
--- a/tests/decisions/upstream_speeds_state.rs
+++ b/tests/decisions/upstream_speeds_state.rs
@@ -102,6 +102,7 @@
         domain: FailureDomain::from("a"),
         isolation_key: None,
         urgency: None,
+        version: None,
         is_counted: true,
     };
     let mut chosen = Vec::new();
