Stand-in store: an append does not deadlock with waiting reads on several threads

Seen: a run of stream_versions hung for nine minutes (threads by gdb: an append held the topics and waited for the counter's lock, a waiting read held that and waited for the topics). Tests on one thread never met it.

--- a/standin/src/store/service.rs
+++ b/standin/src/store/service.rs
@@ -354,6 +354,8 @@
         at += 4 + length;
     }
     let new_end = topics.end(topic(query));
+    // Waiting reads lock the topics while they hold the counter.
+    drop(topics);
     shared.changed.send_modify(|n| *n += 1);
     json_response(StatusCode::OK, &json!({ "offset": end, "end": new_end }))
 }
