Streams that clients take up go on only at the version that began them

Cause: the attempt that a client names was not read, and nobody kept at which version an attempt began. Class: what a client's next try depends on is known to one daemon only, and the next try comes to another one, as a rule because the first has ended.

Now each daemon remembers the version of the upstream that brings the first event (OriginTable), and before the client gets this event it tells two others, hubs of its failure domain first; one of these writes it to a topic of the platform, twice a second. A daemon where a stream is taken up asks the hubs of its domain, then the others, then the topic. Only while a service has several versions, or has had within the last minute; streams from before are announced when the second one shows up. If nobody knows the stream and several versions have served, it is refused as not run; if one has, it goes on as before. A version without an upstream is refused at once.

Pure tests in decisions/stream_origins.

--- a/src/cluster/duties/duty_backends.rs
+++ b/src/cluster/duties/duty_backends.rs
@@ -69,6 +69,13 @@
         end: u64,
         records: &[Bytes],
     ) -> Result<AppendOutcome, BackendError>;
+
+    /// Appends all records wherever the topic ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the records may not be in the topic.
+    async fn append(&self, topic: &str, records: &[Bytes]) -> Result<(), BackendError>;
 }
 
 /// The outcome of writing a record.
--- a/src/cluster/messages/exchange.rs
+++ b/src/cluster/messages/exchange.rs
@@ -29,6 +29,7 @@
         announce_limits(gateway.clone()),
         announce_speeds(gateway.clone()),
         announce_leaving(gateway.clone()),
+        announce_origins(gateway.clone()),
         release_slots(gateway)
     );
 }
@@ -121,6 +122,9 @@
             Extension::Restored(era) => {
                 gateway.record_announced_restore(SourceEra::from_code(*era));
             }
+            Extension::Origins(part) => apply_origins(gateway, part),
+            Extension::OriginQuery(query) => answer_origin_query(gateway, query, from).await,
+            Extension::OriginAnswer(answer) => gateway.apply_origin_answer(answer),
             Extension::Samples(part) => apply_samples(gateway, part),
             Extension::Speeds(part) => apply_speeds(gateway, part, packet.scatters()),
             Extension::Rooms(part) => gateway.apply_rooms(part),
--- a/src/cluster/messages/extension.rs
+++ b/src/cluster/messages/extension.rs
@@ -1,8 +1,8 @@
 use {
     crate::cluster::{
-        CooldownsPart, HeldPart, LeavingPart, LimitsPart, PermitAnswer, PermitQuery,
-        RequestUrgency, RoomsPart, SamplesPart, ScattersPart, SlotAnswer, SlotQuery, SlotReleases,
-        SpeedsPart,
+        CooldownsPart, HeldPart, LeavingPart, LimitsPart, OriginAnswer, OriginQuery, OriginsPart,
+        PermitAnswer, PermitQuery, RequestUrgency, RoomsPart, SamplesPart, ScattersPart,
+        SlotAnswer, SlotQuery, SlotReleases, SpeedsPart,
     },
     bincode::{
         Decode, Encode, config, decode_from_slice, encode_into_std_write, error::EncodeError,
@@ -23,6 +23,8 @@
 pub const RELAYS_LEVEL: u8 = 5;
 /// The level from which on a daemon gives out slots of upstreams that bear few rejections.
 pub const SLOTS_LEVEL: u8 = 5;
+/// The level from which on a daemon keeps the software versions that began streams.
+pub const ORIGINS_LEVEL: u8 = 6;
 /// The size of the header of an extension: one byte for its kind, two for the length of its body.
 const HEADER_BYTES: usize = 3;
 
@@ -44,6 +46,9 @@
 const SLOT_ANSWER: u8 = 16;
 const SLOT_RELEASES: u8 = 17;
 const ONLY_VERSION: u8 = 18;
+const ORIGINS: u8 = 19;
+const ORIGIN_QUERY: u8 = 20;
+const ORIGIN_ANSWER: u8 = 21;
 
 /// An addition behind the message of a datagram, with its kind and length. Builds that don't know a
 /// kind skip it, and builds without extensions ignore the bytes behind the message. New kinds may
@@ -86,6 +91,12 @@
     SlotReleases(SlotReleases),
     /// The software version of the only upstreams that may run the request of an admission query.
     OnlyVersion(String),
+    /// The software version that began streams.
+    Origins(OriginsPart),
+    /// A query for the software version that began a stream.
+    OriginQuery(OriginQuery),
+    /// The answer to an [`OriginQuery`].
+    OriginAnswer(OriginAnswer),
 }
 
 impl Extension {
@@ -114,6 +125,9 @@
             Self::SlotAnswer(answer) => append(bytes, SLOT_ANSWER, answer),
             Self::SlotReleases(releases) => append(bytes, SLOT_RELEASES, releases),
             Self::OnlyVersion(version) => append(bytes, ONLY_VERSION, version),
+            Self::Origins(part) => append(bytes, ORIGINS, part),
+            Self::OriginQuery(query) => append(bytes, ORIGIN_QUERY, query),
+            Self::OriginAnswer(answer) => append(bytes, ORIGIN_ANSWER, answer),
         }
     }
 
@@ -152,6 +166,9 @@
             SLOT_ANSWER => decode_body(body).map(Self::SlotAnswer),
             SLOT_RELEASES => decode_body(body).map(Self::SlotReleases),
             ONLY_VERSION => decode_body(body).map(Self::OnlyVersion),
+            ORIGINS => decode_body(body).map(Self::Origins),
+            ORIGIN_QUERY => decode_body(body).map(Self::OriginQuery),
+            ORIGIN_ANSWER => decode_body(body).map(Self::OriginAnswer),
             _ => None,
         }
     }
--- a/src/cluster/mod.rs
+++ b/src/cluster/mod.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod membership;
 mod messages;
+mod origins;
 mod quotas;
 mod relays;
 mod rooms;
@@ -16,7 +17,8 @@
 mod usage;
 mod versions;
 
+pub(crate) use origins::send_origins;
 pub use {
     configs::*, crashes::*, duties::*, feed::*, hubs::*, leaving::*, limits::*, membership::*,
-    messages::*, quotas::*, relays::*, rooms::*, speeds::*, usage::*, versions::*,
+    messages::*, origins::*, quotas::*, relays::*, rooms::*, speeds::*, usage::*, versions::*,
 };
--- /dev/null
+++ b/src/cluster/origins/origin_answers.rs
@@ -0,0 +1,30 @@
+use {
+    crate::{cluster::*, gateway::Gateway, policy::AttemptKey},
+    std::net::SocketAddr,
+};
+
+/// Applies another daemon's announcement of the versions that began streams.
+pub(in crate::cluster) fn apply_origins(gateway: &Gateway, part: &OriginsPart) {
+    gateway.record_origins(part);
+    if part.is_to_log {
+        gateway.origins.lock().add_to_log(part.keys());
+    }
+}
+
+/// Answers a daemon's query for the version that began a stream.
+pub(in crate::cluster) async fn answer_origin_query(
+    gateway: &Gateway,
+    query: &OriginQuery,
+    from: SocketAddr,
+) {
+    let version = gateway.known_origin(AttemptKey(query.attempt));
+    let seen = gateway.seen_versions(&query.service.as_str().into());
+    let answer = OriginAnswer {
+        incarnation: query.incarnation,
+        id: query.id,
+        version: version.map(|v| v.to_string()),
+        seen: OriginAnswer::code_of(seen),
+    };
+    let answer = Extension::OriginAnswer(answer);
+    gateway.send_packet(&answer.into(), from).await;
+}
--- /dev/null
+++ b/src/cluster/origins/origin_log.rs
@@ -0,0 +1,132 @@
+use {
+    crate::{
+        cluster::{BackendError, OriginsPart, SharedLog},
+        gateway::Gateway,
+        names::SourceEra,
+        policy::AnnouncedOrigin,
+    },
+    bytes::Bytes,
+    std::{
+        fmt,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Topic of the shared log that holds the versions which began streams.
+const TOPIC: &str = "stream-origins";
+/// Interval between two writes. What was not written when all daemons end at once is lost.
+const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum time between two reads of the log, and between a failed one and the next.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest time for which a request waits for a read.
+const MAX_READ_WAIT: Duration = Duration::from_millis(500);
+
+/// The versions that began streams, in a log that outlives all daemons.
+pub struct OriginLog {
+    log: Arc<dyn SharedLog>,
+    reader: tokio::sync::Mutex<Reader>,
+}
+
+#[derive(Default)]
+struct Reader {
+    era: SourceEra,
+    /// The offset of the next record to read.
+    next: u64,
+    last_read: Option<Instant>,
+}
+
+impl fmt::Debug for OriginLog {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OriginLog").finish_non_exhaustive()
+    }
+}
+
+impl OriginLog {
+    /// Creates the reader and writer of a shared log.
+    pub fn new(log: Arc<dyn SharedLog>) -> Self {
+        Self {
+            log,
+            reader: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// Reads what was written since the last read, and records it. Does nothing if the last read is recent.
+    pub async fn read(&self, gateway: &Gateway) {
+        let read = async {
+            let mut reader = self.reader.lock().await;
+            let is_recent = |at: Instant| at.elapsed() < MIN_READ_INTERVAL;
+            if reader.last_read.is_some_and(is_recent) {
+                return Ok(());
+            }
+            reader.last_read = Some(Instant::now());
+            reader.read_all(&*self.log, gateway).await
+        };
+        match tokio::time::timeout(MAX_READ_WAIT, read).await {
+            Ok(Ok(())) => {}
+            Ok(Err(e)) => {
+                log::info!(target: "stream", "versions of streams could not be read. error=\"{e}\"");
+            }
+            Err(_) => {
+                log::info!(target: "stream", "versions of streams could not be read in time.");
+            }
+        }
+    }
+
+    async fn write(&self, origins: &[AnnouncedOrigin]) -> Result<(), BackendError> {
+        let parts = OriginsPart::group(origins, false);
+        let records = parts.iter().filter_map(|part| {
+            let encoded = bincode::encode_to_vec(part, bincode::config::standard());
+            encoded.ok().map(Bytes::from)
+        });
+        let records: Vec<Bytes> = records.collect();
+        self.log.append(TOPIC, &records).await
+    }
+}
+
+impl Reader {
+    async fn read_all(
+        &mut self,
+        log: &dyn SharedLog,
+        gateway: &Gateway,
+    ) -> Result<(), BackendError> {
+        loop {
+            let page = log.read(TOPIC, self.next).await?;
+            if page.era != self.era && self.next > 0 {
+                // Offsets of another era name other records.
+                (self.era, self.next) = (page.era, 0);
+                continue;
+            }
+            self.era = page.era;
+            for record in &page.records {
+                match bincode::decode_from_slice(record, bincode::config::standard()) {
+                    Ok((part, _)) => gateway.record_origins(&part),
+                    Err(e) => {
+                        log::info!(target: "stream", "malformed record of streams skipped. error=\"{e}\"");
+                    }
+                }
+            }
+            self.next = page.from + page.records.len() as u64;
+            if page.records.is_empty() || self.next >= page.end {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// Writes origins of streams to the shared log, of this daemon and of those that announce theirs to it.
+pub async fn write_origins(gateway: Arc<Gateway>, log: Arc<dyn SharedLog>) {
+    let log = gateway.set_origin_log(OriginLog::new(log));
+    loop {
+        tokio::time::sleep(WRITE_INTERVAL).await;
+        let due = gateway.take_origins_to_log();
+        if due.is_empty() {
+            continue;
+        }
+        if let Err(e) = log.write(&due).await {
+            log::info!(target: "stream", "versions of streams could not be written. streams={} error=\"{e}\"", due.len());
+            let keys = due.iter().map(|o| o.key);
+            gateway.origins.lock().add_to_log(keys);
+        }
+    }
+}
--- /dev/null
+++ b/src/cluster/origins/origin_query.rs
@@ -0,0 +1,54 @@
+use {
+    crate::policy::SeenVersions,
+    bincode::{Decode, Encode},
+};
+
+/// A daemon's query for the software version that began a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct OriginQuery {
+    /// The incarnation of the daemon that sends the query.
+    pub incarnation: u64,
+    /// The number of the query, unique within the incarnation.
+    pub id: u64,
+    /// The service of the stream.
+    pub service: String,
+    /// The hash of the id of the attempt that brought the first event.
+    pub attempt: u64,
+}
+
+/// The answer to an [`OriginQuery`].
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct OriginAnswer {
+    /// The incarnation of the daemon that sent the query.
+    pub incarnation: u64,
+    /// The number of the query.
+    pub id: u64,
+    /// The version; none if the daemon does not know the stream.
+    pub version: Option<String>,
+    /// How many versions of the service the daemon has seen; see [`OriginAnswer::seen`].
+    pub seen: u8,
+}
+
+const UNSURE: u8 = 0;
+const ONE: u8 = 1;
+const SEVERAL: u8 = 2;
+
+impl OriginAnswer {
+    /// Returns the encoded form of how many versions were seen.
+    pub fn code_of(seen: SeenVersions) -> u8 {
+        match seen {
+            SeenVersions::Unsure => UNSURE,
+            SeenVersions::One => ONE,
+            SeenVersions::Several => SEVERAL,
+        }
+    }
+
+    /// Returns how many versions of the service the daemon has seen.
+    pub fn seen(&self) -> SeenVersions {
+        match self.seen {
+            ONE => SeenVersions::One,
+            SEVERAL => SeenVersions::Several,
+            _ => SeenVersions::Unsure,
+        }
+    }
+}
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -2,6 +2,7 @@
     super::{attempts::Attempts, forward_buffered::may_relay_status, send::*, *},
     crate::{
         clock::{BootInstant, timeout, timeout_at},
+        cluster::send_origins,
         policy::{HeldFor, StallLimits},
         upstreams::*,
     },
@@ -79,16 +80,8 @@
             match self.step().await {
                 Ok(step) => {
                     self.gateway.record_run(&self.context);
-                    if matches!(step, Step::Events(_))
-                        && let Some(sent) = &self.current
-                    {
-                        sent.active.first_event();
-                        // Already set if the client resumes its stream.
-                        let version = &sent.upstream.version;
-                        self.context.stream_version.get_or_init(|| version.clone());
-                        let time_ms = sent.active.age_ms();
-                        self.gateway
-                            .record_answer(&self.context, &sent.upstream, Some(time_ms));
+                    if matches!(step, Step::Events(_)) {
+                        self.record_first_event().await;
                     }
                     self.has_started = true;
                     return Some((head, self.take_bytes(step)));
@@ -98,6 +91,24 @@
         }
     }
 
+    /// Records the first event, before the client gets it.
+    async fn record_first_event(&self) {
+        let Some(sent) = &self.current else {
+            return;
+        };
+        let (gateway, context) = (&self.gateway, &self.context);
+        sent.active.first_event();
+        let time_ms = sent.active.age_ms();
+        gateway.record_answer(context, &sent.upstream, Some(time_ms));
+        // Already set if the client takes its stream up.
+        let version = &sent.upstream.version;
+        context.stream_version.get_or_init(|| version.clone());
+        // The daemon may end as soon as the client has the event.
+        if let Some(origin) = gateway.record_own_origin(context, &sent.upstream) {
+            send_origins(gateway, &[origin]).await;
+        }
+    }
+
     /// Returns the next bytes for the client, or `None` at the end.
     ///
     /// # Errors
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -4,8 +4,9 @@
         clock::BootInstant,
         cluster::{
             ControlTraffic, DaemonEntry, EventLog, FormerListeners, HubClient, IssuerClient,
-            LeavingQueue, MemberTable, PeerTable, PeerVersions, PermitAnswer, ReleasedSlot,
-            SlotAnswer, StandaloneQuotas, UsageAnnouncer, VersionCountTable,
+            LeavingQueue, MemberTable, OriginAnswer, OriginLog, PeerTable, PeerVersions,
+            PermitAnswer, ReleasedSlot, SlotAnswer, StandaloneQuotas, UsageAnnouncer,
+            VersionCountTable,
         },
         conf::GatewaySettings,
         names::{FailureDomain, ServiceName, SourceEra, SourcePosition, UpstreamId},
@@ -76,6 +77,14 @@
     pub(super) released_slots: Mutex<Vec<(SocketAddr, ReleasedSlot)>>,
     /// Wakes the task that releases slots.
     pub(crate) slot_released: Notify,
+    /// Which software versions began the streams that clients may still take up.
+    pub(crate) origins: Mutex<OriginTable>,
+    /// Which software versions this daemon has seen of each service.
+    pub(super) version_history: Mutex<VersionHistory>,
+    /// Queries for the software versions that began streams.
+    pub(super) origin_client: IssuerClient<OriginAnswer>,
+    /// The shared log of the software versions that began streams; unset without a platform.
+    pub(super) origin_log: OnceLock<OriginLog>,
     /// Counts the control messages sent to other daemons, and their bytes.
     pub control: ControlTraffic,
     /// The message versions that other daemons use.
@@ -224,6 +233,10 @@
             slot_client: IssuerClient::default(),
             released_slots: Mutex::default(),
             slot_released: Notify::new(),
+            origins: Mutex::default(),
+            version_history: Mutex::default(),
+            origin_client: IssuerClient::default(),
+            origin_log: OnceLock::new(),
             control: ControlTraffic::default(),
             peer_versions: Mutex::default(),
             cut_offs: Mutex::default(),
@@ -370,6 +383,8 @@
         let live: HashSet<_> = self.peers.lock().live_addresses().into_iter().collect();
         self.permit_client.retain(|address| live.contains(address));
         self.slot_client.retain(|address| live.contains(address));
+        self.origin_client.retain(|address| live.contains(address));
+        self.expire_origins();
         self.caches.lock().retain(is_known, self.steady_ms());
     }
 }
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -7,6 +7,7 @@
         clock::{BootInstant, timeout},
         http::{BodyLimits, RequestBody},
         names::ServiceName,
+        policy::Resumption,
         routing::{AccountTerms, ClientLimits, Route, RouteKind, RouteTable},
     },
     http::{
@@ -24,6 +25,10 @@
 /// How long a request waits for the first configuration after the start of the daemon. The
 /// first read takes a few milliseconds unless the source has a fault.
 const CONFIG_MAX_WAIT: Duration = Duration::from_millis(100);
+/// `Retry-After` of a stream whose first version is unknown. A daemon that knows it may answer by then.
+const UNKNOWN_ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// `Retry-After` of a stream whose version has no upstream left. One that crashed may be back by then.
+const NO_VERSION_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum `Retry-After` for a client account that has used up its quota.
 const MAX_QUOTA_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -171,10 +176,42 @@
     if let Some(hold) = gateway.held_for(&context) {
         return Err(refuse_held(&context, hold));
     }
+    if context.takes_up_stream() {
+        check_resumption(gateway, &context).await?;
+    }
     admit(gateway, &context, terms.as_deref(), max_wait).await?;
     Ok(context)
 }
 
+/// Finds the software version that a stream may go on at which the client takes up. Refuses the request
+/// if that is unknown, or no upstream of this version is left.
+async fn check_resumption(
+    gateway: &Gateway,
+    context: &RequestContext,
+) -> Result<(), Box<Response<AnswerBody>>> {
+    let resumption = gateway.find_resumption(context).await;
+    gateway.count_taken_up(context, &resumption);
+    let refused = |detail, retry_after| {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Err(Box::new(refusal(status, detail, retry_after)))
+    };
+    match resumption {
+        Resumption::Anywhere => return Ok(()),
+        Resumption::Nowhere => {
+            let detail = "not run: it is unknown which software version began the stream";
+            return refused(detail, UNKNOWN_ORIGIN_RETRY_AFTER);
+        }
+        Resumption::At(version) => context.stream_version.get_or_init(|| version),
+    };
+    match gateway.has_ready_upstream(&context.service, |u| context.may_run_at(u)) {
+        true => Ok(()),
+        false => {
+            let detail = "not run: no upstream has the software version that began the stream";
+            refused(detail, NO_VERSION_RETRY_AFTER)
+        }
+    }
+}
+
 /// Refuses a quarantined request, under which upstreams have crashed. It has not run this
 /// time. `Retry-After` names the full remaining hold, since an earlier retry is refused again.
 fn refuse_held(context: &RequestContext, hold: Duration) -> Box<Response<AnswerBody>> {
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -56,6 +56,12 @@
 pub const SLOTS: &str = "saddlepulley_slots_total";
 /// Number of requests that such upstreams rejected.
 pub const REJECTIONS: &str = "saddlepulley_rejections_total";
+/// Number of streams that clients took up again, by what is known of the version that began them.
+pub const TAKEN_UP_STREAMS: &str = "saddlepulley_taken_up_streams_total";
+/// Number of streams whose first version this daemon remembers.
+pub const STREAM_ORIGINS: &str = "saddlepulley_stream_origins";
+/// Number of streams that this daemon forgot for want of room before they could no longer be taken up.
+pub const DROPPED_ORIGINS: &str = "saddlepulley_stream_origins_dropped";
 /// Number of requests refused because of their client account's quota.
 pub const QUOTA_REFUSALS: &str = "saddlepulley_quota_refusals_total";
 /// Number of turns of requests that were refused because of a short quota, by outcome.
--- /dev/null
+++ b/src/gateway/origin_state.rs
@@ -0,0 +1,233 @@
+//! Which software version began a stream, as far as this daemon knows or can find out.
+
+use {
+    super::{Gateway, RequestContext, TAKEN_UP_STREAMS},
+    crate::{
+        cluster::{Extension, ORIGINS_LEVEL, OriginAnswer, OriginLog, OriginQuery, OriginsPart},
+        names::{ServiceName, UpstreamVersion},
+        policy::{
+            AnnouncedOrigin, AttemptKey, Resumption, ResumptionEvidence, SeenVersions,
+            StreamOrigin, name_hash,
+        },
+        upstreams::Upstream,
+    },
+    futures_util::{StreamExt, stream::FuturesUnordered},
+    std::net::SocketAddr,
+};
+
+/// Number of other daemons that keep the origin of each stream.
+const KEEPERS: usize = 2;
+/// How long after the end of its first answer a stream may still be taken up, in milliseconds.
+const RETURN_MS: u64 = 30_000;
+
+impl Gateway {
+    /// Returns how many software versions of a service this daemon has seen lately.
+    pub fn seen_versions(&self, service: &ServiceName) -> SeenVersions {
+        let list = self.directory.read().ready_list(service);
+        let now_ms = self.steady_ms();
+        let mut history = self.version_history.lock();
+        history.observe(service, &list.versions, now_ms)
+    }
+
+    /// Returns the version that began a stream, if this daemon knows it.
+    pub fn known_origin(&self, key: AttemptKey) -> Option<UpstreamVersion> {
+        let now_ms = self.steady_ms();
+        let origins = self.origins.lock();
+        origins
+            .get(key, now_ms)
+            .map(|origin| origin.version.clone())
+    }
+
+    /// Records what another daemon, or the shared log, says of streams.
+    pub fn record_origins(&self, part: &OriginsPart) {
+        let origin = part.origin();
+        let now_ms = self.steady_ms();
+        let expires_ms = now_ms + u64::from(part.left_ms);
+        let mut origins = self.origins.lock();
+        for key in part.keys() {
+            origins.record(key, origin.clone(), expires_ms, now_ms);
+        }
+        drop(origins);
+        // The version may have gone before this daemon started.
+        let mut history = self.version_history.lock();
+        history.observe(&origin.service, &[origin.version], now_ms);
+    }
+
+    /// Records the upstream that began a client's stream, before the client gets the first event.
+    /// Returns what is to be announced at once: nothing while the service has one version only.
+    pub(super) fn record_own_origin(
+        &self,
+        context: &RequestContext,
+        upstream: &Upstream,
+    ) -> Option<AnnouncedOrigin> {
+        if !context.route.resumable {
+            return None;
+        }
+        let key = context.origin_key()?;
+        let now_ms = self.steady_ms();
+        let origin = StreamOrigin {
+            service: upstream.service.clone(),
+            version: upstream.version.clone(),
+        };
+        let expires_ms = now_ms + context.route.timeout_ms + RETURN_MS;
+        let seen = self.seen_versions(&upstream.service);
+        let mut origins = self.origins.lock();
+        origins.record_own(key, origin, expires_ms, now_ms);
+        match seen {
+            SeenVersions::Several => origins.take_unannounced_of(key, now_ms),
+            SeenVersions::One | SeenVersions::Unsure => None,
+        }
+    }
+
+    /// Takes the origins of own streams that are to be announced by now, since their services have
+    /// several versions.
+    pub(crate) fn take_due_origins(&self) -> Vec<AnnouncedOrigin> {
+        if !self.origins.lock().has_unannounced() {
+            return Vec::new();
+        }
+        let services = self.services();
+        let several: Vec<ServiceName> = services
+            .into_iter()
+            .filter(|service| self.seen_versions(service) == SeenVersions::Several)
+            .collect();
+        if several.is_empty() {
+            return Vec::new();
+        }
+        let now_ms = self.steady_ms();
+        let mut origins = self.origins.lock();
+        origins.take_unannounced(|service| several.contains(service), now_ms)
+    }
+
+    fn services(&self) -> Vec<ServiceName> {
+        let Some(table) = self.table() else {
+            return Vec::new();
+        };
+        let services = table.config().services.iter();
+        services.map(|s| s.name.clone()).collect()
+    }
+
+    /// Returns the daemons that keep the origin of a stream: hubs of the own failure domain first.
+    pub(crate) fn origin_keepers(&self, key: AttemptKey) -> Vec<SocketAddr> {
+        let (near, far) = self.origin_daemons();
+        let by_rank = |mut daemons: Vec<SocketAddr>| {
+            daemons.sort_by_cached_key(|d| name_hash(&format!("{d}/{}", key.0)));
+            daemons
+        };
+        let ranked = by_rank(near).into_iter().chain(by_rank(far));
+        ranked.take(KEEPERS).collect()
+    }
+
+    /// Returns the daemons that may know where streams began: the other hubs of the own failure domain,
+    /// and those of the others.
+    fn origin_daemons(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        let own = self.settings.listen.peers;
+        let peers = self.peers.lock();
+        let near = peers.own_hubs();
+        let all = peers.hub_addresses();
+        let may_know = |daemon: &SocketAddr| {
+            let level = peers.level_at(*daemon);
+            *daemon != own && (level == 0 || level >= ORIGINS_LEVEL)
+        };
+        let far = all.iter().filter(|d| !near.contains(d) && may_know(d));
+        let far = far.copied().collect();
+        (near.into_iter().filter(may_know).collect(), far)
+    }
+
+    /// Returns the upstreams at which a stream may go on that a client takes up. Asks other daemons and
+    /// the shared log if this daemon does not know.
+    pub(super) async fn find_resumption(&self, context: &RequestContext) -> Resumption {
+        let service = &context.service;
+        let mut evidence = ResumptionEvidence::default();
+        let key = context.origin_key();
+        let known = key.and_then(|key| self.known_origin(key));
+        evidence.add(known, self.seen_versions(service));
+        if let Some(key) = key {
+            let (near, far) = self.origin_daemons();
+            for daemons in [near, far] {
+                if evidence.is_open() {
+                    self.query_origin(service, key, &daemons, &mut evidence)
+                        .await;
+                }
+            }
+            if evidence.is_open()
+                && let Some(log) = self.origin_log.get()
+            {
+                log.read(self).await;
+                evidence.add(self.known_origin(key), self.seen_versions(service));
+            }
+        }
+        evidence.decide()
+    }
+
+    /// Queries daemons, all at once, until one knows the stream or all have answered.
+    async fn query_origin(
+        &self,
+        service: &ServiceName,
+        key: AttemptKey,
+        daemons: &[SocketAddr],
+        evidence: &mut ResumptionEvidence,
+    ) {
+        let query = |id| {
+            Extension::OriginQuery(OriginQuery {
+                incarnation: self.incarnation,
+                id,
+                service: service.to_string(),
+                attempt: key.0,
+            })
+        };
+        let queries = daemons
+            .iter()
+            .map(|daemon| self.origin_client.query(self, *daemon, query));
+        let mut answers: FuturesUnordered<_> = queries.collect();
+        while evidence.is_open()
+            && let Some(answer) = answers.next().await
+        {
+            if let Some(answer) = answer {
+                let version = answer.version.as_deref().map(UpstreamVersion::from);
+                evidence.add(version, answer.seen());
+            }
+        }
+    }
+
+    /// Applies an answer to a query of this daemon.
+    pub(crate) fn apply_origin_answer(&self, answer: &OriginAnswer) {
+        if answer.incarnation == self.incarnation {
+            self.origin_client.apply(answer.id, answer.clone());
+        }
+    }
+
+    /// Sets the shared log from which the versions that began streams can be read. It is set once, when
+    /// the daemon starts.
+    pub fn set_origin_log(&self, log: OriginLog) -> &OriginLog {
+        self.origin_log.get_or_init(|| log)
+    }
+
+    /// Takes the origins that this daemon is to write to the shared log.
+    pub fn take_origins_to_log(&self) -> Vec<AnnouncedOrigin> {
+        let now_ms = self.steady_ms();
+        self.origins.lock().take_to_log(now_ms)
+    }
+
+    /// Counts a stream that a client takes up, by what is known of it.
+    pub(super) fn count_taken_up(&self, context: &RequestContext, resumption: &Resumption) {
+        let label = match resumption {
+            Resumption::At(_) => "known",
+            Resumption::Anywhere => "one_version",
+            Resumption::Nowhere => "unknown",
+        };
+        metrics::counter!(TAKEN_UP_STREAMS, "version" => label).increment(1);
+        log::info!(
+            target: "stream",
+            "stream taken up. request={} resumes={} last_event={:?} begun_at={resumption:?}",
+            context.id_text(),
+            context.resumed_text(),
+            context.last_event_id
+        );
+    }
+
+    /// Removes the origins of streams that can no longer be taken up.
+    pub(super) fn expire_origins(&self) {
+        let now_ms = self.steady_ms();
+        self.origins.lock().expire(now_ms);
+    }
+}
--- a/src/gateway/request_context.rs
+++ b/src/gateway/request_context.rs
@@ -4,7 +4,8 @@
         clock::BootInstant,
         cluster::RequestUrgency,
         names::{ClientAccount, RequestFingerprint, ServiceName, UpstreamVersion},
-        routing::Route,
+        policy::AttemptKey,
+        routing::{Route, RouteKind},
         upstreams::Upstream,
     },
     bytes::Bytes,
@@ -73,6 +74,23 @@
         })
     }
 
+    /// Returns whether the client has events of a stream that it takes up.
+    pub fn takes_up_stream(&self) -> bool {
+        let has_events = self.last_event_id.is_some_and(|id| id > 0);
+        let is_resumable = self.route.kind == RouteKind::Streaming && self.route.resumable;
+        is_resumable && (has_events || self.resumed_attempt.is_some())
+    }
+
+    /// Returns the key of the attempt that brings or brought the first event of the client's stream; none
+    /// if the client takes a stream up and does not name it.
+    pub fn origin_key(&self) -> Option<AttemptKey> {
+        let id = match self.takes_up_stream() {
+            true => self.resumed_attempt.as_ref(),
+            false => self.attempt_id.as_ref(),
+        };
+        id.map(|id| AttemptKey::of(id.as_bytes()))
+    }
+
     /// Returns whether an upstream's software version may run the request.
     pub fn may_run_at(&self, upstream: &Upstream) -> bool {
         let version = self.stream_version.get();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod hubs;
 mod limits;
+mod origins;
 mod placement;
 mod quarantine;
 mod quota;
@@ -21,6 +22,6 @@
 
 pub use {
     admission::*, clients::*, cooldowns::*, copies::*, duties::*, engines::*, fleet::*, hubs::*,
-    limits::*, placement::*, quarantine::*, quota::*, reach::*, reclaim::*, retries::*, slots::*,
-    sources::*,
+    limits::*, origins::*, placement::*, quarantine::*, quota::*, reach::*, reclaim::*, retries::*,
+    slots::*, sources::*,
 };
--- /dev/null
+++ b/src/policy/origins/mod.rs
@@ -0,0 +1,10 @@
+//! Where streams began: which software version wrote the first event of a stream that its client may
+//! take up again. Answers loads in which upstreams of several versions serve side by side.
+
+mod attempt_key;
+mod origin_table;
+mod resumption;
+mod stream_origin;
+mod version_history;
+
+pub use {attempt_key::*, origin_table::*, resumption::*, stream_origin::*, version_history::*};
--- a/src/upstreams/ready_upstreams.rs
+++ b/src/upstreams/ready_upstreams.rs
@@ -1,6 +1,9 @@
 use {
     super::Upstream,
-    crate::{names::UpstreamId, policy::name_hash},
+    crate::{
+        names::{UpstreamId, UpstreamVersion},
+        policy::name_hash,
+    },
     rapidhash::RapidHashMap,
     std::sync::Arc,
 };
@@ -14,15 +17,18 @@
     pub upstreams: Vec<Arc<Upstream>>,
     /// The hashes of their ids, in the same order.
     pub hashes: Vec<u64>,
+    /// The software versions of all known upstreams of the service, also of those that leave.
+    pub versions: Vec<UpstreamVersion>,
     index: RapidHashMap<UpstreamId, usize>,
 }
 
 impl ReadyUpstreams {
     /// Hashes and indexes a list of upstreams.
-    pub fn new(upstreams: Vec<Arc<Upstream>>) -> Self {
+    pub fn new(upstreams: Vec<Arc<Upstream>>, versions: Vec<UpstreamVersion>) -> Self {
         let ids = upstreams.iter().map(|u| u.id.clone());
         Self {
             hashes: upstreams.iter().map(|u| name_hash(u.id.as_str())).collect(),
+            versions,
             index: ids.zip(0..).collect(),
             upstreams,
         }
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -4,10 +4,10 @@
         ReadyUpstreams, UnloggedChanges, Upstream, followed_view::FollowedView,
         removed_upstreams::RemovedUpstreams, revision_index::RevisionIndex,
     },
-    crate::names::{ServiceName, SourceEra, UpstreamId},
+    crate::names::{ServiceName, SourceEra, UpstreamId, UpstreamVersion},
     parking_lot::Mutex,
     std::{
-        collections::{BTreeMap, HashMap, HashSet},
+        collections::{BTreeMap, BTreeSet, HashMap, HashSet},
         sync::Arc,
     },
 };
@@ -551,11 +551,20 @@
         {
             return list.clone();
         }
-        let list = Arc::new(ReadyUpstreams::new(self.ready(service).cloned().collect()));
+        let ready = self.ready(service).cloned().collect();
+        let list = Arc::new(ReadyUpstreams::new(ready, self.versions(service)));
         lists.insert(service.clone(), (self.revision, list.clone()));
         list
     }
 
+    /// Returns the software versions of a service's known upstreams, also of those that leave.
+    fn versions(&self, service: &ServiceName) -> Vec<UpstreamVersion> {
+        let known = self.by_service.get(service).into_iter();
+        let known = known.flat_map(|b| b.values());
+        let versions: BTreeSet<&UpstreamVersion> = known.map(|u| &u.version).collect();
+        versions.into_iter().cloned().collect()
+    }
+
     /// Returns all known upstreams.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.by_service.values().flat_map(|b| b.values())
--- a/tests/decisions/datagrams.rs
+++ b/tests/decisions/datagrams.rs
@@ -107,6 +107,26 @@
             limit: None,
         }),
         Extension::HasPermit,
+        Extension::OnlyVersion("v2".into()),
+        Extension::Origins(OriginsPart {
+            service: "s".into(),
+            version: "v1".into(),
+            left_ms: 45_000,
+            is_to_log: true,
+            attempts: vec![1, u64::MAX],
+        }),
+        Extension::OriginQuery(OriginQuery {
+            incarnation: u64::MAX,
+            id: 7,
+            service: "s".into(),
+            attempt: u64::MAX,
+        }),
+        Extension::OriginAnswer(OriginAnswer {
+            incarnation: u64::MAX,
+            id: 7,
+            version: Some("v1".into()),
+            seen: 2,
+        }),
         Extension::Restored(u64::MAX),
         Extension::Cooldowns(CooldownsPart {
             cooldowns: vec![AnnouncedCooldown {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -50,6 +50,7 @@
 mod sources;
 mod spill;
 mod splice;
+mod stream_origins;
 mod support;
 mod suspension;
 mod table_fold;
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -127,12 +127,20 @@
     assert_eq!(tally.complete, tally.streams, "{tally:?}");
 }
 
+/// Clients leave after four events, and take their streams up with the id of an attempt that never was.
+async fn run_naming_an_unknown_attempt(world: &StreamWorld) -> Vec<StreamOutcome> {
+    let mut clients = JoinSet::new();
+    for seed in 0..6 {
+        let client = StreamClient::new(&world.addresses, seed).leaving_after(4);
+        clients.spawn(client.naming("0123456789abcdef").run());
+    }
+    clients.join_all().await
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_of_an_attempt_that_nobody_knows_is_not_guessed_between_versions() {
     let world = StreamWorld::start(&["a", "a", "b"], &TWO_VERSIONS).await;
-    for seed in 0..6 {
-        let client = StreamClient::new(&world.addresses, seed).leaving_after(4);
-        let outcome = client.naming("0123456789abcdef").run().await;
+    for outcome in run_naming_an_unknown_attempt(&world).await {
         assert_eq!(outcome.last, 4, "{outcome:?}");
         assert!(outcome.refused > 0, "{outcome:?}");
     }
@@ -141,9 +149,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_of_an_attempt_that_nobody_knows_goes_on_at_the_only_version() {
     let mut world = StreamWorld::start(&["a", "a", "b"], &["v1"; 3]).await;
-    for seed in 0..6 {
-        let client = StreamClient::new(&world.addresses, seed).leaving_after(4);
-        let outcome = client.naming("0123456789abcdef").run().await;
+    for outcome in run_naming_an_unknown_attempt(&world).await {
         assert_eq!(outcome.last, EVENTS, "{outcome:?}");
     }
     world.kill(0);
