Test: a stream that another daemon relays goes on at its version

The relayed stream's version is kept by the daemon of the request; the relay passes on to the chosen upstream.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod ports;
 mod quota_order;
 mod raw_client;
+mod relayed_streams;
 mod restart_soak;
 mod restored_store;
 mod retries;
