Test: members that lost all hubs find the daemon that reaches the upstreams; fails

Six daemons of one failure domain, all but one member cut from all upstreams: 150 of 250 and 150 of 251 first tries at the cut daemons served (the three hubs all, the two members none), 50 of 50 at the other one.

--- a/tests/gateway/lost_links.rs
+++ b/tests/gateway/lost_links.rs
@@ -254,8 +254,12 @@
 /// Cuts the paths of some daemons, and checks what their callers get from `NOTICED_FOR` on, and
 /// after the paths are restored.
 async fn cut_and_check(domains: &[&str], cut: &[usize], state: LinkState) {
-    let world = CutWorld::start(domains).await;
-    let others: Vec<usize> = (0..domains.len()).filter(|n| !cut.contains(n)).collect();
+    cut_in_and_check(&CutWorld::start(domains).await, cut, state).await;
+}
+
+async fn cut_in_and_check(world: &CutWorld, cut: &[usize], state: LinkState) {
+    let all = 0..world.daemons.len();
+    let others: Vec<usize> = all.filter(|n| !cut.contains(n)).collect();
     let warm_up = Duration::from_secs(1);
     let duration = warm_up + NOTICED_FOR + WATCHED + NOTICED_FOR + WATCHED_AFTER;
     let load = tokio::spawn(load(world.addresses(), duration));
@@ -266,7 +270,7 @@
     let ended = Instant::now();
     world.cut(cut, LinkState::Up);
     let outcomes = load.await.unwrap();
-    check_promises(&world, &outcomes);
+    check_promises(world, &outcomes);
     check_served(&outcomes, cut, &others, began + NOTICED_FOR, ended);
     let healed = ended + NOTICED_FOR;
     check_served(
@@ -283,6 +287,25 @@
     cut_and_check(&["a"; 6], &[0, 3], LinkState::Reset).await;
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_are_served_by_members_that_lost_all_hubs() {
+    let world = CutWorld::start(&["a"; 6]).await;
+    let (mut cut, mut members) = (Vec::new(), Vec::new());
+    eventually("three daemons are hubs", async || {
+        (cut, members) = (Vec::new(), Vec::new());
+        for (n, cut_daemon) in world.daemons.iter().enumerate() {
+            match metric(&cut_daemon.daemon, "saddlepulley_is_hub ").await > 0.0 {
+                true => cut.push(n),
+                false => members.push(n),
+            }
+        }
+        cut.len() == 3
+    })
+    .await;
+    cut.extend(members.split_off(1));
+    cut_in_and_check(&world, &cut, LinkState::Silent).await;
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn callers_are_served_by_daemons_that_can_open_no_new_connections_to_upstreams() {
     cut_and_check(&["a"; 6], &[0, 3], LinkState::NewRefused).await;
