Members that lost all hubs find the daemons that still reach the upstreams

What callers saw: where all hubs of a failure domain and some members are cut from all upstreams, 0 at the members that are cut while the hubs serve all (150 of 250 first tries at the cut daemons), at once, with 503.

Cause: a member knows hubs only, so that it had nobody to ask for a relay but daemons that were cut as well; the hubs knew the member that was left, found it within 0.7 s and told nobody. Class: a search ends with the daemons that one happens to know.

Now a daemon that finds no relay among those asks up to two hubs for further ones: the relays that they use, then members at random, eight at most; then it queries these as the others. One more call a round and cut daemon, none for requests.

--- a/src/cluster/feed/feed_server.rs
+++ b/src/cluster/feed/feed_server.rs
@@ -2,8 +2,8 @@
     super::{PackedUpdates, messages::*},
     crate::{
         cluster::{
-            CONFIG_PATH, ConfigServer, ControlKind, ERA_CONFIG_PATH, REACH_PATH,
-            answer_reach_query, is_relayed, relay,
+            CONFIG_PATH, ConfigServer, ControlKind, ERA_CONFIG_PATH, FURTHER_DAEMONS_PATH,
+            REACH_PATH, answer_further_daemons, answer_reach_query, is_relayed, relay,
         },
         gateway::{AnswerBody, Gateway, full_body, local_response, serve_local},
         names::SourceEra,
@@ -37,6 +37,7 @@
         async move {
             match request.uri().path() {
                 _ if is_relayed(&request) => relay(feed.gateway.clone(), request).await,
+                FURTHER_DAEMONS_PATH => answer_further_daemons(&feed.gateway),
                 REACH_PATH => answer_reach_query(feed.gateway.clone(), request).await,
                 ERA_PATH => feed.answer(request, FeedServer::era_update_for).await,
                 UPDATE_PATH => feed.answer(request, FeedServer::update_for).await,
--- a/src/cluster/relays/link_watcher.rs
+++ b/src/cluster/relays/link_watcher.rs
@@ -1,5 +1,8 @@
 use {
-    super::reach_query::{MAX_QUERIED, query_reach},
+    super::{
+        further_daemons::query_further_daemons,
+        reach_query::{MAX_QUERIED, query_reach},
+    },
     crate::{
         gateway::Gateway,
         http::{HttpClient, HttpError},
@@ -8,7 +11,7 @@
     },
     futures_util::future::join_all,
     http::StatusCode,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
 };
 
 /// Interval at which broken links are looked after.
@@ -17,6 +20,8 @@
 const QUERY_PAUSE: Duration = Duration::from_millis(20);
 /// Number of daemons that are queried at once.
 const QUERIED_DAEMONS: usize = 3;
+/// Number of hubs that are asked at once for further daemons.
+const ASKED_HUBS: usize = 2;
 /// Number of links that are tried at once.
 const MAX_PROBES: usize = 8;
 /// Interval at which it is checked whether all upstreams that have requests are silent.
@@ -53,9 +58,38 @@
     }
 }
 
-/// Queries other daemons, a few at a time, until one reaches an upstream or all were queried.
+/// Queries the daemons that this one knows, and then those that its hubs know, until the upstreams are
+/// reached.
 async fn query_daemons(gateway: &Arc<Gateway>, client: &HttpClient, ids: &[UpstreamId]) {
-    let mut candidates = gateway.relay_candidates();
+    query_each(gateway, client, ids, gateway.relay_candidates()).await;
+    if !gateway.unreached(ids).is_empty() {
+        let further = further_candidates(gateway, client).await;
+        query_each(gateway, client, ids, further).await;
+    }
+    gateway.record_all_queried(ids);
+}
+
+/// Asks hubs for daemons that may reach upstreams.
+async fn further_candidates(gateway: &Arc<Gateway>, client: &HttpClient) -> Vec<SocketAddr> {
+    let hubs = gateway.random_sample(gateway.hubs_to_ask(), ASKED_HUBS);
+    let queries = hubs.iter().map(|hub| query_further_daemons(client, *hub));
+    let named = join_all(queries).await;
+    for (hub, named) in hubs.iter().zip(&named) {
+        if let Err(e) = named {
+            log::info!(target: "reach", "hub did not name further daemons. hub={hub} error=\"{e}\"");
+        }
+    }
+    let named: BTreeSet<SocketAddr> = named.into_iter().flatten().flatten().collect();
+    gateway.usable_relays(named.into_iter().collect())
+}
+
+/// Queries daemons, a few at a time, until one reaches an upstream or all were queried.
+async fn query_each(
+    gateway: &Arc<Gateway>,
+    client: &HttpClient,
+    ids: &[UpstreamId],
+    mut candidates: Vec<SocketAddr>,
+) {
     while !candidates.is_empty() && !gateway.unreached(ids).is_empty() {
         let rest = candidates.split_off(candidates.len().min(QUERIED_DAEMONS));
         let queries = candidates
@@ -64,7 +98,6 @@
         join_all(queries).await;
         candidates = rest;
     }
-    gateway.record_all_queried(ids);
 }
 
 async fn query_one(
--- a/src/gateway/link_state.rs
+++ b/src/gateway/link_state.rs
@@ -20,6 +20,8 @@
 const MAX_VERDICT_WAIT: Duration = Duration::from_secs(2);
 /// Interval at which it is checked whether they have answered.
 const VERDICT_POLL: Duration = Duration::from_millis(10);
+/// Maximum number of daemons that are named to another one that finds no relay.
+const MAX_FURTHER: usize = 8;
 /// Timeout for opening a connection to an upstream.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -213,6 +215,38 @@
             .collect()
     }
 
+    /// Returns those of the given daemons that can be queried for upstreams, in random order.
+    pub fn usable_relays(&self, mut daemons: Vec<SocketAddr>) -> Vec<SocketAddr> {
+        daemons.shuffle(&mut *self.rng.lock());
+        let now_ms = self.steady_ms();
+        let own = self.settings.listen.peers;
+        let links = self.links.lock();
+        daemons.retain(|daemon| *daemon != own && links.is_usable(*daemon, now_ms));
+        daemons
+    }
+
+    /// Returns the hubs that may know further daemons: the others of the own failure domain, or those of
+    /// all domains if there are none.
+    pub fn hubs_to_ask(&self) -> Vec<SocketAddr> {
+        let near = self.peers.lock().own_hubs();
+        match near.is_empty() {
+            true => self.other_hubs().into_iter().collect(),
+            false => near,
+        }
+    }
+
+    /// Returns daemons that may reach upstreams, to name to one that finds none: those through which
+    /// requests of this daemon go, and some that report to it.
+    pub fn further_daemons(&self) -> Vec<SocketAddr> {
+        let relays = self.links.lock().relays();
+        let mut members = self.peers.lock().own_members();
+        members.retain(|member| !relays.contains(member));
+        let mut further = self.random_sample(relays, MAX_FURTHER);
+        let left = MAX_FURTHER - further.len();
+        further.extend(self.random_sample(members.into_iter().collect(), left));
+        further
+    }
+
     /// Returns the queried upstreams that neither this daemon nor another one is known to reach.
     pub fn unreached(&self, queried: &[UpstreamId]) -> Vec<UpstreamId> {
         self.links.lock().unreached(queried)
--- a/src/policy/reach/upstream_links.rs
+++ b/src/policy/reach/upstream_links.rs
@@ -250,7 +250,7 @@
     }
 
     /// Returns the daemons that reach any upstream to which this one has lost its link.
-    fn relays(&self) -> Vec<SocketAddr> {
+    pub fn relays(&self) -> Vec<SocketAddr> {
         let links = self.broken.values();
         let relays: BTreeSet<SocketAddr> = links.flat_map(|l| &l.relays).copied().collect();
         relays.into_iter().collect()
