Tests: no other process listens at the port of a path that is cut

Cause, by reading: a path that is cut closes its listener, at a port that the kernel gives out again to any other test: all have upstreams of the same ids and attempts of the same names, so that a daemon of one test reaches the upstream of another one, which counts a second run, and is ready. Not reproduced by itself.

--- a/tests/gateway/cut_proxy.rs
+++ b/tests/gateway/cut_proxy.rs
@@ -1,6 +1,7 @@
 //! A TCP forwarder between one daemon and one upstream, which can cut this path.
 
 use {
+    crate::ports::free_address,
     socket2::{Domain, Socket, Type},
     std::{
         io,
@@ -45,8 +46,9 @@
 
 impl CutProxy {
     pub async fn start(upstream: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
+        // While the path is cut, no other process of the tests may listen there.
+        let address = free_address();
+        let listener = TcpListener::bind(address).await.unwrap();
         let state = watch::Sender::new(LinkState::Up);
         let task = tokio::spawn(run(listener, address, upstream, state.subscribe()));
         Self {
