--- a/review/2/run.py
+++ b/review/2/run.py
@@ -19,7 +19,11 @@
 GAP_S = 0.1
 WARM_UP_S = 8
 # How long the daemons are without power.
-DOWN_S = 1.5
+DOWN_S = 2.0
+# The old runners, which are replaced one after the other.
+RUNNERS = 2
+# The pause between two of them.
+GAP_OF_RELEASE_S = 0.7
 DRAIN_S = 2.0
 # How much longer than `drain_ms` a runner serves whose entry has gone.
 LITTLE_LONGER_S = 6.5
@@ -117,7 +121,7 @@
     """Replaces runners one after the other: the new one starts first."""
     for before, after in zip(old, new):
         await after.start()
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(GAP_OF_RELEASE_S)
         before.withdraw()
         asyncio.get_running_loop().call_later(DRAIN_S + LITTLE_LONGER_S, before.end)
 
@@ -130,7 +134,7 @@
 
 async def play(record, daemons, platform):
     def runners(version):
-        return [Runner("i-%s-%d" % (version, n), version, platform, record, EVENTS, GAP_S) for n in range(2)]
+        return [Runner("i-%s-%d" % (version, n), version, platform, record, EVENTS, GAP_S) for n in range(RUNNERS)]
 
     old, new = runners("v1"), runners("v2")
     for runner in old:
