Daemons without requests know the versions that have gone

Cause: a daemon recorded the versions of a service only when it asked itself for them, as it began or took up a stream. An idle daemon had never recorded v1, although its directory had listed v1 for a minute, so its history of one version counted as proof that there was only one, and it asked nobody.

Ruled out: outdated directories (the idle daemons list v2 and no v1, as they should) and lost announcements (the two daemons that were told refused).

The new test fails there ("left: Unsure, right: Several") and passes now.

The mend: each change of the directory records the versions before and after it, so that the history holds what the directory held, whoever asked. It holds for members and hubs alike, as all go through this one function.

--- a/src/gateway/origin_state.rs
+++ b/src/gateway/origin_state.rs
@@ -9,7 +9,7 @@
             AnnouncedOrigin, AttemptKey, Resumption, ResumptionEvidence, SeenVersions,
             StreamOrigin, name_hash,
         },
-        upstreams::Upstream,
+        upstreams::{Upstream, UpstreamDirectory},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
     std::net::SocketAddr,
@@ -29,6 +29,17 @@
         history.observe(service, &list.versions, now_ms)
     }
 
+    /// Records the software versions of all known upstreams as seen. Each change of the directory calls
+    /// it, since a version may come and go while no request of its service arrives here.
+    pub(super) fn observe_versions(&self, directory: &UpstreamDirectory) {
+        let now_ms = self.steady_ms();
+        for service in directory.services() {
+            let list = directory.ready_list(service);
+            let mut history = self.version_history.lock();
+            history.observe(service, &list.versions, now_ms);
+        }
+    }
+
     /// Returns the version that began a stream, if this daemon knows it.
     pub fn known_origin(&self, key: AttemptKey) -> Option<UpstreamVersion> {
         let now_ms = self.steady_ms();
--- a/src/gateway/source_state.rs
+++ b/src/gateway/source_state.rs
@@ -14,10 +14,14 @@
         let lapsed_until_ms = self.source.lock().lapsed_until_ms(now_ms);
         let mut directory = self.directory.write();
         let before = directory.revision();
+        self.observe_versions(&directory);
         change(&mut directory, lapsed_until_ms);
         directory.expire_lapsed(now_ms);
         let revision = directory.revision();
         let changed = revision != before;
+        if changed {
+            self.observe_versions(&directory);
+        }
         let notes = directory.take_unlogged_changes();
         drop(directory);
         notes.log(revision);
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -557,6 +557,13 @@
         list
     }
 
+    /// Returns the services of all known upstreams.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        let all = self.by_service.iter();
+        let with_upstreams = all.filter(|(_, upstreams)| !upstreams.is_empty());
+        with_upstreams.map(|(service, _)| service)
+    }
+
     /// Returns the software versions of a service's known upstreams, also of those that leave.
     fn versions(&self, service: &ServiceName) -> Vec<UpstreamVersion> {
         let known = self.by_service.get(service).into_iter();
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -52,6 +52,7 @@
 mod spill;
 mod splice;
 mod stream_origins;
+mod stream_origins_state;
 mod support;
 mod suspension;
 mod table_fold;
