Streams go on at the version that began them after a loss of all daemons

Cause: with one version nothing is written of where streams begin, and which versions had served was known to the daemons' memory only. With that gone, "nobody knows" was decided like "there was one version".

Ruled out: a log that was written and not read (the topic was empty), and a choice by chance (none stayed at v1; each daemon logged version=any).

The mend: the versions of each service stand in a keyed topic of the platform. A reader of the shared source records a version before it uses its first upstream or tells others of it, so a daemon that starts knows what served before. A stream that nobody knows goes on at the version that served alone before the others came: since then origins are announced. What nobody can know is refused.

Also of this cause: the first hub that answered "one version" ended the search; a log of origins that could not be read in time counted as read, and a slow read was given up each time.

Two tests changed: decide(Unsure, Unsure) was Anywhere, which is the fault; it is Nowhere now. is_open is asked with the versions as well; its cases stand.

--- a/src/cluster/messages/exchange.rs
+++ b/src/cluster/messages/exchange.rs
@@ -124,7 +124,9 @@
             }
             Extension::Origins(part) => apply_origins(gateway, part),
             Extension::OriginQuery(query) => answer_origin_query(gateway, query, from).await,
-            Extension::OriginAnswer(answer) => gateway.apply_origin_answer(answer),
+            Extension::OriginAnswer(answer) => {
+                gateway.apply_origin_answer(answer, packet.alone_version());
+            }
             Extension::PartCrashes(part) => apply_part_crashes(gateway, part),
             Extension::Samples(part) => apply_samples(gateway, part),
             Extension::Speeds(part) => apply_speeds(gateway, part, packet.scatters()),
@@ -134,6 +136,7 @@
             | Extension::Urgency(_)
             | Extension::OnlyVersion(_)
             | Extension::Scatters(_)
+            | Extension::AloneVersion(_)
             | Extension::Held(_) => {}
         }
     }
--- a/src/cluster/messages/extension.rs
+++ b/src/cluster/messages/extension.rs
@@ -10,7 +10,7 @@
 };
 
 /// The extension level of this build. It increases with each addition to the extensions.
-pub const EXTENSION_LEVEL: u8 = 7;
+pub const EXTENSION_LEVEL: u8 = 8;
 /// The level from which on a daemon supports limits that upstreams name.
 pub const LIMITS_LEVEL: u8 = 1;
 /// The level from which on a daemon sends the updates of its directory without entries that only
@@ -50,6 +50,7 @@
 const ORIGIN_QUERY: u8 = 20;
 const ORIGIN_ANSWER: u8 = 21;
 const PART_CRASHES: u8 = 22;
+const ALONE_VERSION: u8 = 23;
 
 /// An addition behind the message of a datagram, with its kind and length. Builds that don't know a
 /// kind skip it, and builds without extensions ignore the bytes behind the message. New kinds may
@@ -100,6 +101,8 @@
     OriginAnswer(OriginAnswer),
     /// Parts of prompts during which upstreams crashed.
     PartCrashes(PartCrashesPart),
+    /// The software version that is known to have served alone; sent with an [`OriginAnswer`].
+    AloneVersion(String),
 }
 
 impl Extension {
@@ -132,6 +135,7 @@
             Self::OriginQuery(query) => append(bytes, ORIGIN_QUERY, query),
             Self::OriginAnswer(answer) => append(bytes, ORIGIN_ANSWER, answer),
             Self::PartCrashes(part) => append(bytes, PART_CRASHES, part),
+            Self::AloneVersion(version) => append(bytes, ALONE_VERSION, version),
         }
     }
 
@@ -174,6 +178,7 @@
             ORIGIN_QUERY => decode_body(body).map(Self::OriginQuery),
             ORIGIN_ANSWER => decode_body(body).map(Self::OriginAnswer),
             PART_CRASHES => decode_body(body).map(Self::PartCrashes),
+            ALONE_VERSION => decode_body(body).map(Self::AloneVersion),
             _ => None,
         }
     }
--- a/src/cluster/messages/packet.rs
+++ b/src/cluster/messages/packet.rs
@@ -116,6 +116,14 @@
         })
     }
 
+    /// Returns the software version that the sender of an [`OriginAnswer`] knows to have served alone.
+    pub fn alone_version(&self) -> Option<&str> {
+        self.extensions.iter().find_map(|e| match e {
+            Extension::AloneVersion(version) => Some(version.as_str()),
+            _ => None,
+        })
+    }
+
     /// Returns the held tokens that go with the loads in the packet; none if the sender states none.
     pub fn held(&self) -> Option<&HeldPart> {
         self.extensions.iter().find_map(|e| match e {
--- a/src/cluster/origins/origin_answers.rs
+++ b/src/cluster/origins/origin_answers.rs
@@ -18,13 +18,16 @@
     from: SocketAddr,
 ) {
     let version = gateway.known_origin(AttemptKey(query.attempt));
-    let seen = gateway.seen_versions(&query.service.as_str().into());
+    let versions = gateway.known_versions(&query.service.as_str().into());
     let answer = OriginAnswer {
         incarnation: query.incarnation,
         id: query.id,
         version: version.map(|v| v.to_string()),
-        seen: OriginAnswer::code_of(seen),
+        seen: OriginAnswer::code_of(versions.seen),
     };
-    let answer = Extension::OriginAnswer(answer);
-    gateway.send_packet(&answer.into(), from).await;
+    let mut packet = Packet::from(Extension::OriginAnswer(answer));
+    if let Some(alone) = versions.alone {
+        packet = packet.with(Extension::AloneVersion(alone.to_string()));
+    }
+    gateway.send_packet(&packet, from).await;
 }
--- a/src/cluster/origins/origin_log.rs
+++ b/src/cluster/origins/origin_log.rs
@@ -25,7 +25,7 @@
 /// The versions that began streams, in a log that outlives all daemons.
 pub struct OriginLog {
     log: Arc<dyn SharedLog>,
-    reader: tokio::sync::Mutex<Reader>,
+    reader: Arc<tokio::sync::Mutex<Reader>>,
 }
 
 #[derive(Default)]
@@ -33,7 +33,8 @@
     era: SourceEra,
     /// The offset of the next record to read.
     next: u64,
-    last_read: Option<Instant>,
+    /// When the last read began, and whether it succeeded.
+    last_read: Option<(Instant, bool)>,
 }
 
 impl fmt::Debug for OriginLog {
@@ -47,28 +48,28 @@
     pub fn new(log: Arc<dyn SharedLog>) -> Self {
         Self {
             log,
-            reader: tokio::sync::Mutex::default(),
+            reader: Arc::default(),
         }
     }
 
     /// Reads what was written since the last read, and records it. Does nothing if the last read is recent.
-    pub async fn read(&self, gateway: &Gateway) {
-        let read = async {
-            let mut reader = self.reader.lock().await;
-            let is_recent = |at: Instant| at.elapsed() < MIN_READ_INTERVAL;
-            if reader.last_read.is_some_and(is_recent) {
-                return Ok(());
-            }
-            reader.last_read = Some(Instant::now());
-            reader.read_all(&*self.log, gateway).await
-        };
+    /// Returns whether all was read. A read that takes longer than a request waits goes on for the
+    /// next one.
+    pub async fn read(&self, gateway: &Arc<Gateway>) -> bool {
+        let read = tokio::spawn(read_since(
+            self.log.clone(),
+            self.reader.clone(),
+            gateway.clone(),
+        ));
         match tokio::time::timeout(MAX_READ_WAIT, read).await {
-            Ok(Ok(())) => {}
+            Ok(Ok(is_read)) => is_read,
             Ok(Err(e)) => {
-                log::info!(target: "stream", "versions of streams could not be read. error=\"{e}\"");
+                log::error!(target: "stream", "reading versions of streams ended early. error=\"{e}\"");
+                false
             }
             Err(_) => {
                 log::info!(target: "stream", "versions of streams could not be read in time.");
+                false
             }
         }
     }
@@ -84,6 +85,27 @@
     }
 }
 
+async fn read_since(
+    log: Arc<dyn SharedLog>,
+    reader: Arc<tokio::sync::Mutex<Reader>>,
+    gateway: Arc<Gateway>,
+) -> bool {
+    let asked_at = Instant::now();
+    let mut reader = reader.lock().await;
+    if let Some((began_at, is_read)) = reader.last_read
+        && (began_at >= asked_at || began_at.elapsed() < MIN_READ_INTERVAL)
+    {
+        return is_read;
+    }
+    let began_at = Instant::now();
+    let read = reader.read_all(&*log, &gateway).await;
+    reader.last_read = Some((began_at, read.is_ok()));
+    if let Err(e) = &read {
+        log::info!(target: "stream", "versions of streams could not be read. error=\"{e}\"");
+    }
+    read.is_ok()
+}
+
 impl Reader {
     async fn read_all(
         &mut self,
--- a/src/cluster/origins/origin_query.rs
+++ b/src/cluster/origins/origin_query.rs
@@ -1,5 +1,8 @@
 use {
-    crate::policy::SeenVersions,
+    crate::{
+        names::UpstreamVersion,
+        policy::{KnownVersions, SeenVersions},
+    },
     bincode::{Decode, Encode},
 };
 
@@ -16,7 +19,8 @@
     pub attempt: u64,
 }
 
-/// The answer to an [`OriginQuery`].
+/// The answer to an [`OriginQuery`]. [`Extension::AloneVersion`](crate::cluster::Extension::AloneVersion)
+/// goes with it.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct OriginAnswer {
     /// The incarnation of the daemon that sent the query.
@@ -29,6 +33,15 @@
     pub seen: u8,
 }
 
+/// An answer as received, with what goes with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReceivedOrigin {
+    /// The version that began the stream, if the daemon knows it.
+    pub version: Option<UpstreamVersion>,
+    /// What the daemon knows of the versions of the service.
+    pub versions: KnownVersions,
+}
+
 const UNSURE: u8 = 0;
 const ONE: u8 = 1;
 const SEVERAL: u8 = 2;
@@ -51,4 +64,15 @@
             _ => SeenVersions::Unsure,
         }
     }
+
+    /// Returns the answer with the version that the daemon knows to have served alone, if it names one.
+    pub fn received(&self, alone: Option<&str>) -> ReceivedOrigin {
+        ReceivedOrigin {
+            version: self.version.as_deref().map(UpstreamVersion::from),
+            versions: KnownVersions {
+                seen: self.seen(),
+                alone: alone.map(UpstreamVersion::from),
+            },
+        }
+    }
 }
--- /dev/null
+++ b/src/cluster/origins/version_recorder.rs
@@ -0,0 +1,159 @@
+use {
+    super::{VersionRecords, VersionsPage},
+    crate::{cluster::BackendError, gateway::Gateway, policy::RecordedVersions},
+    parking_lot::Mutex,
+    std::{fmt, sync::Arc, time::Duration},
+};
+
+/// Interval between checks for versions that have to be recorded, or need no record any more.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time for which the upstreams of a new version wait for its record.
+const MAX_RECORD_WAIT: Duration = Duration::from_millis(300);
+/// Maximum number of writes of one call, each of which fails if another daemon has written.
+const MAX_WRITES: usize = 4;
+
+/// Keeps the software versions of each service in a store that outlives all daemons.
+///
+/// The daemons that read the upstreams from the shared source record a version before they use its first
+/// upstream, or tell others of it. After a loss of all daemons the record thus shows at which versions
+/// their streams may have begun.
+pub struct VersionRecorder {
+    records: Arc<dyn VersionRecords>,
+    /// What the store holds, as far as known; `None` before the first read.
+    known: Mutex<Option<VersionsPage>>,
+    /// Lets one call at a time change the records.
+    calls: tokio::sync::Mutex<()>,
+}
+
+impl fmt::Debug for VersionRecorder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let known = &self.known;
+        f.debug_struct("VersionRecorder")
+            .field("known", known)
+            .finish_non_exhaustive()
+    }
+}
+
+impl VersionRecorder {
+    /// Creates a recorder that keeps its records in a store.
+    pub fn new(records: Arc<dyn VersionRecords>) -> Self {
+        Self {
+            records,
+            known: Mutex::default(),
+            calls: tokio::sync::Mutex::default(),
+        }
+    }
+
+    /// Returns whether all these versions are known to be recorded.
+    fn has_all(&self, versions: &RecordedVersions) -> bool {
+        let known = self.known.lock();
+        known
+            .as_ref()
+            .is_some_and(|known| known.versions.has_all(versions))
+    }
+
+    /// Returns the known records, unless they may have been lost since.
+    fn known(&self, gateway: &Gateway) -> Option<VersionsPage> {
+        let era = gateway.directory.read().era();
+        let known = self.known.lock();
+        let is_lost = |known: &VersionsPage| era.follows_restore(known.position.era);
+        known.clone().filter(|known| !is_lost(known))
+    }
+
+    /// Reads the records once. A daemon that reads the shared source then also keeps them current.
+    async fn keep(&self, gateway: &Gateway) -> Result<(), BackendError> {
+        let is_writer = *gateway.reads_source.borrow();
+        if !is_writer && self.known.lock().is_some() {
+            return Ok(());
+        }
+        if !is_writer {
+            return self.read_if_unknown(gateway).await.map(drop);
+        }
+        let known = self.known(gateway);
+        if known.is_some_and(|known| known.versions == gateway.versions_to_record()) {
+            return Ok(());
+        }
+        self.record(gateway, &RecordedVersions::default()).await
+    }
+
+    /// Records the versions that this daemon has seen, and the needed ones.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the needed versions may not be recorded.
+    async fn record(
+        &self,
+        gateway: &Gateway,
+        needed: &RecordedVersions,
+    ) -> Result<(), BackendError> {
+        let _call = self.calls.lock().await;
+        for _ in 0..MAX_WRITES {
+            let known = self.read_if_unknown(gateway).await?;
+            let mut wanted = gateway.versions_to_record();
+            wanted.add_all(needed);
+            let changes = known.versions.changes_to(&wanted);
+            if changes.is_empty() {
+                return Ok(());
+            }
+            // Until the outcome of the write is known, so are the records not.
+            *self.known.lock() = None;
+            let written = self.records.write_at(known.position, &changes).await?;
+            if let Some(position) = written.filter(|p| p.era == known.position.era) {
+                log::info!(target: "stream", "versions of services recorded. services={changes:?}");
+                let versions = wanted;
+                *self.known.lock() = Some(VersionsPage { versions, position });
+                return Ok(());
+            }
+        }
+        Err(BackendError::NotDone("other daemons write".to_string()))
+    }
+
+    async fn read_if_unknown(&self, gateway: &Gateway) -> Result<VersionsPage, BackendError> {
+        if let Some(known) = self.known(gateway) {
+            return Ok(known);
+        }
+        let page = self.records.read().await?;
+        gateway.apply_recorded_versions(&page.versions);
+        *self.known.lock() = Some(page.clone());
+        Ok(page)
+    }
+}
+
+impl Gateway {
+    /// Waits until these versions of services are recorded, for a limited time. They may be used then.
+    pub async fn until_recorded(&self, versions: &RecordedVersions) {
+        let Some(recorder) = self.version_recorder() else {
+            return;
+        };
+        if recorder.has_all(versions) {
+            return;
+        }
+        let record = recorder.record(self, versions);
+        let error = match tokio::time::timeout(MAX_RECORD_WAIT, record).await {
+            Ok(Ok(())) => return,
+            Ok(Err(e)) => e.to_string(),
+            Err(_) => "no answer in time".to_string(),
+        };
+        log::warn!(target: "stream", "versions of services are used before they are recorded. error=\"{error}\"");
+    }
+}
+
+/// Reads which versions served before this daemon's start, and keeps the records current while this daemon
+/// reads the shared source.
+pub async fn keep_versions_recorded(gateway: Arc<Gateway>) {
+    let Some(recorder) = gateway.version_recorder() else {
+        return;
+    };
+    loop {
+        let pause = match recorder.keep(&gateway).await {
+            Ok(()) => CHECK_INTERVAL,
+            Err(e) => {
+                log::info!(target: "stream", "versions of services could not be recorded. error=\"{e}\"");
+                FAILURE_PAUSE
+            }
+        };
+        tokio::time::sleep(pause).await;
+    }
+}
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -4,9 +4,9 @@
         clock::BootInstant,
         cluster::{
             ControlTraffic, DaemonEntry, EventLog, FormerListeners, HubClient, IssuerClient,
-            LeavingQueue, MemberTable, OriginAnswer, OriginLog, PeerTable, PeerVersions,
-            PermitAnswer, ReleasedSlot, SlotAnswer, StandaloneQuotas, UsageAnnouncer,
-            VersionCountTable,
+            LeavingQueue, MemberTable, OriginLog, PeerTable, PeerVersions, PermitAnswer,
+            ReceivedOrigin, ReleasedSlot, SlotAnswer, StandaloneQuotas, UsageAnnouncer,
+            VersionCountTable, VersionRecorder,
         },
         conf::GatewaySettings,
         names::{FailureDomain, ServiceName, SourceEra, SourcePosition, UpstreamId},
@@ -86,9 +86,11 @@
     /// Which software versions this daemon has seen of each service.
     pub(super) version_history: Mutex<VersionHistory>,
     /// Queries for the software versions that began streams.
-    pub(super) origin_client: IssuerClient<OriginAnswer>,
+    pub(super) origin_client: IssuerClient<ReceivedOrigin>,
     /// The shared log of the software versions that began streams; unset without a platform.
     pub(super) origin_log: OnceLock<OriginLog>,
+    /// Keeps the software versions of each service on the platform; unset without one.
+    pub(super) version_recorder: OnceLock<VersionRecorder>,
     /// Counts the control messages sent to other daemons, and their bytes.
     pub control: ControlTraffic,
     /// The message versions that other daemons use.
@@ -243,6 +245,7 @@
             version_history: Mutex::default(),
             origin_client: IssuerClient::default(),
             origin_log: OnceLock::new(),
+            version_recorder: OnceLock::new(),
             control: ControlTraffic::default(),
             peer_versions: Mutex::default(),
             cut_offs: Mutex::default(),
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -192,7 +192,7 @@
 /// Finds the software version that a stream may go on at which the client takes up. Refuses the request
 /// if that is unknown, or no upstream of this version is left.
 async fn check_resumption(
-    gateway: &Gateway,
+    gateway: &Arc<Gateway>,
     context: &RequestContext,
 ) -> Result<(), Box<Response<AnswerBody>>> {
     let resumption = gateway.find_resumption(context).await;
@@ -207,7 +207,9 @@
             let detail = "not run: it is unknown which software version began the stream";
             return refused(detail, UNKNOWN_ORIGIN_RETRY_AFTER);
         }
-        Resumption::At(version) => context.stream_version.get_or_init(|| version),
+        Resumption::At(version) | Resumption::Inferred(version) => {
+            context.stream_version.get_or_init(|| version)
+        }
     };
     match gateway.has_ready_upstream(&context.service, |u| context.may_run_at(u)) {
         true => Ok(()),
--- a/src/gateway/origin_state.rs
+++ b/src/gateway/origin_state.rs
@@ -3,16 +3,19 @@
 use {
     super::{DROPPED_ORIGINS, Gateway, RequestContext, TAKEN_UP_STREAMS},
     crate::{
-        cluster::{Extension, ORIGINS_LEVEL, OriginAnswer, OriginLog, OriginQuery, OriginsPart},
+        cluster::{
+            Extension, ORIGINS_LEVEL, OriginAnswer, OriginLog, OriginQuery, OriginsPart,
+            VersionRecorder,
+        },
         names::{ServiceName, UpstreamVersion},
         policy::{
-            AnnouncedOrigin, AttemptKey, Resumption, ResumptionEvidence, SeenVersions,
-            StreamOrigin, name_hash,
+            AnnouncedOrigin, AttemptKey, KnownVersions, RecordedVersions, Resumption,
+            ResumptionEvidence, SeenVersions, StreamOrigin, name_hash,
         },
         upstreams::{Upstream, UpstreamDirectory},
     },
     futures_util::{StreamExt, stream::FuturesUnordered},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, sync::Arc},
 };
 
 /// Number of other daemons that keep the origin of each stream.
@@ -21,12 +24,21 @@
 const RETURN_MS: u64 = 30_000;
 
 impl Gateway {
-    /// Returns how many software versions of a service this daemon has seen lately.
-    pub fn seen_versions(&self, service: &ServiceName) -> SeenVersions {
+    /// Returns what this daemon knows of the software versions that a service has had lately.
+    pub fn known_versions(&self, service: &ServiceName) -> KnownVersions {
         let list = self.directory.read().ready_list(service);
         let now_ms = self.steady_ms();
         let mut history = self.version_history.lock();
-        history.observe(service, &list.versions, now_ms)
+        let versions = history.observe(service, &list.versions, now_ms);
+        let has_record = self.version_recorder.get().is_some();
+        match versions.seen {
+            // Without a platform nothing is known from before the start, nor can it be found out.
+            SeenVersions::Unsure if !has_record => KnownVersions {
+                seen: SeenVersions::One,
+                ..versions
+            },
+            _ => versions,
+        }
     }
 
     /// Records the software versions of all known upstreams as seen. Each change of the directory calls
@@ -40,6 +52,36 @@
         }
     }
 
+    /// Returns whether this daemon knows that a service has had one software version only. The origins
+    /// of its streams need not be announced then.
+    fn has_one_version(&self, service: &ServiceName) -> bool {
+        self.known_versions(service).seen == SeenVersions::One
+    }
+
+    /// Adds the software versions that were recorded before this daemon started, or by others.
+    pub(crate) fn apply_recorded_versions(&self, recorded: &RecordedVersions) {
+        let now_ms = self.steady_ms();
+        let mut history = self.version_history.lock();
+        history.add_record(recorded, now_ms);
+    }
+
+    /// Returns the software versions of all services that have to be recorded.
+    pub(crate) fn versions_to_record(&self) -> RecordedVersions {
+        self.observe_versions(&self.directory.read());
+        let now_ms = self.steady_ms();
+        self.version_history.lock().seen(now_ms)
+    }
+
+    /// Sets the recorder of software versions. It is set once, when the daemon starts.
+    pub fn set_version_recorder(&self, recorder: VersionRecorder) {
+        self.version_recorder.get_or_init(|| recorder);
+    }
+
+    /// Returns the recorder of software versions; none without a platform.
+    pub(crate) fn version_recorder(&self) -> Option<&VersionRecorder> {
+        self.version_recorder.get()
+    }
+
     /// Returns the version that began a stream, if this daemon knows it.
     pub fn known_origin(&self, key: AttemptKey) -> Option<UpstreamVersion> {
         let now_ms = self.steady_ms();
@@ -65,7 +107,8 @@
     }
 
     /// Records the upstream that began a client's stream, before the client gets the first event.
-    /// Returns what is to be announced at once: nothing while the service has one version only.
+    /// Returns what is to be announced at once: nothing while the service is known to have one version
+    /// only.
     pub(super) fn record_own_origin(
         &self,
         context: &RequestContext,
@@ -81,12 +124,12 @@
             version: upstream.version.clone(),
         };
         let expires_ms = now_ms + context.route.timeout_ms + RETURN_MS;
-        let seen = self.seen_versions(&upstream.service);
+        let is_announced = !self.has_one_version(&upstream.service);
         let mut origins = self.origins.lock();
         origins.record_own(key, origin, expires_ms, now_ms);
-        match seen {
-            SeenVersions::Several => origins.take_unannounced_of(key, now_ms),
-            SeenVersions::One | SeenVersions::Unsure => None,
+        match is_announced {
+            true => origins.take_unannounced_of(key, now_ms),
+            false => None,
         }
     }
 
@@ -96,17 +139,15 @@
         if !self.origins.lock().has_unannounced() {
             return Vec::new();
         }
-        let services = self.services();
-        let several: Vec<ServiceName> = services
-            .into_iter()
-            .filter(|service| self.seen_versions(service) == SeenVersions::Several)
-            .collect();
-        if several.is_empty() {
+        let services = self.services().into_iter();
+        let due = services.filter(|service| !self.has_one_version(service));
+        let due: Vec<ServiceName> = due.collect();
+        if due.is_empty() {
             return Vec::new();
         }
         let now_ms = self.steady_ms();
         let mut origins = self.origins.lock();
-        origins.take_unannounced(|service| several.contains(service), now_ms)
+        origins.take_unannounced(|service| due.contains(service), now_ms)
     }
 
     fn services(&self) -> Vec<ServiceName> {
@@ -146,12 +187,12 @@
 
     /// Returns the upstreams at which a stream may go on that a client takes up. Asks other daemons and
     /// the shared log if this daemon does not know.
-    pub(super) async fn find_resumption(&self, context: &RequestContext) -> Resumption {
+    pub(super) async fn find_resumption(self: &Arc<Self>, context: &RequestContext) -> Resumption {
         let service = &context.service;
         let mut evidence = ResumptionEvidence::default();
         let key = context.origin_key();
         let known = key.and_then(|key| self.known_origin(key));
-        evidence.add(known, self.seen_versions(service));
+        evidence.add(known, self.known_versions(service));
         if let Some(key) = key {
             let (near, far) = self.origin_daemons();
             for daemons in [near, far] {
@@ -160,11 +201,8 @@
                         .await;
                 }
             }
-            if evidence.is_open()
-                && let Some(log) = self.origin_log.get()
-            {
-                log.read(self).await;
-                evidence.add(self.known_origin(key), self.seen_versions(service));
+            if evidence.is_open() {
+                self.read_origin(service, key, &mut evidence).await;
             }
         }
         evidence.decide()
@@ -190,20 +228,36 @@
             .iter()
             .map(|daemon| self.origin_client.query(self, *daemon, query));
         let mut answers: FuturesUnordered<_> = queries.collect();
-        while evidence.is_open()
+        while !evidence.has_origin()
             && let Some(answer) = answers.next().await
         {
             if let Some(answer) = answer {
-                let version = answer.version.as_deref().map(UpstreamVersion::from);
-                evidence.add(version, answer.seen());
+                evidence.add(answer.version, answer.versions);
             }
         }
     }
 
-    /// Applies an answer to a query of this daemon.
-    pub(crate) fn apply_origin_answer(&self, answer: &OriginAnswer) {
+    /// Reads the shared log for the origin of a stream.
+    async fn read_origin(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        key: AttemptKey,
+        evidence: &mut ResumptionEvidence,
+    ) {
+        let Some(log) = self.origin_log.get() else {
+            return;
+        };
+        if !log.read(self).await {
+            evidence.record_unread_log();
+        }
+        evidence.add(self.known_origin(key), self.known_versions(service));
+    }
+
+    /// Applies an answer to a query of this daemon. `alone` is the version that the other daemon knows to
+    /// have served alone.
+    pub(crate) fn apply_origin_answer(&self, answer: &OriginAnswer, alone: Option<&str>) {
         if answer.incarnation == self.incarnation {
-            self.origin_client.apply(answer.id, answer.clone());
+            self.origin_client.apply(answer.id, answer.received(alone));
         }
     }
 
@@ -230,13 +284,14 @@
     pub(super) fn count_taken_up(&self, context: &RequestContext, resumption: &Resumption) {
         let (label, version) = match resumption {
             Resumption::At(version) => ("known", version.as_str()),
+            Resumption::Inferred(version) => ("inferred", version.as_str()),
             Resumption::Anywhere => ("one_version", "any"),
             Resumption::Nowhere => ("unknown", "unknown"),
         };
         metrics::counter!(TAKEN_UP_STREAMS, "version" => label).increment(1);
         log::info!(
             target: "stream",
-            "stream taken up. request={} resumes={} last_event={:?} version={version}",
+            "stream taken up. request={} resumes={} last_event={:?} origin={label} version={version}",
             context.id_text(),
             context.resumed_text(),
             context.last_event_id
--- a/src/policy/origins/mod.rs
+++ b/src/policy/origins/mod.rs
@@ -3,8 +3,12 @@
 
 mod attempt_key;
 mod origin_table;
+mod recorded_versions;
 mod resumption;
 mod stream_origin;
 mod version_history;
 
-pub use {attempt_key::*, origin_table::*, resumption::*, stream_origin::*, version_history::*};
+pub use {
+    attempt_key::*, origin_table::*, recorded_versions::*, resumption::*, stream_origin::*,
+    version_history::*,
+};
--- a/src/policy/origins/resumption.rs
+++ b/src/policy/origins/resumption.rs
@@ -1,11 +1,18 @@
-use {super::SeenVersions, crate::names::UpstreamVersion};
+use {
+    super::{KnownVersions, SeenVersions},
+    crate::names::UpstreamVersion,
+    std::collections::BTreeSet,
+};
 
 /// Which upstreams may continue a stream that a client takes up.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Resumption {
-    /// Those of this version, which began the stream.
+    /// Those of this version, which is known to have begun the stream.
     At(UpstreamVersion),
-    /// Any: only one version has served while the stream may have begun.
+    /// Those of this version, which served alone when the stream began: nobody knows its origin, and origins
+    /// are announced while there are several versions.
+    Inferred(UpstreamVersion),
+    /// Any: no daemon has seen any version of the service.
     Anywhere,
     /// None: the stream may have begun at any of several versions, and what two of them write does not fit
     /// together.
@@ -16,30 +23,55 @@
 #[derive(Clone, Debug, Default)]
 pub struct ResumptionEvidence {
     origin: Option<UpstreamVersion>,
+    /// The versions that daemons know to have served alone.
+    alone: BTreeSet<UpstreamVersion>,
     has_seen_several: bool,
     has_seen_only_one: bool,
+    is_log_unread: bool,
 }
 
 impl ResumptionEvidence {
     /// Adds what one daemon, or the shared log, knows.
-    pub fn add(&mut self, origin: Option<UpstreamVersion>, seen: SeenVersions) {
+    pub fn add(&mut self, origin: Option<UpstreamVersion>, versions: KnownVersions) {
         self.origin = self.origin.take().or(origin);
-        self.has_seen_several |= seen == SeenVersions::Several;
-        self.has_seen_only_one |= seen == SeenVersions::One;
+        self.alone.extend(versions.alone);
+        self.has_seen_several |= versions.seen == SeenVersions::Several;
+        self.has_seen_only_one |= versions.seen == SeenVersions::One;
+    }
+
+    /// Records that the shared log of origins could not be read: it may hold the stream's origin.
+    pub fn record_unread_log(&mut self) {
+        self.is_log_unread = true;
+    }
+
+    /// Returns whether the version that began the stream is known.
+    pub fn has_origin(&self) -> bool {
+        self.origin.is_some()
     }
 
     /// Returns whether asking others may still change the decision.
     pub fn is_open(&self) -> bool {
-        self.origin.is_none() && (self.has_seen_several || !self.has_seen_only_one)
+        !self.has_origin() && !self.is_sure_of_one()
     }
 
-    /// Decides by what is known. If no daemon has run for long enough to know the versions of that time,
-    /// those that serve now decide.
+    fn is_sure_of_one(&self) -> bool {
+        self.has_seen_only_one && !self.has_seen_several && self.alone.len() <= 1
+    }
+
+    /// Decides by what is known. If no daemon knows the versions from before the stream's
+    /// begin, the stream can't go on: any version that serves now may be another one.
     pub fn decide(self) -> Resumption {
-        match self.origin {
-            Some(version) => Resumption::At(version),
-            None if self.has_seen_several => Resumption::Nowhere,
-            None => Resumption::Anywhere,
+        let is_sure_of_one = self.is_sure_of_one();
+        if let Some(version) = self.origin {
+            return Resumption::At(version);
+        }
+        let mut alone = self.alone.into_iter();
+        match (alone.next(), alone.next()) {
+            (Some(version), None) if is_sure_of_one || !self.is_log_unread => {
+                Resumption::Inferred(version)
+            }
+            (None, _) if is_sure_of_one => Resumption::Anywhere,
+            _ => Resumption::Nowhere,
         }
     }
 }
--- a/tests/decisions/stream_origins.rs
+++ b/tests/decisions/stream_origins.rs
@@ -70,7 +70,7 @@
     let service = ServiceName::from("s");
     let mut observe = |versions: &[&str], now_ms| {
         let versions: Vec<UpstreamVersion> = versions.iter().map(|v| (*v).into()).collect();
-        history.observe(&service, &versions, now_ms)
+        history.observe(&service, &versions, now_ms).seen
     };
     assert_eq!(observe(&["v1"], 0), SeenVersions::Unsure);
     assert_eq!(observe(&["v1"], MINUTE_MS), SeenVersions::One);
@@ -79,43 +79,186 @@
     assert_eq!(observe(&["v2"], 2 * MINUTE_MS + 2), SeenVersions::One);
 }
 
-fn decide(known: &[(Option<&str>, SeenVersions)]) -> Resumption {
+#[test]
+fn versions_from_before_the_start_are_known_from_the_record() {
+    let service = ServiceName::from("s");
+    let recorded = |versions: &[&str]| {
+        let mut recorded = RecordedVersions::default();
+        for version in versions {
+            recorded.add(&service, &(*version).into());
+        }
+        recorded
+    };
+    let observe = |history: &mut VersionHistory, versions: &[&str], now_ms| {
+        let versions: Vec<UpstreamVersion> = versions.iter().map(|v| (*v).into()).collect();
+        let known = history.observe(&service, &versions, now_ms);
+        (known.seen, known.alone.map(|v| v.to_string()))
+    };
+    let alone = |version: &str| Some(version.to_string());
+
+    let mut history = VersionHistory::default();
+    history.add_record(&recorded(&["v1"]), 10);
+    assert_eq!(
+        observe(&mut history, &["v1"], 20),
+        (SeenVersions::One, alone("v1"))
+    );
+    assert_eq!(
+        observe(&mut history, &["v2"], 30),
+        (SeenVersions::Several, alone("v1"))
+    );
+    assert_eq!(history.seen(40), recorded(&["v1", "v2"]));
+    assert_eq!(
+        observe(&mut history, &["v2"], MINUTE_MS + 31),
+        (SeenVersions::One, alone("v2"))
+    );
+    assert_eq!(history.seen(MINUTE_MS + 31), recorded(&["v2"]));
+
+    // The upstreams may be known before the record is.
+    let mut history = VersionHistory::default();
+    assert_eq!(
+        observe(&mut history, &["v2", "v3"], 10),
+        (SeenVersions::Several, None)
+    );
+    history.add_record(&recorded(&["v1"]), 20);
+    assert_eq!(
+        observe(&mut history, &["v2", "v3"], 30),
+        (SeenVersions::Several, alone("v1"))
+    );
+
+    // Several versions served before the start.
+    let mut history = VersionHistory::default();
+    history.add_record(&recorded(&["v1", "v2"]), 10);
+    assert_eq!(
+        observe(&mut history, &["v2"], 20),
+        (SeenVersions::Several, None)
+    );
+
+    // Nothing served before the start, and two versions came at once.
+    let mut history = VersionHistory::default();
+    history.add_record(&recorded(&[]), 10);
+    assert_eq!(
+        observe(&mut history, &["v1", "v2"], 20),
+        (SeenVersions::Several, None)
+    );
+}
+
+#[test]
+fn a_version_that_served_alone_is_known_until_its_streams_can_not_be_taken_up() {
+    let service = ServiceName::from("s");
+    let mut history = VersionHistory::default();
+    let mut alone_at = |versions: &[&str], now_ms| {
+        let versions: Vec<UpstreamVersion> = versions.iter().map(|v| (*v).into()).collect();
+        let known = history.observe(&service, &versions, now_ms);
+        known.alone.map(|v| v.to_string())
+    };
+    assert_eq!(
+        alone_at(&["v1"], 0),
+        None,
+        "it is not known what was before"
+    );
+    assert_eq!(alone_at(&["v1"], MINUTE_MS).as_deref(), Some("v1"));
+    assert_eq!(
+        alone_at(&["v1", "v2"], MINUTE_MS + 1).as_deref(),
+        Some("v1")
+    );
+    assert_eq!(
+        alone_at(&["v1", "v2", "v3"], 2 * MINUTE_MS).as_deref(),
+        Some("v1")
+    );
+    assert_eq!(alone_at(&["v1", "v2"], 2 * MINUTE_MS + 2), None);
+}
+
+/// What one daemon knows: the origin, how many versions it has seen, and which of them served alone.
+type Known<'a> = (Option<&'a str>, SeenVersions, Option<&'a str>);
+
+fn evidence(known: &[Known]) -> ResumptionEvidence {
     let mut evidence = ResumptionEvidence::default();
-    for (version, seen) in known {
-        evidence.add(version.map(UpstreamVersion::from), *seen);
+    for (origin, seen, alone) in known {
+        let versions = KnownVersions {
+            seen: *seen,
+            alone: alone.map(UpstreamVersion::from),
+        };
+        evidence.add(origin.map(UpstreamVersion::from), versions);
     }
-    evidence.decide()
+    evidence
 }
 
 #[test]
-fn a_stream_of_unknown_origin_goes_on_only_if_one_version_has_served() {
+fn a_stream_of_unknown_origin_goes_on_only_at_a_version_that_served_alone() {
     use SeenVersions::{One, Several, Unsure};
-    assert_eq!(decide(&[(None, One)]), Resumption::Anywhere);
-    assert_eq!(
-        decide(&[(None, Unsure), (None, Unsure)]),
-        Resumption::Anywhere
-    );
-    assert_eq!(decide(&[(None, Several)]), Resumption::Nowhere);
+    let decide = |known: &[Known]| evidence(known).decide();
+    let inferred = Resumption::Inferred("v1".into());
+    assert_eq!(decide(&[(None, One, Some("v1"))]), inferred);
+    assert_eq!(decide(&[(None, One, None)]), Resumption::Anywhere);
+    assert_eq!(decide(&[(None, Several, Some("v1"))]), inferred);
+    assert_eq!(decide(&[(None, Several, None)]), Resumption::Nowhere);
+    let later_start = [(None, Several, None), (None, Several, Some("v1"))];
+    assert_eq!(decide(&later_start), inferred);
+    let outdated = [(None, One, Some("v1")), (None, Several, None)];
+    assert_eq!(decide(&outdated), inferred);
+    let contradiction = [(None, One, Some("v1")), (None, One, Some("v2"))];
+    assert_eq!(decide(&contradiction), Resumption::Nowhere);
     assert_eq!(
-        decide(&[(None, Unsure), (None, Several)]),
+        decide(&[(None, Unsure, None), (None, Several, None)]),
         Resumption::Nowhere
     );
-    assert_eq!(decide(&[(None, One), (None, Several)]), Resumption::Nowhere);
-    let known = decide(&[(None, Several), (Some("v1"), Several)]);
-    assert_eq!(known, Resumption::At("v1".into()));
+    let known = decide(&[(None, Several, Some("v1")), (Some("v2"), Several, None)]);
+    assert_eq!(known, Resumption::At("v2".into()));
+}
+
+/// Guards against streams at two versions after a loss of all daemons: nobody knew which versions had
+/// served before, and the streams went on anywhere.
+#[test]
+fn a_stream_goes_nowhere_while_nobody_knows_which_versions_have_served() {
+    let unsure = (None, SeenVersions::Unsure, None);
+    assert_eq!(evidence(&[unsure, unsure]).decide(), Resumption::Nowhere);
+}
+
+#[test]
+fn a_stream_goes_nowhere_while_the_log_that_may_hold_its_origin_is_not_read() {
+    let several = (None, SeenVersions::Several, Some("v1"));
+    let mut evidence = evidence(&[several]);
+    evidence.record_unread_log();
+    assert_eq!(evidence.decide(), Resumption::Nowhere);
 }
 
 #[test]
 fn others_are_asked_until_the_origin_is_known_or_surely_needless() {
-    let mut evidence = ResumptionEvidence::default();
-    evidence.add(None, SeenVersions::Unsure);
-    assert!(evidence.is_open());
-    evidence.add(None, SeenVersions::One);
-    assert!(!evidence.is_open());
-    evidence.add(None, SeenVersions::Several);
-    assert!(evidence.is_open());
-    evidence.add(Some("v1".into()), SeenVersions::Several);
-    assert!(!evidence.is_open());
+    use SeenVersions::{One, Several, Unsure};
+    let is_open = |known: &[Known]| evidence(known).is_open();
+    let unsure = (None, Unsure, None);
+    assert!(is_open(&[unsure]));
+    assert!(!is_open(&[unsure, (None, One, Some("v1"))]));
+    assert!(is_open(&[
+        (None, One, Some("v1")),
+        (None, Several, Some("v1"))
+    ]));
+    assert!(is_open(&[(None, One, Some("v1")), (None, One, Some("v2"))]));
+    assert!(!is_open(&[
+        (None, Several, None),
+        (Some("v1"), Several, None)
+    ]));
+}
+
+#[test]
+fn changes_of_recorded_versions_name_the_services_that_differ() {
+    let versions = |pairs: &[(&str, &str)]| {
+        let mut versions = RecordedVersions::default();
+        for (service, version) in pairs {
+            versions.add(&(*service).into(), &(*version).into());
+        }
+        versions
+    };
+    let recorded = versions(&[("a", "v1"), ("b", "v1"), ("c", "v1")]);
+    let wanted = versions(&[("a", "v1"), ("b", "v1"), ("b", "v2")]);
+    let changes = recorded.changes_to(&wanted);
+    let of = |names: &[&str]| names.iter().map(|v| UpstreamVersion::from(*v)).collect();
+    assert_eq!(
+        changes,
+        [("b".into(), of(&["v1", "v2"])), ("c".into(), of(&[]))]
+    );
+    assert!(recorded.has_all(&versions(&[("a", "v1"), ("c", "v1")])));
+    assert!(!recorded.has_all(&wanted));
 }
 
 #[test]
--- a/tests/decisions/stream_origins_state.rs
+++ b/tests/decisions/stream_origins_state.rs
@@ -47,5 +47,5 @@
     list(vec![upstream("u1", "v1", 1)], 2);
     list(vec![upstream("u2", "v2", 3)], 4);
     let service = ServiceName::from("s");
-    assert_eq!(gateway.seen_versions(&service), SeenVersions::Several);
+    assert_eq!(gateway.known_versions(&service).seen, SeenVersions::Several);
 }
--- a/tests/gateway/stream_world.rs
+++ b/tests/gateway/stream_world.rs
@@ -74,6 +74,12 @@
         self.upstreams.push(upstream);
     }
 
+    /// Removes the entry of an upstream, which serves on.
+    pub fn withdraw(&self, index: usize) {
+        self.store
+            .drop_key("keyed.servers", self.upstreams[index].id());
+    }
+
     /// Lets the upstreams of a version say that they leave.
     pub fn drain(&self, version: &str) {
         let all = 0..self.upstreams.len();
@@ -124,6 +130,18 @@
         Some(daemon)
     }
 
+    pub fn kill_all(&mut self) {
+        for n in 0..self.domains.len() {
+            self.kill(n);
+        }
+    }
+
+    pub async fn start_all(&mut self) {
+        for n in 0..self.domains.len() {
+            self.start_daemon(n).await;
+        }
+    }
+
     pub fn kill(&mut self, n: usize) {
         if let Some(daemon) = self.take_daemon(n) {
             daemon.signal(Signal::SIGKILL);
