A missing upstream is not taken back on another daemon's older word

Cause: a read of the source that finds an entry missing keeps the upstream for a grace, in which it may be written again. Any word of another daemon that was not older than the upstream's last record ended the grace, and after a return from a copy that record has the offset 0. So a daemon that had listed the copy took back what this one had read since; no record of the upstream follows any more, and it stayed ready for good. Two daemons could confirm it to each other.

Ruled out: reads that go on at a position of the former era (the removal was read, the upstream was missing), and the copy's listing (the upstream had not been removed before).

The mend: a missing entry is kept with the latest offset at which it is known to be missing; only a record from there on brings it back. A daemon that tells of a missing entry passes its position on. The same offset serves lapses after an outage without a new era, followers, and changes by offsets.

New log lines tell the hypotheses apart: missing and returned, with offsets.

--- a/src/upstreams/directory_eras.rs
+++ b/src/upstreams/directory_eras.rs
@@ -65,7 +65,7 @@
         for upstream in known {
             let id = upstream.id.clone();
             if !upstream.draining {
-                self.lapsed.entry(id.clone()).or_insert(lapsed_until_ms);
+                self.lapsed.begin_era(&id, lapsed_until_ms);
             }
             self.followed.record_known(&id);
             self.store(Upstream {
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint;
 mod exchange;
 mod followed_view;
+mod lapsed_upstreams;
 mod newest_incarnations;
 mod ready_upstreams;
 mod removed_upstreams;
--- a/src/upstreams/unlogged_changes.rs
+++ b/src/upstreams/unlogged_changes.rs
@@ -11,12 +11,23 @@
     pub leaving: Vec<(UpstreamId, u64)>,
     /// Removed upstreams, with the offsets of their last entries.
     pub removed_ids: Vec<(UpstreamId, u64)>,
+    /// Upstreams whose entries are missing but may come back, with the offsets at which they are missing.
+    pub missing: Vec<(UpstreamId, u64)>,
+    /// Upstreams whose entries were missing or not confirmed, and are back, with the offsets of the records
+    /// that show it.
+    pub returned: Vec<(UpstreamId, u64)>,
 }
 
 impl UnloggedChanges {
     /// Logs one line for each kind of change that occurred.
     pub fn log(&self, revision: u64) {
-        for (what, upstreams) in [("leave", &self.leaving), ("gone", &self.removed_ids)] {
+        let kinds = [
+            ("leave", &self.leaving),
+            ("gone", &self.removed_ids),
+            ("missing", &self.missing),
+            ("returned", &self.returned),
+        ];
+        for (what, upstreams) in kinds {
             if upstreams.is_empty() {
                 continue;
             }
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -2,7 +2,8 @@
     super::{
         DirectoryChanges, DirectoryCursor, DirectoryUpdate, NewestIncarnations, PresentUpstream,
         ReadyUpstreams, UnloggedChanges, Upstream, followed_view::FollowedView,
-        removed_upstreams::RemovedUpstreams, revision_index::RevisionIndex,
+        lapsed_upstreams::LapsedUpstreams, removed_upstreams::RemovedUpstreams,
+        revision_index::RevisionIndex,
     },
     crate::names::{ServiceName, SourceEra, UpstreamId, UpstreamVersion},
     parking_lot::Mutex,
@@ -69,9 +70,8 @@
     pub(super) removed_ids: RemovedUpstreams,
     /// The revision that last changed each upstream.
     changed: RevisionIndex,
-    /// Entries that went missing while their source was unavailable, with the time until
-    /// which they may come back, in milliseconds of the daemon's steady clock.
-    pub(super) lapsed: HashMap<UpstreamId, u64>,
+    /// Upstreams whose entries went missing while their source was unavailable.
+    pub(super) lapsed: LapsedUpstreams,
     pub(super) revision: u64,
     /// Changes that are not logged yet.
     unlogged: UnloggedChanges,
@@ -105,6 +105,9 @@
             Some(known) if upstream.offset < known.offset && !upstream.draining => return false,
             _ => {}
         }
+        if self.lapsed.is_older(&id, upstream.offset) {
+            return self.merge_older_than_lapse(&upstream);
+        }
         self.removed_ids.forget(&id);
         if let Some(before) = self.incarnations.record(&id) {
             self.forget(&before);
@@ -114,7 +117,10 @@
         if starts_leaving {
             self.unlogged.leaving.push((id.clone(), upstream.offset));
         }
-        let had_lapsed = self.lapsed.remove(&id).is_some();
+        let had_lapsed = self.lapsed.remove(&id);
+        if had_lapsed {
+            self.unlogged.returned.push((id.clone(), upstream.offset));
+        }
         if let Some(known) = known {
             upstream.draining |= self.leaves_permanently(&known);
             upstream.offset = upstream.offset.max(known.offset);
@@ -137,6 +143,17 @@
         true
     }
 
+    /// Merges a record that was written before the entry of its upstream was found missing. Another daemon
+    /// may send it much later, so it does not show that the entry is back. One that had announced
+    /// that it leaves, and is missing, has left.
+    fn merge_older_than_lapse(&mut self, upstream: &Upstream) -> bool {
+        if upstream.draining {
+            self.mark_leaving(&upstream.id);
+            self.forget(&upstream.id);
+        }
+        upstream.draining
+    }
+
     /// Returns true if a known upstream stays marked as leaving, whatever later records of
     /// the source say.
     fn leaves_permanently(&self, known: &Upstream) -> bool {
@@ -217,7 +234,8 @@
         };
         match self.is_ready(&id) {
             true => {
-                self.lapsed.entry(id).or_insert(until_ms);
+                self.lapsed.record_missing(&id, offset, until_ms);
+                self.unlogged.missing.push((id, offset));
             }
             false => self.forget(&id),
         }
@@ -258,10 +276,7 @@
 
     /// Removes the lapsed entries that did not come back in time.
     pub fn expire_lapsed(&mut self, now_ms: u64) {
-        let has_expired = |(_, until_ms): &(&UpstreamId, &u64)| now_ms >= **until_ms;
-        let expired: Vec<_> = self.lapsed.iter().filter(has_expired).collect();
-        let expired: Vec<UpstreamId> = expired.into_iter().map(|(id, _)| id.clone()).collect();
-        for id in expired {
+        for id in self.lapsed.expired(now_ms) {
             self.forget(&id);
         }
     }
@@ -361,7 +376,7 @@
 
     /// Returns the upstreams that are only kept in case their entries are written again.
     pub fn unconfirmed_ids(&self) -> HashSet<UpstreamId> {
-        self.lapsed.keys().cloned().collect()
+        self.lapsed.ids().cloned().collect()
     }
 
     /// Returns true if a follower with this cursor has to be sent the full directory, as the
@@ -414,11 +429,12 @@
             let id = present.upstream.id.clone();
             let is_unconfirmed = update.unconfirmed_ids.contains(&id);
             if is_unconfirmed && self.get(&id).is_some() {
+                self.lapsed.confirm_missing(&id, position);
                 continue;
             }
             self.merge(present.upstream, present.since);
             if is_unconfirmed && self.get(&id).is_some() {
-                self.lapsed.insert(id, lapsed_until_ms);
+                self.lapsed.record_missing(&id, position, lapsed_until_ms);
             }
         }
         let from_others = self.followed.known_from_others();
@@ -470,7 +486,7 @@
     /// Returns an upstream with the latest offset at which it is known to be present.
     fn at_position(&self, upstream: &Upstream, position: u64) -> Upstream {
         let mut upstream = upstream.clone();
-        if self.exact_before < position && !self.lapsed.contains_key(&upstream.id) {
+        if self.exact_before < position && !self.lapsed.contains(&upstream.id) {
             upstream.offset = upstream.offset.max(position.saturating_sub(1));
         }
         upstream
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -39,6 +39,7 @@
 mod report;
 mod restored_directory;
 mod restored_duties;
+mod restored_exploration;
 mod retries;
 mod rollout_duty;
 mod rollout_orders;
--- a/tests/decisions/restored_directory.rs
+++ b/tests/decisions/restored_directory.rs
@@ -172,6 +172,95 @@
     }
 }
 
+/// Returns a directory that listed the copy of the source from which era 5 begins, up to offset 30.
+fn directory_of_the_copy() -> UpstreamDirectory {
+    let mut directory = directory_in(4);
+    directory.enter_era(era(5), UNTIL_MS);
+    let listing = (0..3).map(|n| upstream(n, 10 + u64::from(n))).collect();
+    directory.replace(listing, 30, Some(UNTIL_MS));
+    directory
+}
+
+/// Guards against upstreams that get requests for good after they left: another daemon's older word took
+/// back what this one had read.
+#[test]
+fn the_copy_that_another_daemon_lists_does_not_bring_back_an_entry_that_is_missing() {
+    let theirs = directory_of_the_copy();
+    let mut own_listing = directory_in(4);
+    own_listing.enter_era(era(5), UNTIL_MS);
+    own_listing.replace(vec![upstream(0, 10)], 40, Some(UNTIL_MS));
+    let mut own_removal = directory_of_the_copy();
+    own_removal.lapse(id(1).upstream(), 35, UNTIL_MS);
+    own_removal.lapse(id(2).upstream(), 36, UNTIL_MS);
+    own_removal.read_to(37);
+    for mut own in [own_listing, own_removal] {
+        assert!(own.apply_update(theirs.update_since(None), UNTIL_MS));
+        own.expire_lapsed(UNTIL_MS);
+        assert!(own.is_ready(&id(0)));
+        assert!(!own.is_ready(&id(1)) && !own.is_ready(&id(2)));
+        assert!(own.apply_update(theirs.update_since(None), UNTIL_MS));
+        assert!(!own.is_ready(&id(1)) && !own.is_ready(&id(2)));
+    }
+}
+
+#[test]
+fn an_older_word_does_not_bring_back_an_entry_that_went_during_an_outage() {
+    let theirs = directory_in(4);
+    let mut own = directory_in(4);
+    own.replace(vec![upstream(0, 50)], 70, Some(UNTIL_MS));
+    own.apply_update(theirs.update_since(None), UNTIL_MS);
+    own.apply(theirs.changes_since(None));
+    own.expire_lapsed(UNTIL_MS);
+    assert!(own.is_ready(&id(0)));
+    assert!(!own.is_ready(&id(1)) && !own.is_ready(&id(2)));
+}
+
+#[test]
+fn a_follower_learns_which_entries_are_missing_and_keeps_to_it() {
+    let mut theirs = directory_in(4);
+    theirs.enter_era(era(5), UNTIL_MS);
+    theirs.replace(vec![upstream(0, 10)], 40, Some(UNTIL_MS));
+    let mut own = directory_in(4);
+    assert!(own.apply_update(theirs.update_since(None), UNTIL_MS));
+    assert!(own.apply_update(directory_of_the_copy().update_since(None), UNTIL_MS));
+    own.expire_lapsed(UNTIL_MS);
+    assert!(own.is_ready(&id(0)));
+    assert!(!own.is_ready(&id(1)) && !own.is_ready(&id(2)));
+}
+
+#[test]
+fn a_missing_entry_that_is_written_again_is_back_at_once() {
+    let missing = || {
+        let mut directory = directory_in(4);
+        directory.enter_era(era(5), UNTIL_MS);
+        directory.replace(vec![upstream(0, 10)], 40, Some(UNTIL_MS));
+        directory
+    };
+    let mut reader = missing();
+    reader.upsert(upstream(1, 41));
+    reader.read_to(42);
+    let mut follower = missing();
+    assert!(follower.apply_update(reader.update_since(None), UNTIL_MS));
+    for mut directory in [reader, follower] {
+        directory.expire_lapsed(UNTIL_MS);
+        assert!(directory.is_ready(&id(1)));
+        assert!(!directory.is_ready(&id(2)));
+    }
+}
+
+#[test]
+fn a_missing_entry_that_another_daemon_says_leaves_is_gone() {
+    let mut theirs = directory_of_the_copy();
+    theirs.mark_leaving(&id(1));
+    let mut own = directory_of_the_copy();
+    own.lapse(id(1).upstream(), 35, UNTIL_MS);
+    own.read_to(36);
+    own.apply_update(theirs.update_since(None), UNTIL_MS);
+    assert!(own.get(&id(1)).is_none());
+    own.upsert(upstream(1, 37));
+    assert!(!own.is_ready(&id(1)), "it had announced that it leaves");
+}
+
 #[test]
 fn a_directory_of_an_unknown_era_takes_the_first_one_that_it_hears_of() {
     let mut directory = UpstreamDirectory::default();
