Recorded versions of a former era of the store are not taken for all

What callers would see: streams at two versions after a loss of all daemons that falls together with a return of the store from a copy. The copy may lack that a second version was recorded, and a daemon that starts would take the version of the copy for the one that had served alone.

Cause: a record read from the store was complete by definition, which holds within an era of the store only.

The mend: each record names the era in which it was written. One of a former era counts as seen, but leaves the daemon unsure of the rest; the readers that live through the return write all records again in the new era.

The new cases of decisions/stream_origins did not hold before: the functions that tell the eras apart are new. Not reproduced with real processes.

--- a/src/cluster/origins/version_recorder.rs
+++ b/src/cluster/origins/version_recorder.rs
@@ -72,7 +72,9 @@
             return self.read_if_unknown(gateway).await.map(drop);
         }
         let known = self.known(gateway);
-        if known.is_some_and(|known| known.versions == gateway.versions_to_record()) {
+        let is_current =
+            |known: VersionsPage| known.changes_to(&gateway.versions_to_record()).is_empty();
+        if known.is_some_and(is_current) {
             return Ok(());
         }
         self.record(gateway, &RecordedVersions::default()).await
@@ -93,7 +95,7 @@
             let known = self.read_if_unknown(gateway).await?;
             let mut wanted = gateway.versions_to_record();
             wanted.add_all(needed);
-            let changes = known.versions.changes_to(&wanted);
+            let changes = known.changes_to(&wanted);
             if changes.is_empty() {
                 return Ok(());
             }
@@ -102,8 +104,11 @@
             let written = self.records.write_at(known.position, &changes).await?;
             if let Some(position) = written.filter(|p| p.era == known.position.era) {
                 log::info!(target: "stream", "versions of services recorded. services={changes:?}");
-                let versions = wanted;
-                *self.known.lock() = Some(VersionsPage { versions, position });
+                *self.known.lock() = Some(VersionsPage {
+                    versions: wanted,
+                    is_of_this_era: true,
+                    position,
+                });
                 return Ok(());
             }
         }
@@ -115,7 +120,7 @@
             return Ok(known);
         }
         let page = self.records.read().await?;
-        gateway.apply_recorded_versions(&page.versions);
+        gateway.apply_recorded_versions(&page);
         *self.known.lock() = Some(page.clone());
         Ok(page)
     }
--- a/src/gateway/origin_state.rs
+++ b/src/gateway/origin_state.rs
@@ -5,7 +5,7 @@
     crate::{
         cluster::{
             Extension, ORIGINS_LEVEL, OriginAnswer, OriginLog, OriginQuery, OriginsPart,
-            VersionRecorder,
+            VersionRecorder, VersionsPage,
         },
         names::{ServiceName, UpstreamVersion},
         policy::{
@@ -59,10 +59,13 @@
     }
 
     /// Adds the software versions that were recorded before this daemon started, or by others.
-    pub(crate) fn apply_recorded_versions(&self, recorded: &RecordedVersions) {
+    pub(crate) fn apply_recorded_versions(&self, page: &VersionsPage) {
         let now_ms = self.steady_ms();
         let mut history = self.version_history.lock();
-        history.add_record(recorded, now_ms);
+        match page.is_of_this_era {
+            true => history.add_record(&page.versions, now_ms),
+            false => history.add_outdated_record(&page.versions, now_ms),
+        }
     }
 
     /// Returns the software versions of all services that have to be recorded.
--- a/src/policy/origins/version_history.rs
+++ b/src/policy/origins/version_history.rs
@@ -90,6 +90,16 @@
         }
     }
 
+    /// Adds the versions of a record that may lack later ones, as its store has returned from an older copy
+    /// since. They count as seen, and what else served before this daemon's start stays unknown.
+    pub fn add_outdated_record(&mut self, recorded: &RecordedVersions, now_ms: u64) {
+        let is_sure = self.is_sure(now_ms);
+        for (service, versions) in recorded.services() {
+            let versions: Vec<UpstreamVersion> = versions.iter().cloned().collect();
+            self.history_of(service).add(&versions, is_sure, now_ms);
+        }
+    }
+
     /// Returns all versions that count as seen, which are those to be recorded.
     pub fn seen(&mut self, now_ms: u64) -> RecordedVersions {
         let mut seen = RecordedVersions::default();
--- a/tests/decisions/stream_origins.rs
+++ b/tests/decisions/stream_origins.rs
@@ -133,6 +133,18 @@
         (SeenVersions::Several, None)
     );
 
+    // The store may have lost that another version served too.
+    let mut history = VersionHistory::default();
+    history.add_outdated_record(&recorded(&["v1"]), 10);
+    assert_eq!(
+        observe(&mut history, &["v1"], 20),
+        (SeenVersions::Unsure, None)
+    );
+    assert_eq!(
+        observe(&mut history, &["v2"], 30),
+        (SeenVersions::Several, None)
+    );
+
     // Nothing served before the start, and two versions came at once.
     let mut history = VersionHistory::default();
     history.add_record(&recorded(&[]), 10);
@@ -257,6 +269,17 @@
         changes,
         [("b".into(), of(&["v1", "v2"])), ("c".into(), of(&[]))]
     );
+    let mut page = VersionsPage {
+        versions: recorded.clone(),
+        is_of_this_era: true,
+        ..VersionsPage::default()
+    };
+    assert_eq!(page.changes_to(&wanted), changes);
+    page.is_of_this_era = false;
+    let names = |changes: Vec<(ServiceName, _)>| changes.into_iter().map(|(s, _)| s.to_string());
+    let mut services: Vec<String> = names(page.changes_to(&wanted)).collect();
+    services.sort();
+    assert_eq!(services, ["a", "b", "c"], "all are written again");
     assert!(recorded.has_all(&versions(&[("a", "v1"), ("c", "v1")])));
     assert!(!recorded.has_all(&wanted));
 }
