A daemon does not take the one version that it saw for the only one by itself

Cause: one version seen for long enough ended the search for a stream's origin at once. A daemon that was frozen or cut off has seen nothing of that time, and what waited for it at its sockets looks new when it wakes.

Ruled out: a bound on the age of the last answer of the source. The answers that waited meanwhile set the age to 0 and hold an older state.

The mend: another daemon, or the log, has to be heard before one version counts as the only one. That costs one round of queries in the failure domain for a stream that a client takes up at a daemon that does not know it.

--- a/src/gateway/origin_state.rs
+++ b/src/gateway/origin_state.rs
@@ -196,19 +196,34 @@
         let key = context.origin_key();
         let known = key.and_then(|key| self.known_origin(key));
         evidence.add(known, self.known_versions(service));
-        if let Some(key) = key {
-            let (near, far) = self.origin_daemons();
-            for daemons in [near, far] {
-                if evidence.is_open() {
-                    self.query_origin(service, key, &daemons, &mut evidence)
-                        .await;
-                }
-            }
+        match key {
+            Some(key) => self.ask_for_origin(service, key, &mut evidence).await,
+            // The client does not name the attempt that began the stream.
+            None => evidence.record_nobody_to_ask(),
+        }
+        evidence.decide()
+    }
+
+    /// Asks the daemons of the own failure domain, then the others, then the shared log, until it is known
+    /// where a stream may go on.
+    async fn ask_for_origin(
+        self: &Arc<Self>,
+        service: &ServiceName,
+        key: AttemptKey,
+        evidence: &mut ResumptionEvidence,
+    ) {
+        let (near, far) = self.origin_daemons();
+        if near.is_empty() && far.is_empty() && self.origin_log.get().is_none() {
+            evidence.record_nobody_to_ask();
+        }
+        for daemons in [near, far] {
             if evidence.is_open() {
-                self.read_origin(service, key, &mut evidence).await;
+                self.query_origin(service, key, &daemons, evidence).await;
             }
         }
-        evidence.decide()
+        if evidence.is_open() {
+            self.read_origin(service, key, evidence).await;
+        }
     }
 
     /// Queries daemons, all at once, until one knows the stream or all have answered.
@@ -235,7 +250,7 @@
             && let Some(answer) = answers.next().await
         {
             if let Some(answer) = answer {
-                evidence.add(answer.version, answer.versions);
+                evidence.add_heard(answer.version, answer.versions);
             }
         }
     }
@@ -250,10 +265,15 @@
         let Some(log) = self.origin_log.get() else {
             return;
         };
-        if !log.read(self).await {
-            evidence.record_unread_log();
+        let is_read = log.read(self).await;
+        let (origin, versions) = (self.known_origin(key), self.known_versions(service));
+        match is_read {
+            true => evidence.add_heard(origin, versions),
+            false => {
+                evidence.record_unread_log();
+                evidence.add(origin, versions);
+            }
         }
-        evidence.add(self.known_origin(key), self.known_versions(service));
     }
 
     /// Applies an answer to a query of this daemon. `alone` is the version that the other daemon knows to
--- a/src/policy/origins/resumption.rs
+++ b/src/policy/origins/resumption.rs
@@ -28,10 +28,24 @@
     has_seen_several: bool,
     has_seen_only_one: bool,
     is_log_unread: bool,
+    /// True once another daemon or the log was heard, or if there is none.
+    is_confirmed: bool,
 }
 
 impl ResumptionEvidence {
-    /// Adds what one daemon, or the shared log, knows.
+    /// Adds what another daemon, or the shared log, knows.
+    pub fn add_heard(&mut self, origin: Option<UpstreamVersion>, versions: KnownVersions) {
+        self.add(origin, versions);
+        self.is_confirmed = true;
+    }
+
+    /// Records that there is no other daemon and no log.
+    pub fn record_nobody_to_ask(&mut self) {
+        self.is_confirmed = true;
+    }
+
+    /// Adds what this daemon knows. That does not suffice to rule out a second version: the daemon may have
+    /// been frozen or cut off while that came.
     pub fn add(&mut self, origin: Option<UpstreamVersion>, versions: KnownVersions) {
         self.origin = self.origin.take().or(origin);
         self.alone.extend(versions.alone);
@@ -55,7 +69,8 @@
     }
 
     fn is_sure_of_one(&self) -> bool {
-        self.has_seen_only_one && !self.has_seen_several && self.alone.len() <= 1
+        let has_one = self.has_seen_only_one && !self.has_seen_several;
+        has_one && self.alone.len() <= 1 && self.is_confirmed
     }
 
     /// Decides by what is known. If no daemon knows the versions from before the stream's
@@ -67,7 +82,9 @@
         }
         let mut alone = self.alone.into_iter();
         match (alone.next(), alone.next()) {
-            (Some(version), None) if is_sure_of_one || !self.is_log_unread => {
+            (Some(version), None)
+                if is_sure_of_one || (self.is_confirmed && !self.is_log_unread) =>
+            {
                 Resumption::Inferred(version)
             }
             (None, _) if is_sure_of_one => Resumption::Anywhere,
--- a/tests/decisions/stream_origins.rs
+++ b/tests/decisions/stream_origins.rs
@@ -190,11 +190,30 @@
             seen: *seen,
             alone: alone.map(UpstreamVersion::from),
         };
-        evidence.add(origin.map(UpstreamVersion::from), versions);
+        evidence.add_heard(origin.map(UpstreamVersion::from), versions);
     }
     evidence
 }
 
+/// Guards against streams at two versions: a daemon that had been frozen went by the versions that it saw before.
+#[test]
+fn a_daemon_does_not_go_by_its_own_versions_alone() {
+    let own = KnownVersions {
+        seen: SeenVersions::One,
+        alone: Some("v1".into()),
+    };
+    let mut evidence = ResumptionEvidence::default();
+    evidence.add(None, own);
+    assert!(evidence.is_open());
+    let mut unheard = evidence.clone();
+    unheard.record_unread_log();
+    assert_eq!(unheard.decide(), Resumption::Nowhere);
+    assert_eq!(evidence.clone().decide(), Resumption::Nowhere);
+    evidence.record_nobody_to_ask();
+    assert!(!evidence.is_open());
+    assert_eq!(evidence.decide(), Resumption::Inferred("v1".into()));
+}
+
 #[test]
 fn a_stream_of_unknown_origin_goes_on_only_at_a_version_that_served_alone() {
     use SeenVersions::{One, Several, Unsure};
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{stream_world::*, versioned_upstream::EVENTS},
+    nix::sys::signal::Signal,
     std::time::Duration,
     tokio::task::JoinSet,
 };
@@ -143,6 +144,30 @@
     assert_eq!(tally.complete, tally.streams, "{tally:?}");
 }
 
+/// Guards against streams at two versions: a daemon that was frozen took the versions that it had seen before
+/// for all.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_was_frozen_does_not_go_by_the_versions_that_it_saw_before() {
+    let mut world = StreamWorld::start(&["a", "b", "b", "b"], &["v1"; 2]).await;
+    world.daemons["n0"].signal(Signal::SIGSTOP);
+    for n in 0..2 {
+        world.withdraw(n);
+        world.add_upstream("v2").await;
+    }
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let addresses = Addresses::default();
+    addresses.lock().push(world.daemons["n1"].clients);
+    let clients = LOAD.start(&addresses, Duration::from_millis(500));
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    *addresses.lock() = vec![world.daemons["n0"].clients];
+    world.kill(1);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    world.daemons["n0"].signal(Signal::SIGCONT);
+    let tally = check(&clients.join_all().await);
+    assert!(tally.taken_up >= 8, "{tally:?}");
+    assert_eq!(tally.went_on, tally.taken_up, "{tally:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_whose_version_has_left_are_refused_at_once_and_not_moved() {
     let world = StreamWorld::start(&["a", "a", "a", "b"], &TWO_VERSIONS).await;
