--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 mod source_state;
 mod speed_state;
 mod upstream_signals;
+mod version_state;
 
 pub use {
     answer::*, buffered_bytes::*, buffers::*, client_connection::*, client_socket::*,
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -3,6 +3,7 @@
 
 mod directory_changes;
 mod directory_eras;
+mod directory_exchange;
 mod directory_update;
 mod endpoint;
 mod exchange;
--- a/tests/decisions/rollout_duty.rs
+++ b/tests/decisions/rollout_duty.rs
@@ -2,12 +2,12 @@
 //! and be taken over.
 
 use {
+    crate::support,
     async_trait::async_trait,
     parking_lot::Mutex,
     saddlepulley::{
         cluster::*,
-        conf::GatewaySettings,
-        gateway::{Gateway, HeaderNames},
+        gateway::Gateway,
         rollouts::{Rollout, RolloutOrder, RolloutState, RolloutTable},
     },
     std::sync::Arc,
@@ -50,22 +50,8 @@
     }
 }
 
-const SETTINGS: &str = r#"
-[node]
-name = "n"
-zone = "a"
-[listen]
-clients = "127.0.0.1:1"
-readiness = "127.0.0.1:2"
-peers = "127.0.0.1:3"
-[source]
-kind = "file"
-path = "/none"
-"#;
-
 fn gateway() -> Gateway {
-    let settings = GatewaySettings::parse("settings", SETTINGS).unwrap();
-    let gateway = Gateway::new(settings, HeaderNames::default(), 7);
+    let gateway = support::gateway("");
     gateway.apply_rollout_order(&RolloutOrder {
         service: "s".into(),
         target: "v2".into(),
--- a/tests/decisions/stream_origins_state.rs
+++ b/tests/decisions/stream_origins_state.rs
@@ -1,26 +1,14 @@
 //! What a daemon knows of software versions, by the changes of its directory.
 
-use saddlepulley::{
-    conf::GatewaySettings,
-    gateway::{Gateway, HeaderNames},
-    names::{FailureDomain, ServiceName, UpstreamId},
-    policy::SeenVersions,
-    upstreams::Upstream,
+use {
+    crate::support,
+    saddlepulley::{
+        names::{FailureDomain, ServiceName, UpstreamId},
+        policy::SeenVersions,
+        upstreams::Upstream,
+    },
 };
 
-const SETTINGS: &str = r#"
-[node]
-name = "n"
-zone = "a"
-[listen]
-clients = "127.0.0.1:1"
-readiness = "127.0.0.1:2"
-peers = "127.0.0.1:3"
-[source]
-kind = "file"
-path = "/none"
-"#;
-
 fn upstream(name: &str, version: &str, offset: u64) -> Upstream {
     Upstream {
         id: UpstreamId::from(name),
@@ -39,8 +27,7 @@
 /// Guards against streams at two versions: a daemon without requests took the newest version for the only one.
 #[test]
 fn a_daemon_without_requests_knows_the_versions_that_have_gone() {
-    let settings = GatewaySettings::parse("settings", SETTINGS).unwrap();
-    let gateway = Gateway::new(settings, HeaderNames::default(), 7);
+    let gateway = support::gateway("");
     let list = |upstreams: Vec<Upstream>, position| {
         gateway.change_directory(|directory, _| directory.replace(upstreams, position, None));
     };
--- a/tests/decisions/support.rs
+++ b/tests/decisions/support.rs
@@ -1,7 +1,13 @@
 //! Helpers that the tests of decisions share.
 
 use {
-    saddlepulley::{contracts::ClassPreference, names::*, policy::*},
+    saddlepulley::{
+        conf::GatewaySettings,
+        contracts::ClassPreference,
+        gateway::{Gateway, HeaderNames},
+        names::*,
+        policy::*,
+    },
     std::collections::BTreeSet,
 };
 
@@ -39,3 +45,24 @@
         exclude: BTreeSet::new(),
     }
 }
+
+/// Settings of a daemon alone in failure domain "a". Nothing listens at its addresses.
+pub const GATEWAY_SETTINGS: &str = r#"
+[node]
+name = "n"
+zone = "a"
+[listen]
+clients = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+[source]
+kind = "file"
+path = "/none"
+"#;
+
+/// Returns a daemon that is not started, with further settings.
+pub fn gateway(extra_settings: &str) -> Gateway {
+    let settings = format!("{GATEWAY_SETTINGS}{extra_settings}");
+    let settings = GatewaySettings::parse("settings", &settings).unwrap();
+    Gateway::new(settings, HeaderNames::default(), 7)
+}
--- a/tests/decisions/upstream_links_state.rs
+++ b/tests/decisions/upstream_links_state.rs
@@ -1,25 +1,13 @@
 //! What a daemon does about its paths to upstreams, by the state of its directory.
 
-use saddlepulley::{
-    conf::GatewaySettings,
-    gateway::{Gateway, HeaderNames},
-    names::{FailureDomain, ServiceName, UpstreamId},
-    upstreams::Upstream,
+use {
+    crate::support,
+    saddlepulley::{
+        names::{FailureDomain, ServiceName, UpstreamId},
+        upstreams::Upstream,
+    },
 };
 
-const SETTINGS: &str = r#"
-[node]
-name = "n"
-zone = "a"
-[listen]
-clients = "127.0.0.1:1"
-readiness = "127.0.0.1:2"
-peers = "127.0.0.1:3"
-[source]
-kind = "file"
-path = "/none"
-"#;
-
 fn upstream(name: &str, draining: bool) -> Upstream {
     Upstream {
         id: UpstreamId::from(name),
@@ -39,8 +27,7 @@
 /// to, at addresses that may be others' by then.
 #[tokio::test]
 async fn an_upstream_that_leaves_is_not_connected_to_any_more() {
-    let settings = GatewaySettings::parse("settings", SETTINGS).unwrap();
-    let gateway = Gateway::new(settings, HeaderNames::default(), 7);
+    let gateway = support::gateway("");
     let names = ["u1", "u2", "u3", "u4"];
     for name in names {
         gateway.directory.write().upsert(upstream(name, false));
--- a/tests/decisions/upstream_speeds_state.rs
+++ b/tests/decisions/upstream_speeds_state.rs
@@ -1,28 +1,18 @@
 //! Speeds of upstreams in a daemon's state: with the mechanism on and off, reports of daemons, and
 //! capacity.
 
-use saddlepulley::{
-    cluster::*,
-    conf::GatewaySettings,
-    gateway::{Gateway, HeaderNames, PlacementRequest, Prompt, PromptPart},
-    names::{FailureDomain, ServiceName, UpstreamId},
-    policy::*,
-    routing::{Route, RouteKind},
-    upstreams::Upstream,
+use {
+    crate::support,
+    saddlepulley::{
+        cluster::*,
+        gateway::{Gateway, PlacementRequest, Prompt, PromptPart},
+        names::{FailureDomain, ServiceName, UpstreamId},
+        policy::*,
+        routing::{Route, RouteKind},
+        upstreams::Upstream,
+    },
 };
 
-const SETTINGS: &str = r#"
-[node]
-name = "n"
-zone = "a"
-[listen]
-clients = "127.0.0.1:1"
-readiness = "127.0.0.1:2"
-peers = "127.0.0.1:3"
-[source]
-kind = "file"
-path = "/none"
-"#;
 const OFF: &str = "[mechanisms]\nupstream_speeds = false\n";
 const UPSTREAMS: usize = 9;
 
@@ -36,9 +26,7 @@
 
 /// A daemon that knows some upstreams in two failure domains.
 fn gateway(extra_settings: &str) -> Gateway {
-    let settings = format!("{SETTINGS}{extra_settings}");
-    let settings = GatewaySettings::parse("settings", &settings).unwrap();
-    let gateway = Gateway::new(settings, HeaderNames::default(), 7);
+    let gateway = support::gateway(extra_settings);
     for index in 0..UPSTREAMS {
         gateway.directory.write().upsert(Upstream {
             id: id(index),
