--- a/src/cluster/origins/version_recorder.rs
+++ b/src/cluster/origins/version_recorder.rs
@@ -17,8 +17,8 @@
 /// Keeps the software versions of each service in a store that outlives all daemons.
 ///
 /// The daemons that read the upstreams from the shared source record a version before they use its first
-/// upstream, or tell others of it. After a loss of all daemons the record thus shows at which versions
-/// their streams may have begun.
+/// upstream, or announce it to other daemons. After a loss of all daemons the record thus shows at which
+/// versions their streams may have begun.
 pub struct VersionRecorder {
     records: Arc<dyn VersionRecords>,
     /// What the store holds, as far as known; `None` before the first read.
--- a/src/policy/origins/resumption.rs
+++ b/src/policy/origins/resumption.rs
@@ -28,7 +28,7 @@
     has_seen_several: bool,
     has_seen_only_one: bool,
     is_log_unread: bool,
-    /// True once another daemon or the log was heard, or if there is none.
+    /// True once another daemon has answered or the log was read, or if there is neither.
     is_confirmed: bool,
 }
 
@@ -39,7 +39,7 @@
         self.is_confirmed = true;
     }
 
-    /// Records that there is no other daemon and no log.
+    /// Records that there are no other daemons and no log that could confirm what this daemon knows.
     pub fn record_nobody_to_ask(&mut self) {
         self.is_confirmed = true;
     }
--- a/src/upstreams/upstream_directory.rs
+++ b/src/upstreams/upstream_directory.rs
@@ -143,8 +143,8 @@
     }
 
     /// Merges a record that was written before the entry of its upstream was found missing. Another daemon
-    /// may send it much later, so it does not show that the entry is back. One that had announced
-    /// that it leaves, and is missing, has left.
+    /// may send it much later, so it does not show that the entry is back. An upstream whose older
+    /// record says that it leaves has left.
     fn merge_older_than_lapse(&mut self, upstream: &Upstream) -> bool {
         if upstream.draining {
             self.mark_leaving(&upstream.id);
--- a/tests/decisions/restored_directory.rs
+++ b/tests/decisions/restored_directory.rs
@@ -181,8 +181,7 @@
     directory
 }
 
-/// Guards against upstreams that get requests for good after they left: another daemon's older word took
-/// back what this one had read.
+/// Guards against requests to upstreams that have left: another daemon's outdated update made a missing entry count as present.
 #[test]
 fn the_copy_that_another_daemon_lists_does_not_bring_back_an_entry_that_is_missing() {
     let theirs = directory_of_the_copy();
--- a/tests/decisions/restored_exploration.rs
+++ b/tests/decisions/restored_exploration.rs
@@ -262,8 +262,7 @@
     }
 }
 
-/// Guards against upstreams that get requests for good after they left, in any order of what daemons read
-/// and tell each other.
+/// Guards against requests to upstreams that have left, in any order of reads and updates between daemons.
 #[test]
 fn after_returns_of_the_source_in_any_order_each_daemon_agrees_with_it() {
     for seed in 0..SCHEDULES {
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -144,8 +144,7 @@
     assert_eq!(tally.complete, tally.streams, "{tally:?}");
 }
 
-/// Guards against streams at two versions: a daemon that was frozen took the versions that it had seen before
-/// for all.
+/// Guards against streams at two versions: a daemon that was frozen missed a version that came meanwhile.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_daemon_that_was_frozen_does_not_go_by_the_versions_that_it_saw_before() {
     let mut world = StreamWorld::start(&["a", "b", "b", "b"], &["v1"; 2]).await;
