--- a/tests/decisions/directory.rs
+++ b/tests/decisions/directory.rs
@@ -1,28 +1,14 @@
 //! The directory of upstreams: records, listings, and updates between daemons.
 
 use {
+    crate::support::source_upstream as upstream,
     bytes::Bytes,
     saddlepulley::{
         cluster::{FeedUpdate, PackedUpdates, decode, encode, pack_upstreams},
-        names::{FailureDomain, ServiceName, UpstreamId},
-        upstreams::{Upstream, UpstreamDirectory},
+        upstreams::UpstreamDirectory,
     },
 };
 
-fn upstream(index: u32, offset: u64) -> Upstream {
-    Upstream {
-        id: UpstreamId::from(format!("b{index}").as_str()),
-        service: ServiceName::from("s"),
-        address: "10.0.0.1:80".parse().unwrap(),
-        domain: FailureDomain::from("a"),
-        slots: 8,
-        draining: false,
-        version: Default::default(),
-        reclaimable: false,
-        offset,
-    }
-}
-
 #[test]
 fn a_lapsed_entry_gets_requests_until_it_expires_unless_it_was_leaving() {
     let mut directory = UpstreamDirectory::default();
--- a/tests/decisions/domain_balance_state.rs
+++ b/tests/decisions/domain_balance_state.rs
@@ -2,12 +2,12 @@
 //! homes, announced room and unreachable domains.
 
 use {
+    crate::support,
     rand::SeedableRng,
     rand_chacha::ChaCha8Rng,
     saddlepulley::{
         cluster::*,
-        conf::GatewaySettings,
-        gateway::{Gateway, HeaderNames, PlacementRequest, Prompt, PromptPart},
+        gateway::{Gateway, PlacementRequest, Prompt, PromptPart},
         names::{FailureDomain, ServiceName, UpstreamId},
         policy::*,
         routing::*,
@@ -16,20 +16,7 @@
     std::{thread, time::Duration},
 };
 
-const SETTINGS: &str = r#"
-[node]
-name = "n"
-zone = "a"
-[listen]
-clients = "127.0.0.1:1"
-readiness = "127.0.0.1:2"
-peers = "127.0.0.1:3"
-[source]
-kind = "file"
-path = "/none"
-[mechanisms]
-learned_speed = false
-"#;
+const MECHANISMS: &str = "[mechanisms]\nlearned_speed = false\n";
 const ON: &str = "domain_balance = true\n";
 const OFF: &str = "";
 const SEED: u64 = 7;
@@ -69,9 +56,7 @@
 
 /// A hub of domain `a` that knows three upstreams in each of three domains.
 fn gateway(extra_settings: &str) -> Gateway {
-    let settings = format!("{SETTINGS}{extra_settings}");
-    let settings = GatewaySettings::parse("settings", &settings).unwrap();
-    let gateway = Gateway::new(settings, HeaderNames::default(), SEED);
+    let gateway = support::gateway(&format!("{MECHANISMS}{extra_settings}"));
     for index in 0..UPSTREAMS {
         gateway.directory.write().upsert(upstream(index));
     }
--- a/tests/decisions/restored_directory.rs
+++ b/tests/decisions/restored_directory.rs
@@ -1,30 +1,12 @@
 //! The directory of upstreams when its source returns from an older copy of itself.
 
-use saddlepulley::{
-    names::{FailureDomain, ServiceName, SourceEra, UpstreamId},
-    upstreams::{Upstream, UpstreamDirectory},
+use {
+    crate::support::{source_id as id, source_upstream as upstream},
+    saddlepulley::{names::SourceEra, upstreams::UpstreamDirectory},
 };
 
 const UNTIL_MS: u64 = 2_200;
 
-fn upstream(index: u32, offset: u64) -> Upstream {
-    Upstream {
-        id: id(index),
-        service: ServiceName::from("s"),
-        address: "10.0.0.1:80".parse().unwrap(),
-        domain: FailureDomain::from("a"),
-        slots: 8,
-        draining: false,
-        version: Default::default(),
-        reclaimable: false,
-        offset,
-    }
-}
-
-fn id(index: u32) -> UpstreamId {
-    UpstreamId::from(format!("b{index}").as_str())
-}
-
 fn era(number: u64) -> SourceEra {
     SourceEra::from_code(number)
 }
--- a/tests/decisions/restored_exploration.rs
+++ b/tests/decisions/restored_exploration.rs
@@ -4,10 +4,11 @@
 //! are still missing have expired, each knows exactly the source's upstreams, whatever arrives late.
 
 use {
+    crate::support::{source_id as id, source_upstream as upstream},
     rand::{Rng, SeedableRng},
     rand_chacha::ChaCha8Rng,
     saddlepulley::{
-        names::{FailureDomain, ServiceName, SourceEra, UpstreamId},
+        names::{SourceEra, UpstreamId},
         upstreams::{DirectoryCursor, DirectoryUpdate, Upstream, UpstreamDirectory},
     },
     std::collections::BTreeMap,
@@ -24,24 +25,6 @@
 /// Whether a record says that its upstream is there.
 type IsPresent = bool;
 
-fn id(of: u32) -> UpstreamId {
-    UpstreamId::from(format!("b{of}").as_str())
-}
-
-fn upstream(of: u32, offset: u64) -> Upstream {
-    Upstream {
-        id: id(of),
-        service: ServiceName::from("s"),
-        address: "10.0.0.1:80".parse().unwrap(),
-        domain: FailureDomain::from("a"),
-        slots: 8,
-        draining: false,
-        version: Default::default(),
-        reclaimable: false,
-        offset,
-    }
-}
-
 #[derive(Debug)]
 struct Source {
     era: u64,
--- a/tests/decisions/stream_origins_state.rs
+++ b/tests/decisions/stream_origins_state.rs
@@ -2,25 +2,13 @@
 
 use {
     crate::support,
-    saddlepulley::{
-        names::{FailureDomain, ServiceName, UpstreamId},
-        policy::SeenVersions,
-        upstreams::Upstream,
-    },
+    saddlepulley::{names::ServiceName, policy::SeenVersions, upstreams::Upstream},
 };
 
-fn upstream(name: &str, version: &str, offset: u64) -> Upstream {
+fn upstream(index: u32, version: &str, offset: u64) -> Upstream {
     Upstream {
-        id: UpstreamId::from(name),
-        service: ServiceName::from("s"),
-        // Nothing listens there.
-        address: "127.0.0.1:1".parse().unwrap(),
-        domain: FailureDomain::from("a"),
-        slots: 8,
-        draining: false,
         version: version.into(),
-        reclaimable: false,
-        offset,
+        ..support::source_upstream(index, offset)
     }
 }
 
@@ -31,8 +19,8 @@
     let list = |upstreams: Vec<Upstream>, position| {
         gateway.change_directory(|directory, _| directory.replace(upstreams, position, None));
     };
-    list(vec![upstream("u1", "v1", 1)], 2);
-    list(vec![upstream("u2", "v2", 3)], 4);
+    list(vec![upstream(1, "v1", 1)], 2);
+    list(vec![upstream(2, "v2", 3)], 4);
     let service = ServiceName::from("s");
     assert_eq!(gateway.known_versions(&service).seen, SeenVersions::Several);
 }
--- a/tests/decisions/support.rs
+++ b/tests/decisions/support.rs
@@ -7,6 +7,7 @@
         gateway::{Gateway, HeaderNames},
         names::*,
         policy::*,
+        upstreams::Upstream,
     },
     std::collections::BTreeSet,
 };
@@ -66,3 +67,23 @@
     let settings = GatewaySettings::parse("settings", &settings).unwrap();
     Gateway::new(settings, HeaderNames::default(), 7)
 }
+
+/// Returns the id of the upstream that [`source_upstream`] makes.
+pub fn source_id(index: u32) -> UpstreamId {
+    UpstreamId::from(format!("b{index}").as_str())
+}
+
+/// Returns a ready upstream of service "s", as a record at an offset of the source describes it.
+pub fn source_upstream(index: u32, offset: u64) -> Upstream {
+    Upstream {
+        id: source_id(index),
+        service: ServiceName::from("s"),
+        address: "10.0.0.1:80".parse().unwrap(),
+        domain: FailureDomain::from("a"),
+        slots: 8,
+        draining: false,
+        version: Default::default(),
+        reclaimable: false,
+        offset,
+    }
+}
