--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -14,6 +14,7 @@
 mod removed_upstreams;
 mod revision_index;
 mod send_failure;
+mod source_read;
 mod unlogged_changes;
 mod upstream;
 mod upstream_directory;
@@ -22,6 +23,6 @@
 
 pub use {
     directory_changes::*, directory_update::*, endpoint::*, exchange::*, newest_incarnations::*,
-    ready_upstreams::*, send_failure::*, unlogged_changes::*, upstream::*, upstream_directory::*,
-    upstream_load::*, upstream_pool::*,
+    ready_upstreams::*, send_failure::*, source_read::*, unlogged_changes::*, upstream::*,
+    upstream_directory::*, upstream_load::*, upstream_pool::*,
 };
--- a/src/upstreams/source_read.rs
+++ b/src/upstreams/source_read.rs
@@ -1,50 +1,33 @@
 use {
-    super::{KeyedBatch, UnusableEntries},
-    crate::{
-        names::SourcePosition,
-        policy::RecordedVersions,
-        upstreams::{Upstream, UpstreamDirectory},
-    },
+    super::{Upstream, UpstreamDirectory},
+    crate::{names::SourcePosition, policy::RecordedVersions},
 };
 
-/// The runners' entries of one read, decoded.
-#[derive(Debug)]
-pub struct ReadEntries {
-    entries: Vec<ReadEntry>,
-    is_complete: bool,
-    /// The position up to which the store has been read with these entries.
+/// The entries of upstreams that one read of a shared source returned.
+#[derive(Clone, Debug)]
+pub struct SourceRead {
+    /// The entries, in the order of the source.
+    pub entries: Vec<SourceEntry>,
+    /// True for a full listing of the source, false for the changes since the previous read.
+    pub is_complete: bool,
+    /// The position up to which the source has been read with these entries.
     pub end: SourcePosition,
-    unusable: UnusableEntries,
 }
 
-/// An entry that was written or deleted.
-#[derive(Debug)]
-struct ReadEntry {
-    key: String,
-    offset: u64,
-    is_deleted: bool,
-    /// The upstream that the entry names; none if it was deleted or names no usable one.
-    upstream: Option<Upstream>,
+/// An entry that was written to or deleted from a shared source.
+#[derive(Clone, Debug)]
+pub struct SourceEntry {
+    /// The key of the entry, which is the name of the upstream without its incarnation.
+    pub key: String,
+    /// The offset of the record in the source.
+    pub offset: u64,
+    /// True if the entry was deleted.
+    pub is_deleted: bool,
+    /// The upstream that the entry describes; none if it was deleted or describes no usable one.
+    pub upstream: Option<Upstream>,
 }
 
-impl ReadEntries {
-    /// Decodes the entries of a read.
-    pub fn of(batch: KeyedBatch) -> Self {
-        let mut unusable = UnusableEntries::new(batch.unreadable);
-        let entries = batch.records.into_iter().map(|record| ReadEntry {
-            upstream: unusable.upstream(&record),
-            key: record.key,
-            offset: record.offset,
-            is_deleted: record.value.is_none(),
-        });
-        Self {
-            entries: entries.collect(),
-            is_complete: batch.is_complete,
-            end: batch.end,
-            unusable,
-        }
-    }
-
+impl SourceRead {
     /// Returns the software versions of the upstreams, by service.
     pub fn versions(&self) -> RecordedVersions {
         let mut versions = RecordedVersions::default();
@@ -54,26 +37,22 @@
         versions
     }
 
-    /// Applies the entries to the directory of upstreams. With `lapsed_until_ms`, upstreams whose entries
-    /// are missing only lapse, and may come back until then.
+    /// Applies the entries to a directory. With `lapsed_until_ms`, upstreams whose entries are missing are
+    /// kept until then, in case the entries are written again.
     pub fn apply(self, directory: &mut UpstreamDirectory, lapsed_until_ms: Option<u64>) {
-        match self.is_complete {
-            true => {
-                let upstreams = self.entries.into_iter().filter_map(|e| e.upstream);
-                directory.replace(upstreams.collect(), self.end.offset, lapsed_until_ms);
-            }
-            false => {
-                for entry in self.entries {
-                    entry.apply(directory, lapsed_until_ms);
-                }
-                directory.read_to(self.end.offset);
-            }
+        if self.is_complete {
+            let upstreams = self.entries.into_iter().filter_map(|e| e.upstream);
+            directory.replace(upstreams.collect(), self.end.offset, lapsed_until_ms);
+            return;
+        }
+        for entry in self.entries {
+            entry.apply(directory, lapsed_until_ms);
         }
-        self.unusable.log();
+        directory.read_to(self.end.offset);
     }
 }
 
-impl ReadEntry {
+impl SourceEntry {
     fn apply(self, directory: &mut UpstreamDirectory, lapsed_until_ms: Option<u64>) {
         match (self.upstream, lapsed_until_ms) {
             (Some(upstream), _) => {
@@ -82,7 +61,7 @@
             (None, Some(until_ms)) if self.is_deleted => {
                 directory.lapse(&self.key, self.offset, until_ms);
             }
-            // An entry that names no usable upstream replaces the former entry under its key,
+            // An entry that describes no usable upstream replaces the former entry under its key,
             // so the former upstream is removed.
             (None, _) => directory.remove(&self.key, self.offset),
         }
