Streams go on once a slow log of origins is read

What callers saw: after a loss of all daemons while the log of origins answers each read after 0.9 s, 0 of 23 streams that clients took up again went on; each was refused as not run until the client gave up.

Cause: a request waits at most 0.5 s for a read. A longer read went on and its records were kept, but the next request began a new read, and that one was again too slow, so no request ever saw a finished read.

Ruled out: a read that never ends (the log line "versions of streams could not be read in time." came for each request, and records did arrive); the record of versions (known by then).

A finished read that began at most 2 s ago stands in for one that takes longer than a request waits. What it may lack are streams that began in these 2 s; they are also told to other daemons, which are asked before the log.

The stand-in of the store can slow or fail a single topic.

--- a/src/cluster/origins/origin_log.rs
+++ b/src/cluster/origins/origin_log.rs
@@ -21,11 +21,16 @@
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest time for which a request waits for a read.
 const MAX_READ_WAIT: Duration = Duration::from_millis(500);
+/// Maximum age of a finished read that stands in for one that takes longer than a request waits. The streams
+/// that began since may be missing in it.
+const MAX_READ_AGE: Duration = Duration::from_secs(2);
 
 /// The versions that began streams, in a log that outlives all daemons.
 pub struct OriginLog {
     log: Arc<dyn SharedLog>,
     reader: Arc<tokio::sync::Mutex<Reader>>,
+    /// When the newest read began that has succeeded.
+    newest_read: Arc<parking_lot::Mutex<Option<Instant>>>,
 }
 
 #[derive(Default)]
@@ -49,16 +54,18 @@
         Self {
             log,
             reader: Arc::default(),
+            newest_read: Arc::default(),
         }
     }
 
     /// Reads what was written since the last read, and records it. Does nothing if the last read is recent.
     /// Returns whether all was read. A read that takes longer than a request waits goes on for the
-    /// next one.
+    /// next one; a recent read stands in for it.
     pub async fn read(&self, gateway: &Arc<Gateway>) -> bool {
         let read = tokio::spawn(read_since(
             self.log.clone(),
             self.reader.clone(),
+            self.newest_read.clone(),
             gateway.clone(),
         ));
         match tokio::time::timeout(MAX_READ_WAIT, read).await {
@@ -69,7 +76,8 @@
             }
             Err(_) => {
                 log::info!(target: "stream", "versions of streams could not be read in time.");
-                false
+                let newest_read = *self.newest_read.lock();
+                newest_read.is_some_and(|began_at| began_at.elapsed() <= MAX_READ_AGE)
             }
         }
     }
@@ -88,6 +96,7 @@
 async fn read_since(
     log: Arc<dyn SharedLog>,
     reader: Arc<tokio::sync::Mutex<Reader>>,
+    newest_read: Arc<parking_lot::Mutex<Option<Instant>>>,
     gateway: Arc<Gateway>,
 ) -> bool {
     let asked_at = Instant::now();
@@ -100,10 +109,14 @@
     let began_at = Instant::now();
     let read = reader.read_all(&*log, &gateway).await;
     reader.last_read = Some((began_at, read.is_ok()));
-    if let Err(e) = &read {
-        log::info!(target: "stream", "versions of streams could not be read. error=\"{e}\"");
+    match read {
+        Ok(()) => *newest_read.lock() = Some(began_at),
+        Err(e) => {
+            log::info!(target: "stream", "versions of streams could not be read. error=\"{e}\"");
+            return false;
+        }
     }
-    read.is_ok()
+    true
 }
 
 impl Reader {
--- a/standin/src/store/service.rs
+++ b/standin/src/store/service.rs
@@ -53,6 +53,17 @@
     listings: Mutex<HashMap<String, u64>>,
     /// Number of reads received for each topic.
     reads: watch::Sender<HashMap<String, u64>>,
+    /// How calls on some topics are answered.
+    faults: Mutex<HashMap<String, TopicFault>>,
+}
+
+/// A fault of a single topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TopicFault {
+    /// Each call is answered with status 503.
+    Down,
+    /// Each call is answered that much later.
+    Slow(Duration),
 }
 
 /// A store, which stops when dropped.
@@ -91,6 +102,7 @@
             delivery: Mutex::default(),
             producers: Mutex::default(),
             listings: Mutex::default(),
+            faults: Mutex::default(),
         });
         let task = tokio::spawn(accept(listener, shared.clone()));
         Ok(Self {
@@ -164,6 +176,15 @@
         self.shared.away.send_replace(away);
     }
 
+    /// Sets the fault of a topic, or ends it.
+    pub fn set_topic_fault(&self, topic: &str, fault: Option<TopicFault>) {
+        let mut faults = self.shared.faults.lock();
+        match fault {
+            Some(fault) => faults.insert(topic.to_string(), fault),
+            None => faults.remove(topic),
+        };
+    }
+
     /// Names no era until the first restore.
     pub fn hide_first_era(&self) {
         *self.shared.era.lock() = None;
@@ -303,6 +324,12 @@
         .map(|b| b.to_bytes())
         .unwrap_or_default();
     let query = parse_query(&head.uri);
+    let fault = shared.faults.lock().get(topic(&query)).copied();
+    match fault {
+        Some(TopicFault::Down) => return status(StatusCode::SERVICE_UNAVAILABLE),
+        Some(TopicFault::Slow(delay)) => tokio::time::sleep(delay).await,
+        None => {}
+    }
     match head.uri.path() {
         "/log-append" => append(shared, &query, &body),
         "/log-read" => read(shared, &query).await,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -44,6 +44,7 @@
 mod stream_versions;
 mod stream_world;
 mod streams;
+mod streams_after_loss;
 mod streams_soak;
 mod support;
 mod upstream_limits;
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -2,8 +2,7 @@
 //! not fit together, so that a stream goes on only at the version that began it.
 //!
 //! The failures: with two versions side by side, half of all streams that were taken up again went on at
-//! the other one, whether a daemon moved them inside an answer or a client came to another daemon. After a
-//! loss of all daemons while the only version was replaced, all went on at the new one.
+//! the other one, whether a daemon moved them inside an answer or a client came to another daemon.
 
 use {
     crate::{stream_world::*, versioned_upstream::EVENTS},
@@ -23,17 +22,6 @@
     ..LOAD
 };
 
-fn check(outcomes: &[StreamOutcome]) -> StreamTally {
-    let tally = StreamTally::of(outcomes);
-    println!("{tally:?}");
-    assert_eq!(
-        tally.mixed, 0,
-        "streams with events of two versions: {tally:?}"
-    );
-    assert_eq!(tally.out_of_order, 0, "events missing or twice: {tally:?}");
-    tally
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_that_break_off_go_on_at_their_version_inside_the_answer() {
     let world = StreamWorld::start(&["a", "b"], &TWO_VERSIONS).await;
@@ -82,56 +70,6 @@
     assert!(tally.went_on * 2 > tally.taken_up, "{tally:?}");
 }
 
-/// Kills all daemons while upstreams of one version serve, and starts them again after a change of the
-/// upstreams.
-async fn lose_all_daemons_around(
-    world: &mut StreamWorld,
-    change: impl AsyncFnOnce(&mut StreamWorld),
-) -> StreamTally {
-    let clients = LOAD.start(&world.addresses, Duration::from_secs(3));
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
-    world.kill_all();
-    change(world).await;
-    world.start_all().await;
-    let tally = check(&clients.join_all().await);
-    assert!(tally.taken_up >= 12, "{tally:?}");
-    tally
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn streams_stay_at_a_version_that_was_replaced_while_all_daemons_were_down() {
-    let mut world = StreamWorld::start(&["a", "a", "b"], &["v1"; 3]).await;
-    let tally = lose_all_daemons_around(&mut world, async |world| {
-        for n in 0..3 {
-            world.withdraw(n);
-            world.add_upstream("v2").await;
-        }
-    });
-    assert!(tally.await.complete > 0);
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn streams_go_on_at_the_version_that_served_alone_before_all_daemons_were_lost() {
-    let mut world = StreamWorld::start(&["a", "a", "b", "b"], &["v1"; 4]).await;
-    let tally = lose_all_daemons_around(&mut world, async |world| {
-        for n in 0..2 {
-            world.withdraw(n);
-            world.add_upstream("v2").await;
-        }
-    });
-    let tally = tally.await;
-    assert_eq!(tally.went_on, tally.taken_up, "{tally:?}");
-    assert_eq!(tally.complete, tally.streams, "{tally:?}");
-}
-
-#[tokio::test(flavor = "multi_thread")]
-async fn streams_go_on_at_the_only_version_after_all_daemons_were_lost() {
-    let mut world = StreamWorld::start(&["a", "a", "b"], &["v1"; 3]).await;
-    let tally = lose_all_daemons_around(&mut world, async |_| {}).await;
-    assert_eq!(tally.went_on, tally.taken_up, "{tally:?}");
-    assert_eq!(tally.complete, tally.streams, "{tally:?}");
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_that_began_before_the_second_version_came_go_on_at_the_first() {
     let mut world = StreamWorld::start(&["a", "a", "b"], &["v1"; 3]).await;
--- a/tests/gateway/stream_world.rs
+++ b/tests/gateway/stream_world.rs
@@ -374,3 +374,16 @@
         }
     }
 }
+
+/// Returns the sums of the outcomes, in which no stream may hold events of two versions, and none may lack
+/// events or hold one twice.
+pub fn check(outcomes: &[StreamOutcome]) -> StreamTally {
+    let tally = StreamTally::of(outcomes);
+    println!("{tally:?}");
+    assert_eq!(
+        tally.mixed, 0,
+        "streams with events of two versions: {tally:?}"
+    );
+    assert_eq!(tally.out_of_order, 0, "events missing or twice: {tally:?}");
+    tally
+}
--- /dev/null
+++ b/tests/gateway/streams_after_loss.rs
@@ -0,0 +1,109 @@
+//! Streams that clients take up after all daemons ended at once. One version served until then, so that
+//! where the streams began was known to the daemons only.
+//!
+//! The failures: where that version was replaced meanwhile, all streams went on at the new one; where a part
+//! of its upstreams was replaced, all were refused.
+
+use {crate::stream_world::*, saddlepulley_standin::store::TopicFault, std::time::Duration};
+
+const LOAD: StreamLoad = StreamLoad {
+    per_s: 40,
+    leaving: 0.0,
+    seed: 1,
+};
+const RECORD: &str = "keyed.service-versions";
+const ORIGINS: &str = "stream-origins";
+
+/// How many of the upstreams are replaced by ones of another version while all daemons are down.
+#[derive(Clone, Copy)]
+enum Replaced {
+    None,
+    Half,
+    All,
+}
+
+const UPSTREAMS: usize = 4;
+
+/// Kills all daemons while upstreams of one version serve, replaces upstreams, and starts the daemons again
+/// after a disturbance of the store.
+async fn lose_all_daemons(replaced: Replaced, disturb: impl FnOnce(&StreamWorld)) -> StreamTally {
+    let mut world = StreamWorld::start(&["a", "a", "b", "b"], &["v1"; UPSTREAMS]).await;
+    let clients = LOAD.start(&world.addresses, Duration::from_secs(3));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    world.kill_all();
+    let count = match replaced {
+        Replaced::None => 0,
+        Replaced::Half => UPSTREAMS / 2,
+        Replaced::All => UPSTREAMS,
+    };
+    for n in 0..count {
+        world.withdraw(n);
+        world.add_upstream("v2").await;
+    }
+    disturb(&world);
+    world.start_all().await;
+    let tally = check(&clients.join_all().await);
+    assert!(tally.taken_up >= 12, "{tally:?}");
+    tally
+}
+
+fn assert_all_go_on(tally: &StreamTally) {
+    assert_eq!(tally.went_on, tally.taken_up, "{tally:?}");
+    assert_eq!(tally.complete, tally.streams, "{tally:?}");
+}
+
+fn assert_new_ones_begin(tally: &StreamTally) {
+    let begun_before = tally.taken_up;
+    assert!(tally.complete >= tally.streams - begun_before, "{tally:?}");
+}
+
+/// Lets a topic have a fault for a time from now on.
+fn fault_for(world: &StreamWorld, topic: &'static str, fault: TopicFault, time: Duration) {
+    world.store.set_topic_fault(topic, Some(fault));
+    let store = world.store.clone();
+    tokio::spawn(async move {
+        tokio::time::sleep(time).await;
+        store.set_topic_fault(topic, None);
+    });
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_stay_at_a_version_that_was_replaced_while_all_daemons_were_down() {
+    let tally = lose_all_daemons(Replaced::All, |_| {}).await;
+    assert_new_ones_begin(&tally);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_at_the_version_that_served_alone_before_all_daemons_were_lost() {
+    let tally = lose_all_daemons(Replaced::Half, |_| {}).await;
+    assert_all_go_on(&tally);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_at_the_only_version_after_all_daemons_were_lost() {
+    let tally = lose_all_daemons(Replaced::None, |_| {}).await;
+    assert_all_go_on(&tally);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_are_refused_rather_than_guessed_until_the_record_of_versions_is_read() {
+    let down = |world: &StreamWorld| {
+        fault_for(world, RECORD, TopicFault::Down, Duration::from_secs(2));
+    };
+    let tally = lose_all_daemons(Replaced::All, down).await;
+    assert_new_ones_begin(&tally);
+    let tally = lose_all_daemons(Replaced::Half, down).await;
+    assert_all_go_on(&tally);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_once_a_slow_log_of_origins_is_read() {
+    let slow = |world: &StreamWorld| {
+        let fault = TopicFault::Slow(Duration::from_millis(900));
+        fault_for(world, ORIGINS, fault, Duration::from_secs(10));
+    };
+    let tally = lose_all_daemons(Replaced::All, slow).await;
+    assert_new_ones_begin(&tally);
+    let tally = lose_all_daemons(Replaced::Half, slow).await;
+    assert_all_go_on(&tally);
+}
