A crash counts although its upstream accepted connections for a moment longer

Upstreams crashed on while all daemons released the part again and again.

Cause, one of two (the other one follows): a daemon whose request was cut off checks whether the upstream accepts a connection and keeps it open for 50 ms.

Told apart by two new log lines: "... accepts new ones, so it has not crashed" and "another daemon reaches an upstream ...". Ruled out: has_lost_link by an old answer of another daemon (its line did not appear).

Mend: the upstream counts as alive only if it accepts one more connection after these 50 ms.

The stand-in's runner let such connections live by chance: one that it accepted while it crashed was not told of it. Mended too; set_listening_after_crash now does it on purpose.

--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -14,8 +14,9 @@
     },
 };
 
-/// How long an accepted connection has to stay open to show that the upstream is alive: a
-/// process that ends may close its connections shortly before its listening socket.
+/// How long an accepted connection has to stay open, until another one is accepted, to show that the
+/// upstream is alive: a process that ends may close its connections shortly before its listening socket,
+/// and one that was accepted in between may end later still.
 const MIN_OPEN_TIME: Duration = Duration::from_millis(50);
 /// Number of connections that are tried. An upstream that accepts and closes all of them
 /// counts as alive, since an upstream at its connection limit does that.
@@ -135,16 +136,28 @@
         return;
     };
     if is_own {
+        log::info!(
+            target: "crash",
+            "another daemon reaches an upstream that closed connections, so it has not crashed. upstream={} requests={}",
+            upstream.id,
+            cut_off.requests.len()
+        );
         return;
     }
     for route in &cut_off.routes {
         gateway.record_outcome(&upstream.id, true);
         gateway.record_failed_answer(route, &upstream);
     }
+    let requests = cut_off.requests;
     let Some(cause) = failure else {
+        log::info!(
+            target: "crash",
+            "an upstream that closed connections accepts new ones, so it has not crashed. upstream={} requests={}",
+            upstream.id,
+            requests.len()
+        );
         return;
     };
-    let requests = cut_off.requests;
     // An upstream that has announced that it leaves ends regardless of its requests. If it
     // counted, a stream that moves through three waves of reclaims would be held back.
     if !gateway.directory.read().is_ready(&upstream.id) {
@@ -163,20 +176,22 @@
     gateway.record_upstream_crash(&upstream.id, requests.into_iter());
 }
 
-/// Checks whether an upstream accepts connections and keeps them open. Returns the failure if it
-/// does not.
+/// Checks whether an upstream accepts connections, keeps them open, and still accepts others then. Returns
+/// the failure if it does not.
 async fn find_failure(gateway: &Gateway, upstream: &Upstream) -> Option<SendFailure> {
     for _ in 0..MAX_CHECKS {
-        match gateway.connect_directly(upstream).await {
+        let connection = match gateway.connect_directly(upstream).await {
+            Ok(connection) => connection,
             Err(failure) => return Some(failure),
-            Ok(connection) => {
-                tokio::time::sleep(MIN_OPEN_TIME).await;
-                if connection.is_open() {
-                    let endpoint = Endpoint::Upstream(upstream.id.clone());
-                    gateway.pool.put(&endpoint, connection, None);
-                    return None;
-                }
-            }
+        };
+        tokio::time::sleep(MIN_OPEN_TIME).await;
+        if connection.is_open() {
+            let later = gateway.connect_directly(upstream).await;
+            let later = later.map(|connection| {
+                let endpoint = Endpoint::Upstream(upstream.id.clone());
+                gateway.pool.put(&endpoint, connection, None);
+            });
+            return later.err();
         }
     }
     None
--- a/standin/src/runner/service.rs
+++ b/standin/src/runner/service.rs
@@ -82,6 +82,8 @@
     is_unframed: Mutex<bool>,
     /// How long the runner is down after a crash.
     down_time: Mutex<Duration>,
+    /// How long the listening socket of a crashing runner outlives its connections.
+    listening_after_crash: Mutex<Duration>,
     /// Time to read a prompt token of a stream's request, in milliseconds.
     ms_per_token: Mutex<f64>,
     /// Locked while a prompt is read, as prompts are read one after another.
@@ -135,6 +137,7 @@
             occupancy: Mutex::default(),
             crashing_parts: Mutex::default(),
             is_unframed: Mutex::default(),
+            listening_after_crash: Mutex::default(),
             down_time: Mutex::new(RESTART_DELAY),
             ms_per_token: Mutex::default(),
             prompt_reader: tokio::sync::Mutex::default(),
@@ -209,6 +212,12 @@
         *self.shared.is_unframed.lock() = true;
     }
 
+    /// Sets for how long a crashing runner still accepts connections, which stay open and are not served;
+    /// initially 0.
+    pub fn set_listening_after_crash(&self, time: Duration) {
+        *self.shared.listening_after_crash.lock() = time;
+    }
+
     /// Sets how many requests the runner takes; initially any number, which it answers at once.
     pub fn set_capacity(&self, capacity: Option<Capacity>) {
         *self.shared.down_time.lock() = capacity.map_or(RESTART_DELAY, |c| c.down_time);
@@ -273,17 +282,32 @@
     let mut crashed = shared.crashes.subscribe();
     loop {
         tokio::select! {
-            _ = crashed.changed() => return,
+            _ = crashed.changed() => {
+                let time = *shared.listening_after_crash.lock();
+                let _ = tokio::time::timeout(time, accept_unserved(&listener)).await;
+                return;
+            }
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => drop(tokio::spawn(serve(stream, shared.clone()))),
+                Ok((stream, _)) => drop(tokio::spawn(serve(stream, shared.clone(), crashed.clone()))),
                 Err(_) => return,
             },
         }
     }
 }
 
-async fn serve(stream: TcpStream, shared: Arc<Shared>) {
-    let mut crashed = shared.crashes.subscribe();
+/// Accepts connections, which stay open for a while and are not served.
+async fn accept_unserved(listener: &TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            tokio::time::sleep(RESTART_DELAY).await;
+            drop(stream);
+        });
+    }
+}
+
+/// Serves a connection until the runner crashes, of which `crashed` tells from the time on at which the
+/// connection was accepted.
+async fn serve(stream: TcpStream, shared: Arc<Shared>, mut crashed: watch::Receiver<u64>) {
     let service = service_fn(move |request| respond(request, shared.clone()));
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::select! {
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -160,6 +160,26 @@
     assert!(answer.header("retry-after").parse::<f64>().unwrap() > 0.0);
 }
 
+/// Guards against sending a request on and on: a connection that outlived the listening socket hid each crash.
+#[tokio::test]
+async fn a_crash_counts_whose_upstream_accepts_connections_for_a_moment_longer() {
+    let world = World::start(1, &[&STREAM_ONE_SEND]).await;
+    for runner in &world.runners {
+        runner.set_listening_after_crash(Duration::from_millis(25));
+    }
+    let series = ask_repeatedly(&world, "/stream/resume/x", Duration::from_secs(2)).await;
+    assert!(
+        series.runs <= series.runs_when_known + MAX_LATE_RUNS,
+        "{} when known, {} in all",
+        series.runs_when_known,
+        series.runs
+    );
+    let answer = world
+        .fetch(0, "last", "/stream/resume/x", CRASHING_BODY)
+        .await;
+    assert_eq!(answer.unwrap().status, StatusCode::SERVICE_UNAVAILABLE);
+}
+
 #[tokio::test]
 async fn all_daemons_stop_sending_a_request_that_crashes_upstreams() {
     let mut world = World::start(5, &[&STREAM, &IDEMPOTENT]).await;
