An answer that a crash cut off clears no part where the crash is not known

Cause: with neither a length nor chunks, the answer of a second bad request that a crash cuts off between two events looks whole. It was taken for whole if no crash of its upstream was known within 1 s. A daemon that had no cut-off of its own there, and to which the news came late, cleared the part, for all daemons.

Mend: if the request or one of its parts is suspect, the daemon itself checks whether the upstream goes on to accept connections when the answer ends; what others know still counts too. A line names what clears a part, and by which request. It is one check of two connections for such an answer, while crashes are known.

--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -1,13 +1,17 @@
 use {
-    super::{DROPPED_SUSPECTS, Gateway, RequestContext, cut_offs::CutOff},
+    super::{
+        DROPPED_SUSPECTS, Gateway, RequestContext,
+        cut_offs::{CutOff, find_failure},
+    },
     crate::{
         names::{PartFingerprint, RequestFingerprint, UpstreamId},
         policy::{KnownCrash, SuspectRecord},
-        upstreams::ends_with_connection,
+        upstreams::{Upstream, ends_with_connection},
     },
     http::response::Parts,
     rand::seq::IteratorRandom,
     std::{sync::Arc, time::Duration},
+    tokio::time::{Instant, sleep_until},
 };
 
 /// Time within which this daemon knows of a crash that another one observed.
@@ -73,8 +77,8 @@
     /// Records that a request was answered completely. Only a success shows that the request
     /// ran: an upstream that is full or too slow responds with a failure and stays up, too.
     ///
-    /// An answer that ends with its connection may have been cut off by a crash. It counts only if no
-    /// crash of the upstream becomes known.
+    /// An answer that ends with its connection may have been cut off by a crash. It counts only if the
+    /// upstream goes on.
     pub(super) fn record_complete_answer(
         self: &Arc<Self>,
         context: &RequestContext,
@@ -88,25 +92,65 @@
         let fingerprint = context.fingerprint();
         let parts = context.shared_parts(&self.names).to_vec();
         if !ends_with_connection(&head.headers) {
-            self.record_survived(fingerprint, &parts);
+            self.record_survived(fingerprint, &parts, upstream);
             return;
         }
-        let (gateway, upstream) = (self.clone(), upstream.clone());
+        let Some(upstream) = self.directory.read().get(upstream).cloned() else {
+            return;
+        };
+        let gateway = self.clone();
         tokio::spawn(async move {
-            let ended_ms = gateway.steady_ms();
-            tokio::time::sleep(CRASH_KNOWN_WITHIN).await;
-            let has_crashed = gateway.crashes.lock().has_crash(&upstream, ended_ms)
-                || gateway.part_crashes.lock().has_crash(&upstream, ended_ms);
-            if !has_crashed {
-                gateway.record_survived(fingerprint, &parts);
+            if gateway.goes_on(&upstream, fingerprint, &parts).await {
+                gateway.record_survived(fingerprint, &parts, &upstream.id);
             }
         });
     }
 
+    /// Returns whether an upstream goes on after an answer to a request that may have crashed it: no
+    /// crash becomes known, and if the request or one of its parts is suspect, the upstream accepts
+    /// connections. Without that check, an answer that was cut off would clear what caused the crash, if
+    /// no other request of this daemon shows the crash and the news of it comes late.
+    async fn goes_on(
+        &self,
+        upstream: &Upstream,
+        fingerprint: RequestFingerprint,
+        parts: &[PartFingerprint],
+    ) -> bool {
+        let (ended_ms, known_at) = (self.steady_ms(), Instant::now() + CRASH_KNOWN_WITHIN);
+        let was_suspect = self.is_any_suspect(fingerprint, parts);
+        if was_suspect && find_failure(self, upstream).await.is_some() {
+            return false;
+        }
+        sleep_until(known_at).await;
+        let is_new_suspect = !was_suspect && self.is_any_suspect(fingerprint, parts);
+        if is_new_suspect && find_failure(self, upstream).await.is_some() {
+            return false;
+        }
+        let has_crashed = self.crashes.lock().has_crash(&upstream.id, ended_ms)
+            || self.part_crashes.lock().has_crash(&upstream.id, ended_ms);
+        !has_crashed
+    }
+
+    /// Returns whether a request, or a part of its prompt, was present at a crash.
+    fn is_any_suspect(&self, fingerprint: RequestFingerprint, parts: &[PartFingerprint]) -> bool {
+        self.crashes.lock().is_known(fingerprint) || self.part_crashes.lock().is_any_known(parts)
+    }
+
     /// Records that a request was answered completely and its upstream survived it.
-    fn record_survived(&self, fingerprint: RequestFingerprint, parts: &[PartFingerprint]) {
+    fn record_survived(
+        &self,
+        fingerprint: RequestFingerprint,
+        parts: &[PartFingerprint],
+        upstream: &UpstreamId,
+    ) {
         let now_ms = self.steady_ms();
-        self.part_crashes.lock().record_complete(parts, now_ms);
+        let cleared = self.part_crashes.lock().record_complete(parts, now_ms);
+        for part in cleared {
+            log::info!(
+                target: "crash",
+                "part cleared of crashes: a prompt with it was answered completely. part={part} fingerprint={fingerprint} upstream={upstream}"
+            );
+        }
         if self.crashes.lock().record_complete(fingerprint) {
             log::info!(
                 target: "crash",
--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -178,7 +178,7 @@
 
 /// Checks whether an upstream accepts connections, keeps them open, and still accepts others then. Returns
 /// the failure if it does not.
-async fn find_failure(gateway: &Gateway, upstream: &Upstream) -> Option<SendFailure> {
+pub(super) async fn find_failure(gateway: &Gateway, upstream: &Upstream) -> Option<SendFailure> {
     for _ in 0..MAX_CHECKS {
         let connection = match gateway.connect_directly(upstream).await {
             Ok(connection) => connection,
--- a/src/policy/quarantine/crash_table.rs
+++ b/src/policy/quarantine/crash_table.rs
@@ -190,6 +190,11 @@
         here.for_each(|crash| crash.is_cleared = true);
     }
 
+    /// Returns whether a request was present at a crash that is kept.
+    pub fn is_known(&self, fingerprint: RequestFingerprint) -> bool {
+        self.suspects.contains_key(&fingerprint)
+    }
+
     /// Returns whether a request may have caused more than one crash. A single crash is no
     /// sign, since it affects all requests on the upstream, whatever its cause.
     pub fn is_suspect(&self, fingerprint: RequestFingerprint) -> bool {
--- a/src/policy/quarantine/part_crash_table.rs
+++ b/src/policy/quarantine/part_crash_table.rs
@@ -261,12 +261,17 @@
         self.keep_survival(announced.part, survival);
     }
 
-    /// Records that a prompt with these parts was answered completely, which clears them.
-    pub fn record_complete(&mut self, parts: &[PartFingerprint], now_ms: u64) {
+    /// Records that a prompt with these parts was answered completely, which clears them. Returns those that
+    /// crashes were held against.
+    pub fn record_complete(
+        &mut self,
+        parts: &[PartFingerprint],
+        now_ms: u64,
+    ) -> Vec<PartFingerprint> {
         if !parts.is_empty() {
             self.whole_answers.record(now_ms);
         }
-        self.record_survival(parts, None, now_ms);
+        self.record_survival(parts, None, now_ms)
     }
 
     /// Records that a prompt with these parts has been answered for a time, in milliseconds.
@@ -279,7 +284,8 @@
         parts: &[PartFingerprint],
         answering_ms: Option<u64>,
         at_ms: u64,
-    ) {
+    ) -> Vec<PartFingerprint> {
+        let mut cleared = Vec::new();
         for part in parts {
             let mut survival = Survival {
                 answering_ms,
@@ -290,11 +296,13 @@
             };
             if self.clear(*part, survival) {
                 survival.announce(ANNOUNCEMENTS);
+                cleared.push(*part);
             }
             if self.is_known(*part) {
                 self.keep_survival(*part, survival);
             }
         }
+        cleared
     }
 
     /// Clears a part of the crashes that it did not cause, as a survival shows. Returns whether there are
@@ -366,6 +374,11 @@
         crashes.any(|crash| crash.is_same(upstream, at_ms) && self.held.explain(crash))
     }
 
+    /// Returns whether one of these parts was present at a crash that is kept.
+    pub fn is_any_known(&self, parts: &[PartFingerprint]) -> bool {
+        parts.iter().any(|part| self.is_known(*part))
+    }
+
     /// Returns whether a crash of an upstream is known at about a time.
     pub fn has_crash(&self, upstream: &UpstreamId, at_ms: u64) -> bool {
         let mut crashes = self.crashes.iter();
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -115,6 +115,26 @@
     check_outcomes(&world, &crashing, &loads, &outcomes);
 }
 
+/// Guards against parts held back in vain: an answer that a crash cut off looked whole to a daemon that was not told.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_that_a_crash_cut_off_clear_no_part_at_a_daemon_that_was_not_told_of_the_crash() {
+    let crashing = [CrashingPart {
+        inside_event: true,
+        ..crashing("bad", 100)
+    }];
+    let world = PartsWorld::start_apart(&["a"; 3], &crashing).await;
+    world.runners.iter().for_each(Runner::set_unframed);
+    let loads = loads(20.0);
+    let outcomes = world.send(&loads, PLAY, 1).join_all().await.concat();
+    let sends = world.sends_with("bad");
+    let late = sends.iter().filter(|at| **at > CALM).count();
+    assert!(late <= MAX_LATE_SENDS, "{late} late of {}", sends.len());
+    for load in ["same", "others"] {
+        let share = served_share(&outcomes, load, CALM, PLAY);
+        assert!(share >= MIN_SERVED, "{load}: {share:.3} served");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn two_parts_that_crash_upstreams_at_once_are_both_held_back() {
     let mut loads = loads(6.0);
--- a/tests/gateway/crashing_parts_world.rs
+++ b/tests/gateway/crashing_parts_world.rs
@@ -55,12 +55,27 @@
     pub addresses: Arc<Mutex<Vec<SocketAddr>>>,
     routes: String,
     domains: Vec<&'static str>,
+    /// The daemons are in contact with each other.
+    in_contact: bool,
     start: Instant,
 }
 
 impl PartsWorld {
     /// Starts one daemon in each of the given failure domains, and twelve upstreams.
     pub async fn start(domains: &[&'static str], crashing: &[CrashingPart]) -> Self {
+        Self::start_daemons(domains, crashing, true).await
+    }
+
+    /// Starts daemons as [`Self::start`] does, none of which is in contact with another one.
+    pub async fn start_apart(domains: &[&'static str], crashing: &[CrashingPart]) -> Self {
+        Self::start_daemons(domains, crashing, false).await
+    }
+
+    async fn start_daemons(
+        domains: &[&'static str],
+        crashing: &[CrashingPart],
+        in_contact: bool,
+    ) -> Self {
         let mut runners = Vec::new();
         for n in 0..UPSTREAMS {
             let runner = Runner::start(&format!("b{n}"), EVENTS).await.unwrap();
@@ -75,6 +90,7 @@
             addresses: Arc::default(),
             routes,
             domains: domains.to_vec(),
+            in_contact,
             start: Instant::now(),
         };
         for n in 0..domains.len() {
@@ -88,11 +104,12 @@
         let dir = TempDir::new().unwrap();
         let path = dir.path().join("routes.toml");
         std::fs::write(&path, &self.routes).unwrap();
+        let known = self.daemons.values().filter(|_| self.in_contact);
         let settings = DaemonSettings {
             name: NAMES[n],
             source: format!("kind = \"file\"\npath = \"{}\"", path.display()),
             extra_settings: String::new(),
-            seeds: self.daemons.values().map(|d| d.peers).take(3).collect(),
+            seeds: known.map(|d| d.peers).take(3).collect(),
             stdout: crate::store_support::log_file(NAMES[n]),
         };
         let daemon = GatewayDaemon::spawn_in_domain(self.domains[n], &next_build(), dir, settings);
