A relayed answer that a crash cut off clears no part

Cause: whether an answer ends with its upstream's connection was read from its headers. A relay passes the body on in chunks, so to the daemon of the request an answer that a crash had cut off between two events looked framed and whole, and cleared the part without any check. One that was cut inside an event counted as "may have run" in place of "cut off".

Mend: the head of an answer carries a mark, set where it is read, and by relays with the header saddlepulley-relay-unframed, which relays of earlier builds do not set and earlier daemons pass over.

--- a/src/cluster/relays/relay_client.rs
+++ b/src/cluster/relays/relay_client.rs
@@ -3,7 +3,9 @@
     crate::{
         gateway::{Gateway, RELAYED_REQUESTS},
         names::UpstreamId,
-        upstreams::{Endpoint, OpenAnswer, SendFailure, UpstreamConnection, UpstreamPool},
+        upstreams::{
+            Endpoint, EndsWithConnection, OpenAnswer, SendFailure, UpstreamConnection, UpstreamPool,
+        },
     },
     bytes::Bytes,
     http::{HeaderValue, Request},
@@ -73,7 +75,10 @@
     let endpoint = Endpoint::Daemon(relay);
     let connection = connect(gateway, relay, &endpoint, sent.connect_timeout).await?;
     let request = sent.request.clone();
-    let answer = OpenAnswer::open(&gateway.pool, endpoint, connection, request).await?;
+    let mut answer = OpenAnswer::open(&gateway.pool, endpoint, connection, request).await?;
+    if answer.head.headers.remove(RELAY_UNFRAMED).is_some() {
+        answer.head.extensions.insert(EndsWithConnection);
+    }
     match answer.head.headers.get(RELAY_FAILURE).cloned() {
         None => Ok(answer),
         Some(kind) => Err(read_failure(answer, &kind).await),
--- a/src/cluster/relays/relay_headers.rs
+++ b/src/cluster/relays/relay_headers.rs
@@ -8,6 +8,9 @@
     HeaderName::from_static("saddlepulley-relay-max-idle-ms");
 /// Set by a relay that has no answer of the upstream: how sending failed. The body has the cause.
 pub(super) const RELAY_FAILURE: HeaderName = HeaderName::from_static("saddlepulley-relay-failure");
+/// Set by a relay if the body of the upstream's answer ends with the upstream's connection.
+pub(super) const RELAY_UNFRAMED: HeaderName =
+    HeaderName::from_static("saddlepulley-relay-unframed");
 /// Values of [`RELAY_FAILURE`]: the request was not sent, the connection ended before the response
 /// did, or it may have run for another reason.
 pub(super) const NOT_SENT: &str = "not-sent";
--- a/src/cluster/relays/relay_server.rs
+++ b/src/cluster/relays/relay_server.rs
@@ -7,7 +7,7 @@
         },
         names::UpstreamId,
         policy::{HeldFor, LinkPath},
-        upstreams::{Endpoint, OpenAnswer, SendFailure, Upstream},
+        upstreams::{Endpoint, OpenAnswer, SendFailure, Upstream, ends_with_connection},
     },
     futures_util::stream,
     http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, header},
@@ -107,7 +107,13 @@
 
 fn pass_back(answer: OpenAnswer, guard: RelayGuard) -> Response<AnswerBody> {
     let mut head = answer.head.clone();
-    head.headers.remove(RELAY_FAILURE);
+    for name in [RELAY_FAILURE, RELAY_UNFRAMED] {
+        head.headers.remove(name);
+    }
+    if ends_with_connection(&head) {
+        let value = HeaderValue::from_static("1");
+        head.headers.insert(RELAY_UNFRAMED, value);
+    }
     let chunks = stream::unfold(Some((answer, guard)), |state| async move {
         let (mut answer, guard) = state?;
         match answer.next_chunk().await? {
--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -91,7 +91,7 @@
         }
         let fingerprint = context.fingerprint();
         let parts = context.shared_parts(&self.names).to_vec();
-        if !ends_with_connection(&head.headers) {
+        if !ends_with_connection(head) {
             self.record_survived(fingerprint, &parts, upstream);
             return;
         }
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -277,7 +277,7 @@
         }
         let cause = "the stream ended inside an event".to_string();
         let sent = self.current.as_ref();
-        match sent.is_some_and(|sent| ends_with_connection(&sent.answer.head.headers)) {
+        match sent.is_some_and(|sent| ends_with_connection(&sent.answer.head)) {
             // The connection of an upstream that crashes may end like that of a whole answer.
             true => Err(SendFailure::CutOff(cause)),
             false => Err(SendFailure::MayHaveRun(cause)),
--- a/src/upstreams/exchange.rs
+++ b/src/upstreams/exchange.rs
@@ -1,5 +1,5 @@
 use {
-    super::{Endpoint, SendFailure, UpstreamConnection, UpstreamPool},
+    super::{Endpoint, EndsWithConnection, SendFailure, UpstreamConnection, UpstreamPool},
     bytes::Bytes,
     http::{HeaderMap, Request, header, response::Parts},
     http_body_util::{BodyExt, Full},
@@ -41,7 +41,10 @@
                 false => classify_error(e.error()),
             }
         })?;
-        let (head, body) = answer.into_parts();
+        let (mut head, body) = answer.into_parts();
+        if has_no_framing(&head.headers) {
+            head.extensions.insert(EndsWithConnection);
+        }
         Ok(Self {
             head,
             body,
@@ -83,7 +86,7 @@
         let Some(connection) = self.connection.take() else {
             return;
         };
-        if has_connection_close(&self.head.headers) || ends_with_connection(&self.head.headers) {
+        if has_connection_close(&self.head.headers) || has_no_framing(&self.head.headers) {
             return;
         }
         let idle_timeout = keep_alive_timeout(&self.head.headers);
@@ -111,9 +114,8 @@
     connection.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
-/// Returns whether a body has neither a length nor chunks, by its headers, so that it ends with its
-/// connection.
-pub fn ends_with_connection(headers: &HeaderMap) -> bool {
+/// Returns whether a body has neither a length nor chunks, by its headers.
+fn has_no_framing(headers: &HeaderMap) -> bool {
     !headers.contains_key(header::CONTENT_LENGTH)
         && !headers.contains_key(header::TRANSFER_ENCODING)
 }
--- a/src/upstreams/mod.rs
+++ b/src/upstreams/mod.rs
@@ -6,6 +6,7 @@
 mod directory_exchange;
 mod directory_update;
 mod endpoint;
+mod ends_with_connection;
 mod exchange;
 mod followed_view;
 mod lapsed_upstreams;
@@ -22,7 +23,7 @@
 mod upstream_pool;
 
 pub use {
-    directory_changes::*, directory_update::*, endpoint::*, exchange::*, newest_incarnations::*,
-    ready_upstreams::*, send_failure::*, source_read::*, unlogged_changes::*, upstream::*,
-    upstream_directory::*, upstream_load::*, upstream_pool::*,
+    directory_changes::*, directory_update::*, endpoint::*, ends_with_connection::*, exchange::*,
+    newest_incarnations::*, ready_upstreams::*, send_failure::*, source_read::*,
+    unlogged_changes::*, upstream::*, upstream_directory::*, upstream_load::*, upstream_pool::*,
 };
--- a/tests/gateway/lost_links.rs
+++ b/tests/gateway/lost_links.rs
@@ -11,7 +11,7 @@
     },
     http::StatusCode,
     nix::sys::signal::Signal,
-    saddlepulley_standin::runner::Runner,
+    saddlepulley_standin::runner::{CrashingPart, Runner},
     std::{
         fs,
         net::SocketAddr,
@@ -72,6 +72,12 @@
 
     /// Does the same, with upstreams whose streams have the given number of events.
     async fn start_with_events(domains: &[&str], events: u64) -> Self {
+        Self::start_with_direct(domains, events, &[]).await
+    }
+
+    /// Does the same. The paths of the given daemons can't be cut, so that they see that an upstream
+    /// refuses connections.
+    async fn start_with_direct(domains: &[&str], events: u64, direct: &[usize]) -> Self {
         let mut world = Self {
             runners: Vec::new(),
             daemons: Vec::new(),
@@ -80,8 +86,8 @@
             let runner = Runner::start(&format!("u{n}"), events).await.unwrap();
             world.runners.push(runner);
         }
-        for (name, domain) in NAMES.into_iter().zip(domains) {
-            world.add(name, domain).await;
+        for (n, domain) in domains.iter().enumerate() {
+            world.add(NAMES[n], domain, direct.contains(&n)).await;
         }
         let all_known = format!("saddlepulley_daemons {}", domains.len());
         for cut in &world.daemons {
@@ -93,11 +99,11 @@
         world
     }
 
-    async fn add(&mut self, name: &'static str, domain: &str) {
+    async fn add(&mut self, name: &'static str, domain: &str, is_direct: bool) {
         let mut links = Vec::new();
         let all: Vec<&Runner> = self.runners.iter().collect();
         let mut routes = routes_file(1, &ROUTES, &all);
-        for runner in &self.runners {
+        for runner in self.runners.iter().filter(|_| !is_direct) {
             let link = CutProxy::start(runner.address()).await;
             let (direct, through_link) = (runner.address(), link.address());
             routes = routes.replace(&format!("\"{direct}\""), &format!("\"{through_link}\""));
@@ -389,6 +395,53 @@
     }
 }
 
+/// Sends requests with a part that crashes upstreams, two for each upstream one after the other, so that
+/// the second one runs when the first one crashes it. The upstreams are up again when it returns.
+async fn send_crashing(to: SocketAddr, round: usize) {
+    let mut requests = JoinSet::new();
+    for n in 0..2 * RUNNERS {
+        let attempt = format!("bad-{round}-{n}");
+        let head = request(&attempt, "/stream/once/x")
+            .header("saddlepulley-prompt-parts", format!("bad:100,{attempt}:50"))
+            .header("saddlepulley-token-count", "150,80");
+        requests.spawn(async move {
+            let mut client = Client::connect(to).await?;
+            client.send(head, &attempt).await.ok()
+        });
+        tokio::time::sleep(Duration::from_millis(3)).await;
+    }
+    requests.join_all().await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+}
+
+/// Guards against parts held back in vain: a relay passed an answer on as whole that ended with a crash.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_relayed_answer_that_a_crash_cut_off_clears_no_part() {
+    let world = CutWorld::start_with_direct(&["a"; 2], LONG, &[1]).await;
+    for runner in &world.runners {
+        runner.set_unframed();
+        runner.set_crashing_parts(vec![CrashingPart {
+            id: "bad".into(),
+            before_head: false,
+            inside_event: true,
+            delay: Duration::from_millis(100),
+        }]);
+    }
+    let addresses = world.addresses();
+    world.cut(&[0], LinkState::Reset);
+    send_crashing(addresses[1], 0).await;
+    for round in 1..=3 {
+        send_crashing(addresses[0], round).await;
+    }
+    let log = |n: usize| fs::read_to_string(world.daemons[n].daemon.dir.path().join("log"));
+    let (cut, relay) = (log(0).unwrap(), log(1).unwrap());
+    assert!(cut.contains("stream completed. request=bad"));
+    assert!(relay.contains("upstream crashed while running requests"));
+    for line in cut.lines().chain(relay.lines()) {
+        assert!(!line.contains("part cleared of crashes"), "{line}");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_upstream_to_which_some_daemons_lost_their_paths_gets_its_share_of_requests() {
     let world = CutWorld::start(&["a"; 6]).await;
