A test reads a daemon's log once its lines are written

Cause: the lines are written in the background, and the test read the file right after the last answer. Shown beside a load of 12 lanes and ten busy processes on 8 cores: in 4 of 72 runs 17, 18, 19 and 19 lines were there at once, and all 20 a moment later, each with failure_rate=0.00. Ruled out: placement at the other daemon (the lines are in the same file).

The test waits for the lines, and then asserts the same as before.

--- a/tests/gateway/lost_links.rs
+++ b/tests/gateway/lost_links.rs
@@ -386,11 +386,16 @@
             .await;
         assert_eq!(answer.status, StatusCode::OK);
     }
-    let log = fs::read_to_string(cut.dir.path().join("log")).unwrap();
-    let placed = log.lines().filter(|l| l.contains("request=later"));
-    let placed: Vec<&str> = placed.filter(|l| l.contains("request placed.")).collect();
-    assert_eq!(placed.len(), 20);
-    for line in placed {
+    let placed = || {
+        let log = fs::read_to_string(cut.dir.path().join("log")).unwrap();
+        let lines = log.lines().filter(|l| l.contains("request=later"));
+        let placed = lines.filter(|l| l.contains("request placed."));
+        placed.map(String::from).collect::<Vec<String>>()
+    };
+    // Lines are written in the background, at times after the answers.
+    eventually("all lines are written", async || placed().len() >= 20).await;
+    assert_eq!(placed().len(), 20);
+    for line in placed() {
         assert!(line.contains("failure_rate=0.00"), "{line}");
     }
 }
