A soak loses all daemons while upstreams of other versions come

A second soak of the same world begins with one version; 15 of 100 disturbances kill all daemons, add upstreams and drain one while they are down, and start them again. The schedules of the first soak's seeds are as before.

--- a/tests/gateway/streams_soak.rs
+++ b/tests/gateway/streams_soak.rs
@@ -5,6 +5,9 @@
 //! each version keeps two upstreams, streams that are taken up go on at least half as often as new
 //! ones begin. Once it is calm, every stream is complete. The schedule is seeded. To run more seeds for
 //! longer: `STREAM_SEEDS=1-50 STREAM_SECONDS=20 cargo test --test gateway streams_soak`.
+//!
+//! A second soak begins with one version, and upstreams of others also come while all daemons are down
+//! (`STREAM_LOSS_SEEDS`).
 
 use {
     crate::{stream_world::*, support::GatewayDaemon},
@@ -28,6 +31,8 @@
 };
 /// Number of daemons that are stopping at a time, at most.
 const MAX_STOPPING: usize = 2;
+/// Share of disturbances that are a loss of all daemons during a change, in the soak that has them.
+const LOSSES: f64 = 0.15;
 const GRACEFUL_STOP: Duration = Duration::from_secs(12);
 
 /// The world under disturbances.
@@ -42,14 +47,17 @@
 }
 
 impl Soak {
-    async fn start() -> Self {
+    /// Starts six daemons, and upstreams of the given versions.
+    async fn start(versions: [&'static str; 6]) -> Self {
         let domains = ["a", "a", "a", "a", "b", "b"];
-        let versions = ["v1", "v2", "v1", "v2", "v1", "v2"];
         let world = StreamWorld::start(&domains, &versions).await;
-        let staying = [("v1", vec![0, 2, 4]), ("v2", vec![1, 3, 5])];
+        let mut staying: BTreeMap<&'static str, Vec<usize>> = BTreeMap::new();
+        for (index, version) in versions.into_iter().enumerate() {
+            staying.entry(version).or_default().push(index);
+        }
         Self {
             world,
-            staying: staying.into(),
+            staying,
             stopping: Vec::new(),
             passing: JoinSet::new(),
         }
@@ -191,6 +199,16 @@
         }
     }
 
+    /// Kills all daemons, changes upstreams while they are down, and starts them again.
+    async fn lose_all_during_a_change(&mut self, rng: &mut ChaCha8Rng) {
+        self.stopping.clear();
+        self.world.kill_all();
+        self.add_upstreams(rng).await;
+        self.drain_upstream(rng);
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+        self.world.start_all().await;
+    }
+
     /// Waits until all stopped daemons have ended, and starts others in their place.
     async fn end_disturbances(&mut self, seed: u64) {
         std::mem::take(&mut self.passing).join_all().await;
@@ -221,9 +239,27 @@
     tally
 }
 
-async fn soak(seed: u64, length: Duration) {
+/// What the world of a soak begins with, and what happens in it.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Kind {
+    /// Two versions from the start.
+    TwoVersions,
+    /// One version, and all daemons are also lost while that changes.
+    OneVersion,
+}
+
+impl Kind {
+    fn versions(self) -> [&'static str; 6] {
+        match self {
+            Self::TwoVersions => ["v1", "v2", "v1", "v2", "v1", "v2"],
+            Self::OneVersion => ["v1"; 6],
+        }
+    }
+}
+
+async fn soak(kind: Kind, seed: u64, length: Duration) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut soak = Soak::start().await;
+    let mut soak = Soak::start(kind.versions()).await;
     let load = StreamLoad {
         per_s: 30,
         leaving: 0.3,
@@ -233,7 +269,10 @@
     let end = tokio::time::Instant::now() + length;
     while tokio::time::Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(rng.random_range(100..900))).await;
-        soak.disturb(&mut rng).await;
+        match kind == Kind::OneVersion && rng.random_bool(LOSSES) {
+            true => soak.lose_all_during_a_change(&mut rng).await,
+            false => soak.disturb(&mut rng).await,
+        }
     }
     check(&clients.join_all().await, seed);
     soak.end_disturbances(seed).await;
@@ -246,18 +285,27 @@
     );
 }
 
-fn seeds() -> std::ops::RangeInclusive<u64> {
-    let text = env::var("STREAM_SEEDS").unwrap_or_else(|_| "1-1".into());
+fn seeds(name: &str) -> std::ops::RangeInclusive<u64> {
+    let text = env::var(name).unwrap_or_else(|_| "1-1".into());
     let (first, last) = text.split_once('-').expect("FIRST-LAST");
     first.parse().unwrap()..=last.parse().unwrap()
 }
 
-#[tokio::test(flavor = "multi_thread")]
-async fn streams_keep_to_their_version_through_overlapping_disturbances() {
+async fn soak_all(kind: Kind, seeds: std::ops::RangeInclusive<u64>) {
     let seconds = env::var("STREAM_SECONDS").ok();
     let seconds = seconds.map_or(15, |s| s.parse().unwrap());
-    for seed in seeds() {
-        soak(seed, Duration::from_secs(seconds)).await;
+    for seed in seeds {
+        soak(kind, seed, Duration::from_secs(seconds)).await;
         println!("seed {seed} passed");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_to_their_version_through_overlapping_disturbances() {
+    soak_all(Kind::TwoVersions, seeds("STREAM_SEEDS")).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_to_their_version_where_all_daemons_are_lost_while_versions_change() {
+    soak_all(Kind::OneVersion, seeds("STREAM_LOSS_SEEDS")).await;
+}
