--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -109,6 +109,17 @@
     runs: usize,
 }
 
+impl Series {
+    fn assert_held_in_time(&self) {
+        assert!(
+            self.runs <= self.runs_when_known + MAX_LATE_RUNS,
+            "{} when known, {} in all",
+            self.runs_when_known,
+            self.runs
+        );
+    }
+}
+
 /// Sends the request repeatedly, to one daemon after another, until `for_at_least` after the time
 /// by which all daemons have to hold it back.
 async fn ask_repeatedly(world: &World, path: &'static str, for_at_least: Duration) -> Series {
@@ -146,12 +157,7 @@
 async fn a_single_daemon_learns_from_earlier_tries() {
     let world = World::start(1, &[&STREAM_ONE_SEND]).await;
     let series = ask_repeatedly(&world, "/stream/resume/x", Duration::from_secs(3)).await;
-    assert!(
-        series.runs <= series.runs_when_known + MAX_LATE_RUNS,
-        "{} when known, {} in all",
-        series.runs_when_known,
-        series.runs
-    );
+    series.assert_held_in_time();
     let answer = world
         .fetch(0, "last", "/stream/resume/x", CRASHING_BODY)
         .await;
@@ -168,12 +174,7 @@
         runner.set_listening_after_crash(Duration::from_millis(25));
     }
     let series = ask_repeatedly(&world, "/stream/resume/x", Duration::from_secs(2)).await;
-    assert!(
-        series.runs <= series.runs_when_known + MAX_LATE_RUNS,
-        "{} when known, {} in all",
-        series.runs_when_known,
-        series.runs
-    );
+    series.assert_held_in_time();
     let answer = world
         .fetch(0, "last", "/stream/resume/x", CRASHING_BODY)
         .await;
