--- a/src/cluster/origins/origin_log.rs
+++ b/src/cluster/origins/origin_log.rs
@@ -21,8 +21,8 @@
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest time for which a request waits for a read.
 const MAX_READ_WAIT: Duration = Duration::from_millis(500);
-/// Maximum age of a finished read that stands in for one that takes longer than a request waits. The streams
-/// that began since may be missing in it.
+/// Maximum age of a finished read that is used while a newer read takes longer than a request waits. The
+/// streams that began since may be missing in it.
 const MAX_READ_AGE: Duration = Duration::from_secs(2);
 
 /// The versions that began streams, in a log that outlives all daemons.
--- a/src/gateway/crash_state.rs
+++ b/src/gateway/crash_state.rs
@@ -109,7 +109,7 @@
     /// Returns whether an upstream goes on after an answer to a request that may have crashed it: no
     /// crash becomes known, and if the request or one of its parts is suspect, the upstream accepts
     /// connections. Without that check, an answer that was cut off would clear what caused the crash, if
-    /// no other request of this daemon shows the crash and the news of it comes late.
+    /// no other request of this daemon shows the crash and another daemon announces it late.
     async fn goes_on(
         &self,
         upstream: &Upstream,
--- a/src/gateway/cut_offs.rs
+++ b/src/gateway/cut_offs.rs
@@ -16,7 +16,7 @@
 
 /// How long an accepted connection has to stay open, until another one is accepted, to show that the
 /// upstream is alive: a process that ends may close its connections shortly before its listening socket,
-/// and one that was accepted in between may end later still.
+/// and a connection that it accepts in between may stay open for longer.
 const MIN_OPEN_TIME: Duration = Duration::from_millis(50);
 /// Number of connections that are tried. An upstream that accepts and closes all of them
 /// counts as alive, since an upstream at its connection limit does that.
--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -189,7 +189,7 @@
     Ok(context)
 }
 
-/// Finds the software version that a stream may go on at which the client takes up. Refuses the request
+/// Finds the software version at which a stream may go on that the client takes up. Refuses the request
 /// if that is unknown, or no upstream of this version is left.
 async fn check_resumption(
     gateway: &Arc<Gateway>,
--- a/standin/src/runner/service.rs
+++ b/standin/src/runner/service.rs
@@ -305,8 +305,8 @@
     }
 }
 
-/// Serves a connection until the runner crashes, of which `crashed` tells from the time on at which the
-/// connection was accepted.
+/// Serves a connection until the runner crashes. `crashed` changes with each crash after the connection was
+/// accepted.
 async fn serve(stream: TcpStream, shared: Arc<Shared>, mut crashed: watch::Receiver<u64>) {
     let service = service_fn(move |request| respond(request, shared.clone()));
     let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
