A loss of all daemons is tested with the log of origins away, too

streams_go_on_once_the_log_of_origins_is_back: no read of the log succeeds for 2 s after the loss. Each loss also asserts that refusals come within a second.

--- a/tests/gateway/streams_after_loss.rs
+++ b/tests/gateway/streams_after_loss.rs
@@ -23,6 +23,8 @@
 }
 
 const UPSTREAMS: usize = 4;
+/// Time within which a stream that can't go on is refused.
+const AT_ONCE: Duration = Duration::from_secs(1);
 /// How long the daemons run before. A record that is younger does not show what served before it.
 const RECORD_SETTLES: Duration = Duration::from_secs(5);
 
@@ -45,11 +47,24 @@
     }
     disturb(&world);
     world.start_all().await;
-    let tally = check(&clients.join_all().await);
+    let outcomes = clients.join_all().await;
+    let slowest = outcomes.iter().map(|o| o.slowest_refusal).max().unwrap();
+    assert!(slowest < AT_ONCE, "refused after {slowest:?}");
+    let tally = check(&outcomes);
     assert!(tally.taken_up >= 12, "{tally:?}");
     tally
 }
 
+/// Plays a loss with all upstreams replaced, and beside it one with half of them replaced.
+async fn lose_all_daemons_twice(
+    disturb: impl Fn(&StreamWorld) + Copy,
+) -> (StreamTally, StreamTally) {
+    tokio::join!(
+        lose_all_daemons(Replaced::All, disturb),
+        lose_all_daemons(Replaced::Half, disturb)
+    )
+}
+
 fn assert_all_go_on(tally: &StreamTally) {
     assert_eq!(tally.went_on, tally.taken_up, "{tally:?}");
     assert_eq!(tally.complete, tally.streams, "{tally:?}");
@@ -99,10 +114,19 @@
     let down = |world: &StreamWorld| {
         fault_for(world, RECORD, TopicFault::Down, Duration::from_secs(2));
     };
-    let tally = lose_all_daemons(Replaced::All, down).await;
-    assert_new_ones_begin(&tally);
-    let tally = lose_all_daemons(Replaced::Half, down).await;
-    assert_all_go_on(&tally);
+    let (all, half) = lose_all_daemons_twice(down).await;
+    assert_new_ones_begin(&all);
+    assert_all_go_on(&half);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_go_on_once_the_log_of_origins_is_back() {
+    let down = |world: &StreamWorld| {
+        fault_for(world, ORIGINS, TopicFault::Down, Duration::from_secs(2));
+    };
+    let (all, half) = lose_all_daemons_twice(down).await;
+    assert_new_ones_begin(&all);
+    assert_all_go_on(&half);
 }
 
 #[tokio::test(flavor = "multi_thread")]
@@ -111,21 +135,21 @@
         let fault = TopicFault::Slow(Duration::from_millis(900));
         fault_for(world, ORIGINS, fault, Duration::from_secs(10));
     };
-    let tally = lose_all_daemons(Replaced::All, slow).await;
-    assert_new_ones_begin(&tally);
-    let tally = lose_all_daemons(Replaced::Half, slow).await;
-    assert_all_go_on(&tally);
+    let (all, half) = lose_all_daemons_twice(slow).await;
+    assert_new_ones_begin(&all);
+    assert_all_go_on(&half);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_go_on_at_the_only_version_after_a_loss_of_all_daemons_and_a_return_of_the_store() {
     let restore = |world: &StreamWorld| return_from_copy(world, Duration::from_secs(1));
-    let tally = lose_all_daemons(Replaced::All, restore).await;
-    assert_new_ones_begin(&tally);
-    let tally = lose_all_daemons(Replaced::Half, restore).await;
-    assert_new_ones_begin(&tally);
-    let tally = lose_all_daemons(Replaced::None, restore).await;
-    assert_all_go_on(&tally);
+    let ((all, half), none) = tokio::join!(
+        lose_all_daemons_twice(restore),
+        lose_all_daemons(Replaced::None, restore)
+    );
+    assert_new_ones_begin(&all);
+    assert_new_ones_begin(&half);
+    assert_all_go_on(&none);
 }
 
 /// The copy from which the store returns is older than the first use of a version: streams began at that one.
