--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -24,6 +24,7 @@
 DAEMON = os.path.join(ROOT, "target", "release", "saddlepulley")
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HEARTBEAT_S = 1.2
+SURPLUS_BODY = b"bytes that belong to no request\n"
 
 
 class CannotRun(Exception):
@@ -228,7 +229,7 @@
         self.event_s, self.work_s = args.get("event_s", 0.1), args.get("work_s", 0.02)
         self.slots = args.get("slots", 128)
         self.state, self.sequence = "ready", 0
-        self.hang_share = self.error_share = 0.0
+        self.hang_share = self.error_share = self.surplus_share = 0.0
         self.rng = random.Random(args["id"])
         self.log = open(args["log"], "a", buffering=1)
 
@@ -250,11 +251,18 @@
         await put(self.store_port, "keyed.servers", self.id, entry)
 
     async def connection(self, reader, writer):
+        owes_surplus = False
         try:
             while head := await read_head(reader):
                 body = await read_body(reader, head[1])
+                if owes_surplus:
+                    # A surplus answer that comes late, in the place of the next answer due.
+                    writer.write(answer_bytes(200, SURPLUS_BODY))
+                    await writer.drain()
+                    self.note(event="surplus", attempt=head[1].get("x-attempt-id"))
                 if not await self.request(head[0], head[1], body, reader, writer):
                     return
+                owes_surplus = self.rng.random() < self.surplus_share
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
