--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -230,6 +230,7 @@
         self.slots = args.get("slots", 128)
         self.state, self.sequence = "ready", 0
         self.hang_share = self.error_share = self.surplus_share = 0.0
+        self.surplus = "success"
         self.rng = random.Random(args["id"])
         self.log = open(args["log"], "a", buffering=1)
 
@@ -257,7 +258,9 @@
                 body = await read_body(reader, head[1])
                 if owes_surplus:
                     # A surplus answer that comes late, in the place of the next answer due.
-                    writer.write(answer_bytes(200, SURPLUS_BODY))
+                    is_success = self.surplus == "success"
+                    writer.write(answer_bytes(200, SURPLUS_BODY) if is_success else
+                                 answer_bytes(503, b"", [("X-Not-Executed", "1")]))
                     await writer.drain()
                     self.note(event="surplus", attempt=head[1].get("x-attempt-id"))
                 if not await self.request(head[0], head[1], body, reader, writer):
