--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 cargo build --release --locked
 python3 -c 'import ast, sys; [ast.parse(open(p).read(), p) for p in sys.argv[1:]]' \
-    review/standins-2/world.py review/[456]/*.py
+    review/standins-2/world.py review/[456]/case.py
