The line on a stream that is taken up names whom the search reached

The line now names how many daemons were asked and answered, and whether the log of origins was read.

The search has moved to a file of its own; its decisions are unchanged.

--- a/src/gateway/intake.rs
+++ b/src/gateway/intake.rs
@@ -196,7 +196,6 @@
     context: &RequestContext,
 ) -> Result<(), Box<Response<AnswerBody>>> {
     let resumption = gateway.find_resumption(context).await;
-    gateway.count_taken_up(context, &resumption);
     let refused = |detail, retry_after| {
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Err(Box::new(refusal(status, detail, retry_after)))
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod metrics_page;
 mod open_connections;
 mod open_request;
+mod origin_search;
 mod origin_state;
 mod part_state;
 mod phase_state;
--- a/src/gateway/origin_state.rs
+++ b/src/gateway/origin_state.rs
@@ -1,17 +1,14 @@
-//! Which software version began a stream, as far as this daemon knows or can find out.
+//! Which software version began a stream, as far as this daemon knows.
 
 use {
-    super::{DROPPED_ORIGINS, Gateway, RequestContext, TAKEN_UP_STREAMS},
+    super::{DROPPED_ORIGINS, Gateway, RequestContext},
     crate::{
-        cluster::{Extension, ORIGINS_LEVEL, OriginAnswer, OriginLog, OriginQuery, OriginsPart},
+        cluster::{ORIGINS_LEVEL, OriginAnswer, OriginLog, OriginsPart},
         names::{ServiceName, UpstreamVersion},
-        policy::{
-            AnnouncedOrigin, AttemptKey, Resumption, ResumptionEvidence, StreamOrigin, name_hash,
-        },
+        policy::{AnnouncedOrigin, AttemptKey, StreamOrigin, name_hash},
         upstreams::Upstream,
     },
-    futures_util::{StreamExt, stream::FuturesUnordered},
-    std::{net::SocketAddr, sync::Arc},
+    std::net::SocketAddr,
 };
 
 /// Number of other daemons that keep the origin of each stream.
@@ -109,7 +106,7 @@
 
     /// Returns the daemons that may know where streams began: the other hubs of the own failure domain,
     /// and those of the others.
-    fn origin_daemons(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+    pub(super) fn origin_daemons(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let own = self.settings.listen.peers;
         let peers = self.peers.lock();
         let near = peers.own_hubs();
@@ -123,94 +120,6 @@
         (near.into_iter().filter(may_know).collect(), far)
     }
 
-    /// Returns the upstreams at which a stream may go on that a client takes up. Asks other daemons and
-    /// the shared log if this daemon does not know.
-    pub(super) async fn find_resumption(self: &Arc<Self>, context: &RequestContext) -> Resumption {
-        let service = &context.service;
-        let mut evidence = ResumptionEvidence::default();
-        let key = context.origin_key();
-        let known = key.and_then(|key| self.known_origin(key));
-        evidence.add(known, self.known_versions(service));
-        match key {
-            Some(key) => self.ask_for_origin(service, key, &mut evidence).await,
-            // The client does not name the attempt that began the stream.
-            None => evidence.record_nobody_to_ask(),
-        }
-        evidence.decide()
-    }
-
-    /// Asks the daemons of the own failure domain, then the others, then the shared log, until it is known
-    /// where a stream may go on.
-    async fn ask_for_origin(
-        self: &Arc<Self>,
-        service: &ServiceName,
-        key: AttemptKey,
-        evidence: &mut ResumptionEvidence,
-    ) {
-        let (near, far) = self.origin_daemons();
-        if near.is_empty() && far.is_empty() && self.origin_log.get().is_none() {
-            evidence.record_nobody_to_ask();
-        }
-        for daemons in [near, far] {
-            if evidence.is_open() {
-                self.query_origin(service, key, &daemons, evidence).await;
-            }
-        }
-        if evidence.is_open() {
-            self.read_origin(service, key, evidence).await;
-        }
-    }
-
-    /// Queries daemons, all at once, until one knows the stream or all have answered.
-    async fn query_origin(
-        &self,
-        service: &ServiceName,
-        key: AttemptKey,
-        daemons: &[SocketAddr],
-        evidence: &mut ResumptionEvidence,
-    ) {
-        let query = |id| {
-            Extension::OriginQuery(OriginQuery {
-                incarnation: self.incarnation,
-                id,
-                service: service.to_string(),
-                attempt: key.0,
-            })
-        };
-        let queries = daemons
-            .iter()
-            .map(|daemon| self.origin_client.query(self, *daemon, query));
-        let mut answers: FuturesUnordered<_> = queries.collect();
-        while !evidence.has_origin()
-            && let Some(answer) = answers.next().await
-        {
-            if let Some(answer) = answer {
-                evidence.add_heard(answer.version, answer.versions);
-            }
-        }
-    }
-
-    /// Reads the shared log for the origin of a stream.
-    async fn read_origin(
-        self: &Arc<Self>,
-        service: &ServiceName,
-        key: AttemptKey,
-        evidence: &mut ResumptionEvidence,
-    ) {
-        let Some(log) = self.origin_log.get() else {
-            return;
-        };
-        let is_read = log.read(self).await;
-        let (origin, versions) = (self.known_origin(key), self.known_versions(service));
-        match is_read {
-            true => evidence.add_heard(origin, versions),
-            false => {
-                evidence.record_unread_log();
-                evidence.add(origin, versions);
-            }
-        }
-    }
-
     /// Applies an answer to a query of this daemon. `alone` is the version that the other daemon knows to
     /// have served alone.
     pub(crate) fn apply_origin_answer(&self, answer: &OriginAnswer, alone: Option<&str>) {
@@ -238,24 +147,6 @@
         self.origins.lock().take_to_log(now_ms)
     }
 
-    /// Counts a stream that a client takes up, by what is known of it.
-    pub(super) fn count_taken_up(&self, context: &RequestContext, resumption: &Resumption) {
-        let (label, version) = match resumption {
-            Resumption::At(version) => ("known", version.as_str()),
-            Resumption::Inferred(version) => ("inferred", version.as_str()),
-            Resumption::Anywhere => ("one_version", "any"),
-            Resumption::Nowhere => ("unknown", "unknown"),
-        };
-        metrics::counter!(TAKEN_UP_STREAMS, "version" => label).increment(1);
-        log::info!(
-            target: "stream",
-            "stream taken up. request={} resumes={} last_event={:?} origin={label} version={version}",
-            context.id_text(),
-            context.resumed_text(),
-            context.last_event_id
-        );
-    }
-
     /// Removes the origins of streams that can no longer be taken up.
     pub(super) fn expire_origins(&self) {
         let now_ms = self.steady_ms();
