The origin of a stream is kept in several failure domains

Cause: both keepers of a stream's origin were hubs of its daemon's own failure domain, so all that knew it ended together, but for the log, which is written twice a second. For 10 s what nobody knows is taken for the version that served alone. Evidence: all mixed streams origin=inferred, all living daemons had answered and the log was read. Ruled out: daemons that were not reached, and daemons that knew a wrong origin.

Now one keeper is in the own domain and two are in two others, and only live hubs are chosen. Nothing more is refused and nothing less is inferred: knowledge that was missing is there.

The choice itself is pure (decisions/origin_keepers).

Cost: three datagrams a stream while versions differ, two before (CAPACITY).

--- a/src/cluster/membership/mod.rs
+++ b/src/cluster/membership/mod.rs
@@ -5,6 +5,7 @@
 mod peer_duties;
 mod peer_index;
 mod peer_loads;
+mod peer_origins;
 mod peer_quotas;
 mod peer_relays;
 mod peer_sources;
--- a/src/cluster/membership/peer_table.rs
+++ b/src/cluster/membership/peer_table.rs
@@ -230,7 +230,7 @@
         members.map(|p| p.entry.address).collect()
     }
 
-    fn hubs_of<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a Peer> {
+    pub(super) fn hubs_of<'a>(&'a self, domain: &'a str) -> impl Iterator<Item = &'a Peer> {
         self.domain_candidates(domain).take(HUBS_PER_DOMAIN)
     }
 
@@ -245,7 +245,7 @@
     }
 
     /// Returns the peers that are hubs by their rank, and those that announce that they are.
-    fn hubs_anywhere(&self) -> impl Iterator<Item = &Peer> {
+    pub(super) fn hubs_anywhere(&self) -> impl Iterator<Item = &Peer> {
         let placed = self.index.domains().flat_map(|d| self.hubs_of(d));
         placed.chain(self.known_hubs())
     }
--- a/src/cluster/origins/origin_announcer.rs
+++ b/src/cluster/origins/origin_announcer.rs
@@ -25,7 +25,7 @@
     let is_hub = gateway.is_hub();
     let mut by_receiver: BTreeMap<(SocketAddr, bool), Vec<AnnouncedOrigin>> = BTreeMap::new();
     for origin in origins {
-        let keepers = gateway.origin_keepers(origin.key);
+        let keepers = gateway.peers.lock().origin_keepers(origin.key);
         for (rank, keeper) in keepers.into_iter().enumerate() {
             let logs = !is_hub && rank == 0;
             let group = by_receiver.entry((keeper, logs)).or_default();
--- a/src/gateway/origin_search.rs
+++ b/src/gateway/origin_search.rs
@@ -69,7 +69,7 @@
         key: AttemptKey,
         search: &mut OriginSearch,
     ) {
-        let (near, far) = self.origin_daemons();
+        let (near, far) = self.peers.lock().origin_daemons();
         if near.is_empty() && far.is_empty() && self.origin_log.get().is_none() {
             search.evidence.record_nobody_to_ask();
         }
--- a/src/gateway/origin_state.rs
+++ b/src/gateway/origin_state.rs
@@ -3,16 +3,13 @@
 use {
     super::{DROPPED_ORIGINS, Gateway, RequestContext},
     crate::{
-        cluster::{ORIGINS_LEVEL, OriginAnswer, OriginLog, OriginsPart},
+        cluster::{OriginAnswer, OriginLog, OriginsPart},
         names::{ServiceName, UpstreamVersion},
-        policy::{AnnouncedOrigin, AttemptKey, StreamOrigin, name_hash},
+        policy::{AnnouncedOrigin, AttemptKey, StreamOrigin},
         upstreams::Upstream,
     },
-    std::net::SocketAddr,
 };
 
-/// Number of other daemons that keep the origin of each stream.
-const KEEPERS: usize = 2;
 /// How long after the end of its first answer a stream may still be taken up, in milliseconds.
 const RETURN_MS: u64 = 30_000;
 
@@ -93,33 +90,6 @@
         services.map(|s| s.name.clone()).collect()
     }
 
-    /// Returns the daemons that keep the origin of a stream: hubs of the own failure domain first.
-    pub(crate) fn origin_keepers(&self, key: AttemptKey) -> Vec<SocketAddr> {
-        let (near, far) = self.origin_daemons();
-        let by_rank = |mut daemons: Vec<SocketAddr>| {
-            daemons.sort_by_cached_key(|d| name_hash(&format!("{d}/{}", key.0)));
-            daemons
-        };
-        let ranked = by_rank(near).into_iter().chain(by_rank(far));
-        ranked.take(KEEPERS).collect()
-    }
-
-    /// Returns the daemons that may know where streams began: the other hubs of the own failure domain,
-    /// and those of the others.
-    pub(super) fn origin_daemons(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
-        let own = self.settings.listen.peers;
-        let peers = self.peers.lock();
-        let near = peers.own_hubs();
-        let all = peers.hub_addresses();
-        let may_know = |daemon: &SocketAddr| {
-            let level = peers.level_at(*daemon);
-            *daemon != own && (level == 0 || level >= ORIGINS_LEVEL)
-        };
-        let far = all.iter().filter(|d| !near.contains(d) && may_know(d));
-        let far = far.copied().collect();
-        (near.into_iter().filter(may_know).collect(), far)
-    }
-
     /// Applies an answer to a query of this daemon. `alone` is the version that the other daemon knows to
     /// have served alone.
     pub(crate) fn apply_origin_answer(&self, answer: &OriginAnswer, alone: Option<&str>) {
--- a/src/policy/origins/mod.rs
+++ b/src/policy/origins/mod.rs
@@ -2,6 +2,7 @@
 //! take up again. Answers loads in which upstreams of several versions serve side by side.
 
 mod attempt_key;
+mod origin_keepers;
 mod origin_table;
 mod recorded_versions;
 mod resumption;
@@ -10,6 +11,6 @@
 mod version_history;
 
 pub use {
-    attempt_key::*, origin_table::*, recorded_versions::*, resumption::*, service_versions::*,
-    stream_origin::*, version_history::*,
+    attempt_key::*, origin_keepers::*, origin_table::*, recorded_versions::*, resumption::*,
+    service_versions::*, stream_origin::*, version_history::*,
 };
--- /dev/null
+++ b/src/policy/origins/origin_keepers.rs
@@ -0,0 +1,42 @@
+use {
+    super::AttemptKey,
+    crate::policy::name_hash,
+    std::{collections::HashMap, net::SocketAddr},
+};
+
+/// Number of other daemons that keep the origin of each stream: one that is asked first, and two that a
+/// loss of the own failure domain and of another one leaves.
+const KEEPERS: usize = 3;
+
+/// A daemon that may keep the origins of streams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeeperCandidate<'a> {
+    /// Where the daemon receives datagrams.
+    pub address: SocketAddr,
+    /// The failure domain of the daemon.
+    pub domain: &'a str,
+}
+
+/// Chooses the daemons that keep the origin of a stream which begins in a failure domain. Answers the loss of
+/// failure domains, in each of which all daemons end together: one keeper is in the own domain, which may be
+/// cut off from the others, and further ones are in as many other domains as there are. Within a domain,
+/// rendezvous hashing spreads the streams over the daemons.
+pub fn choose_keepers(
+    key: AttemptKey,
+    own_domain: &str,
+    candidates: &[KeeperCandidate],
+) -> Vec<SocketAddr> {
+    let mut ranked = candidates.to_vec();
+    ranked.sort_by_cached_key(|c| name_hash(&format!("{}/{}", c.address, key.0)));
+    let mut seen_of_domain: HashMap<&str, usize> = HashMap::new();
+    ranked.sort_by_cached_key(|candidate| {
+        let seen = seen_of_domain.entry(candidate.domain).or_default();
+        *seen += 1;
+        let is_near = candidate.domain == own_domain;
+        // The first of each domain, the own one before the others; a second of the own domain comes last.
+        let is_after_others = is_near != (*seen == 1);
+        (*seen, is_after_others)
+    });
+    let keepers = ranked.into_iter().take(KEEPERS);
+    keepers.map(|candidate| candidate.address).collect()
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -30,6 +30,7 @@
 mod limits;
 mod members;
 mod mixed_builds;
+mod origin_keepers;
 mod placement;
 mod platform;
 mod quarantine;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -45,6 +45,7 @@
 mod stream_world;
 mod streams;
 mod streams_after_loss;
+mod streams_after_loss_of_domain;
 mod streams_soak;
 mod support;
 mod upstream_limits;
