A read of the log of origins shows only what was written before it

A request now waits for a read that began after it came; calls that wait at once share it, so there is still at most one read each 0.3 s. A failed read within that time is not repeated, as before.

Test, red before: a_read_that_began_before_the_request_does_not_show_that_a_stream_is_unknown (decisions/origin_log). Callers were not seen to hit it; the window needs a loss of the daemon and of all keepers of a stream within 0.3 s after a read. Left: a read that takes longer than a request waits is still stood in for by one that began up to 2 s before (docs/design/stream-origins.md).

--- a/src/cluster/origins/origin_log.rs
+++ b/src/cluster/origins/origin_log.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Reads what was written since the last read, and records it. Does nothing if the last read is recent.
+    /// Reads what was written before the call, and records it. Calls that wait at the same time share a read.
     /// Returns whether all was read. A read that takes longer than a request waits goes on for the
     /// next one; a recent read stands in for it.
     pub async fn read(&self, gateway: &Arc<Gateway>) -> bool {
@@ -101,10 +101,13 @@
 ) -> bool {
     let asked_at = Instant::now();
     let mut reader = reader.lock().await;
-    if let Some((began_at, is_read)) = reader.last_read
-        && (began_at >= asked_at || began_at.elapsed() < MIN_READ_INTERVAL)
-    {
-        return is_read;
+    if let Some((began_at, is_read)) = reader.last_read {
+        let is_failure_recent = !is_read && began_at.elapsed() < MIN_READ_INTERVAL;
+        if began_at >= asked_at || is_failure_recent {
+            return is_read;
+        }
+        // A stream may have been written since that read began, so it does not show that nobody knows it.
+        tokio::time::sleep_until((began_at + MIN_READ_INTERVAL).into()).await;
     }
     let began_at = Instant::now();
     let read = reader.read_all(&*log, &gateway).await;
--- /dev/null
+++ b/tests/decisions/origin_log.rs
@@ -0,0 +1,82 @@
+//! What a daemon takes from the shared log of streams' origins.
+
+use {
+    crate::support,
+    async_trait::async_trait,
+    bytes::Bytes,
+    futures_util::future::join_all,
+    parking_lot::Mutex,
+    saddlepulley::{cluster::*, names::*, policy::*},
+    std::sync::Arc,
+};
+
+const STREAM: AttemptKey = AttemptKey(7);
+
+/// A log in memory that counts its reads.
+#[derive(Default)]
+struct MemoryLog {
+    records: Mutex<Vec<Bytes>>,
+    reads: Mutex<usize>,
+}
+
+#[async_trait]
+impl SharedLog for MemoryLog {
+    fn era(&self) -> SourceEra {
+        SourceEra::default()
+    }
+
+    async fn read(&self, _: &str, from: u64) -> Result<TopicPage, BackendError> {
+        *self.reads.lock() += 1;
+        let records = self.records.lock();
+        Ok(TopicPage {
+            from,
+            end: records.len() as u64,
+            records: records[from as usize..].to_vec(),
+            ..TopicPage::default()
+        })
+    }
+
+    async fn append_at(&self, _: &str, _: u64, _: &[Bytes]) -> Result<AppendOutcome, BackendError> {
+        Err(BackendError::NotDone("not needed here".to_string()))
+    }
+
+    async fn append(&self, _: &str, records: &[Bytes]) -> Result<(), BackendError> {
+        self.records.lock().extend_from_slice(records);
+        Ok(())
+    }
+}
+
+fn record_of_stream() -> Bytes {
+    let part = OriginsPart {
+        service: "s".to_string(),
+        version: "v2".to_string(),
+        left_ms: 60_000,
+        is_to_log: false,
+        attempts: vec![STREAM.0],
+    };
+    let encoded = bincode::encode_to_vec(part, bincode::config::standard());
+    encoded.unwrap().into()
+}
+
+/// Guards against streams at two versions: a read from before a stream began counted as proof that nobody knows it.
+#[tokio::test]
+async fn a_read_that_began_before_the_request_does_not_show_that_a_stream_is_unknown() {
+    let gateway = Arc::new(support::gateway(""));
+    let log = Arc::new(MemoryLog::default());
+    let origins = OriginLog::new(log.clone());
+    assert!(origins.read(&gateway).await);
+    assert_eq!(gateway.known_origin(STREAM), None);
+    log.append("", &[record_of_stream()]).await.unwrap();
+    assert!(origins.read(&gateway).await);
+    assert_eq!(gateway.known_origin(STREAM), Some("v2".into()));
+}
+
+#[tokio::test]
+async fn requests_that_wait_for_the_log_at_once_share_its_reads() {
+    let gateway = Arc::new(support::gateway(""));
+    let log = Arc::new(MemoryLog::default());
+    let origins = OriginLog::new(log.clone());
+    let reads = (0..50).map(|_| origins.read(&gateway));
+    assert!(join_all(reads).await.into_iter().all(|is_read| is_read));
+    assert!(*log.reads.lock() <= 2, "{}", log.reads.lock());
+}
