The log of origins is written as soon as its rate allows

After a loss of all daemons while several versions serve, streams of the last half second were refused, though their version served on: each hub wrote the log of origins twice a second, whatever the number of hubs. At 45 hubs that are 90 writes a second of all; with four hubs only 8.

The interval now goes by the number of hubs: 100 writes a second of all of them, 50 ms at the least and half a second at the most. Pure, with a test that was red before it existed (decisions/origin_log).

Nothing is written while a service has one version, so calls to the platform are unchanged then.

--- a/src/cluster/origins/origin_log.rs
+++ b/src/cluster/origins/origin_log.rs
@@ -3,7 +3,7 @@
         cluster::{BackendError, OriginsPart, SharedLog},
         gateway::Gateway,
         names::SourceEra,
-        policy::AnnouncedOrigin,
+        policy::{AnnouncedOrigin, origin_write_interval},
     },
     bytes::Bytes,
     std::{
@@ -15,8 +15,6 @@
 
 /// Topic of the shared log that holds the versions which began streams.
 const TOPIC: &str = "stream-origins";
-/// Interval between two writes. What was not written when all daemons end at once is lost.
-const WRITE_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum time between two reads of the log, and between a failed one and the next.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest time for which a request waits for a read.
@@ -156,7 +154,8 @@
 pub async fn write_origins(gateway: Arc<Gateway>, log: Arc<dyn SharedLog>) {
     let log = gateway.set_origin_log(OriginLog::new(log));
     loop {
-        tokio::time::sleep(WRITE_INTERVAL).await;
+        let hubs = gateway.other_hubs().len() + 1;
+        tokio::time::sleep(origin_write_interval(hubs)).await;
         let due = gateway.take_origins_to_log();
         if due.is_empty() {
             continue;
--- a/src/policy/origins/mod.rs
+++ b/src/policy/origins/mod.rs
@@ -9,8 +9,9 @@
 mod service_versions;
 mod stream_origin;
 mod version_history;
+mod write_interval;
 
 pub use {
     attempt_key::*, origin_keepers::*, origin_table::*, recorded_versions::*, resumption::*,
-    service_versions::*, stream_origin::*, version_history::*,
+    service_versions::*, stream_origin::*, version_history::*, write_interval::*,
 };
--- a/tests/decisions/origin_log.rs
+++ b/tests/decisions/origin_log.rs
@@ -1,4 +1,4 @@
-//! What a daemon takes from the shared log of streams' origins.
+//! What a daemon takes from the shared log of streams' origins, and how often it writes to it.
 
 use {
     crate::support,
@@ -7,7 +7,7 @@
     futures_util::future::join_all,
     parking_lot::Mutex,
     saddlepulley::{cluster::*, names::*, policy::*},
-    std::sync::Arc,
+    std::{sync::Arc, time::Duration},
 };
 
 const STREAM: AttemptKey = AttemptKey(7);
@@ -80,3 +80,23 @@
     assert!(join_all(reads).await.into_iter().all(|is_read| is_read));
     assert!(*log.reads.lock() <= 2, "{}", log.reads.lock());
 }
+
+/// Guards against lost streams: those of the last half second were unknown after a loss of all daemons.
+#[test]
+fn the_fewer_hubs_write_the_sooner_the_log_knows_a_stream() {
+    let interval_ms = |hubs| origin_write_interval(hubs).as_millis();
+    assert_eq!(interval_ms(0), 50);
+    assert_eq!(interval_ms(1), 50);
+    assert_eq!(interval_ms(8), 80);
+    assert_eq!(interval_ms(45), 450);
+    assert_eq!(
+        interval_ms(90),
+        500,
+        "no later than a loss of streams allows"
+    );
+    for hubs in 5..=50_u32 {
+        let writes_per_s = f64::from(hubs) / origin_write_interval(hubs as usize).as_secs_f64();
+        assert!(writes_per_s <= 100.0 + 1e-6, "{hubs} hubs: {writes_per_s}");
+    }
+    assert!(origin_write_interval(1_000) <= Duration::from_millis(500));
+}
