A stream is ended at its deadline wherever it waits

Cause: the deadline covered the first head of a stream and each wait for bytes. The send that continues a stream comes after the first head, and nothing covered its wait for another upstream, a slot, a relay and the new head. With no retry left, the check for a stall, which would have ended it, is off as well. Evidence: crash and 'request placed' in one millisecond, then no line until the client closed its connection 4.7 s later. Ruled out: the wait for further events and the choice of another upstream.

One limit now covers all that a stream waits for between two pieces for its client. Bytes that are ready go out also after it. The end is an error, so that the answer does not look complete.

--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -1,7 +1,7 @@
 use {
     super::{attempts::Attempts, forward_buffered::may_relay_status, send::*, *},
     crate::{
-        clock::{BootInstant, timeout, timeout_at},
+        clock::{BootInstant, DeadlineElapsed, timeout, timeout_at},
         cluster::send_origins,
         policy::{HeldFor, StallLimits},
         upstreams::*,
@@ -109,12 +109,26 @@
         }
     }
 
-    /// Returns the next bytes for the client, or `None` at the end.
+    /// Returns the next bytes for the client, or `None` at the end. Bytes that are ready are returned after
+    /// the request's deadline, too, but nothing is waited for.
     ///
     /// # Errors
     ///
-    /// Returns an error if the response breaks off and no other upstream may continue it.
+    /// Returns an error if the response breaks off and no other upstream may continue it, or if the
+    /// deadline passes.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        let deadline = self.context.deadline;
+        // Covers each wait: for bytes, for another upstream, and for its head.
+        match timeout_at(deadline, self.next_bytes()).await {
+            Ok(next) => next,
+            Err(DeadlineElapsed) => {
+                self.attempts.last_failure = Some(deadline_passed());
+                self.abort()
+            }
+        }
+    }
+
+    async fn next_bytes(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             if self.done {
                 return None;
@@ -236,9 +250,7 @@
             let next = timeout_at(wake_at, sent.answer.next_chunk()).await;
             let Ok(chunk) = next else {
                 if BootInstant::now() >= deadline {
-                    return Err(SendFailure::MayHaveRun(
-                        "the request's deadline has passed".into(),
-                    ));
+                    return Err(deadline_passed());
                 }
                 let upstream = sent.upstream.clone();
                 if can_retry && self.is_stalled(&upstream, waiting_since) {
@@ -398,6 +410,10 @@
     }
 }
 
+fn deadline_passed() -> SendFailure {
+    SendFailure::MayHaveRun("the request's deadline has passed".into())
+}
+
 fn is_event_stream(head: &Parts) -> bool {
     let kind = head.headers.get(http::header::CONTENT_TYPE);
     kind.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
