--- a/tests/gateway/faulty_upstream.rs
+++ b/tests/gateway/faulty_upstream.rs
@@ -2,7 +2,14 @@
 
 use {
     crate::ports::free_address,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
         io::{AsyncReadExt, AsyncWriteExt},
         net::{TcpListener, TcpStream},
@@ -20,6 +27,7 @@
 /// its caller closes the connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Fault {
+    pub name: &'static str,
     pub beginning: &'static str,
     /// Nothing if it is empty.
     pub repeated: &'static str,
@@ -28,6 +36,7 @@
 
 /// Takes requests and never answers.
 pub const SILENT: Fault = Fault {
+    name: "silent",
     beginning: "",
     repeated: "",
     pause: Duration::ZERO,
@@ -45,6 +54,8 @@
 /// The upstream, which stops when dropped.
 pub struct FaultyUpstream {
     address: SocketAddr,
+    /// Number of requests for which the fault is played.
+    open_requests: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
 
@@ -58,14 +69,26 @@
     pub async fn start(fault: Fault, plays: Plays) -> Self {
         let address = free_address();
         let listener = TcpListener::bind(address).await.unwrap();
+        let open_requests = Arc::new(AtomicUsize::new(0));
+        let open = open_requests.clone();
         let task = tokio::spawn(async move {
             // A dropped `JoinSet` ends its tasks, and with them their connections.
-            let mut connections = JoinSet::new();
+            let mut tasks = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
-                connections.spawn(serve(stream, fault, plays));
+                tasks.spawn(serve(stream, fault, plays, open.clone()));
             }
         });
-        Self { address, task }
+        Self {
+            address,
+            open_requests,
+            task,
+        }
+    }
+
+    /// Returns the number of requests for which it plays its fault, since their callers have not closed
+    /// their connections.
+    pub fn open_requests(&self) -> usize {
+        self.open_requests.load(Ordering::Relaxed)
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -73,16 +96,19 @@
     }
 }
 
-async fn serve(mut stream: TcpStream, fault: Fault, plays: Plays) {
+async fn serve(mut stream: TcpStream, fault: Fault, plays: Plays, open: Arc<AtomicUsize>) {
     let Some(head) = read_head(&mut stream).await else {
         return;
     };
     let is_continued = head.contains("\r\nlast-event-id:");
     // Writing fails once the caller has closed the connection.
-    let _ = match plays == Plays::Always || is_continued {
-        true => play(&mut stream, fault).await,
-        false => begin_stream(&mut stream).await,
-    };
+    if plays == Plays::OnContinuation && !is_continued {
+        let _ = begin_stream(&mut stream).await;
+        return;
+    }
+    open.fetch_add(1, Ordering::Relaxed);
+    let _ = play(&mut stream, fault).await;
+    open.fetch_sub(1, Ordering::Relaxed);
 }
 
 async fn read_head(stream: &mut TcpStream) -> Option<String> {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -10,6 +10,7 @@
 mod domain_balance;
 mod drill_soak;
 mod duties;
+mod endless_bytes;
 mod entries;
 mod faulty_upstream;
 mod file_world;
--- a/tests/gateway/slow_readers.rs
+++ b/tests/gateway/slow_readers.rs
@@ -159,14 +159,6 @@
     bytes.split_off(head_end.map_or(0, |at| at + 4))
 }
 
-/// Returns the peak resident memory of a daemon, in megabytes.
-fn peak_memory_mb(daemon: &GatewayDaemon) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{}/status", daemon.id())).unwrap();
-    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
-    let kilobytes = peak.unwrap().trim().trim_end_matches(" kB").trim();
-    kilobytes.parse::<u64>().unwrap() / 1_000
-}
-
 #[tokio::test]
 async fn a_client_that_pauses_gets_its_whole_answer() {
     // More than the receive buffer of the daemon can grow to, and the send buffer beside it.
--- a/tests/gateway/streams_past_their_timeout.rs
+++ b/tests/gateway/streams_past_their_timeout.rs
@@ -40,11 +40,16 @@
     answer.expect("the stream is ended before its client gives up")
 }
 
-fn assert_broken_off(answer: &Response) {
+/// Checks that a stream was broken off, and that the upstream is let go.
+async fn assert_ended(answer: &Response, upstreams: &[FaultyUpstream]) {
     assert_eq!(answer.status, StatusCode::OK);
     assert!(!answer.complete, "a stream without its end looks complete");
     let last = format!("id: {FIRST_EVENTS}\n");
     assert!(answer.body.contains(&last), "{}", answer.body);
+    eventually("the upstreams' caller closes its connections", async || {
+        upstreams.iter().all(|u| u.open_requests() == 0)
+    })
+    .await;
 }
 
 #[tokio::test]
@@ -54,7 +59,7 @@
         FaultyUpstream::start(SILENT, Plays::OnContinuation).await,
     ];
     let daemon = GatewayDaemon::start(&routes(&upstreams.each_ref().map(|u| u.address()))).await;
-    assert_broken_off(&fetch_stream(&daemon, "a1").await);
+    assert_ended(&fetch_stream(&daemon, "a1").await, &upstreams).await;
 }
 
 #[tokio::test]
@@ -80,6 +85,6 @@
         fetch_stream(&daemon, "warm-up").await.status == StatusCode::OK
     })
     .await;
-    assert_broken_off(&fetch_stream(&daemon, "a1").await);
+    assert_ended(&fetch_stream(&daemon, "a1").await, &upstreams).await;
     assert!(metric(&daemon, "saddlepulley_relayed_requests_total").await > 0.0);
 }
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -78,6 +78,14 @@
     value.unwrap_or(0.0)
 }
 
+/// Returns the peak resident memory of a daemon, in megabytes.
+pub fn peak_memory_mb(daemon: &GatewayDaemon) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{}/status", daemon.id())).unwrap();
+    let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"));
+    let kilobytes = peak.unwrap().trim().trim_end_matches(" kB").trim();
+    kilobytes.parse::<u64>().unwrap() / 1_000
+}
+
 /// Properties of a route in the tests' configuration.
 pub struct TestRoute {
     pub prefix: &'static str,
