A soak loses failure domains while software versions change

Six daemons in three failure domains begin with one version; all daemons of one or two domains are killed at once and started again, beside the disturbances of the other soaks. The draws of the other soaks are unchanged.

--- a/tests/gateway/streams_soak.rs
+++ b/tests/gateway/streams_soak.rs
@@ -7,7 +7,8 @@
 //! longer: `STREAM_SEEDS=1-50 STREAM_SECONDS=20 cargo test --test gateway streams_soak`.
 //!
 //! A second soak begins with one version, and upstreams of others also come while all daemons are down
-//! (`STREAM_LOSS_SEEDS`).
+//! (`STREAM_LOSS_SEEDS`). A third one begins with one version in three failure domains, and all daemons of one
+//! or two of these are killed at once (`STREAM_DOMAIN_SEEDS`).
 
 use {
     crate::{stream_world::*, support::GatewayDaemon},
@@ -31,8 +32,13 @@
 };
 /// Number of daemons that are stopping at a time, at most.
 const MAX_STOPPING: usize = 2;
-/// Share of disturbances that are a loss of all daemons during a change, in the soak that has them.
+/// Share of disturbances that are a loss of all daemons during a change, or of failure domains, in the soaks
+/// that have them.
 const LOSSES: f64 = 0.15;
+const LOSSES_OF_DOMAINS: f64 = 0.35;
+const DOMAINS: [&str; 3] = ["a", "b", "c"];
+/// How long daemons run until they know which version served alone.
+const VERSIONS_KNOWN: Duration = Duration::from_secs(16);
 const GRACEFUL_STOP: Duration = Duration::from_secs(12);
 
 /// The world under disturbances.
@@ -47,9 +53,8 @@
 }
 
 impl Soak {
-    /// Starts six daemons, and upstreams of the given versions.
-    async fn start(versions: [&'static str; 6]) -> Self {
-        let domains = ["a", "a", "a", "a", "b", "b"];
+    /// Starts six daemons in failure domains, and upstreams of the given versions.
+    async fn start(domains: [&'static str; 6], versions: [&'static str; 6]) -> Self {
         let world = StreamWorld::start(&domains, &versions).await;
         let mut staying: BTreeMap<&'static str, Vec<usize>> = BTreeMap::new();
         for (index, version) in versions.into_iter().enumerate() {
@@ -209,6 +214,22 @@
         self.world.start_all().await;
     }
 
+    /// Kills all daemons of one or two failure domains at once, and starts them again.
+    async fn lose_domains(&mut self, domains: [&str; 6], rng: &mut ChaCha8Rng) {
+        let count = rng.random_range(1..DOMAINS.len());
+        let lost: Vec<_> = DOMAINS.choose_multiple(rng, count).collect();
+        let is_lost = |n: &usize| lost.contains(&&domains[*n]);
+        let numbers: Vec<usize> = (0..NAMES.len()).filter(is_lost).collect();
+        self.stopping.retain(|(n, _)| !numbers.contains(n));
+        for n in &numbers {
+            self.world.kill(*n);
+        }
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..600))).await;
+        for n in numbers {
+            self.world.start_daemon(n).await;
+        }
+    }
+
     /// Waits until all stopped daemons have ended, and starts others in their place.
     async fn end_disturbances(&mut self, seed: u64) {
         std::mem::take(&mut self.passing).join_all().await;
@@ -246,20 +267,41 @@
     TwoVersions,
     /// One version, and all daemons are also lost while that changes.
     OneVersion,
+    /// One version, and all daemons of failure domains are also lost.
+    LostDomains,
 }
 
 impl Kind {
     fn versions(self) -> [&'static str; 6] {
         match self {
             Self::TwoVersions => ["v1", "v2", "v1", "v2", "v1", "v2"],
-            Self::OneVersion => ["v1"; 6],
+            Self::OneVersion | Self::LostDomains => ["v1"; 6],
+        }
+    }
+
+    fn domains(self) -> [&'static str; 6] {
+        match self {
+            Self::TwoVersions | Self::OneVersion => ["a", "a", "a", "a", "b", "b"],
+            Self::LostDomains => ["a", "a", "b", "b", "c", "c"],
+        }
+    }
+
+    /// Share of the disturbances that only this kind has.
+    fn losses(self) -> f64 {
+        match self {
+            Self::TwoVersions => 0.0,
+            Self::OneVersion => LOSSES,
+            Self::LostDomains => LOSSES_OF_DOMAINS,
         }
     }
 }
 
 async fn soak(kind: Kind, seed: u64, length: Duration) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut soak = Soak::start(kind.versions()).await;
+    let mut soak = Soak::start(kind.domains(), kind.versions()).await;
+    if kind == Kind::LostDomains {
+        tokio::time::sleep(VERSIONS_KNOWN).await;
+    }
     let load = StreamLoad {
         per_s: 30,
         leaving: 0.3,
@@ -269,9 +311,12 @@
     let end = tokio::time::Instant::now() + length;
     while tokio::time::Instant::now() < end {
         tokio::time::sleep(Duration::from_millis(rng.random_range(100..900))).await;
-        match kind == Kind::OneVersion && rng.random_bool(LOSSES) {
-            true => soak.lose_all_during_a_change(&mut rng).await,
-            false => soak.disturb(&mut rng).await,
+        // A kind without losses draws nothing here.
+        let is_loss = kind.losses() > 0.0 && rng.random_bool(kind.losses());
+        match kind {
+            Kind::OneVersion if is_loss => soak.lose_all_during_a_change(&mut rng).await,
+            Kind::LostDomains if is_loss => soak.lose_domains(kind.domains(), &mut rng).await,
+            _ => soak.disturb(&mut rng).await,
         }
     }
     check(&clients.join_all().await, seed);
@@ -309,3 +354,8 @@
 async fn streams_keep_to_their_version_where_all_daemons_are_lost_while_versions_change() {
     soak_all(Kind::OneVersion, seeds("STREAM_LOSS_SEEDS")).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn streams_keep_to_their_version_where_failure_domains_are_lost() {
+    soak_all(Kind::LostDomains, seeds("STREAM_DOMAIN_SEEDS")).await;
+}
