--- a/src/policy/origins/origin_keepers.rs
+++ b/src/policy/origins/origin_keepers.rs
@@ -33,8 +33,11 @@
         let seen = seen_of_domain.entry(candidate.domain).or_default();
         *seen += 1;
         let is_near = candidate.domain == own_domain;
-        // The first of each domain, the own one before the others; a second of the own domain comes last.
-        let is_after_others = is_near != (*seen == 1);
+        // Among the first ones of all domains the near one leads, among the second ones it comes last.
+        let is_after_others = match *seen {
+            1 => !is_near,
+            _ => is_near,
+        };
         (*seen, is_after_others)
     });
     let keepers = ranked.into_iter().take(KEEPERS);
