The choice of keepers does not rest on the order in which a sort asks for keys

The turn of each keeper within its failure domain was counted inside the key function of a sort, whose order of calls the standard library leaves open. It is counted in a loop of its own now.

--- a/src/policy/origins/origin_keepers.rs
+++ b/src/policy/origins/origin_keepers.rs
@@ -4,8 +4,8 @@
     std::{collections::HashMap, net::SocketAddr},
 };
 
-/// Number of other daemons that keep the origin of each stream: one that is asked first, and two that a
-/// loss of the own failure domain and of another one leaves.
+/// Number of other daemons that keep the origin of each stream. In three failure domains, one is left after
+/// the loss of two of these.
 const KEEPERS: usize = 3;
 
 /// A daemon that may keep the origins of streams.
@@ -29,17 +29,20 @@
     let mut ranked = candidates.to_vec();
     ranked.sort_by_cached_key(|c| name_hash(&format!("{}/{}", c.address, key.0)));
     let mut seen_of_domain: HashMap<&str, usize> = HashMap::new();
-    ranked.sort_by_cached_key(|candidate| {
-        let seen = seen_of_domain.entry(candidate.domain).or_default();
-        *seen += 1;
+    let mut turns = Vec::with_capacity(ranked.len());
+    for candidate in ranked {
+        let turn = seen_of_domain.entry(candidate.domain).or_default();
+        *turn += 1;
         let is_near = candidate.domain == own_domain;
-        // Among the first ones of all domains the near one leads, among the second ones it comes last.
-        let is_after_others = match *seen {
+        // In the first turn the own domain leads, in the later ones it comes last.
+        let is_after_others = match *turn {
             1 => !is_near,
             _ => is_near,
         };
-        (*seen, is_after_others)
-    });
-    let keepers = ranked.into_iter().take(KEEPERS);
-    keepers.map(|candidate| candidate.address).collect()
+        turns.push(((*turn, is_after_others), candidate.address));
+    }
+    // The sort is stable, so that within a turn the rank decides.
+    turns.sort_by_key(|(order, _)| *order);
+    let keepers = turns.into_iter().take(KEEPERS);
+    keepers.map(|(_, address)| address).collect()
 }
