--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -4,6 +4,7 @@
         clock::{BootInstant, DeadlineElapsed, timeout, timeout_at},
         cluster::send_origins,
         policy::{HeldFor, StallLimits},
+        streams::EventReader,
         upstreams::*,
     },
     bytes::Bytes,
@@ -40,6 +41,10 @@
     attempts: Attempts,
     current: Option<Sent>,
     splitter: EventSplitter,
+    /// Looks for bytes that are no part of the stream.
+    reader: EventReader,
+    /// The present upstream has sent such bytes.
+    is_faulty: bool,
     /// Id of the last event that was relayed, or that the client already had.
     last_id: Option<u64>,
     /// The current response is a stream of events.
@@ -61,11 +66,13 @@
     fn new(gateway: Arc<Gateway>, context: RequestContext) -> Self {
         Self {
             last_id: context.last_event_id,
+            reader: EventReader::after(context.last_event_id),
             gateway,
             context,
             attempts: Attempts::default(),
             current: None,
             splitter: EventSplitter::default(),
+            is_faulty: false,
             is_events: true,
             has_started: false,
             done: false,
@@ -187,6 +194,8 @@
                     self.is_events = is_success && is_event_stream(&sent.answer.head);
                     self.log_continuation(&sent);
                     self.splitter = EventSplitter::default();
+                    self.reader.continue_elsewhere();
+                    self.is_faulty = false;
                     self.current = Some(sent);
                     return Some(());
                 }
@@ -309,6 +318,7 @@
     fn take_bytes(&mut self, step: Step) -> Bytes {
         match step {
             Step::Events(batch) => {
+                self.observe(&batch);
                 self.last_id = batch.last_id.or(self.last_id);
                 batch.bytes
             }
@@ -325,6 +335,8 @@
                         self.last_id
                     );
                     sent.active.record_completed();
+                    let ids = self.reader.run_ids();
+                    self.gateway.record_stream_ids(&sent.upstream, &ids);
                     let (id, head) = (&sent.upstream.id, &sent.answer.head);
                     self.gateway.record_complete_answer(&self.context, id, head);
                     let time_ms = sent.active.age_ms();
@@ -338,6 +350,23 @@
         }
     }
 
+    /// Records bytes that are no part of the stream.
+    fn observe(&mut self, batch: &EventBatch) {
+        let Some(sent) = self.current.as_ref().filter(|_| !self.is_faulty) else {
+            return;
+        };
+        let usual = self.gateway.usual_ids(&sent.upstream);
+        let read = self.reader.push(batch.bytes.clone(), &usual);
+        let Some(fault) = read.fault else {
+            return;
+        };
+        let (context, last) = (&self.context, self.reader.last_id());
+        let sends = self.attempts.sends;
+        self.gateway
+            .record_stream_fault(context, &sent.upstream, sends, last, fault);
+        self.is_faulty = true;
+    }
+
     fn can_retry(&self) -> bool {
         self.context.route.is_retryable()
             && self.attempts.sends + 1 < self.context.route.max_attempts
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -13,6 +13,7 @@
         policy::*,
         rollouts::{OrderNumbers, OutcomeMeter, RolloutTable},
         routing::RouteTable,
+        streams::ServiceIds,
         upstreams::*,
     },
     http::{Response, StatusCode},
@@ -194,6 +195,8 @@
     pub(super) demand: Mutex<HashMap<ServiceName, DemandMeter>>,
     /// Learned speed of the model engines by service.
     pub(super) engines: Mutex<HashMap<ServiceName, EngineModel>>,
+    /// The ids that the events of each service's streams have.
+    pub(super) stream_ids: Mutex<ServiceIds>,
     /// Requests that wait at this daemon until upstreams have room for them.
     pub(super) rooms: Mutex<RoomTable>,
     /// Wakes the task that releases waiting requests.
@@ -291,6 +294,7 @@
             caches: Mutex::default(),
             demand: Mutex::default(),
             engines: Mutex::default(),
+            stream_ids: Mutex::default(),
             rooms: Mutex::default(),
             room_wake: Notify::new(),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -84,6 +84,8 @@
 pub const ROOM_WAITED: &str = "saddlepulley_room_waited_seconds";
 /// Number of streams that broke off before their end.
 pub const BROKEN_STREAMS: &str = "saddlepulley_broken_streams_total";
+/// Number of answers in which an upstream sent bytes that are no part of the stream, by kind.
+pub const STREAM_FAULTS: &str = "saddlepulley_stream_faults_total";
 /// Bytes that this daemon holds for clients and upstreams that read slowly.
 pub const BUFFERED_BYTES: &str = "saddlepulley_buffered_bytes";
 /// Number of answers that were cut off because their clients did not read them and others needed
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 mod slot_state;
 mod source_state;
 mod speed_state;
+mod stream_state;
 mod upstream_signals;
 mod version_state;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod requests;
 pub mod rollouts;
 pub mod routing;
+pub mod streams;
 pub mod upstreams;
--- /dev/null
+++ b/src/streams/event_order.rs
@@ -0,0 +1,127 @@
+use super::{EventVerdict, StreamFault, StreamIds, UsualIds, UsualNumber};
+
+/// Decides by their ids which events belong to a stream, over all upstreams that write it one after another.
+///
+/// An id has to rise. By how much is learned: from the service's other streams, or else from this one. An event
+/// that rises by another step than those before it is held until the next one shows that the stream goes on from
+/// it. This is done once a stream, so that a service whose ids rise by unequal steps is delayed by one event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EventOrder {
+    /// The id of the last event that belongs to the stream.
+    last: Option<u64>,
+    /// `last` is by the word of a client that takes its stream up.
+    is_by_client: bool,
+    /// The step of the stream's ids so far.
+    step: Option<u64>,
+    /// The steps of the stream differ.
+    is_uneven: bool,
+    /// The id of the event that is held.
+    held: Option<u64>,
+    /// The ids that the present upstream has written.
+    run: StreamIds,
+}
+
+impl EventOrder {
+    /// Creates the order of a stream of which the client has the events up to `last`.
+    pub fn after(last: Option<u64>) -> Self {
+        Self {
+            last,
+            is_by_client: last.is_some(),
+            ..Self::default()
+        }
+    }
+
+    /// Goes on with the stream at another upstream.
+    pub fn continue_elsewhere(&mut self) {
+        self.held = None;
+        self.run = StreamIds::default();
+    }
+
+    /// Returns the id of the last event that belongs to the stream.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Returns whether an event is held.
+    pub fn is_holding(&self) -> bool {
+        self.held.is_some()
+    }
+
+    /// Returns the ids that the present upstream has written.
+    pub fn run(&self) -> StreamIds {
+        self.run
+    }
+
+    /// Takes in the next event.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the event, or the one that is held, belongs to no run.
+    pub fn add(&mut self, id: u64, usual: &UsualIds) -> Result<EventVerdict, StreamFault> {
+        if let Some(held) = self.held {
+            if id <= held {
+                return Err(StreamFault::FallsBack { id: held });
+            }
+            self.release();
+        }
+        if let Some(last) = self.last.filter(|last| id <= *last) {
+            return Err(StreamFault::NotRising { id, last });
+        }
+        let is_even = self.record_step(id);
+        if let Some(due) = self.due(usual).filter(|due| *due != id) {
+            return Err(StreamFault::NotDue { id, due });
+        }
+        if !is_even && !self.is_uneven && usual.step == UsualNumber::Unknown {
+            self.held = Some(id);
+            return Ok(EventVerdict::Hold);
+        }
+        self.accept(id);
+        Ok(EventVerdict::Pass)
+    }
+
+    /// Takes the event that is held as part of the stream.
+    pub fn release(&mut self) {
+        if let Some(held) = self.held.take() {
+            self.is_uneven = true;
+            self.accept(held);
+        }
+    }
+
+    fn accept(&mut self, id: u64) {
+        self.last = Some(id);
+        self.is_by_client = false;
+    }
+
+    /// Records by how much an id rises. Returns whether that is as for the events before it.
+    fn record_step(&mut self, id: u64) -> bool {
+        let Some(last) = self.last.filter(|_| !self.is_at_start()) else {
+            self.run.record_first(id);
+            return true;
+        };
+        // By the word of a client, the step may be any.
+        if self.is_by_client {
+            return true;
+        }
+        let step = id - last;
+        self.run.record_step(step);
+        *self.step.get_or_insert(step) == step
+    }
+
+    /// Returns the id that the next event has in the service's other streams, if it is known.
+    fn due(&self, usual: &UsualIds) -> Option<u64> {
+        match self.last {
+            _ if self.is_at_start() => usual.first_due(),
+            Some(last) if self.is_by_client && !usual.may_have(last) => None,
+            last => usual.due_after(last?),
+        }
+    }
+
+    /// Returns whether the next event is the first one of its stream. A client that has no event may say so
+    /// by the id 0.
+    fn is_at_start(&self) -> bool {
+        match self.last {
+            None => true,
+            Some(last) => last == 0 && self.is_by_client,
+        }
+    }
+}
