Streams: only events of a run go on, and all of them, however they are written

Cause: the daemon took whatever stands before an empty line for an event. Ids that were no number were skipped, one id of a chunk was compared with the one before it, a success of another type was relayed unread, and only LF ended a line. The class: bytes of an upstream were taken for sound unless something about them was known to be wrong. Ruled out: bytes after an answer on kept connections (the pieces stand behind numbered ones, and in chunked bodies) and the continuation alone (fresh streams show it as well).

By how much ids rise is written nowhere, so it is learned per service and software version: where all sound streams rise by one step, another step is a missing piece or garbage; where nothing is known, an event with another step waits for the next one, once a stream; where steps differ, only rising is asked. What few upstreams write otherwise is their fault, what most write is sound. The good events before garbage go out (before a break a connection now writes what it has: hyper dropped it, head and all, when the error came at once), then the stream goes on elsewhere after its last event, or breaks off. The upstream's failure counts in its rating as any other; it is no crash, so no part of a prompt is blamed.

--- a/src/gateway/answer.rs
+++ b/src/gateway/answer.rs
@@ -1,10 +1,11 @@
 use {
     bytes::Bytes,
-    futures_util::{StreamExt, stream},
+    futures_util::{Stream, StreamExt, stream},
     http::{HeaderMap, HeaderValue, Response, StatusCode, header, response::Parts},
     http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody},
     hyper::body::Frame,
     std::{convert::Infallible, io, time::Duration},
+    tokio::task::yield_now,
 };
 
 /// The body of a response to a client.
@@ -62,6 +63,18 @@
     StreamBody::new(frames).boxed_unsync()
 }
 
+/// Builds a body from the chunks of an answer that may break off.
+pub fn streamed_body(chunks: impl Stream<Item = io::Result<Bytes>> + Send + 'static) -> AnswerBody {
+    let frames = chunks.then(|chunk| async move {
+        if chunk.is_err() {
+            // The connection writes what it has before it learns of the error, and drops it afterwards.
+            yield_now().await;
+        }
+        chunk.map(Frame::data)
+    });
+    StreamBody::new(frames).boxed_unsync()
+}
+
 /// Builds a response that this daemon makes itself.
 pub fn local_response(status: StatusCode, detail: &str) -> Response<AnswerBody> {
     let mut answer = Response::new(full_body(format!("{detail}\n")));
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -73,6 +73,7 @@
             SendFailure::Misdirected => self.arrivals += 1,
             SendFailure::Refused(_)
             | SendFailure::MayHaveRun(_)
+            | SendFailure::InvalidStream(_)
             | SendFailure::Stalled
             | SendFailure::CutOff(_) => {
                 self.arrivals += 1;
--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -4,14 +4,12 @@
         clock::{BootInstant, DeadlineElapsed, timeout, timeout_at},
         cluster::send_origins,
         policy::{HeldFor, StallLimits},
-        streams::EventReader,
+        streams::{EventBatch, EventReader, StreamFault},
         upstreams::*,
     },
     bytes::Bytes,
-    futures_util::{Stream, StreamExt, stream},
+    futures_util::{Stream, stream},
     http::{Response, response::Parts},
-    http_body_util::{BodyExt, StreamBody},
-    hyper::body::Frame,
     std::{io, sync::Arc, time::Duration},
 };
 
@@ -40,17 +38,17 @@
     context: RequestContext,
     attempts: Attempts,
     current: Option<Sent>,
-    splitter: EventSplitter,
-    /// Looks for bytes that are no part of the stream.
     reader: EventReader,
-    /// The present upstream has sent such bytes.
-    is_faulty: bool,
-    /// Id of the last event that was relayed, or that the client already had.
-    last_id: Option<u64>,
+    /// The failure of the current upstream behind the bytes that were read last.
+    pending: Option<SendFailure>,
+    /// The current upstream has written the end of its response.
+    has_ended: bool,
     /// The current response is a stream of events.
     is_events: bool,
     /// The first bytes of a response have been taken for the client.
     has_started: bool,
+    /// An event has been taken for the client.
+    has_event: bool,
     /// The response has ended, completely or with an error.
     done: bool,
 }
@@ -65,16 +63,16 @@
 impl StreamRelay {
     fn new(gateway: Arc<Gateway>, context: RequestContext) -> Self {
         Self {
-            last_id: context.last_event_id,
             reader: EventReader::after(context.last_event_id),
             gateway,
             context,
             attempts: Attempts::default(),
             current: None,
-            splitter: EventSplitter::default(),
-            is_faulty: false,
+            pending: None,
+            has_ended: false,
             is_events: true,
             has_started: false,
+            has_event: false,
             done: false,
         }
     }
@@ -87,9 +85,7 @@
             match self.step().await {
                 Ok(step) => {
                     self.gateway.record_run(&self.context);
-                    if matches!(step, Step::Events(_)) {
-                        self.record_first_event().await;
-                    }
+                    self.record_first_event(&step).await;
                     self.has_started = true;
                     return Some((head, self.take_bytes(step)));
                 }
@@ -98,8 +94,12 @@
         }
     }
 
-    /// Records the first event, before the client gets it.
-    async fn record_first_event(&self) {
+    /// Records the first event, before the client gets it. Comments may precede it.
+    async fn record_first_event(&mut self, step: &Step) {
+        let has_event = matches!(step, Step::Events(batch) if batch.last_id.is_some());
+        if !has_event || std::mem::replace(&mut self.has_event, true) {
+            return;
+        }
         let Some(sent) = &self.current else {
             return;
         };
@@ -145,6 +145,7 @@
             }
             match self.step().await {
                 Ok(step) => {
+                    self.record_first_event(&step).await;
                     let bytes = self.take_bytes(step);
                     if !bytes.is_empty() {
                         return Some(Ok(bytes));
@@ -168,7 +169,7 @@
             "stream aborted. request={} sends={} last_event={:?} cause=\"{:?}\"",
             self.context.id_text(),
             self.attempts.sends,
-            self.last_id,
+            self.reader.last_id(),
             self.attempts.last_failure
         );
         Some(Err(io::ErrorKind::ConnectionAborted.into()))
@@ -191,11 +192,18 @@
                         self.fail_at(upstream, failure)?;
                         continue;
                     }
-                    self.is_events = is_success && is_event_stream(&sent.answer.head);
+                    self.is_events = is_event_stream(&sent.answer.head);
+                    if is_success && !self.is_events {
+                        let fault = StreamFault::NotAStream;
+                        self.record_fault(&sent, fault);
+                        drop(sent);
+                        self.fail_at(upstream, SendFailure::InvalidStream(fault))?;
+                        continue;
+                    }
                     self.log_continuation(&sent);
-                    self.splitter = EventSplitter::default();
                     self.reader.continue_elsewhere();
-                    self.is_faulty = false;
+                    self.pending = None;
+                    self.has_ended = false;
                     self.current = Some(sent);
                     return Some(());
                 }
@@ -206,7 +214,7 @@
 
     /// Logs that an upstream continues a stream of which the client already has events.
     fn log_continuation(&self, sent: &Sent) {
-        if !self.is_events || self.last_id.is_none() {
+        if !self.is_events || self.reader.last_id().is_none() {
             return;
         }
         log::info!(
@@ -217,14 +225,15 @@
             sent.upstream.id,
             sent.upstream.version,
             self.attempts.sends,
-            self.last_id
+            self.reader.last_id()
         );
     }
 
     /// Sends the request. If another attempt is allowed, it fails as soon as the upstream
     /// counts as stalled.
     async fn send_unless_stalled(&self, placement: &Placement) -> Result<Sent, SendFailure> {
-        let send = send(&self.gateway, &self.context, placement, self.last_id);
+        let last_id = self.reader.last_id();
+        let send = send(&self.gateway, &self.context, placement, last_id);
         if !self.can_retry() {
             return send.await;
         }
@@ -245,6 +254,12 @@
 
     /// Waits for the next part of the upstream's response.
     async fn step(&mut self) -> Result<Step, SendFailure> {
+        if let Some(failure) = self.pending.take() {
+            return Err(failure);
+        }
+        if self.has_ended {
+            return Ok(Step::End);
+        }
         let waiting_since = self.gateway.steady_ms();
         let mut can_retry = self.can_retry();
         loop {
@@ -281,21 +296,54 @@
             if !self.is_events {
                 return Ok(Step::Raw(chunk));
             }
-            if let Some(batch) = self.splitter.push(&chunk) {
-                return self.check_order(batch).map(Step::Events);
+            if let Some(batch) = self.read_events(chunk)? {
+                return Ok(Step::Events(batch));
             }
-            if self.splitter.is_too_large() {
-                return Err(SendFailure::MayHaveRun(
-                    "an event exceeds the size limit".into(),
-                ));
+        }
+    }
+
+    /// Reads the events that a chunk completes. A failure behind them is kept until they are taken.
+    fn read_events(&mut self, chunk: Bytes) -> Result<Option<EventBatch>, SendFailure> {
+        let Some(sent) = &self.current else {
+            return Ok(None);
+        };
+        let usual = self.gateway.usual_ids(&sent.upstream);
+        let batch = self.reader.push(chunk, &usual);
+        if let Some(fault) = batch.fault {
+            self.record_fault(sent, fault);
+        }
+        let failure = match batch.fault {
+            Some(fault) => Some(SendFailure::InvalidStream(fault)),
+            None if self.reader.is_too_large() => Some(SendFailure::MayHaveRun(
+                "an event exceeds the size limit".into(),
+            )),
+            None => None,
+        };
+        match failure {
+            Some(failure) if batch.bytes.is_empty() => Err(failure),
+            failure => {
+                self.pending = failure;
+                Ok((!batch.bytes.is_empty()).then_some(batch))
             }
         }
     }
 
+    /// Records that an upstream sent bytes that are no part of the stream.
+    fn record_fault(&self, sent: &Sent, fault: StreamFault) {
+        let (gateway, upstream) = (&self.gateway, &sent.upstream);
+        let (sends, last_event) = (self.attempts.sends, self.reader.last_id());
+        gateway.record_stream_fault(&self.context, upstream, sends, last_event, fault);
+        gateway.record_stream_ids(upstream, &self.reader.run_ids());
+    }
+
     fn end(&mut self) -> Result<Step, SendFailure> {
-        if !self.is_events || !self.splitter.is_inside_event() {
+        if !self.is_events {
             return Ok(Step::End);
         }
+        if let Some(rest) = self.reader.finish() {
+            self.has_ended = true;
+            return Ok(Step::Events(rest));
+        }
         let cause = "the stream ended inside an event".to_string();
         let sent = self.current.as_ref();
         match sent.is_some_and(|sent| ends_with_connection(&sent.answer.head)) {
@@ -305,23 +353,9 @@
         }
     }
 
-    /// Checks that event ids continue after the last relayed event.
-    fn check_order(&self, batch: EventBatch) -> Result<EventBatch, SendFailure> {
-        match (self.last_id, batch.first_id) {
-            (Some(last), Some(first)) if first <= last => {
-                Err(SendFailure::MayHaveRun("event ids are out of order".into()))
-            }
-            _ => Ok(batch),
-        }
-    }
-
     fn take_bytes(&mut self, step: Step) -> Bytes {
         match step {
-            Step::Events(batch) => {
-                self.observe(&batch);
-                self.last_id = batch.last_id.or(self.last_id);
-                batch.bytes
-            }
+            Step::Events(batch) => batch.bytes,
             Step::Raw(bytes) => bytes,
             Step::End => {
                 self.done = true;
@@ -332,7 +366,7 @@
                         self.context.id_text(),
                         sent.upstream.id,
                         self.attempts.sends + 1,
-                        self.last_id
+                        self.reader.last_id()
                     );
                     sent.active.record_completed();
                     let ids = self.reader.run_ids();
@@ -350,23 +384,6 @@
         }
     }
 
-    /// Records bytes that are no part of the stream.
-    fn observe(&mut self, batch: &EventBatch) {
-        let Some(sent) = self.current.as_ref().filter(|_| !self.is_faulty) else {
-            return;
-        };
-        let usual = self.gateway.usual_ids(&sent.upstream);
-        let read = self.reader.push(batch.bytes.clone(), &usual);
-        let Some(fault) = read.fault else {
-            return;
-        };
-        let (context, last) = (&self.context, self.reader.last_id());
-        let sends = self.attempts.sends;
-        self.gateway
-            .record_stream_fault(context, &sent.upstream, sends, last, fault);
-        self.is_faulty = true;
-    }
-
     fn can_retry(&self) -> bool {
         self.context.route.is_retryable()
             && self.attempts.sends + 1 < self.context.route.max_attempts
@@ -420,10 +437,7 @@
         let client = &self.context.connection_closer;
         match BufferedBytes::open(&self.gateway, HeldFor::Client, client) {
             Some(held) => read_ahead(self.into_chunks(first), held),
-            None => {
-                let frames = self.into_chunks(first).map(|chunk| chunk.map(Frame::data));
-                StreamBody::new(frames).boxed_unsync()
-            }
+            None => streamed_body(self.into_chunks(first)),
         }
     }
 
@@ -443,7 +457,11 @@
     SendFailure::MayHaveRun("the request's deadline has passed".into())
 }
 
+/// Returns whether an answer is a success in the type of content of event streams.
 fn is_event_stream(head: &Parts) -> bool {
     let kind = head.headers.get(http::header::CONTENT_TYPE);
-    kind.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"))
+    let kind = kind.and_then(|value| value.to_str().ok());
+    let essence = kind.and_then(|value| value.split(';').next());
+    let is_stream = |essence: &str| essence.trim().eq_ignore_ascii_case("text/event-stream");
+    head.status.is_success() && essence.is_some_and(is_stream)
 }
--- a/src/gateway/gateway_state.rs
+++ b/src/gateway/gateway_state.rs
@@ -401,9 +401,10 @@
 
     /// Removes the state of upstreams and daemons that are no longer known.
     pub fn sweep(&self) {
-        let known: HashSet<UpstreamId> = {
+        let (known, services): (HashSet<UpstreamId>, HashSet<ServiceName>) = {
             let directory = self.directory.read();
-            directory.all().map(|b| b.id.clone()).collect()
+            let known = directory.all().map(|b| b.id.clone()).collect();
+            (known, directory.services().cloned().collect())
         };
         let is_known = |id: &UpstreamId| known.contains(id);
         self.pool.sweep(is_known);
@@ -413,6 +414,7 @@
         self.bounds.lock().retain(is_known);
         self.slots.lock().retain(is_known);
         self.speeds.lock().retain(is_known);
+        self.stream_ids.lock().retain(|s| services.contains(s));
         self.tick_cooldowns(is_known);
         let live: HashSet<_> = self.peers.lock().live_addresses().into_iter().collect();
         self.permit_client.retain(|address| live.contains(address));
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,7 +15,6 @@
 mod cut_offs;
 mod domain_state;
 mod engines;
-mod event_splitter;
 mod follow_file;
 mod forward_buffered;
 mod forward_stream;
@@ -59,8 +58,8 @@
 
 pub use {
     answer::*, buffered_bytes::*, buffers::*, client_connection::*, client_socket::*,
-    connection_closer::*, event_splitter::*, follow_file::*, gateway_phase::*, gateway_state::*,
-    header_names::*, hub_state::*, intake::*, listen::*, metrics_page::*, open_connections::*,
-    part_state::*, placement::*, process::*, prompt::*, read_ahead::*, refusal::*, relay_guard::*,
+    connection_closer::*, follow_file::*, gateway_phase::*, gateway_state::*, header_names::*,
+    hub_state::*, intake::*, listen::*, metrics_page::*, open_connections::*, part_state::*,
+    placement::*, process::*, prompt::*, read_ahead::*, refusal::*, relay_guard::*,
     request_context::*, request_placement::*,
 };
--- a/src/gateway/read_ahead.rs
+++ b/src/gateway/read_ahead.rs
@@ -1,9 +1,7 @@
 use {
-    super::{AnswerBody, BufferedBytes},
+    super::{AnswerBody, BufferedBytes, streamed_body},
     bytes::Bytes,
     futures_util::{Stream, StreamExt, stream},
-    http_body_util::{BodyExt, StreamBody},
-    hyper::body::Frame,
     std::{io, pin::pin, sync::Arc},
     tokio::{sync::mpsc, task::JoinSet},
 };
@@ -20,17 +18,17 @@
     let mut reader = JoinSet::new();
     reader.spawn(read(chunks, buffered.clone(), tx));
     // A dropped `JoinSet` ends its task.
-    let frames = stream::unfold(
+    let chunks = stream::unfold(
         (rx, buffered, reader),
         |(mut rx, buffered, reader)| async move {
             let chunk: io::Result<Bytes> = rx.recv().await?;
             if let Ok(bytes) = &chunk {
                 buffered.take(bytes.len());
             }
-            Some((chunk.map(Frame::data), (rx, buffered, reader)))
+            Some((chunk, (rx, buffered, reader)))
         },
     );
-    StreamBody::new(frames).boxed_unsync()
+    streamed_body(chunks)
 }
 
 /// Reads an answer to its end. The channel is unbounded, as `buffered` bounds the bytes in it.
--- a/src/gateway/send_outcomes.rs
+++ b/src/gateway/send_outcomes.rs
@@ -59,7 +59,10 @@
             }
             // The daemon has lost its path to the upstream, which shows nothing about the upstream.
             SendFailure::MayHaveRun(_) | SendFailure::Stalled if self.is_link_broken(upstream) => {}
-            SendFailure::Refused(_) | SendFailure::MayHaveRun(_) | SendFailure::Stalled => {
+            SendFailure::Refused(_)
+            | SendFailure::MayHaveRun(_)
+            | SendFailure::InvalidStream(_)
+            | SendFailure::Stalled => {
                 self.record_answer(context, upstream, None);
                 self.record_outcome(&upstream.id, true);
             }
--- a/src/streams/event_order.rs
+++ b/src/streams/event_order.rs
@@ -79,12 +79,12 @@
         Ok(EventVerdict::Pass)
     }
 
-    /// Takes the event that is held as part of the stream.
-    pub fn release(&mut self) {
-        if let Some(held) = self.held.take() {
-            self.is_uneven = true;
-            self.accept(held);
-        }
+    /// Takes the event that is held as part of the stream, and returns its id.
+    pub fn release(&mut self) -> Option<u64> {
+        let held = self.held.take()?;
+        self.is_uneven = true;
+        self.accept(held);
+        Some(held)
     }
 
     fn accept(&mut self, id: u64) {
--- a/src/streams/event_reader.rs
+++ b/src/streams/event_reader.rs
@@ -89,15 +89,19 @@
 
     /// Returns what is left at the end of an answer: an event that was held, and comments. Returns `None` if
     /// the answer ends inside an event.
-    pub fn finish(&mut self) -> Option<Bytes> {
+    pub fn finish(&mut self) -> Option<EventBatch> {
         let rest = self.unread.get(self.line_start..).unwrap_or_default();
         if self.event.has_field() || !(rest.is_empty() || rest.starts_with(b":")) {
             return None;
         }
-        self.order.release();
+        let held = self.order.release();
         self.line_start = 0;
         self.searched = 0;
-        Some(self.unread.split().freeze())
+        Some(EventBatch {
+            bytes: self.unread.split().freeze(),
+            last_id: held,
+            fault: None,
+        })
     }
 
     /// Returns whether the incomplete event exceeds `MAX_EVENT_BYTES`.
--- a/src/upstreams/send_failure.rs
+++ b/src/upstreams/send_failure.rs
@@ -1,4 +1,4 @@
-use displaydoc::Display;
+use {crate::streams::StreamFault, displaydoc::Display};
 
 /// A failure to send a request to an upstream, by what is known about its execution.
 #[derive(Clone, Debug, PartialEq, Eq, Display, thiserror::Error)]
@@ -13,6 +13,8 @@
     Misdirected,
     /// request may have run: {0}
     MayHaveRun(String),
+    /// request may have run: invalid event stream: {0}
+    InvalidStream(StreamFault),
     /// request may have run: the upstream is silent, and a retry was taken from the budget
     Stalled,
     /// request may have run: the connection ended before the response did: {0}
@@ -27,13 +29,16 @@
             Self::NoSlot => "no-slot",
             Self::Refused(_) => "refused",
             Self::Misdirected => "misdirected",
-            Self::MayHaveRun(_) | Self::Stalled => "may-have-run",
+            Self::MayHaveRun(_) | Self::InvalidStream(_) | Self::Stalled => "may-have-run",
             Self::CutOff(_) => "cut-off",
         }
     }
 
     /// Returns true if the request certainly did not run at the upstream.
     pub fn is_not_run(&self) -> bool {
-        !matches!(self, Self::MayHaveRun(_) | Self::Stalled | Self::CutOff(_))
+        match self {
+            Self::NotSent(_) | Self::NoSlot | Self::Refused(_) | Self::Misdirected => true,
+            Self::MayHaveRun(_) | Self::InvalidStream(_) | Self::Stalled | Self::CutOff(_) => false,
+        }
     }
 }
