A failure that breaks off on a streaming route is not followed by another upstream's events

What callers saw: a 404 of an upstream whose body broke off between two chunks, and behind it in the same answer the events of another upstream's stream, which ended as whole. Cause: a relay that had begun to pass on a plain body took its end for a broken stream and went on elsewhere; the second answer's status was checked, the first one's was not. Why it works: once bytes of a plain body have gone out, its failure ends the answer.

--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -420,6 +420,13 @@
         let sent = self.current.take()?;
         let upstream = sent.upstream.clone();
         drop(sent);
+        if self.has_started && !self.is_events {
+            // What another upstream writes does not fit behind the beginning of a failure.
+            self.gateway
+                .record_send_failure(&self.context, &upstream, &failure);
+            self.attempts.last_failure = Some(failure);
+            return None;
+        }
         self.fail_at(&upstream, failure)
     }
 
--- a/tests/gateway/scripted_upstream.rs
+++ b/tests/gateway/scripted_upstream.rs
@@ -25,11 +25,14 @@
 
 /// How an upstream writes a stream.
 pub struct Script {
+    pub status: &'static str,
     /// The header lines on the type of content and the framing.
     pub head: &'static str,
     pub chunks: Chunks,
     /// Time before each chunk.
     pub pause: Duration,
+    /// The connection ends behind the last chunk, without the end of the body.
+    pub is_cut_off: bool,
 }
 
 pub const EVENT_STREAM: &str = "content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n";
@@ -39,9 +42,11 @@
 impl Script {
     pub fn new(chunks: impl Fn(u64) -> Vec<Vec<u8>> + Send + Sync + 'static) -> Self {
         Self {
+            status: "200 OK",
             head: EVENT_STREAM,
             chunks: Box::new(chunks),
             pause: Duration::from_millis(1),
+            is_cut_off: false,
         }
     }
 
@@ -120,9 +125,9 @@
     let after = value("last-event-id").parse().unwrap_or(0);
     let script = scripts.choose(&attempt);
     let head = format!(
-        "HTTP/1.1 200 OK\r\nconnection: close\r\nsaddlepulley-attempt: {attempt}\r\n\
+        "HTTP/1.1 {}\r\nconnection: close\r\nsaddlepulley-attempt: {attempt}\r\n\
          saddlepulley-signature: s\r\n{}\r\n",
-        script.head
+        script.status, script.head
     );
     stream.write_all(head.as_bytes()).await?;
     stream.set_nodelay(true)?;
@@ -137,7 +142,7 @@
         }
         stream.write_all(&bytes).await?;
     }
-    if is_chunked {
+    if is_chunked && !script.is_cut_off {
         stream.write_all(b"0\r\n\r\n").await?;
     }
     stream.shutdown().await
--- a/tests/gateway/stream_pieces.rs
+++ b/tests/gateway/stream_pieces.rs
@@ -373,6 +373,25 @@
     assert_eq!(answer.body, events(AT - 1));
 }
 
+/// Guards against a failure that breaks off midway and is followed by another upstream's events in one answer.
+#[tokio::test]
+async fn a_failure_that_breaks_off_is_not_followed_by_events() {
+    let mut failure = Script::new(|_| vec![b"not".to_vec(), b" found".to_vec()]);
+    failure.status = "404 Not Found";
+    failure.head = "transfer-encoding: chunked\r\n";
+    failure.is_cut_off = true;
+    let world = World::start(failure, Script::sound()).await;
+    for (n, path) in ["/stream/resume/x", "/stream/once/x"]
+        .into_iter()
+        .enumerate()
+    {
+        let answer = world.fetch(&format!("a{n}"), path).await;
+        assert_eq!(answer.status, StatusCode::NOT_FOUND, "{path}");
+        assert!(!answer.complete, "{path}: looks whole");
+        assert_eq!(answer.body, "not found", "{path}");
+    }
+}
+
 fn rewritten(rewrite: fn(u64) -> String) -> Script {
     Script::new(move |after| {
         (after + 1..=EVENTS)
