Streams: where nothing is known of a service's ids, any event that does not rise by one waits for the next; soaks send garbage

What callers saw: at a daemon that had just started, an event ahead as the first or second one went out, and the events up to it were missing. Cause: the step of a stream was taken from its second event, whatever it was. As long as the service has shown nothing, a step of one is the guess; an event that does not fit is delayed until the next one, once a stream, not refused. stream_pieces::an_event_ahead_is_left_out_where_the_steps_of_ids_are_not_known has five places and one chunk now. The stream soaks learned upstreams that write six forms of garbage into half of their streams.

--- a/src/streams/event_order.rs
+++ b/src/streams/event_order.rs
@@ -1,10 +1,14 @@
 use super::{EventVerdict, StreamFault, StreamIds, UsualIds, UsualNumber};
 
+/// By how much ids rise, and the id of a first event, as far as a stream and its service have shown nothing else.
+/// An event that does not fit is delayed, not refused.
+const GUESSED_STEP: u64 = 1;
+
 /// Decides by their ids which events belong to a stream, over all upstreams that write it one after another.
 ///
-/// An id has to rise. By how much is learned: from the service's other streams, or else from this one. An event
-/// that rises by another step than those before it is held until the next one shows that the stream goes on from
-/// it. This is done once a stream, so that a service whose ids rise by unequal steps is delayed by one event.
+/// An id has to rise. By how much is learned: from the service's other streams, or else from this one. As long as
+/// the service is not known, an event that rises by another step than those before it is held until the next one
+/// shows that the stream goes on from it. This is done once a stream.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EventOrder {
     /// The id of the last event that belongs to the stream.
@@ -13,8 +17,8 @@
     is_by_client: bool,
     /// The step of the stream's ids so far.
     step: Option<u64>,
-    /// The steps of the stream differ.
-    is_uneven: bool,
+    /// An event was held and belongs to the stream.
+    has_held: bool,
     /// The id of the event that is held.
     held: Option<u64>,
     /// The ids that the present upstream has written.
@@ -67,11 +71,12 @@
         if let Some(last) = self.last.filter(|last| id <= *last) {
             return Err(StreamFault::NotRising { id, last });
         }
+        let is_known = self.is_known(usual);
         let is_even = self.record_step(id);
         if let Some(due) = self.due(usual).filter(|due| *due != id) {
             return Err(StreamFault::NotDue { id, due });
         }
-        if !is_even && !self.is_uneven && usual.step == UsualNumber::Unknown {
+        if !is_even && !is_known && !self.has_held {
             self.held = Some(id);
             return Ok(EventVerdict::Hold);
         }
@@ -82,7 +87,7 @@
     /// Takes the event that is held as part of the stream, and returns its id.
     pub fn release(&mut self) -> Option<u64> {
         let held = self.held.take()?;
-        self.is_uneven = true;
+        self.has_held = true;
         self.accept(held);
         Some(held)
     }
@@ -92,19 +97,29 @@
         self.is_by_client = false;
     }
 
+    /// Returns whether the service has shown which id the next event may have.
+    fn is_known(&self, usual: &UsualIds) -> bool {
+        let number = match self.is_at_start() {
+            true => usual.first,
+            false => usual.step,
+        };
+        number != UsualNumber::Unknown
+    }
+
     /// Records by how much an id rises. Returns whether that is as for the events before it.
     fn record_step(&mut self, id: u64) -> bool {
         let Some(last) = self.last.filter(|_| !self.is_at_start()) else {
             self.run.record_first(id);
-            return true;
+            return id <= GUESSED_STEP;
         };
+        let step = id - last;
+        let is_even = step == self.step.unwrap_or(GUESSED_STEP);
         // By the word of a client, the step may be any.
-        if self.is_by_client {
-            return true;
+        if !self.is_by_client {
+            self.run.record_step(step);
+            self.step.get_or_insert(step);
         }
-        let step = id - last;
-        self.run.record_step(step);
-        *self.step.get_or_insert(step) == step
+        is_even
     }
 
     /// Returns the id that the next event has in the service's other streams, if it is known.
--- a/tests/decisions/stream_events.rs
+++ b/tests/decisions/stream_events.rs
@@ -174,14 +174,23 @@
         order(new(), &UNKNOWN, &[1, 2, 8, 3]),
         [PASS, PASS, HOLD, falls_back]
     );
+    assert_eq!(
+        order(new(), &UNKNOWN, &[6, 1]),
+        [HOLD, Err(StreamFault::FallsBack { id: 6 })]
+    );
+    let taken_up = EventOrder::after(Some(4));
+    assert_eq!(
+        order(taken_up, &UNKNOWN, &[9, 5]),
+        [HOLD, Err(StreamFault::FallsBack { id: 9 })]
+    );
     // Once is enough: the steps of the stream differ.
     assert_eq!(
         order(new(), &UNKNOWN, &[1, 2, 4, 7, 8]),
         [PASS, PASS, HOLD, PASS, PASS]
     );
     let varies = UsualIds {
+        first: UsualNumber::Varies,
         step: UsualNumber::Varies,
-        ..UNKNOWN
     };
     assert_eq!(order(new(), &varies, &[1, 2, 8]), [PASS, PASS, PASS]);
 }
--- a/tests/gateway/stream_pieces.rs
+++ b/tests/gateway/stream_pieces.rs
@@ -348,8 +348,12 @@
 /// Guards against an event that lies ahead, while a daemon has not learned yet by how much ids rise.
 #[tokio::test]
 async fn an_event_ahead_is_left_out_where_the_steps_of_ids_are_not_known() {
-    let ahead = format!("id: {}\ndata: garbage\n\n", AT + 5);
-    for script in [garbage_at(ahead.clone()), in_one_chunk(garbage_at(ahead))] {
+    let ahead = |n| format!("id: {}\ndata: garbage\n\n", n + 5);
+    let places = [1, 2, 3, AT, EVENTS].map(|n| garbage_before(n, ahead(n)));
+    let places = places
+        .into_iter()
+        .chain([in_one_chunk(garbage_at(ahead(AT)))]);
+    for script in places {
         let world = World::start(script, Script::sound()).await;
         let answer = world.fetch("a1", "/stream/resume/x").await;
         assert_eq!(answer.body, events(EVENTS));
--- a/tests/gateway/streams_soak.rs
+++ b/tests/gateway/streams_soak.rs
@@ -1,5 +1,6 @@
 //! Upstreams of up to three software versions come, leave and crash, while daemons are killed, stopped,
-//! frozen and replaced, one by one and all at once, and the store is away, down or returns from a copy.
+//! frozen and replaced, one by one and all at once, and the store is away, down or returns from a copy. Some
+//! upstreams write garbage into their streams.
 //! Disturbances overlap. Clients stream all the time; some leave, and all take their streams up again, at
 //! any daemon. Throughout, no stream holds events of two versions, none is missing or comes twice, and as
 //! each version keeps two upstreams, streams that are taken up go on at least half as often as new
@@ -70,7 +71,8 @@
 
     async fn disturb(&mut self, rng: &mut ChaCha8Rng) {
         self.replace_ended().await;
-        match rng.random_range(0..12) {
+        match rng.random_range(0..14) {
+            12 | 13 => self.garble(rng),
             0 | 1 => self.crash_upstream(rng),
             2 | 3 => self.add_upstreams(rng).await,
             4 | 5 => self.drain_upstream(rng),
@@ -92,6 +94,14 @@
         }
     }
 
+    /// Lets an upstream write garbage into some of its streams, or no longer do so.
+    fn garble(&self, rng: &mut ChaCha8Rng) {
+        let all: Vec<usize> = self.staying.values().flatten().copied().collect();
+        if let Some(index) = all.choose(rng) {
+            self.world.upstreams[*index].set_garbling(rng.random_bool(0.6));
+        }
+    }
+
     /// Adds upstreams of one version, at least as many as a version keeps.
     async fn add_upstreams(&mut self, rng: &mut ChaCha8Rng) {
         let count: usize = self.staying.values().map(Vec::len).sum();
@@ -321,6 +331,9 @@
     }
     check(&clients.join_all().await, seed);
     soak.end_disturbances(seed).await;
+    for upstream in &soak.world.upstreams {
+        upstream.set_garbling(false);
+    }
     tokio::time::sleep(CALM).await;
     let calm = CALM_LOAD.start(&soak.world.addresses, Duration::from_secs(2));
     let tally = check(&calm.join_all().await, seed);
--- a/tests/gateway/versioned_upstream.rs
+++ b/tests/gateway/versioned_upstream.rs
@@ -3,7 +3,7 @@
 use {
     crate::ports::free_address,
     bytes::Bytes,
-    futures_util::stream,
+    futures_util::{StreamExt, stream},
     http_body_util::{BodyExt, StreamBody, combinators::UnsyncBoxBody},
     hyper::{
         HeaderMap, Request, Response, StatusCode,
@@ -13,7 +13,15 @@
     },
     hyper_util::rt::TokioIo,
     serde_json::json,
-    std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{net::TcpListener, sync::watch, task::JoinHandle},
 };
 
@@ -32,6 +40,20 @@
     version: String,
     /// Number of crashes; a change ends the present connections.
     crashes: watch::Sender<u64>,
+    /// Part of the streams hold garbage.
+    is_garbling: AtomicBool,
+}
+
+/// Writes garbage in front of the event `number`, of a form that `draw` chooses.
+fn garbage(draw: u64, number: u64) -> String {
+    match draw % 6 {
+        0 => "data: garbage\n\n".into(),
+        1 => "id:\ndata: garbage\n\n".into(),
+        2 => format!("id: {}\ndata: garbage\n\n", number + 5),
+        3 if number > 1 => format!("id: {}\ndata: garbage\n\n", number - 1),
+        4 => format!("id: {number}\n\n"),
+        _ => "\u{1}garbage\n\n".into(),
+    }
 }
 
 /// The upstream, which stops when dropped.
@@ -56,6 +78,7 @@
             id: id.to_string(),
             version: version.to_string(),
             crashes: watch::Sender::new(0),
+            is_garbling: AtomicBool::new(false),
         });
         let task = tokio::spawn(serve_across_crashes(listener, address, shared.clone()));
         Self {
@@ -81,6 +104,13 @@
         })
     }
 
+    /// Writes garbage into half of the streams that begin from now on, or into none.
+    pub fn set_garbling(&self, is_garbling: bool) {
+        self.shared
+            .is_garbling
+            .store(is_garbling, Ordering::Relaxed);
+    }
+
     /// Ends all connections; the upstream is back after [`DOWN_TIME`].
     pub fn crash(&self) {
         self.shared.crashes.send_modify(|n| *n += 1);
@@ -146,7 +176,29 @@
     let answer = answer
         .header("x-response-seal", &shared.id)
         .header("content-type", "text/event-stream");
-    Ok(answer.body(events(shared, after)).expect("valid headers"))
+    let draw = u64::from_str_radix(&attempt, 16).unwrap_or(0);
+    let is_garbled = shared.is_garbling.load(Ordering::Relaxed) && draw.is_multiple_of(2);
+    let body = match is_garbled {
+        true => garbled_events(shared, after, draw / 2),
+        false => events(shared, after),
+    };
+    Ok(answer.body(body).expect("valid headers"))
+}
+
+/// Returns the events of a stream with garbage in front of one of them.
+fn garbled_events(shared: Arc<Shared>, after: u64, draw: u64) -> Body {
+    let at = after + 1 + (draw / 6) % (EVENTS - after).max(1);
+    let events = events(shared, after).into_data_stream().enumerate();
+    let events = events.map(move |(n, event)| {
+        let number = after + 1 + n as u64;
+        let event = event?;
+        let text = match number == at {
+            true => [garbage(draw, number).as_bytes(), &event].concat().into(),
+            false => event,
+        };
+        Ok(Frame::data(text))
+    });
+    StreamBody::new(events).boxed_unsync()
 }
 
 fn events(shared: Arc<Shared>, after: u64) -> Body {
