Tests: an event that was held counts as passed on although it never was; red

What callers see: while a daemon learns by how much ids rise, a stream goes on elsewhere behind an event that its client never got, or leaves events out and ends as whole (ORDER).

Cause: EventOrder::add releases the held event before the next one is checked, and does not check the held one by what has become known since. If the next one is not due, `last` is the held event's id but its bytes are dropped by continue_elsewhere.

No logic is changed here.

--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -54,6 +54,7 @@
 mod sources;
 mod spill;
 mod splice;
+mod stream_event_faults;
 mod stream_events;
 mod stream_origins;
 mod stream_origins_state;
--- /dev/null
+++ b/tests/decisions/stream_event_faults.rs
@@ -0,0 +1,45 @@
+//! Faults that a review found in how events of streams are read.
+
+use {bytes::Bytes, saddlepulley::streams::*};
+
+const UNKNOWN: UsualIds = UsualIds {
+    first: UsualNumber::Unknown,
+    step: UsualNumber::Unknown,
+};
+
+fn counted_from(first: u64) -> UsualIds {
+    UsualIds {
+        first: UsualNumber::Always(first),
+        step: UsualNumber::Always(1),
+    }
+}
+
+fn push(reader: &mut EventReader, bytes: &str, usual: &UsualIds) -> EventBatch {
+    reader.push(Bytes::copy_from_slice(bytes.as_bytes()), usual)
+}
+
+fn event(id: u64) -> String {
+    format!("id: {id}\ndata: {id}\n\n")
+}
+
+/// Guards against a stream that goes on after an event that its client never got.
+#[test]
+fn an_event_that_was_held_and_not_passed_on_is_not_the_last_one() {
+    let mut reader = EventReader::after(None);
+    let ahead = [event(1), event(2), event(4)].concat();
+    assert_eq!(push(&mut reader, &ahead, &UNKNOWN).last_id, Some(2));
+    let batch = push(&mut reader, &event(6), &counted_from(1));
+    assert!(batch.fault.is_some());
+    assert_eq!(batch.bytes, "");
+    assert_eq!(reader.last_id(), Some(2));
+}
+
+/// Guards against a missing piece where the steps of ids become known while an event is held.
+#[test]
+fn an_event_that_is_held_is_checked_by_what_is_known_since() {
+    let mut reader = EventReader::after(None);
+    let ahead = [event(1), event(2), event(4)].concat();
+    assert_eq!(push(&mut reader, &ahead, &UNKNOWN).last_id, Some(2));
+    let batch = push(&mut reader, &event(5), &counted_from(1));
+    assert!(batch.fault.is_some(), "{batch:?}");
+}
