Tests: a stream whose ids begin at 0 can't be taken up after its first event; red

What callers see: a client that has the event 0 takes its stream up with Last-Event-Id 0, and the sound event 1 is refused, as is any other: a 502, and upstreams that are sound count as faulty.

Cause: EventOrder::is_at_start takes the id 0 of a client for no event, also where the service's first id is known to be 0.

No logic is changed here.

--- a/tests/decisions/stream_event_faults.rs
+++ b/tests/decisions/stream_event_faults.rs
@@ -43,3 +43,10 @@
     let batch = push(&mut reader, &event(5), &counted_from(1));
     assert!(batch.fault.is_some(), "{batch:?}");
 }
+
+/// Guards against a sound stream that is refused where ids begin at 0 and the client has that event.
+#[test]
+fn a_stream_whose_ids_begin_at_0_is_taken_up_after_its_first_event() {
+    let mut order = EventOrder::after(Some(0));
+    assert_eq!(order.add(1, &counted_from(0)), Ok(EventVerdict::Pass));
+}
