Tests: the byte order mark of a second run goes out in the middle of a stream; red

What callers see: where upstreams begin their streams with a byte order mark, the first event of a continuation has the line "\u{feff}id: N", which is no id by the standard of server-sent events: only the start of a stream may have the mark.

Cause: continue_elsewhere allows the mark on the first line of each run, and the bytes are passed on unchanged.

No logic is changed here.

--- a/tests/decisions/stream_event_faults.rs
+++ b/tests/decisions/stream_event_faults.rs
@@ -50,3 +50,13 @@
     let mut order = EventOrder::after(Some(0));
     assert_eq!(order.add(1, &counted_from(0)), Ok(EventVerdict::Pass));
 }
+
+/// Guards against a byte order mark in the middle of a stream, where clients take it for a part of a line.
+#[test]
+fn the_byte_order_mark_of_a_second_run_is_left_out() {
+    let mut reader = EventReader::after(None);
+    push(&mut reader, &event(1), &UNKNOWN);
+    reader.continue_elsewhere();
+    let batch = push(&mut reader, &format!("\u{feff}{}", event(2)), &UNKNOWN);
+    assert_eq!(batch.bytes, event(2));
+}
