--- a/tests/decisions/stream_event_faults.rs
+++ b/tests/decisions/stream_event_faults.rs
@@ -60,3 +60,13 @@
     let batch = push(&mut reader, &format!("\u{feff}{}", event(2)), &UNKNOWN);
     assert_eq!(batch.bytes, event(2));
 }
+
+/// Guards against garbage as the second event of a stream while the steps of ids are not known.
+#[test]
+fn a_second_event_that_lies_ahead_is_left_out_where_steps_are_not_known() {
+    let mut reader = EventReader::after(None);
+    let stream = [event(1), event(7), event(2)].concat();
+    let batch = push(&mut reader, &stream, &UNKNOWN);
+    assert!(batch.fault.is_some());
+    assert_eq!(batch.bytes, event(1));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -44,6 +44,7 @@
 mod start;
 mod stops;
 mod store_support;
+mod stream_piece_faults;
 mod stream_pieces;
 mod stream_versions;
 mod stream_world;
