Streams after a loss of all daemons in a release: a report ruled out

What was reported: another operator saw streams joined from two versions where two versions serve, or the old one's upstreams had just left, when all daemons are killed at once and come back.

The new tests play three changes of versions in a row with a loss of all daemons in each, at once and 0.7 s after the change, the old upstreams withdrawn and ended right before the loss in the first two and serving on in the third; and one change where both versions serve on. No change of logic.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -47,6 +47,7 @@
 mod stream_world;
 mod streams;
 mod streams_after_loss;
+mod streams_after_loss_in_releases;
 mod streams_after_loss_of_domain;
 mod streams_past_their_timeout;
 mod streams_soak;
