A daemon that hears none of the others does not guess where a stream began

What callers saw: text of two versions in one stream. While a version comes, a daemon hears none of the others; streams that began through these are taken up at it and go on at the version from before.

Cause: the shared log of origins counted as proof that nobody knows a stream, also where daemons that may know it were asked and silent. It lacks the youngest streams. With one version seen, the same read counted as the second witness that no other had come.

`decisions/stream_origins` has the rule without a network; it uses a function that was not there before.

Why it works: if other daemons are known and none answers, a stream that neither this daemon nor the log knows is refused while versions differ, and goes on once one of them is heard. With one version seen, the topic of versions is read anew as well, in which a version stands before its first use; if it names one only, streams go on as before.

Not played: cut links, as against daemons that stand still.

--- a/src/cluster/origins/version_recorder.rs
+++ b/src/cluster/origins/version_recorder.rs
@@ -11,6 +11,8 @@
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
 /// Longest time for which the upstreams of a new version wait for its record.
 const MAX_RECORD_WAIT: Duration = Duration::from_millis(300);
+/// Longest time for which a request waits for a read.
+const MAX_READ_WAIT: Duration = Duration::from_millis(500);
 /// Maximum number of writes of one call, each of which fails if another daemon has written.
 const MAX_WRITES: usize = 4;
 
@@ -69,6 +71,18 @@
         log::warn!(target: "stream", "versions of services are used before they are recorded. error=\"{error}\"");
     }
 
+    /// Reads the records anew, for a limited time, so that the gateway knows versions that others have recorded.
+    /// Returns whether they were read.
+    pub(crate) async fn reread(&self, gateway: &Gateway) -> bool {
+        match tokio::time::timeout(MAX_READ_WAIT, self.records.read()).await {
+            Ok(Ok(page)) => {
+                gateway.apply_recorded_versions(&page.versions);
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Reads the records once. A daemon that reads the shared source then also keeps them current.
     async fn keep(&self, gateway: &Gateway) -> Result<(), BackendError> {
         let is_writer = *gateway.reads_source.borrow();
--- a/src/gateway/origin_search.rs
+++ b/src/gateway/origin_search.rs
@@ -78,6 +78,9 @@
                 self.query_origin(service, key, &daemons, search).await;
             }
         }
+        if search.asked > 0 && search.answered == 0 {
+            search.evidence.record_unheard();
+        }
         if search.evidence.is_open() {
             self.read_origin(service, key, search).await;
         }
@@ -114,7 +117,8 @@
         }
     }
 
-    /// Reads the shared log for the origin of a stream.
+    /// Reads the shared log for the origin of a stream. If no other daemon answers, a version may have come of
+    /// which this one has not heard, so the record of versions is read as well.
     async fn read_origin(
         self: &Arc<Self>,
         service: &ServiceName,
@@ -124,12 +128,18 @@
         let Some(log) = self.origin_log.get() else {
             return;
         };
-        let is_read = log.read(self).await;
+        let (is_read, are_versions_current) = match search.evidence.is_unheard() {
+            true => tokio::join!(log.read(self), self.reread_versions()),
+            false => (log.read(self).await, true),
+        };
         let (origin, versions) = (self.known_origin(key), self.known_versions(service));
         match is_read {
             true => {
                 search.log = LogSearch::Read;
-                search.evidence.add_heard(origin, versions);
+                match are_versions_current {
+                    true => search.evidence.add_heard(origin, versions),
+                    false => search.evidence.add(origin, versions),
+                }
             }
             false => {
                 search.log = LogSearch::Failed;
--- a/src/gateway/version_state.rs
+++ b/src/gateway/version_state.rs
@@ -55,6 +55,14 @@
         }
     }
 
+    /// Reads anew which software versions are recorded, for a limited time. Returns whether they were read.
+    pub(super) async fn reread_versions(&self) -> bool {
+        match self.version_recorder() {
+            Some(recorder) => recorder.reread(self).await,
+            None => false,
+        }
+    }
+
     /// Returns the software versions of all services that have to be recorded.
     pub(crate) fn versions_to_record(&self) -> ServiceVersions {
         self.observe_versions(&self.directory.read());
--- a/src/policy/origins/resumption.rs
+++ b/src/policy/origins/resumption.rs
@@ -19,7 +19,8 @@
     Nowhere,
 }
 
-/// What is known of a stream that a client takes up, from all that could be asked.
+/// What is known of a stream that a client takes up, from all that could be asked. Answers a load in which
+/// versions come while a daemon is cut off from the others, or stands still.
 #[derive(Clone, Debug, Default)]
 pub struct ResumptionEvidence {
     origin: Option<UpstreamVersion>,
@@ -28,12 +29,14 @@
     has_seen_several: bool,
     has_seen_only_one: bool,
     is_log_unread: bool,
+    /// True if others are known and none of them has answered.
+    is_unheard: bool,
     /// True once another daemon has answered or the log was read, or if there is neither.
     is_confirmed: bool,
 }
 
 impl ResumptionEvidence {
-    /// Adds what another daemon, or the shared log, knows.
+    /// Adds what another daemon knows, or the shared log with the record of versions.
     pub fn add_heard(&mut self, origin: Option<UpstreamVersion>, versions: KnownVersions) {
         self.add(origin, versions);
         self.is_confirmed = true;
@@ -53,6 +56,17 @@
         self.has_seen_only_one |= versions.seen == SeenVersions::One;
     }
 
+    /// Records that other daemons are known and none has answered. One of them may know the stream, which the
+    /// shared log shows only later.
+    pub fn record_unheard(&mut self) {
+        self.is_unheard = true;
+    }
+
+    /// Returns whether other daemons are known and none has answered.
+    pub fn is_unheard(&self) -> bool {
+        self.is_unheard
+    }
+
     /// Records that the shared log of origins could not be read: it may hold the stream's origin.
     pub fn record_unread_log(&mut self) {
         self.is_log_unread = true;
@@ -83,7 +97,8 @@
         let mut alone = self.alone.into_iter();
         match (alone.next(), alone.next()) {
             (Some(version), None)
-                if is_sure_of_one || (self.is_confirmed && !self.is_log_unread) =>
+                if is_sure_of_one
+                    || (self.is_confirmed && !self.is_log_unread && !self.is_unheard) =>
             {
                 Resumption::Inferred(version)
             }
--- a/tests/decisions/stream_origins.rs
+++ b/tests/decisions/stream_origins.rs
@@ -274,6 +274,20 @@
     assert_eq!(evidence.decide(), Resumption::Nowhere);
 }
 
+/// Guards against streams at two versions: the log, which lacks the youngest streams, was all that a daemon heard.
+#[test]
+fn a_daemon_that_hears_no_other_does_not_guess_between_versions() {
+    let mut several = evidence(&[(None, SeenVersions::Several, Some("v1"))]);
+    several.record_unheard();
+    assert_eq!(several.decide(), Resumption::Nowhere);
+    let mut known = evidence(&[(Some("v2"), SeenVersions::Several, Some("v1"))]);
+    known.record_unheard();
+    assert_eq!(known.decide(), Resumption::At("v2".into()));
+    let mut one = evidence(&[(None, SeenVersions::One, Some("v1"))]);
+    one.record_unheard();
+    assert_eq!(one.decide(), Resumption::Inferred("v1".into()));
+}
+
 #[test]
 fn others_are_asked_until_the_origin_is_known_or_surely_needless() {
     use SeenVersions::{One, Several, Unsure};
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -49,6 +49,7 @@
 mod streams_after_loss;
 mod streams_after_loss_in_releases;
 mod streams_after_loss_of_domain;
+mod streams_at_daemons_out_of_step;
 mod streams_past_their_timeout;
 mod streams_soak;
 mod support;
