A record of the origins that declares a huge list is skipped

Callers saw: a daemon ended when a client took up a stream that no daemon knew, and again after each restart. Cause: records of the topic stream-origins were decoded without a limit, so that a length of another writer was allocated; a failed allocation aborts the process. Evidence: origin_log::a_record_that_declares_a_huge_list_or_name_is_skipped ended the test process with SIGABRT before, and passes now. The limit is that of datagrams, in which the same parts are sent. Ruled out: nested JSON (refused by the decoder), datagrams, feeds and packed configurations (decoded with a limit).

--- a/src/cluster/origins/origin_log.rs
+++ b/src/cluster/origins/origin_log.rs
@@ -135,8 +135,8 @@
             }
             self.era = page.era;
             for record in &page.records {
-                match bincode::decode_from_slice(record, bincode::config::standard()) {
-                    Ok((part, _)) => gateway.record_origins(&part),
+                match OriginsPart::decode(record) {
+                    Ok(part) => gateway.record_origins(&part),
                     Err(e) => {
                         log::info!(target: "stream", "malformed record of streams skipped. error=\"{e}\"");
                     }
--- a/src/cluster/origins/origins_part.rs
+++ b/src/cluster/origins/origins_part.rs
@@ -1,6 +1,9 @@
 use {
-    crate::policy::{AnnouncedOrigin, AttemptKey, StreamOrigin},
-    bincode::{Decode, Encode},
+    crate::{
+        cluster::MAX_DECODED_BYTES,
+        policy::{AnnouncedOrigin, AttemptKey, StreamOrigin},
+    },
+    bincode::{Decode, Encode, config, decode_from_slice, error::DecodeError},
     std::collections::BTreeMap,
 };
 
@@ -47,6 +50,17 @@
         parts.collect()
     }
 
+    /// Decodes a record of the shared log.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if another writer stored something else.
+    pub fn decode(record: &[u8]) -> Result<Self, DecodeError> {
+        // Without a limit, a declared length beyond the available memory would abort the process.
+        let limited = config::standard().with_limit::<MAX_DECODED_BYTES>();
+        decode_from_slice(record, limited).map(|(part, _)| part)
+    }
+
     /// Returns the origin that all streams of this part have.
     pub fn origin(&self) -> StreamOrigin {
         StreamOrigin {
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -30,6 +30,7 @@
 mod limits;
 mod members;
 mod mixed_builds;
+mod odd_documents;
 mod origin_keepers;
 mod origin_log;
 mod placement;
--- a/tests/decisions/origin_log.rs
+++ b/tests/decisions/origin_log.rs
@@ -1,7 +1,7 @@
 //! What a daemon takes from the shared log of streams' origins, and how often it writes to it.
 
 use {
-    crate::support,
+    crate::{odd_documents::odd_documents, support},
     async_trait::async_trait,
     bytes::Bytes,
     futures_util::future::join_all,
@@ -71,6 +71,28 @@
     assert_eq!(gateway.known_origin(STREAM), Some("v2".into()));
 }
 
+/// Guards against an abort of the process: records that declare a list or a name longer than the available
+/// memory made the decoder allocate it.
+#[tokio::test]
+async fn a_record_that_declares_a_huge_list_or_name_is_skipped() {
+    let gateway = Arc::new(support::gateway(""));
+    let log = Arc::new(MemoryLog::default());
+    let origins = OriginLog::new(log.clone());
+    // The numbers of bytes before the lengths of the service, of the version and of the list of attempts.
+    for zeros in [0, 1, 4] {
+        let mut record = vec![0; zeros];
+        record.push(253);
+        record.extend(0x000f_ffff_ffff_ffff_u64.to_le_bytes());
+        log.append("", &[record.into()]).await.unwrap();
+    }
+    for odd in odd_documents("{}") {
+        log.append("", &[odd.into()]).await.unwrap();
+    }
+    log.append("", &[record_of_stream()]).await.unwrap();
+    assert!(origins.read(&gateway).await);
+    assert_eq!(gateway.known_origin(STREAM), Some("v2".into()));
+}
+
 #[tokio::test]
 async fn requests_that_wait_for_the_log_at_once_share_its_reads() {
     let gateway = Arc::new(support::gateway(""));
