--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -31,6 +31,7 @@
 mod members;
 mod mixed_builds;
 mod odd_documents;
+mod odd_entries;
 mod origin_keepers;
 mod origin_log;
 mod placement;
