Sums of slots of a version saturate

Entries that name the most slots made the sum that decides on the share of a new version overflow: a panic of the duties in a build with checks, a wrong share in others. Evidence: upstreams_with_the_most_slots_that_can_be_named_are_summed_up panicked before.

--- a/src/gateway/rollout_state.rs
+++ b/src/gateway/rollout_state.rs
@@ -158,7 +158,7 @@
         let slots = |is_target: bool| -> u32 {
             let ready = directory.ready(&service);
             let of_version = ready.filter(|u| (u.version.as_str() == version) == is_target);
-            of_version.map(|u| u.slots).sum()
+            of_version.fold(0, |sum, u| sum.saturating_add(u.slots))
         };
         (slots(true), slots(false))
     }
--- a/tests/decisions/odd_entries.rs
+++ b/tests/decisions/odd_entries.rs
@@ -104,3 +104,15 @@
         assert_eq!(started_ms, [1_764_720_000_123], "after {born}");
     }
 }
+
+/// Guards against a wrong sum of slots, which decides on the share of a new version.
+#[test]
+fn upstreams_with_the_most_slots_that_can_be_named_are_summed_up() {
+    let gateway = support::gateway("");
+    gateway.change_directory(|directory, _| {
+        let entry = entry_with("slots", u32::MAX.into());
+        let records = (0..3).map(|n| record(&format!("i-{n}"), &entry, n));
+        read_all(directory, records.collect());
+    });
+    assert_eq!(gateway.version_slots("s", "v1"), (u32::MAX, 0));
+}
