Records of the duties ahead of the log, and endless terms, do not end the duties

Callers saw: no usage reports and no orders. Cause: a record of another writer that names a later era than the log has made all leases count as outdated; a huge term was never over, or overflowed. Evidence: duties::a_record_that_names_an_era_ahead_of_the_log_is_ignored and a_lease_with_a_huge_term_ends failed before. A sound record can't name an era that the answer which holds it has not reached; terms are cut at 300 s. Not covered: a well-formed record of the own era.

--- a/src/policy/duties/duty_log.rs
+++ b/src/policy/duties/duty_log.rs
@@ -107,9 +107,12 @@
         self.topic.skip_to(offset);
     }
 
-    /// Folds a record that was read or appended at `now_ms`.
+    /// Folds a record that was read or appended at `now_ms`. One that names an era which the log has not
+    /// reached is from another writer, and skipped: leases of the log's era would count as outdated.
     pub fn fold(&mut self, offset: u64, record: DutyRecord, now_ms: u64) {
-        self.topic.fold(offset, Some(record), &self.me, now_ms);
+        let is_ahead = self.era.is_known() && record.era() > self.era;
+        let record = (!is_ahead).then_some(record);
+        self.topic.fold(offset, record, &self.me, now_ms);
     }
 
     /// Skips a record that is unreadable or has no contents.
--- a/src/policy/duties/duty_record.rs
+++ b/src/policy/duties/duty_record.rs
@@ -18,6 +18,17 @@
     Restored(RestoredRecord),
 }
 
+impl DutyRecord {
+    /// Returns the era of the log that the record names; unknown if it names none.
+    pub(super) fn era(&self) -> SourceEra {
+        match self {
+            Self::Lease(lease) => lease.era,
+            Self::Restored(restored) => restored.era,
+            Self::Usage(_) => SourceEra::UNKNOWN,
+        }
+    }
+}
+
 /// The contents of a window's usage report.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct UsageRecord {
--- a/src/policy/duties/lease.rs
+++ b/src/policy/duties/lease.rs
@@ -3,6 +3,9 @@
     serde::{Deserialize, Serialize},
 };
 
+/// Longest term of a lease, in milliseconds; a longer one is cut, so that others take over in the end.
+const MAX_TERM_MS: u64 = 300_000;
+
 /// A record of a duties log that takes or renews the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LeaseRecord {
@@ -34,10 +37,11 @@
 impl LeaseFold {
     /// Folds a record and returns true if it takes or renews the lease, which it does only
     /// if it follows the lease in force.
-    pub fn fold(&mut self, offset: u64, record: LeaseRecord) -> bool {
+    pub fn fold(&mut self, offset: u64, mut record: LeaseRecord) -> bool {
         if offset < self.next {
             return false;
         }
+        record.term_ms = record.term_ms.min(MAX_TERM_MS);
         self.next = offset + 1;
         // The oldest record left in the log may follow one that has been removed.
         let is_oldest_left = self.current.is_none() && record.follows > 0;
@@ -79,7 +83,8 @@
             ..record.clone()
         };
         if self.fold(offset, chained) {
-            self.current = Some((offset + 1, record));
+            let term_ms = record.term_ms.min(MAX_TERM_MS);
+            self.current = Some((offset + 1, LeaseRecord { term_ms, ..record }));
         }
     }
 
@@ -144,7 +149,7 @@
             .is_some_and(|(_, old)| old.by == record.by);
         match appended_at_ms {
             Some(sent_ms) if record.by == *me => {
-                self.held_until_ms = sent_ms + record.term_ms;
+                self.held_until_ms = sent_ms + record.term_ms.min(MAX_TERM_MS);
                 self.held_fence = offset + 1;
                 if !renewed {
                     let old_term_ms = previous.map_or(0, |(_, old)| old.term_ms);
--- a/tests/decisions/duties.rs
+++ b/tests/decisions/duties.rs
@@ -226,3 +226,58 @@
     );
     assert!(!fitness(true, true, true).may_hold(), "it is stopping");
 }
+
+/// A record of another writer that continues the topic, or takes the lease, in an era that the log has not had.
+fn records_of_a_later_era() -> [DutyRecord; 2] {
+    let era = SourceEra::from_code(u64::MAX);
+    let by = box_incarnation("odd");
+    [
+        DutyRecord::Restored(RestoredRecord {
+            by: by.clone(),
+            era,
+            holds_lease: false,
+            first_window: u64::MAX,
+        }),
+        DutyRecord::Lease(LeaseRecord {
+            by,
+            follows: 0,
+            term_ms: TERM_MS,
+            era,
+        }),
+    ]
+}
+
+/// Guards against duties that nobody holds any more: leases of the era of the log counted as outdated.
+#[test]
+fn a_record_that_names_an_era_ahead_of_the_log_is_ignored() {
+    for odd in records_of_a_later_era() {
+        let mut log = DutyLog::new(box_incarnation("a"), TERM_MS);
+        log.enter_era(SourceEra::FIRST, 0, 0);
+        let mut records = vec![odd];
+        read(&mut log, &records, 0);
+        log.record_read(0, 0);
+        assert!(take(&mut log, &mut records, 10));
+        assert!(log.fence_for(0, 20).is_some());
+        assert!(log.may_report(7));
+    }
+}
+
+/// Guards against duties that nobody takes over: the term of the lease was in force for ever, or overflowed.
+#[test]
+fn a_lease_with_a_huge_term_ends() {
+    const LATE_MS: u64 = 600_000;
+    for term_ms in [u64::MAX, u64::MAX / 2] {
+        let mut log = DutyLog::new(box_incarnation("a"), TERM_MS);
+        log.enter_era(SourceEra::FIRST, 0, 0);
+        let mut records = vec![DutyRecord::Lease(LeaseRecord {
+            by: box_incarnation("odd"),
+            follows: 0,
+            term_ms,
+            era: SourceEra::FIRST,
+        })];
+        read(&mut log, &records, 10);
+        assert_eq!(log.step(20), LeaseStep::Wait);
+        assert!(take(&mut log, &mut records, LATE_MS));
+        assert!(log.fence_for(0, LATE_MS + 10).is_some());
+    }
+}
