Status records that no leader has made do not stop a rollout

Callers saw: a rollout that stands still, its status written at each turn. Cause: a fencing token or step at its limit outranked the steps of the real leader. Evidence: rollout_duty::a_written_record_that_no_leader_has_made_does_not_stop_a_rollout failed before. The store is taken over before it is read, so a later token than the own one is of no leader; steps begin anew with each token. Not covered: an order below 2^48 that the operator has not made. odd_orders_of_rollouts_are_refused_or_applied_and_later_ones_count passed before as well.

--- a/src/cluster/versions/rollout_duty.rs
+++ b/src/cluster/versions/rollout_duty.rs
@@ -94,7 +94,10 @@
     /// leader would not see, and the operator would read two different outcomes.
     async fn begin(&mut self, gateway: &Gateway, fence: u64) -> Result<(), BackendError> {
         self.store.take_over(fence).await?;
-        let written = self.store.read().await?;
+        let mut written = self.store.read().await?;
+        // The store is taken over, so no leader has written under a later token. Such a record of another
+        // writer would outrank all steps of this one.
+        written.retain(|rollout| rollout.fence <= fence);
         gateway.apply_rollouts(&written);
         self.led.clear();
         self.unwritten.clear();
@@ -148,9 +151,13 @@
         let state = led.steps.next(view);
         let share = led.steps.share();
         let is_step = state != rollout.state || share != rollout.share || rollout.fence != fence;
+        let steps_before = match rollout.fence == fence {
+            true => rollout.step,
+            false => 0,
+        };
         let updated = Rollout {
             fence,
-            step: rollout.step + u32::from(is_step),
+            step: steps_before.saturating_add(u32::from(is_step)),
             share,
             state,
             started_ms,
--- a/tests/decisions/odd_entries.rs
+++ b/tests/decisions/odd_entries.rs
@@ -116,3 +116,20 @@
     });
     assert_eq!(gateway.version_slots("s", "v1"), (u32::MAX, 0));
 }
+
+#[test]
+fn odd_orders_of_rollouts_are_refused_or_applied_and_later_ones_count() {
+    for (offset, bytes) in odd_documents(ORDER).iter().enumerate() {
+        let gateway = support::gateway("");
+        for order in [
+            rollout_order(&record("rollout/s", bytes, offset as u64)),
+            rollout_order(&record("rollout/s", ORDER.as_bytes(), 1_000_000)),
+        ] {
+            if let Some(Ok(order)) = order {
+                gateway.apply_order_of_era(order, SourceEra::FIRST);
+            }
+        }
+        let known = gateway.rollouts.lock().get("s").map(|r| r.order);
+        assert_eq!(known, Some(1_000_001));
+    }
+}
--- a/tests/decisions/rollout_duty.rs
+++ b/tests/decisions/rollout_duty.rs
@@ -19,6 +19,8 @@
     written: Mutex<Vec<(u64, u64, RolloutState)>>,
     /// The number that the store expects next, if it is to reject another one.
     expected: Mutex<Option<u64>>,
+    /// The records in the store before the first write.
+    stored: Vec<Rollout>,
 }
 
 #[async_trait]
@@ -30,7 +32,7 @@
 
     async fn read(&self) -> Result<Vec<Rollout>, BackendError> {
         self.calls.lock().push("read".into());
-        Ok(Vec::new())
+        Ok(self.stored.clone())
     }
 
     async fn write(
@@ -96,3 +98,32 @@
     duty.run_due_steps(&gateway, 7).await.unwrap();
     assert!(store.calls.lock().is_empty());
 }
+
+/// Guards against a rollout that stands still: a record with numbers that no leader has made outranked all steps.
+#[tokio::test]
+async fn a_written_record_that_no_leader_has_made_does_not_stop_a_rollout() {
+    for (fence, step) in [(u64::MAX, 1), (8, 1), (3, u32::MAX)] {
+        let gateway = gateway();
+        let odd = Rollout {
+            fence,
+            step,
+            started_ms: u64::MAX,
+            ..gateway.rollouts.lock().get("s").cloned().unwrap()
+        };
+        let store = Arc::new(TestStore {
+            stored: vec![odd],
+            ..TestStore::default()
+        });
+        let mut duty = RolloutDuty::new(store.clone());
+        duty.run_due_steps(&gateway, 7).await.unwrap();
+        duty.run_due_steps(&gateway, 7).await.unwrap();
+        let written = store.written.lock().clone();
+        assert_eq!(
+            written,
+            [(7, 1, RolloutState::InProgress)],
+            "{fence} {step}"
+        );
+        let known = gateway.rollouts.lock().get("s").map(|r| r.fence);
+        assert_eq!(known, Some(7), "{fence} {step}");
+    }
+}
