A crash record with a time at its limit overflows nothing

A record of keyed.quarantine with the longest time of an answer overflowed a product: a panic of the task that reads the topic in a build with checks, and a part cleared wrongly in others. Evidence: odd_records_of_crashes_are_refused_or_applied panicked before; the product saturates now. Numbers in headers of upstreams were ruled out by the other test here, which passed before as well.

--- a/src/policy/quarantine/survival.rs
+++ b/src/policy/quarantine/survival.rs
@@ -44,7 +44,8 @@
     /// Returns whether this shows that the part did not cause a crash at `crash_ms`, when requests with it
     /// had been answered for `answering_ms`.
     pub fn clears(&self, crash_ms: u64, answering_ms: u64) -> bool {
-        let needed_ms = SURVIVAL_FACTOR * answering_ms + SURVIVAL_MARGIN_MS;
+        let needed_ms = answering_ms.saturating_mul(SURVIVAL_FACTOR);
+        let needed_ms = needed_ms.saturating_add(SURVIVAL_MARGIN_MS);
         let is_long = self.answering_ms.is_none_or(|ms| ms >= needed_ms);
         self.at_ms >= crash_ms && is_long
     }
--- a/tests/decisions/odd_entries.rs
+++ b/tests/decisions/odd_entries.rs
@@ -133,3 +133,54 @@
         assert_eq!(known, Some(1_000_001));
     }
 }
+
+#[test]
+fn odd_records_of_crashes_are_refused_or_applied() {
+    let gateway = support::gateway("");
+    for bytes in odd_documents(CRASHES) {
+        if let Some(read) = suspect_record(&record(FINGERPRINT, &bytes, 1), 1_000) {
+            gateway.apply_written(&read);
+        }
+    }
+    for bytes in odd_documents(PART_CRASHES) {
+        let key = format!("part-{FINGERPRINT}");
+        if let Some(read) = part_record(&record(&key, &bytes, 1), 1_000) {
+            gateway.apply_written_part(&read);
+        }
+    }
+    gateway.sweep();
+}
+
+#[test]
+fn odd_numbers_in_headers_of_upstreams_are_ignored_or_bounded() {
+    let id = UpstreamId::from("u");
+    let mut limits = LimitTable::default();
+    let mut cooldowns = CooldownTable::default();
+    for text in [
+        "",
+        "-1",
+        "nan",
+        "inf",
+        "1e999",
+        "1e308",
+        "0",
+        "0.0000000000000000000000000001",
+        "18446744073709551615",
+        "18446744073709551616",
+        "99999999999999999999999999999999",
+        ".",
+        "1.2.3",
+        "\u{0}",
+        "9223372036854775808",
+    ] {
+        let _ = NamedBound::read([text.as_bytes()]);
+        limits.record_answer(&id, NamedLimit::read([text.as_bytes()]), 5, 5);
+        if let Err(wait_ms) = limits.take(&id, PermitShare::ALL, 10) {
+            limits.record_used_up(&id, wait_ms, 10);
+        }
+        if let RetryAfter::For(cooldown) = RetryAfter::read([text.as_bytes()]) {
+            cooldowns.record(&id, cooldown, 5);
+            let _ = cooldowns.left(&id, 6);
+        }
+    }
+}
