Numbers of a configuration are limited where it comes into force

With max_header_bytes or timeout_ms at their limits, sums overflowed in the tasks of connections and requests; with max_replicas, in a search for a need that can't be met, which by reading does not end in a release build (not run). Evidence: numbers_of_a_configuration_are_bounded and a_need_that_is_never_met_is_planned_within_the_highest_limits failed before. All configurations, of the store, a file or another daemon, are indexed in one place, which limits them.

--- a/src/policy/fleet/plan_search.rs
+++ b/src/policy/fleet/plan_search.rs
@@ -136,7 +136,7 @@
         let highest = highest.map(|(s, limit)| (f64::from(*limit) * s.capacity).ceil() as u32);
         let (mut low, mut high) = (0, highest.max().unwrap_or_default());
         while low < high {
-            let level = (low + high) / 2;
+            let level = low.midpoint(high);
             match self.is_met(on_demand, &at_level(level), losses) {
                 true => high = level,
                 false => low = level + 1,
--- a/src/routing/mod.rs
+++ b/src/routing/mod.rs
@@ -2,6 +2,7 @@
 
 mod account_terms;
 mod client_limits;
+mod number_limits;
 mod packed_config;
 mod route;
 mod route_table;
--- a/src/routing/route_table.rs
+++ b/src/routing/route_table.rs
@@ -15,8 +15,9 @@
 }
 
 impl RouteTable {
-    /// Indexes a configuration.
+    /// Indexes a configuration. Numbers beyond their limits are set to these.
     pub fn new(config: RoutingConfig) -> Self {
+        let config = config.within_limits();
         let mut by_host: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         for route in &config.routes {
             let routes = by_host.entry(route.host.to_ascii_lowercase()).or_default();
--- a/tests/decisions/odd_entries.rs
+++ b/tests/decisions/odd_entries.rs
@@ -117,6 +117,93 @@
     assert_eq!(gateway.version_slots("s", "v1"), (u32::MAX, 0));
 }
 
+#[test]
+fn odd_configurations_are_refused_or_serve() {
+    for bytes in odd_documents(CONFIG) {
+        let Ok(mut config) = config_from_record(&bytes) else {
+            continue;
+        };
+        config.version = 8;
+        let gateway: Gateway = support::gateway("");
+        assert!(gateway.apply_config(config));
+        let table = gateway.table().unwrap();
+        for point in [0, 1, u64::MAX] {
+            if let Some(route) = table.find_route("h", "/p/x") {
+                let _ = route.pick_service(point);
+                let _ = gateway.max_wait(&"s".into(), route);
+            }
+        }
+        gateway.sweep();
+    }
+}
+
+/// Guards against sums that overflow: such a time ended the task of the request, such a size that of the
+/// connection.
+#[test]
+fn numbers_of_a_configuration_are_bounded() {
+    const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
+    const GIGABYTE: usize = 1 << 30;
+    let mut config = config_from_record(CONFIG.as_bytes()).unwrap();
+    let route = &mut config.routes[0];
+    route.timeout_ms = u64::MAX;
+    route.target_latency_ms = u64::MAX;
+    route.event_gap_ms = Some(u64::MAX);
+    config.limits.max_header_bytes = usize::MAX;
+    config.limits.idle_timeout_ms = u64::MAX;
+    config.accounts[0].rate_per_s = f64::MAX;
+    config.accounts[0].burst = f64::MAX;
+    let scaling = config.services[0].autoscaling.as_mut().unwrap();
+    (scaling.min_per_domain, scaling.max_per_domain) = (u32::MAX, u32::MAX);
+    scaling.boot_s = f64::MAX;
+    let gateway = support::gateway("");
+    gateway.apply_config(config);
+    let table = gateway.table().unwrap();
+    let route = table.find_route("h", "/p/x").unwrap();
+    assert!(route.timeout_ms <= DAY_MS && route.target_latency_ms <= DAY_MS);
+    assert!(route.event_gap_ms.unwrap() <= DAY_MS);
+    let limits = gateway.client_limits();
+    assert!(limits.max_header_bytes <= GIGABYTE && limits.idle_timeout_ms <= DAY_MS);
+    let account = table.find_account("k1").unwrap();
+    assert!(account.rate_per_s <= 1e15 && account.burst <= 1e15);
+    let service = table.find_service(&"s".into()).unwrap();
+    let scaling = service.autoscaling.as_ref().unwrap();
+    assert!(scaling.max_per_domain <= 1_000_000 && scaling.min_per_domain <= 1_000_000);
+    assert!(scaling.boot_s <= DAY_MS as f64);
+}
+
+/// Guards against a search that overflows, and then never ends, where no number of upstreams meets a need.
+#[test]
+fn a_need_that_is_never_met_is_planned_within_the_highest_limits() {
+    let supply = DomainSupply {
+        fleet: DomainFleet {
+            domain: FailureDomain::from("a"),
+            price: 1.0,
+            on_demand: 1,
+            reclaimable: 0,
+            pending: 0,
+        },
+        capacity: 1.0,
+        has_on_demand: false,
+        has_reclaimable: true,
+    };
+    let bounds = FleetBounds {
+        min_per_domain: 0,
+        max_per_domain: u32::MAX,
+        reclaimable_price: Some(0.2),
+    };
+    let need = FleetNeed {
+        every_day: 1e18,
+        after_loss: 1e18,
+        on_demand_base: 0.0,
+    };
+    let needs = FleetNeeds {
+        steady: need,
+        now: need,
+    };
+    let plan = plan_for_need(&[supply], &[true], bounds, needs, &FleetPolicy::default());
+    assert_eq!(plan.bound, DecidingBound::NoneLeft);
+}
+
 #[test]
 fn odd_orders_of_rollouts_are_refused_or_applied_and_later_ones_count() {
     for (offset, bytes) in odd_documents(ORDER).iter().enumerate() {
