--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod lost_requests;
 mod misdirected;
 mod mixed_builds;
+mod odd_entries;
 mod parts_soak;
 mod planned_soak;
 mod ports;
