--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -30,6 +30,8 @@
 mod limits;
 mod members;
 mod mixed_builds;
+mod odd_documents;
+mod odd_entries;
 mod origin_keepers;
 mod origin_log;
 mod placement;
