Bytes that belong to no request are no answer to one

Cause: check_owner took an answer for another request's only if it carried an attempt id that differs. One without an id passed, on reused connections too, and nobody looked whether a success is signed.

The mend: one decision on the head of each response, ForeignAnswer::find. A success counts only with the id of the attempt and the signature, another status only with the id or as a refusal. What is none may have run: tried elsewhere if repeatable, else 502. Its connection is closed, so that the true answer that may follow meets no other request. Behind a relay that takes the relay's own look, as it holds the connection; the client's daemon looks as well, as the relay may be of an earlier build. Metric saddlepulley_foreign_answers_total by upstream and reason; the log names both.

Ruled out: taking failures without an id for the request's own (a 404 of another request is as wrong as its 200, and sound runners name the attempt in all that they answer).

--- a/src/cluster/relays/relay_server.rs
+++ b/src/cluster/relays/relay_server.rs
@@ -68,8 +68,11 @@
     for name in [RELAY_TO, RELAY_MAX_IDLE, header::CONTENT_LENGTH] {
         head.headers.remove(name);
     }
+    let headers = head.headers.clone();
     let request = Request::from_parts(head, Full::new(body.to_bytes()));
     let answer = OpenAnswer::open(&gateway.pool, endpoint, connection, request).await?;
+    // The other daemon checks it, too, but can't keep this connection from being used again.
+    gateway.check_owner(&headers, &upstream.id, &answer.head)?;
     drop(buffered);
     Ok(pass_back(answer, guard))
 }
--- /dev/null
+++ b/src/gateway/foreign_answer.rs
@@ -0,0 +1,47 @@
+//! Tells answers to a request from other bytes that an upstream sends on its connection: faulty upstreams send
+//! more than a whole answer, and the surplus arrives in the place of the next one.
+
+use {
+    super::HeaderNames,
+    displaydoc::Display,
+    http::{HeaderMap, StatusCode, response::Parts},
+};
+
+/// Why a response is not the answer to a request. Nothing follows from it about the request, which may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum ForeignAnswer {
+    /// it names another attempt
+    OtherAttempt,
+    /// it names no attempt and does not state that the request has not run
+    NoAttempt,
+    /// it is a success without a signature
+    Unsigned,
+}
+
+impl ForeignAnswer {
+    /// Returns why a response head is not the answer to a request with the given headers, or `None` if it is.
+    ///
+    /// Upstreams name the attempt in all answers but those by which they turn a request away unread.
+    pub fn find(names: &HeaderNames, request: &HeaderMap, answer: &Parts) -> Option<Self> {
+        let headers = &answer.headers;
+        let is_success = answer.status.is_success();
+        let is_refusal = answer.status == StatusCode::MISDIRECTED_REQUEST
+            || !is_success && headers.contains_key(&names.not_run);
+        let expected = request.get(&names.attempt_id);
+        match (expected, headers.get(&names.attempt_id)) {
+            (Some(expected), Some(named)) if named != expected => Some(Self::OtherAttempt),
+            (Some(_), None) if !is_refusal => Some(Self::NoAttempt),
+            _ if is_success && !headers.contains_key(&names.signature) => Some(Self::Unsigned),
+            _ => None,
+        }
+    }
+
+    /// Returns the name of the reason for metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::OtherAttempt => "other-attempt",
+            Self::NoAttempt => "no-attempt",
+            Self::Unsigned => "unsigned",
+        }
+    }
+}
--- a/src/gateway/metrics_page.rs
+++ b/src/gateway/metrics_page.rs
@@ -12,6 +12,9 @@
 pub const ANSWER_SECONDS: &str = "saddlepulley_answer_seconds";
 /// Number of failed sends to upstreams, by whether the request may have run.
 pub const FAILED_SENDS: &str = "saddlepulley_failed_sends_total";
+/// Number of responses that are not the answer to the request on whose connection they came, by upstream and
+/// reason.
+pub const FOREIGN_ANSWERS: &str = "saddlepulley_foreign_answers_total";
 /// Number of upstreams to which this daemon failed to connect since it last opened a connection to
 /// any.
 pub const UNCONNECTED_UPSTREAMS: &str = "saddlepulley_unconnected_upstreams";
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod engines;
 mod event_splitter;
 mod follow_file;
+mod foreign_answer;
 mod forward_buffered;
 mod forward_stream;
 mod gateway_phase;
@@ -58,8 +59,8 @@
 
 pub use {
     answer::*, buffered_bytes::*, buffers::*, client_connection::*, client_socket::*,
-    connection_closer::*, event_splitter::*, follow_file::*, gateway_phase::*, gateway_state::*,
-    header_names::*, hub_state::*, intake::*, listen::*, metrics_page::*, open_connections::*,
-    part_state::*, placement::*, process::*, prompt::*, read_ahead::*, refusal::*, relay_guard::*,
-    request_context::*, request_placement::*,
+    connection_closer::*, event_splitter::*, follow_file::*, foreign_answer::*, gateway_phase::*,
+    gateway_state::*, header_names::*, hub_state::*, intake::*, listen::*, metrics_page::*,
+    open_connections::*, part_state::*, placement::*, process::*, prompt::*, read_ahead::*,
+    refusal::*, relay_guard::*, request_context::*, request_placement::*,
 };
--- a/src/gateway/send.rs
+++ b/src/gateway/send.rs
@@ -187,7 +187,10 @@
         }
     };
     active.progress();
-    check_owner(gateway, context, &answer)?;
+    gateway.check_owner(&context.headers, &upstream.id, &answer.head)?;
+    if answer.head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(SendFailure::Misdirected);
+    }
     gateway.record_signals(context, upstream, &answer.head);
     gateway.record_named_limit(upstream, &answer.head.headers, sent_ms);
     gateway.record_named_bound(upstream, &answer.head.headers, sent_ms);
@@ -287,28 +290,6 @@
     request
 }
 
-/// Checks that a response belongs to the request and comes from the intended upstream.
-fn check_owner(
-    gateway: &Gateway,
-    context: &RequestContext,
-    answer: &OpenAnswer,
-) -> Result<(), SendFailure> {
-    let headers = &answer.head.headers;
-    let is_foreign = context.attempt_id.is_some()
-        && headers
-            .get(&gateway.names.attempt_id)
-            .is_some_and(|id| Some(id) != context.attempt_id.as_ref());
-    if is_foreign {
-        return Err(SendFailure::MayHaveRun(
-            "the response belongs to another request".into(),
-        ));
-    }
-    match answer.head.status {
-        StatusCode::MISDIRECTED_REQUEST => Err(SendFailure::Misdirected),
-        _ => Ok(()),
-    }
-}
-
 /// Checks that the upstream did not refuse the request without running it.
 fn check_run(gateway: &Gateway, answer: &OpenAnswer) -> Result<(), SendFailure> {
     match answer.head.headers.contains_key(&gateway.names.not_run) {
--- a/src/gateway/send_outcomes.rs
+++ b/src/gateway/send_outcomes.rs
@@ -1,6 +1,7 @@
 use {
     super::*,
     crate::{cluster::MemberEvent, names::UpstreamId, upstreams::*},
+    http::{HeaderMap, response::Parts},
     std::sync::Arc,
 };
 
@@ -40,6 +41,27 @@
         });
     }
 
+    /// Checks that a response is the answer to a request with the given headers.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendFailure::MayHaveRun`] if it is not. Its connection must not be used again.
+    pub(crate) fn check_owner(
+        &self,
+        request: &HeaderMap,
+        upstream: &UpstreamId,
+        answer: &Parts,
+    ) -> Result<(), SendFailure> {
+        let Some(foreign) = ForeignAnswer::find(&self.names, request, answer) else {
+            return Ok(());
+        };
+        let upstream = upstream.to_string();
+        metrics::counter!(FOREIGN_ANSWERS, "upstream" => upstream, "reason" => foreign.label())
+            .increment(1);
+        let cause = format!("the response belongs to no request: {foreign}");
+        Err(SendFailure::MayHaveRun(cause))
+    }
+
     /// Records that a send failed.
     pub fn record_send_failure(
         self: &Arc<Self>,
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -20,6 +20,7 @@
 mod fleet_need;
 mod fleet_size;
 mod fleet_start;
+mod foreign_answers;
 mod foreign_bytes;
 mod gateway_files;
 mod hub_status;
--- a/tests/gateway/endless_bytes.rs
+++ b/tests/gateway/endless_bytes.rs
@@ -38,10 +38,10 @@
     },
 ];
 
-const EVENTS_HEAD: &str = "HTTP/1.1 200 OK\r\nsaddlepulley-signature: s\r\n\
-                           content-type: text/event-stream\r\n\r\n";
-const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nsaddlepulley-signature: s\r\n\
-                            content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const EVENTS_HEAD: &str = "HTTP/1.1 200 OK\r\nsaddlepulley-attempt: {attempt}\r\n\
+                           saddlepulley-signature: s\r\ncontent-type: text/event-stream\r\n\r\n";
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nsaddlepulley-attempt: {attempt}\r\n\
+                            saddlepulley-signature: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 
 /// Faults by what is sent without end. Each is played slowly and as fast as the caller reads.
 const ENDLESS: [(&str, &str, &str); 10] = [
@@ -56,7 +56,8 @@
     ("chunks", CHUNKED_HEAD, "1\r\nx\r\n"),
     (
         "trailers",
-        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        "HTTP/1.1 200 OK\r\nsaddlepulley-attempt: {attempt}\r\nsaddlepulley-signature: s\r\n\
+         transfer-encoding: chunked\r\n\r\n0\r\n",
         "x-a: b\r\n",
     ),
 ];
--- a/tests/gateway/faulty_upstream.rs
+++ b/tests/gateway/faulty_upstream.rs
@@ -20,14 +20,18 @@
 /// Events of a stream before it breaks off.
 pub const FIRST_EVENTS: u64 = 2;
 const EVENT_INTERVAL: Duration = Duration::from_millis(20);
-const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nsaddlepulley-signature: s\r\n\
-                           content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const STREAM_HEAD: &str = "HTTP/1.1 200 OK\r\nsaddlepulley-attempt: {attempt}\r\n\
+                           saddlepulley-signature: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+
+/// Stands in a fault for the id of the request's attempt.
+const ATTEMPT: &str = "{attempt}";
 
 /// What an upstream sends in place of an answer: a beginning, and then the same bytes again and again until
 /// its caller closes the connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Fault {
     pub name: &'static str,
+    /// [`ATTEMPT`] stands for the id of the request's attempt.
     pub beginning: &'static str,
     /// Nothing if it is empty.
     pub repeated: &'static str,
@@ -101,13 +105,14 @@
         return;
     };
     let is_continued = head.contains("\r\nlast-event-id:");
+    let attempt = attempt_in(&head);
     // Writing fails once the caller has closed the connection.
     if plays == Plays::OnContinuation && !is_continued {
-        let _ = begin_stream(&mut stream).await;
+        let _ = begin_stream(&mut stream, attempt).await;
         return;
     }
     open.fetch_add(1, Ordering::Relaxed);
-    let _ = play(&mut stream, fault).await;
+    let _ = play(&mut stream, fault, attempt).await;
     open.fetch_sub(1, Ordering::Relaxed);
 }
 
@@ -120,8 +125,16 @@
     Some(received.to_lowercase())
 }
 
-async fn begin_stream(stream: &mut TcpStream) -> std::io::Result<()> {
-    stream.write_all(STREAM_HEAD.as_bytes()).await?;
+/// Returns the id of the attempt from the head of its request.
+fn attempt_in(head: &str) -> &str {
+    let mut lines = head.lines();
+    let id = lines.find_map(|line| line.strip_prefix("saddlepulley-attempt:"));
+    id.unwrap_or_default().trim()
+}
+
+async fn begin_stream(stream: &mut TcpStream, attempt: &str) -> std::io::Result<()> {
+    let head = STREAM_HEAD.replace(ATTEMPT, attempt);
+    stream.write_all(head.as_bytes()).await?;
     for n in 1..=FIRST_EVENTS {
         tokio::time::sleep(EVENT_INTERVAL).await;
         let event = format!("id: {n}\ndata: x\n\n");
@@ -131,8 +144,9 @@
     Ok(())
 }
 
-async fn play(stream: &mut TcpStream, fault: Fault) -> std::io::Result<()> {
-    stream.write_all(fault.beginning.as_bytes()).await?;
+async fn play(stream: &mut TcpStream, fault: Fault, attempt: &str) -> std::io::Result<()> {
+    let beginning = fault.beginning.replace(ATTEMPT, attempt);
+    stream.write_all(beginning.as_bytes()).await?;
     if fault.repeated.is_empty() {
         // Ends when the caller closes the connection.
         stream.read_exact(&mut [0; 1]).await?;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -14,6 +14,7 @@
 mod entries;
 mod faulty_upstream;
 mod file_world;
+mod foreign_answers;
 mod fragile_upstreams;
 mod large_configuration;
 mod leaving_upstreams;
--- a/tests/gateway/silent_upstreams.rs
+++ b/tests/gateway/silent_upstreams.rs
@@ -50,7 +50,8 @@
             _ => return,
         }
     }
-    let answer = "HTTP/1.1 200 OK\r\nsaddlepulley-signature: s\r\ncontent-length: 2\r\n\r\nok";
+    let answer = "HTTP/1.1 200 OK\r\nsaddlepulley-attempt: a\r\nsaddlepulley-signature: s\r\n\
+                  content-length: 2\r\n\r\nok";
     let _ = stream.write_all(answer.as_bytes()).await;
 }
 
--- a/tests/gateway/slow_readers.rs
+++ b/tests/gateway/slow_readers.rs
@@ -87,10 +87,16 @@
         };
         let mut request = [0; 4_096];
         let read = stream.read(&mut request).await?;
-        let is_small = request[..read].starts_with(b"POST /once/small ");
+        let request = String::from_utf8_lossy(&request[..read]);
+        let is_small = request.starts_with("POST /once/small ");
         let bytes = if is_small { SMALL_BYTES } else { bytes };
-        let head =
-            format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {bytes}\r\n\r\n");
+        let mut lines = request.lines();
+        let attempt = lines.find(|line| line.starts_with("saddlepulley-attempt:"));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{}\r\nsaddlepulley-signature: s\r\nconnection: close\r\n\
+             content-length: {bytes}\r\n\r\n",
+            attempt.unwrap_or_default()
+        );
         stream.write_all(head.as_bytes()).await?;
         for chunk in answer(bytes).chunks(CHUNK) {
             match timeout(patience, stream.write_all(chunk)).await {
