A success in an encoding that its client did not ask for is no answer

Cause: nobody looked at the encoding.

Evidence: gateway/foreign_answers::a_body_in_an_encoding_that_its_client_did_not_ask_for_is_not_relayed failed against the daemon before (one run: 200 with the encoded body) and passes now.

The mend: such a success counts as ForeignAnswer::Encoded, with the same consequences as other bytes that belong to no request. A client that names the encoding in Accept-Encoding gets it as before.

--- a/src/gateway/foreign_answer.rs
+++ b/src/gateway/foreign_answer.rs
@@ -4,7 +4,7 @@
 use {
     super::HeaderNames,
     displaydoc::Display,
-    http::{HeaderMap, StatusCode, response::Parts},
+    http::{HeaderMap, StatusCode, header, response::Parts},
 };
 
 /// Why a response is not the answer to a request. Nothing follows from it about the request, which may run.
@@ -16,6 +16,8 @@
     NoAttempt,
     /// it is a success without a signature
     Unsigned,
+    /// it is a success in an encoding that the client did not ask for
+    Encoded,
 }
 
 impl ForeignAnswer {
@@ -32,6 +34,7 @@
             (Some(expected), Some(named)) if named != expected => Some(Self::OtherAttempt),
             (Some(_), None) if !is_refusal => Some(Self::NoAttempt),
             _ if is_success && !headers.contains_key(&names.signature) => Some(Self::Unsigned),
+            _ if is_success && has_foreign_encoding(request, headers) => Some(Self::Encoded),
             _ => None,
         }
     }
@@ -42,6 +45,28 @@
             Self::OtherAttempt => "other-attempt",
             Self::NoAttempt => "no-attempt",
             Self::Unsigned => "unsigned",
+            Self::Encoded => "encoded",
         }
     }
 }
+
+/// Returns whether a body is in an encoding that its request doesn't name. A client that names none takes
+/// the bytes for the body itself.
+fn has_foreign_encoding(request: &HeaderMap, answer: &HeaderMap) -> bool {
+    let accepted = request.get_all(header::ACCEPT_ENCODING);
+    let accepted: Vec<&str> = accepted.iter().filter_map(|v| v.to_str().ok()).collect();
+    let mut encodings = answer.get_all(header::CONTENT_ENCODING).iter();
+    encodings.any(|encoding| {
+        let encoding = encoding.to_str().unwrap_or_default().trim();
+        !encoding.eq_ignore_ascii_case("identity") && !is_named(&accepted, encoding)
+    })
+}
+
+/// Returns whether the lines of a list name an encoding.
+fn is_named(lines: &[&str], encoding: &str) -> bool {
+    let mut items = lines.iter().flat_map(|line| line.split(','));
+    items.any(|item| {
+        let name = item.split(';').next().unwrap_or_default();
+        name.trim().eq_ignore_ascii_case(encoding)
+    })
+}
--- a/tests/decisions/foreign_answers.rs
+++ b/tests/decisions/foreign_answers.rs
@@ -64,6 +64,29 @@
     assert_eq!(find(421, &[]), None, "the status alone says it");
 }
 
+#[test]
+fn a_success_counts_only_in_an_encoding_that_its_client_asked_for() {
+    let names = HeaderNames::default();
+    let find = |accepted: &[&str], encoding: &str| {
+        let mut request = HeaderMap::new();
+        for line in accepted {
+            request.append("accept-encoding", line.parse().unwrap());
+        }
+        let answer = head(200, &[SIGNED, ("content-encoding", encoding)]);
+        ForeignAnswer::find(&names, &request, &answer)
+    };
+    assert_eq!(find(&[], "gzip"), Some(ForeignAnswer::Encoded));
+    assert_eq!(find(&["identity"], "gzip"), Some(ForeignAnswer::Encoded));
+    assert_eq!(find(&["br"], "br, gzip"), Some(ForeignAnswer::Encoded));
+    assert_eq!(find(&[], "identity"), None);
+    assert_eq!(find(&["identity", "br, GZIP;q=0.5"], "gzip"), None);
+    let failure = head(500, &[("content-encoding", "gzip")]);
+    assert_eq!(
+        ForeignAnswer::find(&names, &HeaderMap::new(), &failure),
+        None
+    );
+}
+
 #[test]
 fn a_request_without_an_id_is_answered_by_a_success_with_a_signature() {
     let find = |headers: &[(&str, &str)]| {
--- a/tests/gateway/foreign_answers.rs
+++ b/tests/gateway/foreign_answers.rs
@@ -189,6 +189,30 @@
     }
 }
 
+#[tokio::test]
+async fn a_body_in_an_encoding_that_its_client_did_not_ask_for_is_not_relayed() {
+    let encoded = answer(
+        "an encoded body",
+        "HTTP/1.1 200 OK\r\nsaddlepulley-attempt: {attempt}\r\nsaddlepulley-signature: s\r\n\
+         content-encoding: gzip\r\ncontent-length: 7\r\n\r\nencoded",
+    );
+    let upstream = FaultyUpstream::start(encoded, Plays::Always).await;
+    let daemon = GatewayDaemon::start(&routes_to(&[upstream.address()])).await;
+    for (n, route) in ROUTES.iter().enumerate() {
+        let path = format!("{}x", route.prefix);
+        let answer = daemon
+            .client()
+            .await
+            .fetch(&format!("a{n}"), &path, "")
+            .await;
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{path}: {answer:?}");
+    }
+    let asked_for = request("a9", "/once/x").header("accept-encoding", "gzip");
+    let answer = daemon.client().await.send(asked_for, "").await.unwrap();
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert_eq!(answer.body, "encoded");
+}
+
 /// The connection is closed although the bytes look like a whole answer.
 #[tokio::test]
 async fn bytes_that_belong_to_no_request_are_not_relayed_and_end_their_connection() {
