The test behind a relay sends its bytes in chunks

A trial without the relay's look at the answer passed the test: bytes with a length end the relay's connection to the upstream all the same, as the other daemon drops the answer.

--- a/tests/gateway/foreign_answers.rs
+++ b/tests/gateway/foreign_answers.rs
@@ -216,8 +216,12 @@
 /// The connection is closed although the bytes look like a whole answer.
 #[tokio::test]
 async fn bytes_that_belong_to_no_request_are_not_relayed_and_end_their_connection() {
-    let (fault, reason) = FOREIGN[0];
-    let upstream = FaultyUpstream::start(fault, Plays::Always).await;
+    let chunked = answer(
+        "neither id nor signature, in chunks",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n7\r\nsurplus\r\n0\r\n\r\n",
+    );
+    let reason = "no-attempt";
+    let upstream = FaultyUpstream::start(chunked, Plays::Always).await;
     let link = CutProxy::start(upstream.address()).await;
     let cut = GatewayDaemon::spawn_on_file("n0", &routes_to(&[link.address()]), Vec::new());
     let direct = routes_to(&[upstream.address()]);
