Retry budget: a daemon that starts gets its slack after a window

What callers saw: nothing. Upstreams got more repeats than the budget allows: while upstreams fail, each daemon that is killed and started again spends its whole share of the slack again.

Cause: the allowance of a service was a full balance in each life of a daemon, and nothing that outlives a daemon knows what was spent in the window before its start.

Why it works: a life has slack only once it has run for a window, less the highest balance that it earned before, so in no window do two lives of a daemon have slack. Until then it has what its own first sends earn.

Scope: `bounds.retry_window_s`; unset it is 10 s on a platform and 0, as before, with a file.

Ruled out: a part of the slack at each start (not bounded in a crash loop); an even refill (two lives add up in a window).

--- a/src/conf/gateway_settings.rs
+++ b/src/conf/gateway_settings.rs
@@ -18,6 +18,9 @@
 /// slowly. Most of the rest is for the daemon's state, its connections and the allocator's overhead.
 const BUFFERED_SHARE: f64 = 0.125;
 
+/// Window of the retry budgets on a platform whose settings name none, in seconds.
+const PLATFORM_RETRY_WINDOW_S: f64 = 10.0;
+
 /// Settings of a daemon that routes by host and path (`saddlepulley gateway`).
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -134,8 +137,11 @@
 pub struct GatewayBounds {
     /// Retries to a service per first send, over all daemons.
     pub retry_ratio: f64,
-    /// Retries allowed on top of the ratio in a window of some seconds, over all daemons.
+    /// Retries allowed on top of the ratio in a window, over all daemons.
     pub retry_slack: f64,
+    /// Length of that window, in seconds. A daemon that starts gets its share of the slack only after
+    /// it; with 0 at once. If it is not set, it depends on the source.
+    pub retry_window_s: Option<f64>,
     /// Longest duration of a planned stop, in seconds.
     pub stop_s: f64,
     /// Time after the source reports that an upstream is leaving, from which on no daemon may
@@ -157,6 +163,7 @@
         Self {
             retry_ratio: 0.2,
             retry_slack: 40.0,
+            retry_window_s: None,
             stop_s: 8.0,
             drain_ms: 2_000,
             canary_share: 0.1,
@@ -230,6 +237,16 @@
         (self.mechanisms.read_ahead && bytes > 0).then_some(bytes)
     }
 
+    /// Returns for how long a daemon that starts has no share of the slack of retry budgets, in
+    /// milliseconds. Unless set, only a platform has such a time: it restarts daemons by itself.
+    pub fn retry_window_ms(&self) -> u64 {
+        let unset_s = match self.source {
+            SourceSettings::Platform { .. } => PLATFORM_RETRY_WINDOW_S,
+            SourceSettings::File { .. } => 0.0,
+        };
+        (self.bounds.retry_window_s.unwrap_or(unset_s) * 1_000.0) as u64
+    }
+
     /// Reads and parses a settings file.
     ///
     /// # Errors
--- a/src/gateway/budgets.rs
+++ b/src/gateway/budgets.rs
@@ -36,10 +36,12 @@
         let bounds = &self.settings.bounds;
         let slack_share = slack_share(bounds.retry_slack, self.daemons());
         let ratio = bounds.retry_ratio * EARNED_RETRY_USE;
+        let window_ms = self.settings.retry_window_ms();
         let mut retries = self.retries.lock();
-        let fresh = || RetryAllowance::new(ratio, slack_share);
+        let fresh = || RetryAllowance::with_withheld_slack(ratio, slack_share, window_ms);
         let allowance = retries.entry(service.clone()).or_insert_with(fresh);
         allowance.set_share(slack_share);
+        allowance.release_slack(self.steady_ms());
         act(allowance)
     }
 
--- a/tests/decisions/gateway_files.rs
+++ b/tests/decisions/gateway_files.rs
@@ -103,3 +103,18 @@
     settings.mechanisms.read_ahead = false;
     assert_eq!(settings.buffer_bytes(), None);
 }
+
+/// A platform restarts daemons by itself, so the slack of retry budgets is withheld there at first.
+#[test]
+fn the_window_of_retry_budgets_depends_on_the_source_unless_it_is_set() {
+    let settings = GatewaySettings::parse("f", SETTINGS).unwrap();
+    assert_eq!(settings.retry_window_ms(), 0);
+    let platform = SETTINGS.replace(
+        "kind = \"file\"\npath = \"routes.toml\"",
+        "kind = \"platform\"\nstore = \"127.0.0.1:4\"",
+    );
+    let mut settings = GatewaySettings::parse("f", &platform).unwrap();
+    assert_eq!(settings.retry_window_ms(), 10_000);
+    settings.bounds.retry_window_s = Some(4.0);
+    assert_eq!(settings.retry_window_ms(), 4_000);
+}
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -43,6 +43,7 @@
 mod restored_duties;
 mod restored_exploration;
 mod retries;
+mod retries_after_restarts;
 mod rollout_duty;
 mod rollout_orders;
 mod rollouts;
