--- a/src/cluster/hubs/former_listeners.rs
+++ b/src/cluster/hubs/former_listeners.rs
@@ -1,5 +1,5 @@
 use {
-    crate::cluster::SHARE_RESERVATION_MS,
+    crate::policy::SHARE_RESERVATION_MS,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
