--- a/src/cluster/hubs/former_listeners.rs
+++ b/src/cluster/hubs/former_listeners.rs
@@ -1,5 +1,5 @@
 use {
-    crate::policy::SHARE_RESERVATION_MS,
+    crate::cluster::SHARE_RESERVATION_MS,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
--- a/src/cluster/membership/mod.rs
+++ b/src/cluster/membership/mod.rs
@@ -12,4 +12,4 @@
 mod peer_table;
 mod peer_versions;
 
-pub use {daemon_entry::*, peer_loads::*, peer_table::*, peer_versions::*};
+pub use {daemon_entry::*, peer_loads::*, peer_quotas::*, peer_table::*, peer_versions::*};
--- a/src/cluster/membership/peer_quotas.rs
+++ b/src/cluster/membership/peer_quotas.rs
@@ -2,9 +2,9 @@
     super::{peer::Peer, peer_table::PeerTable},
     crate::{
         names::ClientAccount,
-        policy::{HeardDaemons, OtherDaemon, ReceivedQuota, SHARE_RESERVATION_MS},
+        policy::{OtherDaemon, ReceivedQuota},
     },
-    std::collections::{BTreeSet, HashMap},
+    std::collections::HashMap,
 };
 
 /// The interval between two digests of a hub in a small fleet, in milliseconds.
@@ -12,6 +12,8 @@
 /// Above this number of hubs the interval between digests grows, so that the number of digests that
 /// each hub receives per second stays bounded.
 const HUBS_AT_BASE_INTERVAL: usize = 20;
+/// How long a silent hub's share of the quotas stays reserved for it, in milliseconds.
+pub const SHARE_RESERVATION_MS: u64 = 30_000;
 /// The fraction of a hub's dependents that another hub must have for it to count as the replacement
 /// of that hub.
 const TAKEOVER_FRACTION: f64 = 0.5;
@@ -29,30 +31,6 @@
         announced.unwrap_or(0).max(hubs.len() + 1)
     }
 
-    /// Returns what this hub has heard of the daemons of `domains` since it became a hub `hub_age_ms`
-    /// ago.
-    pub fn heard_daemons<'a>(
-        &'a self,
-        domains: impl IntoIterator<Item = &'a str>,
-        hub_age_ms: u64,
-    ) -> HeardDaemons {
-        let heard = self.share_holders().map(|p| p.entry.domain.as_str());
-        let heard: BTreeSet<&str> = heard.chain([self.own.domain.as_str()]).collect();
-        let domains: BTreeSet<&str> = domains.into_iter().collect();
-        HeardDaemons {
-            hub_age_ms,
-            domains: domains.len(),
-            heard_domains: domains.intersection(&heard).count(),
-            daemons: self.daemons(),
-            known_to_others: self
-                .live_hubs()
-                .map(|d| d.daemons as usize)
-                .max()
-                .unwrap_or(0),
-            is_any_complete: self.live_hubs().any(|d| d.age_ms >= SHARE_RESERVATION_MS),
-        }
-    }
-
     /// Returns the other hubs that share each client account's quota, with their liveness.
     pub fn quota_daemons(&self) -> HashMap<ClientAccount, Vec<OtherDaemon>> {
         let mut daemons: HashMap<ClientAccount, Vec<OtherDaemon>> = HashMap::new();
--- a/src/gateway/hub_state.rs
+++ b/src/gateway/hub_state.rs
@@ -158,18 +158,8 @@
     /// Brings the quotas up to date and returns their state to announce.
     pub fn tick_quotas(&self) -> Vec<AnnouncedAccount> {
         let (accounts, daemons) = (self.account_terms(), self.daemons());
-        let domains = self.settings.node.domains.keys();
-        let (others, heard) = {
-            let hub_age_ms = self.hub_age_ms();
-            let peers = self.peers.lock();
-            let domains = domains.map(FailureDomain::as_str);
-            (
-                peers.quota_daemons(),
-                peers.heard_daemons(domains, hub_age_ms),
-            )
-        };
+        let others = self.peers.lock().quota_daemons();
         let mut quotas = self.quotas.lock();
-        quotas.reserve_unheard(heard.unheard_share());
         let notices = quotas.tick(&accounts, &others, daemons, self.steady_ms());
         notices.iter().map(AnnouncedAccount::of).collect()
     }
--- a/src/policy/quota/account.rs
+++ b/src/policy/quota/account.rs
@@ -36,9 +36,6 @@
 const LOW_BURST_SHARE: f64 = 0.5;
 /// Share of the burst that may be admitted at a low level before it is announced early.
 const EARLY_NOTICE_BURST_SHARE: f64 = 0.05;
-/// The least share of the rate that is divided among live daemons by their weights. It only bounds a
-/// division.
-const MIN_FREE_SHARE: f64 = 0.01;
 
 /// The admissions of another daemon as counted in this account.
 #[derive(Clone, Copy, Debug, Default)]
@@ -50,9 +47,6 @@
     charged: f64,
     /// Time up to which units were taken out for the daemon while silent.
     charged_to_ms: Option<u64>,
-    /// The daemon's share of the rate when it fell silent. It can't learn of later weights, and so
-    /// goes on using this share.
-    share_when_silent: f64,
 }
 
 /// The state of another daemon when an account is brought up to date.
@@ -95,10 +89,6 @@
     others: HashMap<String, Other>,
     /// Share of the rate that belongs to daemons that are not known yet.
     unknown_share: f64,
-    /// Other daemons have been known, so their number does not have to be assumed.
-    knows_others: bool,
-    /// Share of the rate that is reserved for daemons that were not heard, while others were.
-    unheard_share: f64,
     /// This daemon's share of the rate, by weight.
     own_share: f64,
     /// Level at the last tick, at least 0.
@@ -136,8 +126,6 @@
             admitted: 0.0,
             others: HashMap::new(),
             unknown_share: 1.0 - own_share,
-            knows_others: false,
-            unheard_share: 0.0,
             own_share,
             level_at_tick: 0.0,
             admitted_since_tick: 0.0,
@@ -156,12 +144,6 @@
         self.level
     }
 
-    /// Sets the share of the rate that is reserved for daemons that were not heard, from the next tick
-    /// on.
-    pub fn reserve_unheard(&mut self, share: f64) {
-        self.unheard_share = share;
-    }
-
     /// Returns this daemon's share of the rate.
     pub fn own_share(&self) -> f64 {
         self.own_share
@@ -250,16 +232,15 @@
         now_ms: u64,
     ) {
         self.refill(limit, now_ms);
-        let total_weight = self.total_weight(own_weight, others);
+        let total_weight = own_weight + sum_of_weights(others);
         if !others.is_empty() {
-            self.unknown_share = self.unheard_share;
-            self.knows_others = true;
+            self.unknown_share = 0.0;
             self.own_share = own_weight / total_weight.max(f64::MIN_POSITIVE);
-            let daemons = (others.len() + 1) as f64 / (1.0 - self.unheard_share);
+            let daemons = (others.len() + 1) as f64;
             self.own_slack = limit.slack * UNANNOUNCED_SLACK_SHARE / daemons;
         }
         self.charge_silent(others, total_weight, limit.rate, now_ms);
-        self.all_on_time = self.unheard_share <= 0.0 && !others.iter().any(|o| o.late);
+        self.all_on_time = !others.iter().any(|o| o.late);
         self.level_at_tick = self.level.max(0.0);
         let share = self.level_at_tick * self.own_share * UNANNOUNCED_SHARES;
         let most = limit.burst * LARGE_REQUEST_BURST_SHARE;
@@ -268,25 +249,6 @@
         self.is_notice_awaited = false;
     }
 
-    /// Returns the weight of all daemons, including the part for those that were not heard. The
-    /// weights of live daemons may grow while others are silent, and don't reduce the shares that
-    /// the silent ones go on using.
-    fn total_weight(&self, own_weight: f64, others: &[OtherDaemon]) -> f64 {
-        let is_held = |other: &&OtherDaemon| other.silent && self.held_share(&other.node) > 0.0;
-        let (held, free): (Vec<_>, Vec<_>) = others.iter().partition(is_held);
-        let mut shares: Vec<_> = held.iter().map(|o| self.held_share(&o.node)).collect();
-        shares.sort_unstable_by(f64::total_cmp);
-        let free_weight = own_weight + sum_of_weights(free.iter().copied());
-        let free_share = 1.0 - self.unheard_share - shares.iter().sum::<f64>();
-        let all = (own_weight + sum_of_weights(others)) / (1.0 - self.unheard_share);
-        all.max(free_weight / free_share.max(MIN_FREE_SHARE))
-    }
-
-    /// Returns the share of the rate that a daemon had when it fell silent.
-    fn held_share(&self, node: &str) -> f64 {
-        self.others.get(node).map_or(0.0, |o| o.share_when_silent)
-    }
-
     /// Takes out what silent daemons may use: their shares of the rate since the last contact
     /// and, once, of the level. Those that fall silent together are charged by the same level, as
     /// it is when half of their use of the rate is taken out, so that their order doesn't matter.
@@ -294,17 +256,14 @@
         // Sums are made in the order of names, since their last digits depend on it.
         let mut silent: Vec<_> = others.iter().filter(|o| o.silent).collect();
         silent.sort_unstable_by(|a, b| a.node.cmp(&b.node));
-        let shares_of: Vec<f64> = silent
-            .iter()
-            .map(|o| (o.weight / total_weight.max(f64::MIN_POSITIVE)).max(self.held_share(&o.node)))
-            .collect();
+        let share_of = |other: &OtherDaemon| other.weight / total_weight.max(f64::MIN_POSITIVE);
         let (mut used, mut shares, mut kept) = (0.0, 0.0, 1.0);
         let mut newly_silent = Vec::new();
-        for (silent, share) in silent.into_iter().zip(shares_of) {
+        for silent in silent {
+            let share = share_of(silent);
             let other = self.others.entry(silent.node.clone()).or_default();
             if other.charged_to_ms.is_none() {
-                other.share_when_silent = share;
-                newly_silent.push((silent, share));
+                newly_silent.push(silent);
                 shares += share;
                 kept *= 1.0 - share;
             }
@@ -315,9 +274,9 @@
             used += rate * share * elapsed_s;
         }
         let left = (self.level - used / 2.0).max(0.0) * (1.0 - kept);
-        for (silent, share) in newly_silent {
+        for silent in newly_silent {
             let other = self.others.entry(silent.node.clone()).or_default();
-            other.charged += left * share / f64::max(shares, f64::MIN_POSITIVE);
+            other.charged += left * share_of(silent) / f64::max(shares, f64::MIN_POSITIVE);
         }
         self.level -= used + left;
     }
@@ -331,7 +290,7 @@
     pub fn admit(&mut self, cost: f64, limit: &QuotaLimit, now_ms: u64) -> Result<(), QuotaWait> {
         self.refill(limit, now_ms);
         let needed = cost.min(limit.burst * LARGE_REQUEST_BURST_SHARE);
-        let left = match self.unknown_share > 0.0 && !self.knows_others {
+        let left = match self.unknown_share > 0.0 {
             true => self.level.min(limit.burst * START_BURST_SHARE),
             false => self.level_at_tick.max(self.level),
         };
@@ -388,8 +347,8 @@
 
 /// Sums the weights of other daemons in ascending order, so that no digit depends on the order in
 /// which the daemons are given.
-pub(super) fn sum_of_weights<'a>(others: impl IntoIterator<Item = &'a OtherDaemon>) -> f64 {
-    let mut weights: Vec<f64> = others.into_iter().map(|o| o.weight).collect();
+pub(super) fn sum_of_weights(others: &[OtherDaemon]) -> f64 {
+    let mut weights: Vec<f64> = others.iter().map(|o| o.weight).collect();
     weights.sort_unstable_by(f64::total_cmp);
     weights.iter().sum()
 }
--- a/src/policy/quota/mod.rs
+++ b/src/policy/quota/mod.rs
@@ -2,14 +2,10 @@
 
 mod account;
 mod bounds;
-mod heard_daemons;
 mod limit;
 mod order;
 mod quota_table;
 mod standalone;
 mod wait;
 
-pub use {
-    account::*, bounds::*, heard_daemons::*, limit::*, order::*, quota_table::*, standalone::*,
-    wait::*,
-};
+pub use {account::*, bounds::*, limit::*, order::*, quota_table::*, standalone::*, wait::*};
--- a/src/policy/quota/quota_table.rs
+++ b/src/policy/quota/quota_table.rs
@@ -36,8 +36,6 @@
     /// The weights announced last, the latest at the end.
     announced: HashMap<ClientAccount, VecDeque<f64>>,
     last_notices: Vec<QuotaNotice>,
-    /// Share of each rate that is reserved for daemons that were not heard.
-    unheard_share: f64,
 }
 
 impl QuotaTable {
@@ -144,12 +142,6 @@
         terms.rate_per_s > 0.0 && account.is_some_and(|a| a.should_announce(terms.burst))
     }
 
-    /// Sets the share of each rate that is reserved for daemons that were not heard, from the next tick
-    /// on; see [`HeardDaemons`](super::HeardDaemons).
-    pub fn reserve_unheard(&mut self, share: f64) {
-        self.unheard_share = share;
-    }
-
     /// Brings the accounts up to date and returns the notices for the other daemons. `others`
     /// holds the known state of the other daemons by client account. While another daemon may
     /// be cut off, this daemon's weight does not grow, since the share that the other one
@@ -163,7 +155,6 @@
     ) -> Vec<QuotaNotice> {
         self.orders
             .retain(|name, _| accounts.iter().any(|t| t.name == *name));
-        let unheard_share = self.unheard_share;
         let limited = accounts.iter().filter(|t| t.rate_per_s > 0.0);
         let mut notices = Vec::new();
         for terms in limited {
@@ -188,19 +179,13 @@
             }
             let limit = self.bounds.limit_of(terms);
             let account = self.account(terms, start_share, now_ms);
-            // A daemon that has heard no other assumes its share.
-            let unheard_share = match others.is_empty() {
-                true => 0.0,
-                false => unheard_share,
-            };
-            account.reserve_unheard(unheard_share);
             account.tick(weight, &others, &limit, now_ms);
             notices.push(QuotaNotice {
                 account: terms.name.clone(),
                 weight,
                 admitted: account.admitted(),
                 level: account.level(),
-                demand: (weight + sum_of_weights(&others)) / (1.0 - unheard_share),
+                demand: weight + sum_of_weights(&others),
             });
         }
         self.last_notices.clone_from(&notices);
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -39,7 +39,6 @@
 mod platform;
 mod quarantine;
 mod quota;
-mod quota_cuts;
 mod quota_order;
 mod reclaim;
 mod report;
