--- a/tests/decisions/stream_event_faults.rs
+++ b/tests/decisions/stream_event_faults.rs
@@ -1,4 +1,4 @@
-//! Faults that a review found in how events of streams are read.
+//! Events of streams at the edges of what is known: held ones, second runs, and ids that begin at 0.
 
 use {
     bytes::Bytes,
--- a/tests/gateway/stream_piece_faults.rs
+++ b/tests/gateway/stream_piece_faults.rs
@@ -1,4 +1,4 @@
-//! Garbage that a daemon lets through while it has not learned the ids of a service.
+//! Garbage before a daemon has learned the ids of a service.
 
 use {
     crate::{scripted_upstream::*, support::*},
