--- a/src/cluster/origins/version_recorder.rs
+++ b/src/cluster/origins/version_recorder.rs
@@ -71,7 +71,7 @@
         log::warn!(target: "stream", "versions of services are used before they are recorded. error=\"{error}\"");
     }
 
-    /// Reads the records anew, for a limited time, so that the gateway knows versions that others have recorded.
+    /// Reads the records again, for a limited time, so that the gateway knows versions that others have recorded.
     /// Returns whether they were read.
     pub(crate) async fn reread(&self, gateway: &Gateway) -> bool {
         match tokio::time::timeout(MAX_READ_WAIT, self.records.read()).await {
--- a/src/gateway/origin_search.rs
+++ b/src/gateway/origin_search.rs
@@ -118,7 +118,7 @@
     }
 
     /// Reads the shared log for the origin of a stream. If no other daemon answers, a version may have come of
-    /// which this one has not heard, so the record of versions is read as well.
+    /// which this one does not know, so the record of versions is read as well.
     async fn read_origin(
         self: &Arc<Self>,
         service: &ServiceName,
--- a/src/gateway/version_state.rs
+++ b/src/gateway/version_state.rs
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Reads anew which software versions are recorded, for a limited time. Returns whether they were read.
+    /// Reads again which software versions are recorded, for a limited time. Returns whether they were read.
     pub(super) async fn reread_versions(&self) -> bool {
         match self.version_recorder() {
             Some(recorder) => recorder.reread(self).await,
--- a/src/streams/usual_value.rs
+++ b/src/streams/usual_value.rs
@@ -9,8 +9,8 @@
 
 /// A number that streams of a service share, learned from their answers.
 ///
-/// It stands if most upstreams keep to it: what only few upstreams write otherwise is their fault, and what all write
-/// now and then is sound.
+/// It stands if most upstreams keep to it: where a few upstreams deviate, they are faulty; where most
+/// of them deviate now and then, that is sound.
 #[derive(Clone, Debug, Default)]
 pub struct UsualValue {
     value: Option<u64>,
@@ -18,7 +18,7 @@
     matching: u32,
     /// Streams with another value, since it is `value` or since deviations were last forgotten.
     deviating: u32,
-    /// Streams in all, up to `WINDOW_STREAMS`.
+    /// Streams since deviations were last forgotten, and a few before.
     total: u32,
     upstreams: HashSet<UpstreamId>,
     deviating_upstreams: HashSet<UpstreamId>,
