A body in an unknown transfer coding is no answer

What callers saw: a runner sent `transfer-encoding: chunke` (or gzip, identity, nothing, `chunked;q=1`, ...) in front of a body in chunks and closed the connection. With the connection left open, a request that may run once was held to its deadline (504). `gzip, chunked` and `chunked, chunked` went out as whole on all kinds of routes, streams too.

Cause: an answer was judged by its attempt's id, signature and content encoding; what its head says of the body was left to the HTTP library. That follows RFC 9112, 6.3: a response whose last coding isn't `chunked` lasts to the end of the connection. A proxy that doesn't know the coding has no body to pass on.

Ruled out: a fault of the library (the standard allows it); the look at a stream's events, which kept most of these bodies from clients of streams but not those whose last coding is `chunked`.

Why it works: `HeadFault` (src/http) looks at each head where it is read (`OpenAnswer::open`: first and second runs, retries, take-ups, both daemons of a relay), and `ForeignAnswer` refuses what it finds in front of all else, as nothing in such a head is to be believed. So the request may have run, the connection is closed, the send counts as failed in the upstream's rating and no part of the prompt is suspected. The reason is `transfer-coding` in saddlepulley_foreign_answers_total; the log line has the value, escaped and cut short.

--- a/src/gateway/foreign_answer.rs
+++ b/src/gateway/foreign_answer.rs
@@ -1,15 +1,18 @@
-//! Tells answers to a request from other bytes that an upstream sends on its connection: faulty upstreams send
-//! more than a whole answer, and the surplus arrives in the place of the next one.
+//! Tells answers to a request from other bytes that an upstream sends on its connection: faulty upstreams spoil
+//! the heads of answers, or send more than a whole answer, and the surplus arrives in the place of the next one.
 
 use {
     super::HeaderNames,
+    crate::http::HeadFault,
     displaydoc::Display,
     http::{HeaderMap, StatusCode, header, response::Parts},
 };
 
 /// Why a response is not the answer to a request. Nothing follows from it about the request, which may run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
 pub enum ForeignAnswer {
+    /// its head can't be right: {0}
+    BadHead(HeadFault),
     /// it names another attempt
     OtherAttempt,
     /// it names no attempt and does not state that the request has not run
@@ -25,6 +28,9 @@
     ///
     /// Upstreams name the attempt in all answers but those by which they turn a request away unread.
     pub fn find(names: &HeaderNames, request: &HeaderMap, answer: &Parts) -> Option<Self> {
+        if let Some(fault) = answer.extensions.get::<HeadFault>() {
+            return Some(Self::BadHead(fault.clone()));
+        }
         let headers = &answer.headers;
         let is_success = answer.status.is_success();
         let is_refusal = answer.status == StatusCode::MISDIRECTED_REQUEST
@@ -40,8 +46,9 @@
     }
 
     /// Returns the name of the reason for metrics.
-    pub fn label(self) -> &'static str {
+    pub fn label(&self) -> &'static str {
         match self {
+            Self::BadHead(fault) => fault.kind(),
             Self::OtherAttempt => "other-attempt",
             Self::NoAttempt => "no-attempt",
             Self::Unsigned => "unsigned",
--- a/src/gateway/send_outcomes.rs
+++ b/src/gateway/send_outcomes.rs
@@ -58,7 +58,7 @@
         let upstream = upstream.to_string();
         metrics::counter!(FOREIGN_ANSWERS, "upstream" => upstream, "reason" => foreign.label())
             .increment(1);
-        let cause = format!("the response belongs to no request: {foreign}");
+        let cause = format!("the response is no answer to the request: {foreign}");
         Err(SendFailure::MayHaveRun(cause))
     }
 
--- a/src/upstreams/exchange.rs
+++ b/src/upstreams/exchange.rs
@@ -1,5 +1,6 @@
 use {
     super::{Endpoint, EndsWithConnection, SendFailure, UpstreamConnection, UpstreamPool},
+    crate::http::HeadFault,
     bytes::Bytes,
     http::{HeaderMap, Request, header, response::Parts},
     http_body_util::{BodyExt, Full},
@@ -11,7 +12,7 @@
 /// closes the connection, which cancels the request at its upstream.
 #[derive(Debug)]
 pub struct OpenAnswer {
-    /// Status and headers.
+    /// Status and headers. Its extensions hold the [`HeadFault`], if it has one.
     pub head: Parts,
     body: Incoming,
     connection: Option<UpstreamConnection>,
@@ -42,6 +43,9 @@
             }
         })?;
         let (mut head, body) = answer.into_parts();
+        if let Some(fault) = HeadFault::find(&head) {
+            head.extensions.insert(fault);
+        }
         if has_no_framing(&head.headers) {
             head.extensions.insert(EndsWithConnection);
         }
--- a/tests/decisions/main.rs
+++ b/tests/decisions/main.rs
@@ -58,6 +58,7 @@
 mod sources;
 mod spill;
 mod splice;
+mod spoilt_heads;
 mod stream_event_faults;
 mod stream_events;
 mod stream_origins;
--- /dev/null
+++ b/tests/decisions/spoilt_heads.rs
@@ -0,0 +1,53 @@
+//! Which heads of answers can't be right.
+
+use {
+    http::{Response, header::HeaderValue, response::Parts},
+    saddlepulley::http::HeadFault,
+};
+
+fn head(status: u16, headers: &[(&str, &[u8])]) -> Parts {
+    let mut answer = Response::builder().status(status);
+    for (name, value) in headers {
+        answer = answer.header(*name, HeaderValue::from_bytes(value).unwrap());
+    }
+    answer.body(()).unwrap().into_parts().0
+}
+
+/// Judges a head by the lines on the transfer coding.
+fn find_in_codings(codings: &[&[u8]]) -> Option<HeadFault> {
+    let headers: Vec<_> = codings.iter().map(|c| ("transfer-encoding", *c)).collect();
+    HeadFault::find(&head(200, &headers))
+}
+
+#[test]
+fn chunks_are_the_only_transfer_coding() {
+    for coding in [&b"chunked"[..], b"CHUNKED", b" \tchunked\t "] {
+        assert_eq!(find_in_codings(&[coding]), None);
+    }
+    let unknown: [&[&[u8]]; 8] = [
+        &[b""],
+        &[b"chunke"],
+        &[b"identity"],
+        &[b"gzip, chunked"],
+        &[b"chunked, chunked"],
+        &[b"chunked", b"chunked"],
+        &[b"gzip", b"chunked"],
+        &[b"chunked;q=1"],
+    ];
+    for codings in unknown {
+        let fault = find_in_codings(codings);
+        assert!(
+            matches!(fault, Some(HeadFault::TransferCoding(_))),
+            "{codings:?}: {fault:?}"
+        );
+    }
+}
+
+#[test]
+fn a_fault_names_the_value_without_bytes_that_spoil_a_log_line() {
+    let fault = find_in_codings(&[b"gz\xff\"ip"]).unwrap();
+    let text = r#"the transfer coding of the body is unknown: "gz\xff\"ip""#;
+    assert_eq!(fault.to_string(), text);
+    let long = find_in_codings(&[&[b'x'; 10_000]]).unwrap();
+    assert!(long.to_string().len() < 120, "{long}");
+}
--- a/tests/gateway/faulty_upstream.rs
+++ b/tests/gateway/faulty_upstream.rs
@@ -116,7 +116,7 @@
     open.fetch_sub(1, Ordering::Relaxed);
 }
 
-async fn read_head(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_head(stream: &mut TcpStream) -> Option<String> {
     let (mut received, mut buf) = (String::new(), vec![0; 4 * 1_024]);
     while !received.contains("\r\n\r\n") {
         let length = stream.read(&mut buf).await.ok().filter(|n| *n > 0)?;
@@ -126,13 +126,13 @@
 }
 
 /// Returns the id of the attempt from the head of its request.
-fn attempt_in(head: &str) -> &str {
+pub fn attempt_in(head: &str) -> &str {
     let mut lines = head.lines();
     let id = lines.find_map(|line| line.strip_prefix("saddlepulley-attempt:"));
     id.unwrap_or_default().trim()
 }
 
-async fn begin_stream(stream: &mut TcpStream, attempt: &str) -> std::io::Result<()> {
+pub async fn begin_stream(stream: &mut TcpStream, attempt: &str) -> std::io::Result<()> {
     let head = STREAM_HEAD.replace(ATTEMPT, attempt);
     stream.write_all(head.as_bytes()).await?;
     for n in 1..=FIRST_EVENTS {
--- /dev/null
+++ b/tests/gateway/spoilt_heads.rs
@@ -0,0 +1,271 @@
+//! Upstreams that spoil the heads of their answers: no client gets such an answer, and sound answers reach clients
+//! whole, however they are written.
+
+use {
+    crate::{
+        cut_proxy::{CutProxy, LinkState},
+        faulty_upstream::Plays,
+        support::*,
+        written_upstream::*,
+    },
+    futures_util::{StreamExt, stream},
+    http::StatusCode,
+    saddlepulley_standin::runner::Runner,
+    std::net::SocketAddr,
+};
+
+const ROUTES: [TestRoute; 4] = [IDEMPOTENT, ONCE, STREAM, STREAM_ONCE];
+/// Daemons that run at once.
+const DAEMONS: usize = 4;
+/// Requests of one kind, of which upstreams that differ get some each.
+const REQUESTS: usize = 12;
+
+/// Transfer codings that nobody asked for, or that are none. The body is in chunks.
+const CODINGS: [&str; 12] = [
+    "chunke",
+    "gzip",
+    "identity",
+    "",
+    "chunked;",
+    "-chunked",
+    "chunked, gzip",
+    "gzip, chunked",
+    "chunked, chunked",
+    "chunked;q=1",
+    "chunked,",
+    "\u{e9}\u{ff}%$",
+];
+
+/// Answers that are sound, by what is odd in their writing.
+fn sound() -> Vec<Form> {
+    let on = [
+        "HTTP/1.1 200 OK\r\n{own}content-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n{chunks}",
+        "HTTP/1.1 200\r\n{own}content-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 \r\n{own}content-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}x-a: caf\u{e9}\r\ncontent-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}content-length:{length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}content-length:\t {length} \t\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}CONTENT-LENGTH: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}TRANSFER-ENCODING: \t CHUNKED \r\n\r\n{chunks}",
+        "HTTP/1.1 200 OK\r\n{own}content-length: 000{length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}content-length: {length}\r\ncontent-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}x-a:\r\nx-b: \r\ncontent-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}!#$%&'*+-.^_`|~09azAZ: b\r\ncontent-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 103 Early Hints\r\nlink: <a>\r\n\r\nHTTP/1.1 200 OK\r\n{own}content-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\ntrailer: x-a\r\n\r\n{length:x};x=y\r\n{body}\r\n0;z\r\nx-a: b\r\n\r\n",
+    ];
+    let closes = [
+        "HTTP/1.1 200 OK\r\n{own}connection: close\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}connection: x-a, Close\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}connection: x-a\r\nconnection: close\r\n\r\n{body}",
+        "HTTP/1.0 200 OK\r\n{own}\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}connection: close\r\ncontent-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}connection: close\r\ntransfer-encoding: chunked\r\n\r\n{chunks}",
+    ];
+    let many = (0..60).map(|n| format!("x-{n}: b\r\n"));
+    let many: String = many.collect();
+    let many =
+        format!("HTTP/1.1 200 OK\r\n{{own}}{many}content-length: {{length}}\r\n\r\n{{body}}");
+    let on = on.map(|text| Form::new(text, Then::ServesOn));
+    let closes = closes.map(|text| Form::new(text, Then::Closes));
+    let many = [Form::new(many, Then::ServesOn)];
+    on.into_iter().chain(closes).chain(many).collect()
+}
+
+/// Each text with a connection that closes, and with one that stays open.
+fn closing_and_open(texts: impl IntoIterator<Item = String>) -> Vec<Form> {
+    let forms = texts
+        .into_iter()
+        .flat_map(|text| [Then::Closes, Then::IsSilent].map(|then| Form::new(text.clone(), then)));
+    forms.collect()
+}
+
+fn in_codings() -> Vec<Form> {
+    let head =
+        |coding| format!("HTTP/1.1 200 OK\r\n{{own}}transfer-encoding: {coding}\r\n\r\n{{chunks}}");
+    closing_and_open(CODINGS.iter().map(head))
+}
+
+/// Spoilt heads, and the reasons by which they are counted.
+fn one_of_each() -> [(Form, &'static str); 1] {
+    let coding = "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunke\r\n\r\n{chunks}";
+    [(Form::new(coding, Then::IsSilent), "transfer-coding")]
+}
+
+/// Returns how many answers with a spoilt head a daemon has counted.
+async fn spoilt_heads(daemon: &GatewayDaemon) -> f64 {
+    let mut sum = 0.0;
+    for (_, kind) in one_of_each() {
+        for upstream in ["u0", "u1"] {
+            let line = format!(
+                "saddlepulley_foreign_answers_total{{upstream=\"{upstream}\",reason=\"{kind}\"}}"
+            );
+            sum += metric(daemon, &line).await;
+        }
+    }
+    sum
+}
+
+/// Formats a configuration with upstreams `u0`, `u1` and so on at the given addresses.
+fn routes_to(addresses: &[SocketAddr]) -> String {
+    let mut routes = routes_file(1, &ROUTES.each_ref(), &[]);
+    for (n, address) in addresses.iter().enumerate() {
+        routes.push_str(&format!(
+            "[[upstreams]]\nid = \"u{n}\"\nservice = \"s\"\naddress = \"{address}\"\nzone = \"a\"\nslots = 64\n"
+        ));
+    }
+    routes
+}
+
+/// Returns a list of what clients of all kinds of routes got that they should not, for each form of the only
+/// upstream's answers.
+async fn faults(
+    forms: Vec<Form>,
+    find: impl AsyncFn(&Form, &TestRoute, Response) -> Option<String>,
+) -> Vec<String> {
+    let find = &find;
+    let faults = stream::iter(&forms).map(async |form| {
+        let upstream = WrittenUpstream::start(form, Plays::Always).await;
+        let daemon = GatewayDaemon::start(&routes_to(&[upstream.address])).await;
+        let mut faults = Vec::new();
+        for (n, route) in ROUTES.iter().enumerate() {
+            let path = format!("{}x", route.prefix);
+            let mut client = daemon.client().await;
+            let answer = client.send(request(&format!("a{n}"), &path), "").await;
+            let fault = match answer {
+                Ok(answer) => find(form, route, answer).await,
+                Err(e) => Some(format!("no answer: {e}")),
+            };
+            faults.extend(fault.map(|fault| format!("{form:?} on {path}: {fault}")));
+        }
+        eventually("the connections are closed", async || {
+            upstream.open_requests() == 0
+        })
+        .await;
+        faults
+    });
+    let faults: Vec<_> = faults.buffer_unordered(DAEMONS).collect().await;
+    faults.concat()
+}
+
+/// The daemon's own 502: nothing of the upstream's answer, and not only at the deadline.
+async fn is_refused(_: &Form, _: &TestRoute, answer: Response) -> Option<String> {
+    let is_own = answer.header("saddlepulley-signature").is_empty();
+    let is_refused = answer.status == StatusCode::BAD_GATEWAY && is_own;
+    (!is_refused).then(|| format!("{answer:?}"))
+}
+
+async fn is_whole(_: &Form, route: &TestRoute, answer: Response) -> Option<String> {
+    let due = match route.kind {
+        "streaming" => EVENTS,
+        _ => PLAIN_BODY,
+    };
+    let is_whole = answer.status == StatusCode::OK && answer.complete && answer.body == due;
+    (!is_whole).then(|| format!("{answer:?}"))
+}
+
+#[tokio::test]
+async fn a_body_in_an_unknown_transfer_coding_reaches_no_client() {
+    let faults = faults(in_codings(), is_refused).await;
+    assert!(faults.is_empty(), "{}: {faults:#?}", faults.len());
+}
+
+#[tokio::test]
+async fn sound_answers_reach_clients_whole_however_they_are_written() {
+    let faults = faults(sound(), is_whole).await;
+    assert!(faults.is_empty(), "{}: {faults:#?}", faults.len());
+}
+
+#[tokio::test]
+async fn a_repeatable_request_gets_its_answer_elsewhere_after_a_spoilt_head() {
+    for (form, _) in one_of_each() {
+        let faulty = WrittenUpstream::start(&form, Plays::Always).await;
+        let sound = Runner::start("u1", 3).await.unwrap();
+        let daemon = GatewayDaemon::start(&routes_to(&[faulty.address, sound.address()])).await;
+        for n in 0..REQUESTS {
+            let (attempt, path) = (format!("a{n}"), ["/look/x", "/stream/resume/x"][n % 2]);
+            let answer = daemon.client().await.fetch(&attempt, path, "").await;
+            assert_eq!(answer.status, StatusCode::OK, "{form:?}: {answer:?}");
+            let signature = format!("u1.{attempt}");
+            assert_eq!(answer.header("saddlepulley-signature"), signature);
+        }
+        assert!(spoilt_heads(&daemon).await > 0.0, "it was asked: {form:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_may_run_once_is_not_sent_again_after_a_spoilt_head() {
+    for (form, _) in one_of_each() {
+        let faulty = WrittenUpstream::start(&form, Plays::Always).await;
+        let sound = Runner::start("u1", 3).await.unwrap();
+        let daemon = GatewayDaemon::start(&routes_to(&[faulty.address, sound.address()])).await;
+        let mut failed = Vec::new();
+        for n in 0..REQUESTS {
+            let (attempt, path) = (format!("a{n}"), ["/once/x", "/stream/once/x"][n % 2]);
+            let answer = daemon.client().await.fetch(&attempt, path, "").await;
+            match answer.status {
+                StatusCode::OK => assert!(answer.complete, "{answer:?}"),
+                StatusCode::BAD_GATEWAY => failed.push(attempt),
+                _ => panic!("{form:?}: {answer:?}"),
+            }
+        }
+        assert!(!failed.is_empty(), "it was asked: {form:?}");
+        let ran = |attempt: &String| sound.runs().iter().any(|run| run.attempt == *attempt);
+        assert!(!failed.iter().any(ran), "{form:?}: {failed:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_stream_does_not_go_on_behind_a_spoilt_head() {
+    for (form, _) in one_of_each() {
+        let upstreams = [
+            WrittenUpstream::start(&form, Plays::OnContinuation).await,
+            WrittenUpstream::start(&form, Plays::OnContinuation).await,
+        ];
+        let addresses = upstreams.each_ref().map(|upstream| upstream.address);
+        let daemon = GatewayDaemon::start(&routes_to(&addresses)).await;
+        let mut client = daemon.client().await;
+        let answer = client.fetch("a1", "/stream/resume/x", "").await;
+        assert_eq!(answer.status, StatusCode::OK, "{form:?}: {answer:?}");
+        assert!(!answer.complete, "{form:?}: {answer:?}");
+        assert!(!answer.body.contains("id: 3"), "{form:?}: {answer:?}");
+        assert!(spoilt_heads(&daemon).await > 0.0, "{form:?}: {answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_relay_passes_no_spoilt_head_on_and_closes_its_connection() {
+    for (form, kind) in one_of_each() {
+        let upstream = WrittenUpstream::start(&form, Plays::Always).await;
+        let link = CutProxy::start(upstream.address).await;
+        let cut = GatewayDaemon::spawn_on_file("n0", &routes_to(&[link.address()]), Vec::new());
+        let direct = routes_to(&[upstream.address]);
+        let relay = GatewayDaemon::spawn_on_file("n1", &direct, vec![cut.peers]);
+        for daemon in [&cut, &relay] {
+            daemon.wait_ready().await;
+            eventually("the daemons know each other", async || {
+                metric(daemon, "saddlepulley_daemons ").await == 2.0
+            })
+            .await;
+        }
+        link.set(LinkState::Reset);
+        let found =
+            format!("saddlepulley_foreign_answers_total{{upstream=\"u0\",reason=\"{kind}\"}}");
+        for (n, route) in ROUTES.iter().enumerate() {
+            eventually("a request is relayed", async || {
+                let before = metric(&relay, &found).await;
+                let path = format!("{}x", route.prefix);
+                let answer = cut.client().await.fetch(&format!("a{n}"), &path, "").await;
+                assert!(!answer.status.is_success(), "{form:?}: {answer:?}");
+                assert_eq!(answer.header("saddlepulley-signature"), "", "{answer:?}");
+                metric(&relay, &found).await > before
+            })
+            .await;
+        }
+        eventually("the connections are closed", async || {
+            upstream.open_requests() == 0
+        })
+        .await;
+    }
+}
