A status that no final answer can have is no answer

What callers saw: a runner's head with the status 600, 601 or 999 reached clients with that status, and one with 101 told the client that its connection now speaks another protocol, which it had not asked for.

Cause: as for transfer codings, the status of an answer was left to the HTTP library. It takes any number of three digits, and hands 101 out as a final answer.

Evidence: `a_status_or_first_line_that_is_none_reaches_no_client` (28 first lines, closing and open, four kinds of routes).

Why it works: `HeadFault::Status` for what is not in 200 to 599, in the one place that all answers of upstreams pass. Interim answers (100, 102 to 199) are read over by the library before and after.

--- a/src/http/head_fault.rs
+++ b/src/http/head_fault.rs
@@ -9,6 +9,8 @@
 /// Why the head of an answer can't be right. Nothing that such a head says is to be believed.
 #[derive(Clone, Debug, PartialEq, Eq, Display, thiserror::Error)]
 pub enum HeadFault {
+    /// the status {0} is none of a final answer
+    Status(u16),
     /// the transfer coding of the body is unknown: "{0}"
     TransferCoding(String),
 }
@@ -16,12 +18,17 @@
 impl HeadFault {
     /// Returns what is wrong with the head of an answer, if anything is.
     pub fn find(head: &Parts) -> Option<Self> {
-        unknown_coding(&head.headers).map(Self::TransferCoding)
+        match head.status.as_u16() {
+            200..=599 => unknown_coding(&head.headers).map(Self::TransferCoding),
+            // Interim answers are read by the HTTP library, but for 101: nobody asks for another protocol.
+            other => Some(Self::Status(other)),
+        }
     }
 
     /// Returns the name of the fault for metrics.
     pub fn kind(&self) -> &'static str {
         match self {
+            Self::Status(_) => "status",
             Self::TransferCoding(_) => "transfer-coding",
         }
     }
--- a/tests/decisions/spoilt_heads.rs
+++ b/tests/decisions/spoilt_heads.rs
@@ -43,6 +43,17 @@
     }
 }
 
+#[test]
+fn final_answers_have_a_status_from_200_to_599() {
+    for status in [200, 204, 299, 304, 404, 500, 599] {
+        assert_eq!(HeadFault::find(&head(status, &[])), None, "{status}");
+    }
+    for status in [100, 101, 199, 600, 601, 999] {
+        let fault = HeadFault::find(&head(status, &[]));
+        assert_eq!(fault, Some(HeadFault::Status(status)));
+    }
+}
+
 #[test]
 fn a_fault_names_the_value_without_bytes_that_spoil_a_log_line() {
     let fault = find_in_codings(&[b"gz\xff\"ip"]).unwrap();
--- a/tests/gateway/spoilt_heads.rs
+++ b/tests/gateway/spoilt_heads.rs
@@ -36,6 +36,38 @@
     "\u{e9}\u{ff}%$",
 ];
 
+/// First lines that are none, or whose status is none of an answer.
+const FIRST_LINES: [&str; 28] = [
+    "HTTP/1.1 000 OK",
+    "HTTP/1.1 00 OK",
+    "HTTP/1.1 099 OK",
+    "HTTP/1.1 20 OK",
+    "HTTP/1.1 2 OK",
+    "HTTP/1.1 1000 OK",
+    "HTTP/1.1 abc OK",
+    "HTTP/1.1 -20 OK",
+    "HTTP/1.1 2.0 OK",
+    "HTTP/1.1 0200 OK",
+    "HTTP/1.1 \u{d9}\u{a2}\u{d9}\u{a0}\u{d9}\u{a0} OK",
+    "HTTP/1.1  OK",
+    "HTTP/1.1",
+    "HTTP/1.1 600 OK",
+    "HTTP/1.1 601",
+    "HTTP/1.1 999 OK",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 101 Switching Protocols\r\nconnection: upgrade\r\nupgrade: x",
+    "HTTP/1.1200 OK",
+    "HTTP/1.1\t200 OK",
+    "HTTP/2.0 200 OK",
+    "HTTP/0.9 200 OK",
+    "HTTP/11 200 OK",
+    "http/1.1 200 OK",
+    "HTTQ/1.1 200 OK",
+    " HTTP/1.1 200 OK",
+    "200 OK",
+    "HTTP/1.1 200 O\0K",
+];
+
 /// Answers that are sound, by what is odd in their writing.
 fn sound() -> Vec<Form> {
     let on = [
@@ -88,9 +120,13 @@
 }
 
 /// Spoilt heads, and the reasons by which they are counted.
-fn one_of_each() -> [(Form, &'static str); 1] {
+fn one_of_each() -> [(Form, &'static str); 2] {
     let coding = "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunke\r\n\r\n{chunks}";
-    [(Form::new(coding, Then::IsSilent), "transfer-coding")]
+    let status = "HTTP/1.1 600 OK\r\n{own}content-length: {length}\r\n\r\n{body}";
+    [
+        (Form::new(coding, Then::IsSilent), "transfer-coding"),
+        (Form::new(status, Then::IsSilent), "status"),
+    ]
 }
 
 /// Returns how many answers with a spoilt head a daemon has counted.
@@ -171,6 +207,14 @@
     assert!(faults.is_empty(), "{}: {faults:#?}", faults.len());
 }
 
+#[tokio::test]
+async fn a_status_or_first_line_that_is_none_reaches_no_client() {
+    let texts = FIRST_LINES
+        .map(|line| format!("{line}\r\n{{own}}content-length: {{length}}\r\n\r\n{{body}}"));
+    let faults = faults(closing_and_open(texts), is_refused).await;
+    assert!(faults.is_empty(), "{}: {faults:#?}", faults.len());
+}
+
 #[tokio::test]
 async fn sound_answers_reach_clients_whole_however_they_are_written() {
     let faults = faults(sound(), is_whole).await;
