A body whose end its head doesn't tell is no answer

What callers saw: with an empty line inside a runner's head (in front of its length), with no length at all or with its name misspelt, and with a body in chunks that no line names, the client got a whole 200 with the runner's signature and another body: the rest of the head, half of the body, the sizes of chunks. A stream ended as whole behind half of its events. With the connection left open, the request was held to its deadline.

Cause: one shape: a success without any framing, whose connection ends cleanly, counted as whole.

A head that lost its length on a connection to be kept contradicts itself.

Evidence: gateway/spoilt_heads, `a_body_whose_end_its_head_does_not_tell_reaches_no_client` (six forms, closing and open, four kinds of routes): on the code before 20 of 48 answers were a 200, 6 a 504 at the deadline; now each is a 502 at once. Elsewhere, once only, second run and relay: `one_of_each`. The sound side: no length with `connection: close` in three writings, HTTP/1.0, all whole. decisions/spoilt_heads, decisions/foreign_answers.

Why it works: `HeadFault::Unframed`, in the place of the other two. A refusal is still believed without framing: nobody reads its body.

What can't be told stays: an answer that does announce the end of its connection and lost its length; a body of which an empty line behind the length made the rest of the head a part; services that neither frame nor announce get a 502.

--- a/src/gateway/foreign_answer.rs
+++ b/src/gateway/foreign_answer.rs
@@ -28,13 +28,16 @@
     ///
     /// Upstreams name the attempt in all answers but those by which they turn a request away unread.
     pub fn find(names: &HeaderNames, request: &HeaderMap, answer: &Parts) -> Option<Self> {
-        if let Some(fault) = answer.extensions.get::<HeadFault>() {
-            return Some(Self::BadHead(fault.clone()));
-        }
         let headers = &answer.headers;
         let is_success = answer.status.is_success();
         let is_refusal = answer.status == StatusCode::MISDIRECTED_REQUEST
             || !is_success && headers.contains_key(&names.not_run);
+        match answer.extensions.get::<HeadFault>() {
+            None => {}
+            // Nobody reads the body of a refusal.
+            Some(HeadFault::Unframed) if is_refusal => {}
+            Some(fault) => return Some(Self::BadHead(fault.clone())),
+        }
         let expected = request.get(&names.attempt_id);
         match (expected, headers.get(&names.attempt_id)) {
             (Some(expected), Some(named)) if named != expected => Some(Self::OtherAttempt),
--- a/src/upstreams/exchange.rs
+++ b/src/upstreams/exchange.rs
@@ -1,10 +1,10 @@
 use {
     super::{Endpoint, EndsWithConnection, SendFailure, UpstreamConnection, UpstreamPool},
-    crate::http::HeadFault,
+    crate::http::{HeadFault, announces_end, has_no_framing},
     bytes::Bytes,
-    http::{HeaderMap, Request, header, response::Parts},
+    http::{HeaderMap, Request, response::Parts},
     http_body_util::{BodyExt, Full},
-    hyper::body::Incoming,
+    hyper::body::{Body, Incoming},
     std::{error::Error, io, sync::Arc, time::Duration},
 };
 
@@ -43,12 +43,12 @@
             }
         })?;
         let (mut head, body) = answer.into_parts();
-        if let Some(fault) = HeadFault::find(&head) {
-            head.extensions.insert(fault);
-        }
         if has_no_framing(&head.headers) {
             head.extensions.insert(EndsWithConnection);
         }
+        if let Some(fault) = HeadFault::find(&head, !body.is_end_stream()) {
+            head.extensions.insert(fault);
+        }
         Ok(Self {
             head,
             body,
@@ -90,7 +90,7 @@
         let Some(connection) = self.connection.take() else {
             return;
         };
-        if has_connection_close(&self.head.headers) || has_no_framing(&self.head.headers) {
+        if announces_end(&self.head) || has_no_framing(&self.head.headers) {
             return;
         }
         let idle_timeout = keep_alive_timeout(&self.head.headers);
@@ -113,17 +113,6 @@
     }
 }
 
-fn has_connection_close(headers: &HeaderMap) -> bool {
-    let connection = headers.get(header::CONNECTION);
-    connection.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
-}
-
-/// Returns whether a body has neither a length nor chunks, by its headers.
-fn has_no_framing(headers: &HeaderMap) -> bool {
-    !headers.contains_key(header::CONTENT_LENGTH)
-        && !headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// Returns how long the upstream keeps an idle connection open, by its `Keep-Alive` header.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/tests/decisions/foreign_answers.rs
+++ b/tests/decisions/foreign_answers.rs
@@ -2,7 +2,10 @@
 
 use {
     http::{HeaderMap, Response, response::Parts},
-    saddlepulley::gateway::{ForeignAnswer, HeaderNames},
+    saddlepulley::{
+        gateway::{ForeignAnswer, HeaderNames},
+        http::HeadFault,
+    },
 };
 
 const OWN: (&str, &str) = ("saddlepulley-attempt", "a1");
@@ -40,6 +43,28 @@
     );
 }
 
+#[test]
+fn a_head_that_cannot_be_right_says_nothing_but_that_a_request_has_not_run() {
+    let find = |status, headers: &[(&str, &str)], fault: &HeadFault| {
+        let mut head = head(status, headers);
+        head.extensions.insert(fault.clone());
+        let request = HeaderMap::from_iter([(
+            "saddlepulley-attempt".parse().unwrap(),
+            "a1".parse().unwrap(),
+        )]);
+        ForeignAnswer::find(&HeaderNames::default(), &request, &head)
+    };
+    let coding = HeadFault::TransferCoding("x".into());
+    for fault in [coding, HeadFault::Status(600), HeadFault::Unframed] {
+        let bad = Some(ForeignAnswer::BadHead(fault.clone()));
+        for status in [200, 404, 500, 503] {
+            assert_eq!(find(status, &[OWN, SIGNED], &fault), bad, "{status}");
+        }
+        let refusal = find(503, &[NOT_RUN], &fault);
+        assert_eq!(refusal, bad.filter(|_| fault != HeadFault::Unframed));
+    }
+}
+
 #[test]
 fn a_failure_counts_only_with_the_id() {
     for status in [304, 400, 404, 429, 500, 503, 504] {
--- a/tests/gateway/spoilt_heads.rs
+++ b/tests/gateway/spoilt_heads.rs
@@ -36,6 +36,17 @@
     "\u{e9}\u{ff}%$",
 ];
 
+/// Heads that don't say where the body ends, although the connection is to be kept.
+const UNFRAMED: [&str; 6] = [
+    // An empty line inside the head.
+    "HTTP/1.1 200 OK\r\n{own}\r\ncontent-length: {length}\r\n\r\n{body}",
+    "HTTP/1.1 200 OK\r\n{own}x-a: b\n\nc\r\ncontent-length: {length}\r\n\r\n{body}",
+    "HTTP/1.1 200 OK\r\n{own}keep-alive: timeout=10\r\n\r\ntransfer-encoding: chunked\r\n\r\n{chunks}",
+    "HTTP/1.1 200 OK\r\n{own}\r\n{half}",
+    "HTTP/1.1 200 OK\r\n{own}content-lemgth: {length}\r\n\r\n{half}",
+    "HTTP/1.1 200 OK\r\n{own}\r\n{chunks}",
+];
+
 /// First lines that are none, or whose status is none of an answer.
 const FIRST_LINES: [&str; 28] = [
     "HTTP/1.1 000 OK",
@@ -119,13 +130,18 @@
     closing_and_open(CODINGS.iter().map(head))
 }
 
+fn unframed() -> Vec<Form> {
+    closing_and_open(UNFRAMED.map(String::from))
+}
+
 /// Spoilt heads, and the reasons by which they are counted.
-fn one_of_each() -> [(Form, &'static str); 2] {
+fn one_of_each() -> [(Form, &'static str); 3] {
     let coding = "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunke\r\n\r\n{chunks}";
     let status = "HTTP/1.1 600 OK\r\n{own}content-length: {length}\r\n\r\n{body}";
     [
         (Form::new(coding, Then::IsSilent), "transfer-coding"),
         (Form::new(status, Then::IsSilent), "status"),
+        (Form::new(UNFRAMED[0], Then::IsSilent), "unframed"),
     ]
 }
 
@@ -207,6 +223,12 @@
     assert!(faults.is_empty(), "{}: {faults:#?}", faults.len());
 }
 
+#[tokio::test]
+async fn a_body_whose_end_its_head_does_not_tell_reaches_no_client() {
+    let faults = faults(unframed(), is_refused).await;
+    assert!(faults.is_empty(), "{}: {faults:#?}", faults.len());
+}
+
 #[tokio::test]
 async fn a_status_or_first_line_that_is_none_reaches_no_client() {
     let texts = FIRST_LINES
