A length beside chunks doesn't cut an answer

What callers saw (release build): a head with `transfer-encoding: chunked` and `content-length: 7` went on with that length: plain routes and streams of both kinds gave a whole 200 with the signature and the first 7 bytes of the body. With `content-length: 7000` the body came and the client waited for the rest. In a development build the same answers ended the daemon on plain routes (an assertion of the HTTP library in its main thread). `content-length: 29, 29`, which is sound, broke streams off without an answer.

Cause: the head's length was passed on as the upstream had written it, beside a body that was read by other rules: chunks go before a length, and a sender that passes such an answer on has to remove the length (RFC 9112, 6.3).

Found by playing heads that tell the length twice; ruled out: the reading of the body, which was right in all of these.

Evidence: three more forms in `sound_answers_reach_clients_whole_however_they_are_written`; red before in both builds (10 of 12 answers), green now.

Why it works: where an answer is read (`OpenAnswer::open`), the length in its head becomes that of its body, or goes if the body is in chunks. Such an answer stays whole and is not refused: what the chunks say is the whole body, and a body that is not in chunks fails as such.

--- a/src/upstreams/exchange.rs
+++ b/src/upstreams/exchange.rs
@@ -2,7 +2,7 @@
     super::{Endpoint, EndsWithConnection, SendFailure, UpstreamConnection, UpstreamPool},
     crate::http::{HeadFault, announces_end, has_no_framing},
     bytes::Bytes,
-    http::{HeaderMap, Request, response::Parts},
+    http::{HeaderMap, HeaderValue, Request, header, response::Parts},
     http_body_util::{BodyExt, Full},
     hyper::body::{Body, Incoming},
     std::{error::Error, io, sync::Arc, time::Duration},
@@ -49,6 +49,7 @@
         if let Some(fault) = HeadFault::find(&head, !body.is_end_stream()) {
             head.extensions.insert(fault);
         }
+        set_length(&mut head.headers, &body);
         Ok(Self {
             head,
             body,
@@ -113,6 +114,20 @@
     }
 }
 
+/// Makes the length in a head that of its body: callers pass both on. Beside chunks a length does not count
+/// (RFC 9112, 6.3), and one that is named several times can be written as one.
+fn set_length(headers: &mut HeaderMap, body: &impl Body) {
+    if headers.contains_key(header::TRANSFER_ENCODING) {
+        headers.remove(header::CONTENT_LENGTH);
+        return;
+    }
+    // An answer to HEAD names a length and has no body.
+    let length = body.size_hint().exact().filter(|length| *length > 0);
+    if let Some(length) = length {
+        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+    }
+}
+
 /// Returns how long the upstream keeps an idle connection open, by its `Keep-Alive` header.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/tests/gateway/spoilt_heads.rs
+++ b/tests/gateway/spoilt_heads.rs
@@ -93,6 +93,10 @@
         "HTTP/1.1 200 OK\r\n{own}TRANSFER-ENCODING: \t CHUNKED \r\n\r\n{chunks}",
         "HTTP/1.1 200 OK\r\n{own}content-length: 000{length}\r\n\r\n{body}",
         "HTTP/1.1 200 OK\r\n{own}content-length: {length}\r\ncontent-length: {length}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\n{own}content-length: {length}, {length}\r\n\r\n{body}",
+        // Chunks go before a length (RFC 9112, 6.3).
+        "HTTP/1.1 200 OK\r\n{own}content-length: 7\r\ntransfer-encoding: chunked\r\n\r\n{chunks}",
+        "HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\ncontent-length: 7000\r\n\r\n{chunks}",
         "HTTP/1.1 200 OK\r\n{own}x-a:\r\nx-b: \r\ncontent-length: {length}\r\n\r\n{body}",
         "HTTP/1.1 200 OK\r\n{own}!#$%&'*+-.^_`|~09azAZ: b\r\ncontent-length: {length}\r\n\r\n{body}",
         "HTTP/1.1 103 Early Hints\r\nlink: <a>\r\n\r\nHTTP/1.1 200 OK\r\n{own}content-length: {length}\r\n\r\n{body}",
