A stream that goes on elsewhere isn't cut at its first run's length

Cause: the client's answer keeps the head of the first run, its length too, and the body is that of two runs.

Evidence: `a_stream_that_goes_on_elsewhere_is_not_cut_at_the_length_of_its_first_run`, red before: 186 bytes, `id: 11 ... i`, complete.

Why it works: an event stream that another upstream may still continue goes to its client in chunks, which end when the relay of its events ends, whatever the first head named. Streams that may not go on and all other answers are of one run and keep their length.

--- a/src/gateway/forward_stream.rs
+++ b/src/gateway/forward_stream.rs
@@ -9,7 +9,7 @@
     },
     bytes::Bytes,
     futures_util::{Stream, stream},
-    http::{Response, response::Parts},
+    http::{Response, header, response::Parts},
     std::{io, sync::Arc, time::Duration},
 };
 
@@ -81,7 +81,11 @@
     async fn first(&mut self) -> Option<(Parts, Bytes)> {
         loop {
             self.open().await?;
-            let head = self.current.as_ref()?.answer.head.clone();
+            let mut head = self.current.as_ref()?.answer.head.clone();
+            if self.is_events && self.can_retry() {
+                // Another upstream may continue the stream, in more or fewer bytes.
+                head.headers.remove(header::CONTENT_LENGTH);
+            }
             match self.step().await {
                 Ok(step) => {
                     self.gateway.record_run(&self.context);
@@ -467,7 +471,7 @@
 
 /// Returns whether an answer is a success in the type of content of event streams.
 fn is_event_stream(head: &Parts) -> bool {
-    let kind = head.headers.get(http::header::CONTENT_TYPE);
+    let kind = head.headers.get(header::CONTENT_TYPE);
     let kind = kind.and_then(|value| value.to_str().ok());
     let essence = kind.and_then(|value| value.split(';').next());
     let is_stream = |essence: &str| essence.trim().eq_ignore_ascii_case("text/event-stream");
--- a/tests/gateway/spoilt_heads.rs
+++ b/tests/gateway/spoilt_heads.rs
@@ -5,6 +5,9 @@
     crate::{
         cut_proxy::{CutProxy, LinkState},
         faulty_upstream::Plays,
+        scripted_upstream::{
+            EVENTS as EVENTS_OF_A_SCRIPT, Script, ScriptedUpstream, Scripts, event,
+        },
         support::*,
         written_upstream::*,
     },
@@ -304,6 +307,33 @@
     }
 }
 
+#[tokio::test]
+async fn a_stream_that_goes_on_elsewhere_is_not_cut_at_the_length_of_its_first_run() {
+    const BROKEN_OFF_AFTER: usize = 3;
+    let whole: Vec<Vec<u8>> = (1..=EVENTS_OF_A_SCRIPT).map(event).collect();
+    let length = whole.concat().len();
+    let mut first = Script::new(move |_| whole[..BROKEN_OFF_AFTER].to_vec());
+    first.head = format!("content-type: text/event-stream\r\ncontent-length: {length}\r\n").leak();
+    // The same events, in more bytes.
+    let later = Script::new(|after| {
+        let events = (after + 1..=EVENTS_OF_A_SCRIPT).map(|n| format!("id: {n}\ndata:  {n} \n\n"));
+        events.map(String::into_bytes).collect()
+    });
+    let scripts = Scripts::new(first, later);
+    let upstreams = [
+        ScriptedUpstream::start(scripts.clone()).await,
+        ScriptedUpstream::start(scripts).await,
+    ];
+    let daemon = GatewayDaemon::start(&routes_to(&upstreams.each_ref().map(|u| u.address))).await;
+    let mut client = daemon.client().await;
+    let answer = client.fetch("a1", "/stream/resume/x", "").await;
+    assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+    assert!(answer.complete, "{answer:?}");
+    let events = answer.body.matches("data:").count() as u64;
+    assert_eq!(events, EVENTS_OF_A_SCRIPT, "{answer:?}");
+    assert!(answer.body.ends_with("\n\n"), "{answer:?}");
+}
+
 #[tokio::test]
 async fn a_relay_passes_no_spoilt_head_on_and_closes_its_connection() {
     for (form, kind) in one_of_each() {
