Answers to the daemon's own calls are judged by their heads, too

What could happen: an answer of the store, the cloud API or an engine of the older path in an unknown transfer coding, without its length or with a status that is none was read as whole: records of the store that are half of what was written, an order to the cloud that counts as taken. Seen by the test only.

Cause: the same as at upstreams; these calls have two clients of their own (`HttpClient`, `call_once`), which all of them pass.

Evidence: gateway/spoilt_calls, six forms, closing and open, with both clients: red before (the first form was read as `1d\r\nthe whole body ...`), now each is `HttpError::Malformed`. Four sound writings are read whole.

Why it works: the same `HeadFault` decides. A malformed answer was an error before: a read is repeated, and a call that writes may have had its effect, so it is repeated under the same condition, sequence or fence.

--- a/src/http/call_once.rs
+++ b/src/http/call_once.rs
@@ -1,5 +1,5 @@
 use {
-    super::{HttpError, full_body},
+    super::{HttpError, full_body, http_client::check_head},
     crate::clock,
     bytes::Bytes,
     http::{Request, StatusCode, header},
@@ -56,6 +56,7 @@
         request.headers_mut().entry(header::HOST).or_insert(host);
     }
     let answer = sender.send_request(request).await.map_err(broken)?;
+    let answer = check_head(answer)?;
     let status = answer.status();
     Ok((status, full_body(answer.into_body()).await?))
 }
--- a/src/http/http_client.rs
+++ b/src/http/http_client.rs
@@ -1,10 +1,10 @@
 use {
-    super::HttpError,
+    super::{HeadFault, HttpError},
     crate::clock,
     bytes::{Bytes, BytesMut},
     http::{HeaderMap, Request, Response, StatusCode},
     http_body_util::{BodyExt, Full, Limited},
-    hyper::body::Incoming,
+    hyper::body::{Body, Incoming},
     hyper_util::{
         client::legacy::{Client, connect::HttpConnector},
         rt::TokioExecutor,
@@ -61,7 +61,8 @@
     ///
     /// # Errors
     ///
-    /// Returns how the call failed; a response with the header [`NOT_STARTED`] is a failure.
+    /// Returns how the call failed; a response with the header [`NOT_STARTED`] is a failure, and so is one whose head
+    /// can't be right.
     pub async fn exchange(
         &self,
         req: Request<Full<Bytes>>,
@@ -71,6 +72,7 @@
         let rep = answer
             .map_err(|_| HttpError::Timeout(timeout))?
             .map_err(from_client)?;
+        let rep = check_head(rep)?;
         if rep.headers().contains_key(NOT_STARTED) {
             return Err(HttpError::NotStarted(rep.status().as_u16()));
         }
@@ -193,6 +195,20 @@
     serde_json::from_slice(bytes).map_err(|e| HttpError::Malformed(e.to_string()))
 }
 
+/// Returns an answer if its head may be believed.
+///
+/// # Errors
+///
+/// Returns [`HttpError::Malformed`] if its head can't be right. The call may have had its effect.
+pub(super) fn check_head(rep: Response<Incoming>) -> Result<Response<Incoming>, HttpError> {
+    let has_body = !rep.body().is_end_stream();
+    let (head, body) = rep.into_parts();
+    match HeadFault::find(&head, has_body) {
+        None => Ok(Response::from_parts(head, body)),
+        Some(fault) => Err(HttpError::Malformed(fault.to_string())),
+    }
+}
+
 fn check_status(rep: Response<Incoming>) -> Result<Response<Incoming>, HttpError> {
     match rep.status() {
         StatusCode::OK => Ok(rep),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -43,6 +43,7 @@
 mod slow_readers;
 mod soak;
 mod soak_world;
+mod spoilt_calls;
 mod spoilt_heads;
 mod start;
 mod stops;
