--- a/tests/gateway/spoilt_heads.rs
+++ b/tests/gateway/spoilt_heads.rs
@@ -50,6 +50,49 @@
     "HTTP/1.1 200 OK\r\n{own}\r\n{chunks}",
 ];
 
+/// Heads that are none, behind a first line that is sound.
+const LINES: [&str; 36] = [
+    "words without a colon\r\n",
+    ": b\r\n",
+    ":\r\n",
+    "x-a: b\r\n folded\r\n",
+    "\tx-a: b\r\n",
+    "HTTP/1.1 200 OK\r\n",
+    "\u{1}\u{2}\u{3}\r\n",
+    "\0\r\n",
+    "\u{ff}\u{fe}\r\n",
+    "x-a: b\rc\r\n",
+    "\r",
+    // Names.
+    "x a: b\r\n",
+    "x-a : b\r\n",
+    "x-a\t: b\r\n",
+    "x\u{1}a: b\r\n",
+    "x\u{7f}a: b\r\n",
+    "x\ta: b\r\n",
+    "x\0a: b\r\n",
+    "x\u{e9}a: b\r\n",
+    "x(a): b\r\n",
+    "x[a]: b\r\n",
+    "\"x\": b\r\n",
+    "x/a: b\r\n",
+    "content length: 7\r\n",
+    "content-length : 7\r\n",
+    "content\u{1}length: 7\r\n",
+    // Values.
+    "x-a: b\0c\r\n",
+    "x-a: b\u{1}c\r\n",
+    "x-a: b\u{7f}c\r\n",
+    // Lengths.
+    "content-length: abc\r\n",
+    "content-length:\r\n",
+    "content-length: -5\r\n",
+    "content-length: 0x1d\r\n",
+    "content-length: 3 20\r\n",
+    "content-length: 99999999999999999999999\r\n",
+    "content-length 29\r\n",
+];
+
 /// First lines that are none, or whose status is none of an answer.
 const FIRST_LINES: [&str; 28] = [
     "HTTP/1.1 000 OK",
@@ -82,6 +125,18 @@
     "HTTP/1.1 200 O\0K",
 ];
 
+/// Heads that stop. The connection closes behind them.
+const STOPPED: [&str; 8] = [
+    "",
+    "HTTP/1.",
+    "HTTP/1.1 200",
+    "HTTP/1.1 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\n{own}",
+    "HTTP/1.1 200 OK\r\n{own}content-len",
+    "HTTP/1.1 200 OK\r\n{own}content-length: 2",
+    "HTTP/1.1 200 OK\r\n{own}content-length: {length}\r\n",
+];
+
 /// Answers that are sound, by what is odd in their writing.
 fn sound() -> Vec<Form> {
     let on = [
@@ -244,6 +299,25 @@
     assert!(faults.is_empty(), "{}: {faults:#?}", faults.len());
 }
 
+#[tokio::test]
+async fn a_head_with_a_line_that_is_no_field_reaches_no_client() {
+    let lines = LINES.iter().filter(|line| !line.contains("content"));
+    let texts = lines.map(|line| {
+        format!("HTTP/1.1 200 OK\r\n{{own}}{line}content-length: {{length}}\r\n\r\n{{body}}")
+    });
+    let lengths = LINES.iter().filter(|line| line.contains("content"));
+    let lengths = lengths.map(|line| format!("HTTP/1.1 200 OK\r\n{{own}}{line}\r\n{{body}}"));
+    let faults = faults(closing_and_open(texts.chain(lengths)), is_refused).await;
+    assert!(faults.is_empty(), "{}: {faults:#?}", faults.len());
+}
+
+#[tokio::test]
+async fn a_head_that_stops_reaches_no_client() {
+    let forms = STOPPED.map(|text| Form::new(text, Then::Closes));
+    let faults = faults(forms.into(), is_refused).await;
+    assert!(faults.is_empty(), "{}: {faults:#?}", faults.len());
+}
+
 #[tokio::test]
 async fn sound_answers_reach_clients_whole_however_they_are_written() {
     let faults = faults(sound(), is_whole).await;
@@ -334,22 +408,65 @@
     assert!(answer.body.ends_with("\n\n"), "{answer:?}");
 }
 
+/// Starts a daemon that reaches an upstream no more, and one that relays its requests.
+async fn start_behind(link: &CutProxy, upstream: SocketAddr) -> [GatewayDaemon; 2] {
+    let cut = GatewayDaemon::spawn_on_file("n0", &routes_to(&[link.address()]), Vec::new());
+    let relay = GatewayDaemon::spawn_on_file("n1", &routes_to(&[upstream]), vec![cut.peers]);
+    for daemon in [&cut, &relay] {
+        daemon.wait_ready().await;
+        eventually("the daemons know each other", async || {
+            metric(daemon, "saddlepulley_daemons ").await == 2.0
+        })
+        .await;
+    }
+    link.set(LinkState::Reset);
+    [cut, relay]
+}
+
 #[tokio::test]
-async fn a_relay_passes_no_spoilt_head_on_and_closes_its_connection() {
-    for (form, kind) in one_of_each() {
+async fn a_head_that_stops_is_no_continuation_of_a_stream() {
+    for text in STOPPED {
+        let form = Form::new(text, Then::Closes);
+        let upstreams = [
+            WrittenUpstream::start(&form, Plays::OnContinuation).await,
+            WrittenUpstream::start(&form, Plays::OnContinuation).await,
+        ];
+        let addresses = upstreams.each_ref().map(|upstream| upstream.address);
+        let daemon = GatewayDaemon::start(&routes_to(&addresses)).await;
+        let mut client = daemon.client().await;
+        let answer = client.fetch("a1", "/stream/resume/x", "").await;
+        assert!(!answer.complete, "{form:?}: {answer:?}");
+        assert!(!answer.body.contains("id: 3"), "{form:?}: {answer:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_head_that_stops_reaches_no_client_through_a_relay() {
+    for text in STOPPED {
+        let form = Form::new(text, Then::Closes);
         let upstream = WrittenUpstream::start(&form, Plays::Always).await;
         let link = CutProxy::start(upstream.address).await;
-        let cut = GatewayDaemon::spawn_on_file("n0", &routes_to(&[link.address()]), Vec::new());
-        let direct = routes_to(&[upstream.address]);
-        let relay = GatewayDaemon::spawn_on_file("n1", &direct, vec![cut.peers]);
-        for daemon in [&cut, &relay] {
-            daemon.wait_ready().await;
-            eventually("the daemons know each other", async || {
-                metric(daemon, "saddlepulley_daemons ").await == 2.0
+        let [cut, relay] = start_behind(&link, upstream.address).await;
+        let relayed = "saddlepulley_relayed_for_others_total{outcome=\"cut-off\"}";
+        for (n, route) in ROUTES.iter().enumerate() {
+            eventually("a request is relayed", async || {
+                let before = metric(&relay, relayed).await;
+                let path = format!("{}x", route.prefix);
+                let answer = cut.client().await.fetch(&format!("a{n}"), &path, "").await;
+                assert!(!answer.status.is_success(), "{form:?}: {answer:?}");
+                metric(&relay, relayed).await > before
             })
             .await;
         }
-        link.set(LinkState::Reset);
+    }
+}
+
+#[tokio::test]
+async fn a_relay_passes_no_spoilt_head_on_and_closes_its_connection() {
+    for (form, kind) in one_of_each() {
+        let upstream = WrittenUpstream::start(&form, Plays::Always).await;
+        let link = CutProxy::start(upstream.address).await;
+        let [cut, relay] = start_behind(&link, upstream.address).await;
         let found =
             format!("saddlepulley_foreign_answers_total{{upstream=\"u0\",reason=\"{kind}\"}}");
         for (n, route) in ROUTES.iter().enumerate() {
