--- a/tests/gateway/endless_bytes.rs
+++ b/tests/gateway/endless_bytes.rs
@@ -135,12 +135,7 @@
     let link = CutProxy::start(upstreams[0].address()).await;
     let cut = start_named("n0", &[link.address()], Vec::new()).await;
     let relay = start_named("n1", &[upstreams[0].address()], vec![cut.peers]).await;
-    for daemon in [&cut, &relay] {
-        eventually("the daemons know each other", async || {
-            metric(daemon, "saddlepulley_daemons ").await == 2.0
-        })
-        .await;
-    }
+    until_they_know_each_other(&[&cut, &relay]).await;
     link.set(LinkState::Reset);
     eventually("requests are relayed", async || {
         let mut client = cut.client().await;
--- a/tests/gateway/foreign_answers.rs
+++ b/tests/gateway/foreign_answers.rs
@@ -226,13 +226,7 @@
     let cut = GatewayDaemon::spawn_on_file("n0", &routes_to(&[link.address()]), Vec::new());
     let direct = routes_to(&[upstream.address()]);
     let relay = GatewayDaemon::spawn_on_file("n1", &direct, vec![cut.peers]);
-    for daemon in [&cut, &relay] {
-        daemon.wait_ready().await;
-        eventually("the daemons know each other", async || {
-            metric(daemon, "saddlepulley_daemons ").await == 2.0
-        })
-        .await;
-    }
+    until_they_know_each_other(&[&cut, &relay]).await;
     link.set(LinkState::Reset);
     let found =
         format!("saddlepulley_foreign_answers_total{{upstream=\"u0\",reason=\"{reason}\"}}");
--- a/tests/gateway/spoilt_heads.rs
+++ b/tests/gateway/spoilt_heads.rs
@@ -412,13 +412,7 @@
 async fn start_behind(link: &CutProxy, upstream: SocketAddr) -> [GatewayDaemon; 2] {
     let cut = GatewayDaemon::spawn_on_file("n0", &routes_to(&[link.address()]), Vec::new());
     let relay = GatewayDaemon::spawn_on_file("n1", &routes_to(&[upstream]), vec![cut.peers]);
-    for daemon in [&cut, &relay] {
-        daemon.wait_ready().await;
-        eventually("the daemons know each other", async || {
-            metric(daemon, "saddlepulley_daemons ").await == 2.0
-        })
-        .await;
-    }
+    until_they_know_each_other(&[&cut, &relay]).await;
     link.set(LinkState::Reset);
     [cut, relay]
 }
--- a/tests/gateway/stops.rs
+++ b/tests/gateway/stops.rs
@@ -168,13 +168,7 @@
     let (from, to) = (runner.address().to_string(), link.address().to_string());
     let cut = GatewayDaemon::spawn_on_file("n0", &direct.replace(&from, &to), Vec::new());
     let mut relay = GatewayDaemon::spawn_on_file("n1", &direct, vec![cut.peers]);
-    for daemon in [&cut, &relay] {
-        daemon.wait_ready().await;
-        eventually("the daemons know each other", async || {
-            metric(daemon, "saddlepulley_daemons ").await == 2.0
-        })
-        .await;
-    }
+    until_they_know_each_other(&[&cut, &relay]).await;
     link.set(LinkState::Reset);
     let mut streaming = None;
     eventually("a stream is relayed", async || {
--- a/tests/gateway/support.rs
+++ b/tests/gateway/support.rs
@@ -78,6 +78,17 @@
     value.unwrap_or(0.0)
 }
 
+/// Waits until daemons are ready and know each other.
+pub async fn until_they_know_each_other(daemons: &[&GatewayDaemon]) {
+    for daemon in daemons {
+        daemon.wait_ready().await;
+        eventually("the daemons know each other", async || {
+            metric(daemon, "saddlepulley_daemons ").await == daemons.len() as f64
+        })
+        .await;
+    }
+}
+
 /// Returns the peak resident memory of a daemon, in megabytes.
 pub fn peak_memory_mb(daemon: &GatewayDaemon) -> u64 {
     let status = fs::read_to_string(format!("/proc/{}/status", daemon.id())).unwrap();
